--- /dev/null
+++ b/badgerspindle/__init__.py
@@ -0,0 +1,1 @@
+"""badgerspindle: which customers' requests a gateway sends on, where, and which it refuses."""
--- /dev/null
+++ b/badgerspindle/mail.py
@@ -0,0 +1,63 @@
+"""Layout of the messages between gateways: bytes to plain values and back. Nothing here decides anything."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import NamedTuple
+
+MESSAGE = 256  # bytes that a peer message may hold
+_HEADER, _TOTAL, _DRAW = struct.Struct("<HH"), struct.Struct("<QHB"), struct.Struct("<BQBHIH")
+TOTALS = (MESSAGE - _HEADER.size) // _TOTAL.size  # customers in one message of totals
+
+
+class Kind(IntEnum):
+    """What a message between a gateway and a customer's home says."""
+
+    ASK = 1  # may these units go on?
+    TAKE = 2  # they went on; no answer is wanted
+    GRANT = 3  # yes; the units say what the store holds
+    DENY = 4  # no; likewise
+
+
+class Draw(NamedTuple):
+    """One message between a gateway and a customer's home; `age` is the sender's, in tenths of a second."""
+
+    kind: int
+    customer: int
+    plan: int
+    units: float
+    tag: int
+    age: int
+
+
+def _u16(value: float) -> int:
+    return min(0xFFFF, max(0, round(value)))
+
+
+def pack_draw(draw: Draw) -> bytes:
+    """Units travel in quarters; what does not fit is held at the bound."""
+    return _DRAW.pack(draw.kind, draw.customer, draw.plan, _u16(4 * draw.units), draw.tag, _u16(draw.age))
+
+
+def unpack_draw(data: bytes) -> Draw | None:
+    """None for anything that is no such message."""
+    if len(data) != _DRAW.size:
+        return None
+    kind, customer, plan, quarters, tag, age = _DRAW.unpack(data)
+    return Draw(kind, customer, plan, quarters / 4, tag, age) if kind in tuple(Kind) else None
+
+
+def pack_totals(incarnation: int, age: int, totals: Iterable[tuple[int, int, int]]) -> bytes:
+    """Customer, running total in quarter units and open attempts, for at most `TOTALS` customers."""
+    head = _HEADER.pack(incarnation, _u16(age))
+    return head + b"".join(_TOTAL.pack(c, sent & 0xFFFF, min(255, out)) for c, sent, out in totals)
+
+
+def unpack_totals(data: bytes) -> tuple[int, int, list[tuple[int, int, int]]] | None:
+    """Incarnation, age and totals; None for anything that is no such message."""
+    if len(data) < _HEADER.size or (len(data) - _HEADER.size) % _TOTAL.size:
+        return None
+    incarnation, age = _HEADER.unpack_from(data)
+    return incarnation, age, list(_TOTAL.iter_unpack(data[_HEADER.size :]))
--- /dev/null
+++ b/badgerspindle/state.py
@@ -0,0 +1,110 @@
+"""What a gateway remembers: plain state and one helper, for `logic.py`. Nothing here decides anything."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import exp
+
+from .interface import Arrival, Backend, Plan
+
+SECOND = 1_000_000_000
+
+
+def decayed(age: int, constant: int) -> float:
+    """Weight that is left of something `age` old."""
+    return exp(-age / constant)
+
+
+class Mean:
+    """A recent mean: samples lose weight with age, by the time constant `memory`."""
+
+    __slots__ = ("at", "memory", "total", "weight")
+
+    def __init__(self, memory: int) -> None:
+        self.at, self.total, self.weight, self.memory = 0, 0.0, 0.0, memory
+
+    def add(self, now: int, value: float, weight: float = 1.0) -> None:
+        left = decayed(now - self.at, self.memory)
+        self.total, self.weight = self.total * left + value * weight, self.weight * left + weight
+        self.at = now
+
+    def rate(self, now: int) -> float:
+        """Samples a second."""
+        return self.weight * decayed(now - self.at, self.memory) * SECOND / self.memory
+
+    def blend(self, now: int, prior: float, strength: float) -> float:
+        """The mean with `strength` samples of `prior` mixed in; what is old goes back to the prior."""
+        left = decayed(now - self.at, self.memory)
+        return (self.total * left + prior * strength) / (self.weight * left + strength)
+
+    @property
+    def value(self) -> float:
+        return self.total / self.weight if self.weight > 1e-9 else 0.0
+
+
+@dataclass(slots=True)
+class Account:
+    """What this gateway knows of one customer: its commitment, its bucket, its slices."""
+
+    customer: int
+    plan: Plan
+    index: int  # the plan's
+    home: int  # the gateway that keeps the customer's store where gateways are many
+    level: float
+    at: int
+    last: int
+    evaluated: int
+    told_at: int  # when home or counter last told of its store
+    open_at: int  # when others' open attempts were last told
+    in_flight: Mean
+    demand: Mean
+    granted: Mean  # 1 for units granted, 0 for denied
+    seen: Mean  # units asked for here, remembered longer than the demand
+    ceiling: float = 0.0
+    part: float = 0.0  # this gateway's even slice of the store
+    peers: tuple[int, ...] = ()
+    slices: int = 0  # gateways among which it is sliced; 0 where none of its requests came here yet
+    cap: int = 0
+    open: int = 0
+    worth: float = 0.0
+    room: float = 0.0
+    aim: int = 0
+    sent: int = 0  # quarter units sent on inside the quota, since this gateway's start
+    tells: int = 0
+    heard: dict[int, int] = field(default_factory=dict)
+    others: int = 0  # open attempts elsewhere, as told
+    owed: float = 0.0  # to be added to the counter with the next call
+
+
+@dataclass(slots=True)
+class Server:
+    """One backend as this gateway sees it."""
+
+    entry: Backend
+    slow: Mean
+    pause: int
+    usable: bool = True
+    out: int = 0
+    fails: int = 0
+    suspended: int = 0
+    full: dict[tuple[int, int], int] = field(default_factory=dict)  # by class and plan, until when
+    met: dict[int, tuple[int, float]] = field(default_factory=dict)  # by class: when, 1 if unanswered
+    tokens: float = 0.0
+    tokens_at: int = 0
+
+
+@dataclass(slots=True)
+class Open:
+    """A request that still owes its final answer."""
+
+    arrival: Arrival
+    account: Account
+    sends: int = 0
+    out: int = 0
+    tried: set[int] = field(default_factory=set)
+    may_have_run: bool = False
+    keyed_at: int = 0
+    keyed_by: Backend | None = None
+    sent_at: int = 0
+    asked_at: int = 0
+    placed: bool = False  # counted as out on the counter
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,372 @@
+"""The rules and guards, each on a gateway acting alone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from badgerspindle.interface import (
+    NEVER_RAN,
+    Action,
+    ClientLeft,
+    Event,
+    Fail,
+    Health,
+    ListKind,
+    Outcome,
+    PeerMessage,
+    Refuse,
+    Send,
+    Tell,
+    TimerFired,
+)
+from badgerspindle.logic import EVERY_TICK, TICK, Gateway
+
+from .helpers import (
+    KEYED,
+    MS,
+    SAFE,
+    SECOND,
+    UNSAFE,
+    arrival,
+    backend,
+    ended,
+    full_list,
+    plan,
+    settings,
+)
+
+
+def sends(actions: list[Action]) -> list[Send]:
+    return [a for a in actions if isinstance(a, Send)]
+
+
+def refusals(actions: list[Action]) -> list[Refuse]:
+    return [a for a in actions if isinstance(a, Refuse)]
+
+
+def gateway(**changes: Any) -> Gateway:
+    made = Gateway(settings(**changes), 7, 0)
+    made.handle(0, full_list(*(backend(i) for i in range(1, 5)), kind=ListKind.CACHED))
+    return made
+
+
+def test_request_inside_its_quota_is_sent() -> None:
+    g = gateway()
+    assert len(sends(g.handle(MS, arrival(1, MS)))) == 1
+
+
+def test_requests_beyond_the_quota_are_refused_at_once() -> None:
+    g = gateway()
+    refused = 0
+    for i in range(60):
+        refused += len(refusals(g.handle(MS, arrival(i, MS))))
+        g.handle(MS, ended(i, 1))
+    assert 60 - 20 - 2 <= refused < 60
+
+
+def test_no_backend_means_refusal() -> None:
+    g = Gateway(settings(), 7, 0)
+    g.handle(0, full_list(kind=ListKind.CACHED))
+    assert refusals(g.handle(MS, arrival(1, MS)))
+
+
+def test_request_past_its_time_is_refused() -> None:
+    g = gateway()
+    assert refusals(g.handle(MS, arrival(1, MS, valid_until=0)))
+
+
+def test_unsafe_request_that_may_have_run_only_fails() -> None:
+    g = gateway()
+    (send,) = sends(g.handle(MS, arrival(1, MS, UNSAFE)))
+    assert g.handle(2 * MS, ended(1, send.backend, Outcome.RESET)) == [Fail(1)]
+
+
+def test_unsafe_request_that_never_ran_goes_elsewhere() -> None:
+    g = gateway()
+    (send,) = sends(g.handle(MS, arrival(1, MS, UNSAFE)))
+    (again,) = sends(g.handle(2 * MS, ended(1, send.backend, Outcome.FULL)))
+    assert again.backend != send.backend
+
+
+def test_keyed_repeat_stays_in_its_cell_and_window() -> None:
+    g = Gateway(settings(), 7, 0)
+    cells = {1: 1, 2: 1, 3: 2, 4: 2}
+    g.handle(0, full_list(*(backend(i, cell=c) for i, c in cells.items())))
+    for request in range(8):
+        (send,) = sends(g.handle(MS, arrival(request, MS, KEYED)))
+        (again,) = sends(g.handle(2 * MS, ended(request, send.backend, Outcome.ERROR)))
+        assert cells[again.backend] == cells[send.backend]
+        late = ended(request, again.backend, Outcome.ERROR, attempt=1)
+        assert g.handle(3 * SECOND, late) == [Fail(request)]
+        g = Gateway(settings(), request, 0)
+        g.handle(0, full_list(*(backend(i, cell=c) for i, c in cells.items())))
+
+
+def test_retries_have_a_budget() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    extra = 0
+    for i in range(100):
+        now = i * 300 * MS
+        for send in sends(g.handle(now, arrival(i, now))):
+            extra += len(sends(g.handle(now + MS, ended(i, send.backend, Outcome.ERROR))))
+    assert 0 < extra <= 20
+
+
+def test_nothing_goes_to_a_draining_or_vanished_backend() -> None:
+    g = gateway()
+    g.handle(MS, full_list(backend(1, Health.DRAINING), kind=ListKind.DELTA))
+    g.handle(MS, full_list(backend(1, Health.DRAINING), backend(3), backend(4)))
+    used = {s.backend for i in range(10) for s in sends(g.handle(2 * MS, arrival(i, 2 * MS)))}
+    assert used and used <= {3, 4}
+
+
+def test_cold_backend_gets_only_its_part() -> None:
+    g = Gateway(settings(plans=(plan(rate=1000.0, burst=1000.0),)), 7, 0)
+    g.handle(0, full_list(*(backend(i) for i in range(1, 4)), backend(9, booted=1)))
+    cold = total = 0
+    for i in range(200):
+        now = i * 10 * MS
+        for send in sends(g.handle(now, arrival(i, now))):
+            total += 1
+            cold += send.backend == 9
+            g.handle(now + 5 * MS, ended(i, send.backend))
+    assert total > 150
+    assert cold <= 0.3 * total / 4
+
+
+def test_ceiling_slices_never_sum_above_the_ceiling() -> None:
+    capped = plan(ceiling_rate=10.0, ceiling_burst=20.0, ceiling_slack=2.0, rate=1000.0, burst=1000.0)
+    sent = 0
+    for position in range(2):
+        g = Gateway(settings(plans=(capped,), position=position), 7, 0)
+        g.handle(0, full_list(backend(1), backend(2)))
+        for i in range(1000):
+            now = i * 10 * MS
+            for send in sends(g.handle(now, arrival(i, now))):
+                sent += 1
+                g.handle(now, ended(i, send.backend))
+    assert sent <= 10.0 * 10 + 2.0 + 2
+
+
+def test_told_use_of_a_peer_is_taken_from_the_bucket() -> None:
+    here, there = (Gateway(settings(position=p), p + 7, 0) for p in range(2))
+    for g in (here, there):
+        g.handle(0, full_list(backend(1), backend(2)))
+        g.handle(0, arrival(1000, 0))
+    for i in range(19):
+        there.handle(MS, arrival(i, MS))
+        there.handle(MS, ended(i, 1))
+    told = [a for a in there.handle(TICK, TimerFired(EVERY_TICK)) if isinstance(a, Tell)]
+    here.handle(TICK, PeerMessage(1, told[0].data))
+    assert here.quota.accounts[1].level < 5.0
+
+
+def test_odd_peer_messages_are_passed_over() -> None:
+    g = gateway()
+    for data in (b"", b"x", b"abcdefg"):
+        assert g.handle(MS, PeerMessage(1, data)) == []
+
+
+def test_silent_peer_gets_its_even_slice_back() -> None:
+    g = gateway()
+    g.handle(0, arrival(1, 0))
+    account = g.quota.accounts[1]
+    g.quota.peers[1] = 0, 0
+    assert g.quota.share(0, account) == 1.0
+    assert g.quota.share(10 * SECOND, account) == 0.5
+
+
+def test_latency_moves_the_caps() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    caps = []
+    request = 0
+    for latency in (50 * MS, 900 * MS):
+        for step in range(100):
+            now = (request + 1) * 20 * MS
+            g.handle(now, arrival(request, now, customer=request % 5))
+            if request >= 10:
+                g.handle(now, ended(request - 10, 1, elapsed=latency))
+            if step % 5 == 0:
+                g.handle(now, TimerFired(EVERY_TICK))
+            request += 1
+        caps.append(sum(a.cap for a in g.quota.accounts.values()))
+    assert caps[1] < caps[0]
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "end", "left", "tick", "list", "mail"]),
+        st.integers(0, 12),
+        st.sampled_from(list(Outcome)),
+        st.integers(0, 400),
+        st.integers(0, 2),
+    ),
+    max_size=80,
+)
+
+
+class Bench:
+    """Plays legal but odd event orders and checks rule 1 and rule 2 on every action."""
+
+    def __init__(self) -> None:
+        self.gateway = Gateway(settings(), 3, 0)
+        self.classes: dict[int, int] = {}
+        self.state: dict[int, str] = {}
+        self.out: dict[tuple[int, int], int] = {}
+        self.count: dict[int, int] = {}
+        self.may_have_run: set[int] = set()
+        self.log: list[Action] = []
+
+    def feed(self, now: int, event: Event) -> None:
+        for action in self.gateway.handle(now, event):
+            self.log.append(action)
+            if isinstance(action, Send):
+                assert self.state[action.request] == "open"
+                assert self.classes[action.request] != UNSAFE or action.request not in self.may_have_run
+                number = self.count.get(action.request, 0)
+                self.count[action.request] = number + 1
+                self.out[action.request, number] = action.backend
+            elif isinstance(action, Refuse):
+                assert self.state[action.request] == "open"
+                assert self.classes[action.request] == SAFE or action.request not in self.may_have_run
+                self.state[action.request] = "answered"
+            elif isinstance(action, Fail):
+                assert self.state[action.request] == "open"
+                self.state[action.request] = "answered"
+
+    def play(self, steps: list[tuple[str, int, Outcome, int, int]]) -> None:
+        now = 0
+        self.feed(now, full_list(*(backend(i, cell=i % 2) for i in range(4)), kind=ListKind.CACHED))
+        for number, (what, pick, outcome, wait, cls) in enumerate(steps):
+            now += wait * MS
+            if what == "arrive":
+                self.classes[number], self.state[number] = cls, "open"
+                self.feed(now, arrival(number, now, cls, customer=pick))
+            elif what == "end" and self.out:
+                self.end(now, sorted(self.out)[pick % len(self.out)], outcome)
+            elif what == "left" and self.state:
+                request = sorted(self.state)[pick % len(self.state)]
+                if self.state[request] == "open":
+                    self.state[request] = "gone"
+                self.feed(now, ClientLeft(request))
+            elif what == "tick":
+                self.feed(now, TimerFired(EVERY_TICK))
+            elif what == "list":
+                health = list(Health)[pick % 3]
+                self.feed(now, full_list(backend(pick % 5, health, booted=now * cls), kind=ListKind.DELTA))
+            elif what == "mail":
+                self.feed(now, PeerMessage(1, bytes([pick]) * (4 + 11 * (wait % 3))))
+        while self.out:
+            self.end(now, min(self.out), Outcome.TIMEOUT)
+        assert "open" not in self.state.values()
+
+    def end(self, now: int, attempt: tuple[int, int], outcome: Outcome) -> None:
+        request, number = attempt
+        server = self.out.pop(attempt)
+        if outcome not in NEVER_RAN:
+            self.may_have_run.add(request)
+        if outcome is Outcome.OK and self.state[request] == "open":
+            self.state[request] = "served"
+        finished = self.state[request] != "open"
+        self.feed(now, ended(request, server, outcome, number, finished=finished))
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=150)
+@given(EVENTS)
+def test_one_final_answer_whatever_the_order(steps: list[tuple[str, int, Outcome, int, int]]) -> None:
+    first, second = Bench(), Bench()
+    first.play(steps)
+    second.play(steps)
+    assert first.log == second.log
+
+
+def test_backend_once_slow_is_tried_again() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    used: set[int] = set()
+    for i in range(400):
+        now = i * 50 * MS
+        for send in sends(g.handle(now, arrival(i, now))):
+            used |= {send.backend} if i >= 200 else set()
+            slow = send.backend == 1 and i < 100
+            g.handle(now + 10 * MS, ended(i, send.backend, elapsed=(900 if slow else 90) * MS))
+    assert used == {1, 2, 3, 4}
+
+
+def test_limit_on_open_attempts_is_sliced_where_nothing_tells_of_others() -> None:
+    g = gateway(plans=(plan(open_limit=4),), may_message=False)
+    taken = sum(len(sends(g.handle(MS, arrival(i, MS)))) for i in range(10))
+    assert taken == 2
+
+
+def test_a_backend_that_turns_one_class_away_still_gets_the_other() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    used: dict[int, set[int]] = {SAFE: set(), UNSAFE: set()}
+    for i in range(200):
+        now, cls = i * 50 * MS, (SAFE, UNSAFE)[i % 2]
+        for send in sends(g.handle(now, arrival(i, now, cls))):
+            full = send.backend == 1 and cls == SAFE
+            used[cls] |= {send.backend} if i >= 50 else set()
+            for again in sends(g.handle(now, ended(i, send.backend, Outcome.FULL if full else Outcome.OK))):
+                g.handle(now, ended(i, again.backend, attempt=1))
+    assert used[UNSAFE] == {1, 2, 3, 4}
+    assert used[SAFE] <= {2, 3, 4}
+
+
+def test_a_backend_that_leaves_one_class_unanswered_still_gets_the_other() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    lost = {SAFE: 0, UNSAFE: 0}
+    for i in range(200):
+        now, cls = i * 100 * MS, (SAFE, UNSAFE)[i % 2]
+        for send in sends(g.handle(now, arrival(i, now, cls))):
+            silent = send.backend == 1 and cls == UNSAFE
+            lost[cls] += send.backend == 1
+            g.handle(now, ended(i, send.backend, Outcome.TIMEOUT if silent else Outcome.OK))
+    assert lost[UNSAFE] <= 5 < lost[SAFE]
+
+
+def test_lost_answers_do_not_read_as_overload() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    for i in range(300):
+        now = i * 20 * MS
+        sent = sends(g.handle(now, arrival(i, now)))
+        assert len(sent) == 1
+        if i % 10:
+            g.handle(now + 10 * MS, ended(i, sent[0].backend))
+        if i % 5 == 0:
+            g.handle(now + 10 * MS, TimerFired(EVERY_TICK))
+    assert g.lost > 10
+    assert g.model.limit is None
+
+
+def test_older_peer_shows_a_restart_and_the_bucket_starts_with_a_slice() -> None:
+    young, old = gateway(), Gateway(settings(position=1), 8, 0)
+    old.handle(0, full_list(backend(1)))
+    told = [a for a in old.handle(9 * SECOND, TimerFired(EVERY_TICK)) if isinstance(a, Tell)]
+    young.handle(MS, arrival(1, MS))
+    assert young.quota.accounts[1].level == 19.0
+    young.handle(MS, PeerMessage(1, told[0].data))
+    assert young.quota.accounts[1].level == 10.0
+
+
+def test_old_word_of_others_open_attempts_is_not_held_against_a_customer() -> None:
+    g = gateway(plans=(plan(open_limit=2),))
+    g.handle(0, arrival(1, 0))
+    g.handle(MS, ended(1, 1))
+    account = g.quota.accounts[1]
+    account.others, account.open_at = 2, MS
+    assert refusals(g.handle(2 * MS, arrival(2, 2 * MS)))
+    assert sends(g.handle(SECOND, arrival(3, SECOND)))
+
+
+def test_accounts_of_customers_long_gone_are_dropped() -> None:
+    g = gateway()
+    g.handle(0, arrival(1, 0))
+    g.handle(600 * SECOND, TimerFired(EVERY_TICK))
+    assert 1 in g.quota.accounts
+    g.handle(600 * SECOND, ended(1, 1))
+    g.handle(611 * SECOND, TimerFired(EVERY_TICK))
+    assert 1 not in g.quota.accounts
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,23 @@
+"""Limits on the source itself."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_decision_module_stays_within_650_lines() -> None:
+    lines = (ROOT / "badgerspindle" / "logic.py").read_text().splitlines()
+    assert 0 < sum(bool(line.strip()) for line in lines) <= 650
+
+
+def test_no_line_is_longer_than_110_characters() -> None:
+    sources = [*ROOT.glob("badgerspindle/*.py"), *ROOT.glob("tests/*.py")]
+    assert len(sources) > 5
+    assert [p.name for p in sources for line in p.read_text().splitlines() if len(line) > 110] == []
+
+
+def test_decision_module_names_its_interface_at_the_top() -> None:
+    text = (ROOT / "badgerspindle" / "logic.py").read_text()
+    assert "interface.py" in text[:400]
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,98 @@
+"""The queue model and the seven cases."""
+
+from __future__ import annotations
+
+import pytest
+
+from badgerspindle.logic import TICK, Goal, QueueModel, mean_values, seven_cases
+
+from .helpers import MS, SECOND, settings
+
+
+def test_mean_value_analysis_of_one_customer_has_no_queue() -> None:
+    assert mean_values(30.0, 100.0, 1)[1] == pytest.approx(130.0)
+
+
+def test_mean_value_analysis_saturates_at_the_demand() -> None:
+    times = mean_values(10.0, 100.0, 400)
+    assert 400 / times[400] == pytest.approx(1 / 10.0, rel=0.01)
+    assert times == sorted(times)
+
+
+def loaded_model(mean: int, out: int) -> QueueModel:
+    model = QueueModel(settings())
+    for i in range(40):
+        model.latency[0].add(i * 20 * MS, 100 * MS)
+    model.fit(SECOND, 1, [])
+    for i in range(200):
+        model.latency[0].add(3 * SECOND + i * 10 * MS, mean)
+        if i % 10 == 0:
+            model.fit(3 * SECOND + i * 10 * MS, out, [])
+    return model
+
+
+def test_fitted_demand_reproduces_the_recent_mean() -> None:
+    model = loaded_model(500 * MS, 20)
+    assert model.risen
+    assert model.response(model.in_flight.value) == pytest.approx(model.mean, rel=0.1)
+
+
+def test_no_rise_means_no_limit() -> None:
+    model = loaded_model(105 * MS, 20)
+    assert not model.risen
+    assert model.limit is None
+
+
+def test_more_latency_means_a_lower_limit() -> None:
+    mild, bad = loaded_model(500 * MS, 20).limit, loaded_model(900 * MS, 20).limit
+    assert mild is not None and bad is not None
+    assert bad < mild
+
+
+def test_outstanding_attempts_show_a_jam_before_its_answers_come() -> None:
+    model = QueueModel(settings())
+    for i in range(40):
+        model.latency[0].add(i * 20 * MS, 100 * MS)
+    model.fit(SECOND, 5, [])
+    model.fit(SECOND, 60, [(0, 2 * SECOND)] * 50)
+    assert model.risen
+
+
+def at_most(limit: int) -> Goal:
+    return lambda n: n <= limit
+
+
+def at_least(limit: int) -> Goal:
+    return lambda n: n >= limit
+
+
+CASES = [
+    pytest.param(at_most(9), at_least(1), at_most(9), 5, id="case 1 accepts"),
+    pytest.param(at_most(3), at_least(2), at_most(9), 3, id="case 2 lowers for the response time"),
+    pytest.param(at_most(1), at_least(4), at_most(9), 4, id="case 2 keeps the least throughput"),
+    pytest.param(at_most(9), at_least(7), at_most(9), 7, id="case 3 raises for the throughput"),
+    pytest.param(at_most(8), at_least(20), at_most(9), 8, id="case 3 raises while response and others hold"),
+    pytest.param(at_most(3), at_least(20), at_most(9), 3, id="case 4 lowers for the response time"),
+    pytest.param(at_most(0), at_least(8), at_most(9), 8, id="case 4 raises for the throughput"),
+    pytest.param(at_most(3), at_least(1), at_most(4), 3, id="case 5 keeps every goal"),
+    pytest.param(at_most(1), at_least(2), at_most(4), 4, id="case 5 gives up the response time"),
+    pytest.param(at_most(9), at_least(9), at_most(4), 4, id="case 6 keeps the others"),
+    pytest.param(at_most(2), at_least(9), at_most(4), 4, id="case 7 keeps the others"),
+    pytest.param(at_most(2), at_least(9), at_most(0), 0, id="case 7 rejects"),
+]
+
+
+@pytest.mark.parametrize(("response", "throughput", "others", "offered"), CASES)
+def test_seven_cases(response: Goal, throughput: Goal, others: Goal, offered: int) -> None:
+    assert seven_cases(5, response, throughput, others) == offered
+
+
+def test_a_gateway_with_few_answers_sees_a_rise() -> None:
+    model = QueueModel(settings())
+    for i in range(120):
+        now = i * 500 * MS
+        model.latency[0].add(now, (100 if i < 60 else 700) * MS)
+        for tick in range(5):
+            model.fit(now + tick * TICK, 2, [])
+    assert model.risen
+    assert model.limit is not None
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,348 @@
+"""Many gateways at once, by hand-made events: quota, ceiling and cold budget add up over all of them."""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+
+from badgerspindle.interface import (
+    Action,
+    AddToCounter,
+    Counted,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    PeerMessage,
+    Refuse,
+    Send,
+    Tell,
+    TimerFired,
+)
+from badgerspindle.logic import EVERY_TICK, HOLD, OPEN, TICK, Gateway
+from badgerspindle.mail import Draw, Kind, pack_draw, unpack_draw
+
+from .helpers import MS, SECOND, UNSAFE, arrival, backend, ended, full_list, plan, settings
+from .test_gateway import EVENTS, Bench
+
+MANY = 200
+
+
+class Front:
+    """Many gateways with mail and a counter between them; both may lose, and gateways may die."""
+
+    def __init__(self, seed: int = 1, **changes: Any) -> None:
+        self.changes = {"gateways": MANY, "messages_per_s": 40.0, **changes}
+        self.rng = random.Random(seed)
+        self.numbers: dict[int, float] = {}
+        self.sent: list[tuple[int, Send]] = []
+        self.refused = 0
+        self.loss = 0.0
+        self.counter_ok = True
+        self.backends = [backend(i) for i in range(1, 9)]
+        self.gateways = [self.start(p, 0) for p in range(self.changes["gateways"])]
+
+    def start(self, position: int, now: int) -> Gateway:
+        made = Gateway(settings(position=position, **self.changes), position + 7, now)
+        self.play(now, position, made.handle(now, full_list(*self.backends, kind=ListKind.CACHED)))
+        return made
+
+    def give(self, now: int, position: int, event: Event) -> None:
+        self.play(now, position, self.gateways[position].handle(now, event))
+
+    def play(self, now: int, position: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.sent.append((now, action))
+            elif isinstance(action, Refuse | Fail):
+                self.refused += 1
+            elif isinstance(action, Tell) and action.to is not None and self.rng.random() >= self.loss:
+                self.give(now, action.to, PeerMessage(position, action.data))
+            elif isinstance(action, AddToCounter):
+                self.count(now, position, action)
+
+    def count(self, now: int, position: int, call: AddToCounter) -> None:
+        if not self.counter_ok:
+            self.give(now, position, Counted(0, Outcome.TIMEOUT, call.name, 0.0))
+            return
+        self.numbers[call.name] = self.numbers.get(call.name, 0.0) + call.amount
+        self.give(now, position, Counted(0, Outcome.OK, call.name, self.numbers[call.name]))
+
+    def flood(self, seconds: float, per_s: int, start: int = 0, **changes: Any) -> None:
+        """One customer's requests through any gateway; each sent one is answered at once."""
+        for i in range(int(seconds * per_s)):
+            now = start + i * SECOND // per_s
+            position = self.rng.randrange(len(self.gateways))
+            request, before = start + i, len(self.sent)
+            spread = {"spread": len(self.gateways), **changes}
+            self.give(now, position, arrival(request, now, **spread))
+            late = now + 2 * HOLD
+            if request in self.gateways[position].open and len(self.sent) == before:
+                self.give(late, position, TimerFired(EVERY_TICK))
+            for _, send in self.sent[before:]:
+                self.give(late, position, ended(send.request, send.backend))
+
+
+def test_quota_holds_over_all_gateways() -> None:
+    front = Front()
+    front.flood(20.0, 100)
+    assert 0.85 * 220 <= len(front.sent) <= 1.1 * 220
+
+
+def test_quota_is_neither_all_nor_nothing_with_mail_lost() -> None:
+    front = Front()
+    front.loss = 0.3
+    front.flood(20.0, 100)
+    assert 0.7 * 220 <= len(front.sent) <= 4 * 220
+
+
+def test_alone_for_long_all_gateways_stay_within_the_quota() -> None:
+    front = Front()
+    front.loss = 1.0
+    front.flood(20.0, 100)
+    assert 0 < len(front.sent) <= 1.5 * 220
+
+
+def test_counter_holds_the_quota_over_all_gateways() -> None:
+    front = Front(may_message=False, counter=True)
+    front.flood(20.0, 100, start=5 * SECOND)
+    assert 0.85 * 220 <= len(front.sent) <= 1.1 * 220
+
+
+def test_counter_that_was_idle_is_put_right_and_gives_no_more_than_a_burst() -> None:
+    front = Front(may_message=False, counter=True)
+    front.flood(0.05, 20, start=5 * SECOND)
+    front.sent.clear()
+    front.flood(1.0, 500, start=35 * SECOND)
+    assert len(front.sent) <= 1.15 * 30
+
+
+def test_silent_counter_leaves_even_slices_and_is_called_less() -> None:
+    front = Front(may_message=False, counter=True)
+    front.counter_ok = False
+    front.flood(20.0, 100)
+    assert 0 < len(front.sent) <= 1.5 * 220
+    assert max(g.quota.pace for g in front.gateways) < 1.0
+
+
+def test_open_attempts_are_limited_over_all_gateways_by_the_counter() -> None:
+    front = Front(may_message=False, counter=True, plans=(plan(open_limit=3),))
+    for i in range(10):
+        front.give(MS * i, i, arrival(i, MS * i, spread=MANY))
+    assert len(front.sent) == 3
+    for _, send in list(front.sent):
+        front.give(SECOND, send.request, ended(send.request, send.backend))
+    assert all(abs(number) < OPEN / 2 for number in front.numbers.values())
+
+
+def test_place_held_by_a_client_that_left_is_given_back() -> None:
+    g = Gateway(settings(gateways=MANY, may_message=False, counter=True, plans=(plan(open_limit=3),)), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    (call,) = [a for a in g.handle(MS, arrival(1, MS, spread=MANY)) if isinstance(a, AddToCounter)]
+    g.open.pop(1)
+    back = g.handle(2 * MS, Counted(MS, Outcome.OK, call.name, call.amount))
+    assert [a.amount for a in back if isinstance(a, AddToCounter) and a.amount == -OPEN] == [-OPEN]
+
+
+def test_lost_release_is_told_again() -> None:
+    g = Gateway(settings(gateways=MANY, may_message=False, counter=True, plans=(plan(open_limit=3),)), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    (call,) = [a for a in g.handle(MS, arrival(1, MS, spread=MANY)) if isinstance(a, AddToCounter)]
+    g.handle(2 * MS, Counted(MS, Outcome.OK, call.name, call.amount))
+    (back,) = [a for a in g.handle(3 * MS, ended(1, 1)) if isinstance(a, AddToCounter)]
+    g.handle(4 * MS, Counted(MS, Outcome.FULL, back.name, 0.0))
+    told = [a for i in range(20) for a in g.handle(i * TICK, TimerFired(EVERY_TICK))]
+    assert [a.amount for a in told if isinstance(a, AddToCounter)] == [-OPEN]
+
+
+CAPPED = plan(rate=30.0, burst=60.0, ceiling_rate=20.0, ceiling_burst=40.0, ceiling_slack=4.0)
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3, 1.0])
+def test_ceiling_holds_over_all_gateways_with_mail_lost_and_restarts(loss: float) -> None:
+    front = Front(plans=(CAPPED,))
+    front.loss = loss
+    for second in range(10):
+        front.flood(1.0, 200, start=second * SECOND, spread=20)
+        for position in front.rng.sample(range(MANY), MANY // 4):
+            front.gateways[position] = front.start(position, second * SECOND + SECOND)
+    store, at = CAPPED.ceiling_burst, 0
+    for now, _ in front.sent:
+        store, at = min(CAPPED.ceiling_burst, store + 20.0 * (now - at) / SECOND) - 1.0, now
+        assert store >= -CAPPED.ceiling_slack
+    assert front.sent
+
+
+def test_home_hands_out_more_of_a_ceiling_than_even_slices_would() -> None:
+    front = Front(plans=(CAPPED,))
+    for i in range(100):
+        before = len(front.sent)
+        front.give(i * 50 * MS, 3, arrival(i, i * 50 * MS, spread=20))
+        for _, send in front.sent[before:]:
+            front.give(i * 50 * MS, 3, ended(send.request, send.backend))
+    assert len(front.sent) >= 0.6 * 100
+
+
+def test_silent_home_costs_a_short_wait_and_no_answer_is_owed() -> None:
+    g = Gateway(settings(gateways=MANY, messages_per_s=40.0), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    asked = [a for i in range(5) for a in g.handle(MS, arrival(i, MS, customer=i, spread=MANY))]
+    held = len(g.held)
+    assert held == sum(isinstance(a, Tell) for a in asked) > 0
+    after = g.handle(MS + HOLD, TimerFired(EVERY_TICK))
+    assert sum(isinstance(a, Send | Refuse) for a in after) == held
+    assert not g.held
+
+
+def test_cold_backend_gets_its_part_from_all_gateways_together() -> None:
+    front = Front(plans=(plan(rate=10000.0, burst=10000.0),), counter=False, may_message=False, gateways=MANY)
+    cold = [backend(i) for i in range(1, 9)] + [backend(99, booted=1)]
+    for g in front.gateways:
+        g.handle(MS, full_list(*cold))
+    for i in range(4000):
+        now = MS + i * 2 * MS
+        position = i % MANY
+        before = len(front.sent)
+        front.give(now, position, arrival(i, now, customer=position, spread=1, first=position))
+        for _, send in front.sent[before:]:
+            front.give(now + MS, position, ended(send.request, send.backend))
+    part = sum(send.backend == 99 for _, send in front.sent) / (len(front.sent) / 9)
+    assert 0.1 <= part <= 0.9  # its surest capacity rises from 0.2 to 0.5 in this time
+
+
+def test_work_of_an_event_does_not_grow_with_the_gateways() -> None:
+    def calls(gateways: int) -> int:
+        g = Gateway(settings(gateways=gateways, messages_per_s=1.0), 7, 0)
+        g.handle(0, full_list(*(backend(i) for i in range(1, 9))))
+        seen = 0
+
+        def note(frame: object, what: str, arg: object) -> None:
+            nonlocal seen
+            seen += what in ("call", "c_call")
+
+        sys.setprofile(note)
+        try:
+            for i in range(300):
+                g.handle(i * 10 * MS, arrival(i, i * 10 * MS, customer=i % 40, spread=gateways))
+                if i % 10 == 0:
+                    g.handle(i * 10 * MS, TimerFired(EVERY_TICK))
+        finally:
+            sys.setprofile(None)
+        return seen
+
+    assert calls(1000) <= 1.1 * calls(100)
+
+
+def test_attempt_gets_a_time_out_only_once_answers_were_lost() -> None:
+    g = Gateway(settings(plans=(plan(rate=1000.0, burst=1000.0),)), 7, 0)
+    g.handle(0, full_list(*(backend(i) for i in range(1, 5))))
+    (first,) = [a for a in g.handle(MS, arrival(1, MS)) if isinstance(a, Send)]
+    assert first.timeout == 0
+    again = g.handle(SECOND, ended(1, first.backend, Outcome.TIMEOUT))
+    (second,) = [a for a in again if isinstance(a, Send)]
+    assert 0 < second.timeout < SECOND
+    assert second.backend != first.backend
+    (unsafe,) = [a for a in g.handle(SECOND, arrival(2, SECOND, UNSAFE)) if isinstance(a, Send)]
+    assert unsafe.timeout == 0
+
+
+def test_word_of_a_busy_customer_is_not_needed_to_hold_it_back() -> None:
+    """Without any answer a customer seen here often goes on less often than one seen once."""
+    passed = []
+    for asked in (1, 20):
+        g = Gateway(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
+        taken = 0
+        for customer in range(200):
+            account = g.quota.account(0, customer, 0, MANY, 0)
+            g.quota.granted[0].add(0, 1.0)
+            account.part = 0.0
+            for _ in range(asked):
+                account.seen.add(0, 1.0)
+            taken += g.quota.alone(0, account, 1.0)
+        passed.append(taken)
+    assert passed[1] < 0.5 * passed[0]
+
+
+def test_each_counted_try_stands_for_those_not_counted() -> None:
+    g = Gateway(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    g.quota.pace = 0.5
+    calls = [a for i in range(20) for a in g.handle(MS, arrival(i, MS, customer=i, spread=MANY))]
+    amounts = {a.amount for a in calls if isinstance(a, AddToCounter)}
+    assert amounts == {2.0}
+
+
+def odd_messages() -> Iterator[bytes]:
+    yield from (b"", b"x", b"\xff" * 18, b"\x00" * 18, b"\x01" * 64)
+    yield pack_draw(Draw(Kind.ASK, 1, 99, 1.0, 1, 0))
+    yield pack_draw(Draw(Kind.GRANT, 77, 0, 1.0, 12345, 0))
+    yield pack_draw(Draw(Kind.DENY, 1, 0, -5.0, 1, 10**9))
+
+
+def test_odd_word_to_a_home_is_passed_over() -> None:
+    for position in range(3):
+        g = Gateway(settings(gateways=MANY, messages_per_s=1.0, position=position), 7, 0)
+        for data in odd_messages():
+            assert not any(isinstance(a, Send) for a in g.handle(MS, PeerMessage(5000, data)))
+
+
+def test_draws_come_back_as_they_went() -> None:
+    draw = Draw(Kind.ASK, 2**33 - 1, 3, 2.5, 2**32 - 1, 17)
+    assert unpack_draw(pack_draw(draw)) == draw
+
+
+@pytest.mark.parametrize(("spread", "first"), [(0, 0), (MANY + 50, 3), (1, 17), (3, MANY - 1), (-4, -9)])
+def test_odd_spreads_neither_fault_nor_open_the_gate(spread: int, first: int) -> None:
+    g = Gateway(settings(gateways=MANY, may_message=False), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    taken = 0
+    for i in range(200):
+        actions = g.handle(MS + i, arrival(i, MS, spread=spread, first=first))
+        taken += any(isinstance(a, Send) for a in actions)
+        g.handle(MS + i, ended(i, 1))
+    assert taken <= 30
+
+
+class ManyBench(Bench):
+    """The same odd orders of events, where homes or the counter are asked."""
+
+    def __init__(self, **changes: Any) -> None:
+        super().__init__()
+        self.gateway = Gateway(settings(gateways=MANY, messages_per_s=1.0, **changes), 3, 0)
+
+    def feed(self, now: int, event: Event) -> None:
+        super().feed(now, event)
+        for held in list(self.gateway.held):
+            answer = self.log and held % 3
+            if answer:
+                word = pack_draw(Draw(Kind.GRANT if answer == 1 else Kind.DENY, 1, 0, 5.0, held, 0))
+                super().feed(now, PeerMessage(1, word))
+        if not self.gateway.quota.homes:
+            for name, calls in list(self.gateway.quota.calls.items()):
+                if calls:
+                    super().feed(now, Counted(MS, Outcome(1 + len(self.log) % 3), name, 2.0))
+
+    def end(self, now: int, attempt: tuple[int, int], outcome: Outcome) -> None:
+        super().end(now, attempt, outcome)
+        if outcome is Outcome.TIMEOUT:
+            self.feed(now + SECOND, TimerFired(EVERY_TICK))
+
+    def play(self, steps: list[tuple[str, int, Outcome, int, int]]) -> None:
+        super().play([*steps, ("tick", 0, Outcome.OK, 400, 0)])
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=100)
+@given(EVENTS)
+def test_one_final_answer_where_homes_or_a_counter_are_asked(
+    steps: list[tuple[str, int, Outcome, int, int]],
+) -> None:
+    ManyBench().play(steps)
+    ManyBench(may_message=False, counter=True).play(steps)
+
+
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,191 @@
+"""The adapter: frames in, frames out, settings text."""
+
+from __future__ import annotations
+
+import re
+import struct
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from badgerspindle import wire
+from badgerspindle.interface import Arrival, AttemptEnded, Backend, LogLine, Outcome, Send, SetTimer, Topology
+
+ROOT = Path(__file__).parent.parent
+SETTINGS_TEXT = "\n".join(
+    """classes.count=1
+classes.0.name=a
+classes.0.aim=1000000000
+classes.0.deadline=2000000000
+classes.0.points=1
+classes.0.lateWorth=0
+classes.0.idempotency=free
+classes.0.group=all
+classes.0.window=0
+packages.count=1
+packages.0.name=p
+packages.0.quotaRate=1
+packages.0.mostAtOnce=4
+packages.0.parallel=0
+packages.0.worthFactor=1
+packages.0.beyondEarns=0
+packages.0.excessCost=1
+packages.0.ceilingRate=0
+packages.0.hardBurst=0
+packages.0.ceilingSlack=0
+report.names=concurrent
+zone=0
+position=0
+replicasOfMe=2
+limits.maxAttempts=4
+limits.secondCopies=true
+limits.cancel=true
+limits.probes=false
+limits.peerMessages=false
+limits.retryAfter=true
+limits.maxRetryAfter=1000000000
+familyInfo.counter=false
+familyInfo.usePeriod=0
+familyInfo.largest=1
+familyInfo.mailPerS=0
+familyInfo.truedUp=false
+discovery=pushed
+rules.askWithin=10000000000
+rules.drainGrace=500000000
+rules.fall=3000000000
+rules.fallMultiple=3
+rules.startCapacity=0.2
+rules.warmUp=17000000000
+prices.crossZone=0.01
+some.new.key=whatever""".splitlines()
+)
+
+
+def frame(*records: bytes, now: int = 5) -> bytes:
+    body = struct.pack("<Q", now) + b"".join(records)
+    return struct.pack("<I", len(body)) + body
+
+
+def select(instance: int) -> bytes:
+    return struct.pack("<HI", 1110, instance)
+
+
+def up(text: str = SETTINGS_TEXT) -> bytes:
+    raw = text.encode()
+    return struct.pack("<HQI", 1000, 7, len(raw)) + raw
+
+
+def listed(*backends: int) -> bytes:
+    entries = b"".join(struct.pack("<IBBHBfQ", b, 0, 0, 0, 1, 1.0, 0) for b in backends)
+    return struct.pack("<HBQI", 1010, 2, 1, len(backends)) + entries
+
+
+def inbound(request: int) -> bytes:
+    return struct.pack("<HQBIQQfffB", 1020, request, 0, 0, 9, 10**9, 1.0, 2.0, 0.0, 0)
+
+
+def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
+    command = [sys.executable, "-m", "badgerspindle.wirehost"]
+    return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, check=False, timeout=60)
+
+
+def replies(raw: bytes) -> list[tuple[int, bytes]]:
+    found = []
+    while raw:
+        count, size = struct.unpack_from("<II", raw)
+        found.append((count, raw[8 : 8 + size]))
+        raw = raw[8 + size :]
+    return found
+
+
+def test_the_pages_own_inbound_example() -> None:
+    raw = bytes.fromhex(
+        "5604 03000000 fc03 c4913a5dd1020400 00 00000000 640ad2557c3bf091 90dbb60302000000"
+        "00000040 00004040 0000803f 01"
+    )
+    now, events = wire.decode(struct.pack("<Q", 8) + raw)
+    assert now == 8
+    ((instance, event),) = events
+    assert instance == 3
+    assert isinstance(event, Arrival)
+    assert (event.request, event.units, event.spread, event.first) == (0x402D15D3A91C4, 2.0, 3, 1)
+
+
+def test_the_pages_own_reply_and_list_examples() -> None:
+    raw = bytes.fromhex(
+        "5604 03000000 1004 c4913a5dd1020400 01 0300 074a1203 5600 0100 a0491a0100000000 0000 03"
+        "00004040000068410000e040"
+        "f203 02 2900000000000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
+        "f211902c 01 00 0000 01 0000c03f 009d966b01000000"
+    )
+    _, events = wire.decode(struct.pack("<Q", 8) + raw)
+    (_, reply), (_, topology) = events
+    assert isinstance(reply, AttemptEnded) and isinstance(topology, Topology)
+    assert (reply.outcome, reply.used, reply.finished) == (Outcome.OK, 86, True)
+    assert reply.report == (3.0, 14.5, 7.0)
+    assert isinstance(topology.entries[1], Backend)
+    assert topology.entries[1].booted == 0x16B969D00
+
+
+def test_actions_match_the_pages_examples() -> None:
+    assert wire.encode_action(Send(0x402D15D3A91C4, 0x03124A07, 80_000_000)).hex() == (
+        "e803" + "c4913a5dd1020400" + "074a1203" + "00b4c40400000000"
+    )
+    assert wire.encode_action(SetTimer(500_000_000, 77)).hex() == "10040065cd1d000000004d000000"
+    assert wire.encode_action(LogLine("two servers unknown")).hex().startswith("38041300")
+
+
+def test_sim_answers_every_frame() -> None:
+    done = run(frame() + frame(select(3), up(), listed(1, 2), inbound(4)) + frame(select(3), inbound(5)))
+    assert done.returncode == 0
+    first, second, third = replies(done.stdout)
+    assert first == (0, b"")
+    assert struct.pack("<HQ", 1000, 4) in second[1]
+    assert struct.pack("<HQ", 1000, 5) in third[1]
+
+
+def test_restart_in_one_batch_forgets_everything() -> None:
+    down = struct.pack("<H", 1090)
+    done = run(frame(select(0), up(), listed(1)) + frame(select(0), down, up(), listed(), inbound(1)))
+    assert struct.pack("<HQ", 1010, 1) in replies(done.stdout)[1][1]
+
+
+@pytest.mark.parametrize(
+    ("data", "complaint"),
+    [
+        (frame(select(0), struct.pack("<H", 1020) + b"abc"), "ends inside inbound at byte 20"),
+        (frame(struct.pack("<H", 4242)), "unknown record code 4242 at byte 12"),
+        (frame(select(0), struct.pack("<HBQI", 1010, 0, 1, 99)), "count of"),
+        (frame(select(0), up())[:-3], "input ends inside a frame at byte"),
+        (b"\x01\x00", "input ends inside a frame's length at byte 0"),
+        (frame(inbound(1)), "before any select"),
+    ],
+)
+def test_malformed_frames_end_with_one_plain_line(data: bytes, complaint: str) -> None:
+    done = run(frame() + data if complaint.startswith("count") else data)
+    lines = done.stderr.decode().splitlines()
+    assert done.returncode == 1
+    assert len(lines) == 1 and complaint in lines[0]
+    assert all(count == 0 for count, _ in replies(done.stdout))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ("rules.fall=3000000000\n", "", "rules.fall"),
+        ("packages.0.quotaRate=1", "packages.0.quotaRate=-1", "packages.0.quotaRate"),
+        ("replicasOfMe=2", "replicasOfMe=none", "replicasOfMe"),
+        ("classes.0.idempotency=free", "classes.0.idempotency=maybe", "classes.0.idempotency"),
+    ],
+)
+def test_settings_errors_name_the_key(old: str, new: str, key: str) -> None:
+    with pytest.raises(wire.SettingsError, match=re.escape(key)):
+        wire.parse_settings(SETTINGS_TEXT.replace(old, new))
+
+
+def test_impossible_settings_become_die_with_the_key() -> None:
+    done = run(frame(select(0), up(SETTINGS_TEXT.replace("zone=0", "zone=x"))))
+    assert b"settings: zone" in done.stdout
+    assert done.returncode == 0
