--- /dev/null
+++ b/badgerspindle/__main__.py
@@ -0,0 +1,44 @@
+"""Starts one real gateway; ends with exit status 2 and one plain line on a bad configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from .net.config import Config, ConfigError, load
+from .net.gateway import Node
+
+
+async def serve(config: Config) -> None:
+    """Run until SIGTERM or SIGINT, then end in good order."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = Node(config)
+    await node.start()
+    # What was made so far lives as long as the process: full collections need not look at it again.
+    gc.freeze()
+    await stop.wait()
+    await node.stop()
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"badgerspindle: {error}", file=sys.stderr)
+        return 2
+    uvloop.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/badgerspindle/net/backends.py
@@ -0,0 +1,355 @@
+"""Connection pools to the backends, and one attempt at a time on each connection."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import cast
+
+import hiredis
+
+from ..interface import Outcome
+from .config import Address
+
+log = logging.getLogger(__name__)
+
+VALUE_MOST = 64 << 10  # bytes of a value, by the protocol
+ANSWER_MOST = VALUE_MOST + 4096  # bytes of a whole answer: the value, figures, report and framing
+RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
+SWEEP = 1.0  # s between looks for idle connections to retire
+GRACE_PART = 0.8  # part of the drain grace in which a late connection is still written to: a loop may lag
+MILLISECOND = 1_000_000
+
+Report = dict[str, float]
+Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
+
+
+class Attempt:
+    """One try of one request at one backend."""
+
+    __slots__ = ("backend", "expires", "index", "link", "parts", "request", "started", "timer")
+
+    def __init__(
+        self, request: int, index: int, backend: int, started: int, expires: int,
+        parts: tuple[tuple[bytes, ...], bytes, bytes, tuple[bytes, ...]],
+    ) -> None:
+        self.request, self.index, self.backend = request, index, backend
+        self.started, self.expires = started, expires
+        self.parts = parts
+        self.link: _Link | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def payload(self, now: int) -> bytes:
+        """The client's own bytes, but for `d`: the time for which this attempt is waited for."""
+        front, head, tail, body = self.parts
+        left = max(1, -(-(self.expires - now) // MILLISECOND))
+        words: tuple[bytes, ...] = (*front, b"%bd=%d%b" % (head, left, tail), *body)
+        return cast(bytes, hiredis.pack_command(words))  # type: ignore[arg-type]
+
+
+class _Unready:
+    """Stands for an answer that has not come whole."""
+
+
+_UNREADY = _Unready()
+
+
+class _Link(asyncio.Protocol):
+    """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
+
+    __slots__ = ("attempt", "idle_at", "pool", "reader", "received", "task", "timer", "transport", "unsent")
+
+    def __init__(self, pool: _Pool, attempt: Attempt) -> None:
+        self.pool = pool
+        self.attempt: Attempt | None = attempt
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.reader = hiredis.Reader(notEnoughData=_UNREADY)
+        self.unsent = True
+        self.received = 0
+        self.idle_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.attempt is None:
+            self.transport.abort()
+            return
+        # With no room in the buffer a write goes out at once, and a pause tells that some of it did not.
+        self.transport.set_write_buffer_limits(high=0)
+        self.pool.connected(self)
+
+    def write(self, attempt: Attempt, now: int) -> None:
+        transport = cast(asyncio.Transport, self.transport)
+        attempt.link, self.attempt, self.received = self, attempt, 0
+        self.unsent = True
+        transport.write(attempt.payload(now))
+        # A write that met a broken connection leaves the transport closing, with nothing sent.
+        self.unsent = transport.is_closing() or transport.get_write_buffer_size() > 0
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def data_received(self, data: bytes) -> None:
+        attempt = self.attempt
+        if attempt is None or self.unsent:
+            # Words that nobody asked for: what comes next on this connection could belong to anything.
+            self.drop()
+            if attempt is not None:
+                self.pool.finish(attempt, Outcome.CONNECT_FAILED)
+            return
+        self.received += len(data)
+        try:
+            self.reader.feed(data)
+            answer = self.reader.gets()
+            whole = answer is not _UNREADY
+            more = whole and self.reader.has_data()
+        except (hiredis.ProtocolError, ValueError) as error:
+            log.warning("backend %s: %s", self.pool.address, error)
+            whole, more, answer, self.received = False, True, None, ANSWER_MOST + 1
+        if not whole:
+            if self.received > ANSWER_MOST:
+                self.drop()
+                self.pool.finish(attempt, Outcome.RESET)
+            return
+        self.attempt = None
+        if more:
+            self.drop()
+        else:
+            self.pool.release(self)
+        self.pool.finish(attempt, *read_answer(answer))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        attempt, self.attempt = self.attempt, None
+        self.pool.lost(self)
+        if attempt is not None:
+            self.pool.finish(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+
+    def drop(self) -> None:
+        """Close at once: nothing more is sent, and what still comes is nobody's."""
+        self.attempt = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.task is not None:
+            self.task.cancel()
+        self.pool.lost(self)
+
+
+def read_report(text: bytes) -> Report:
+    """`name=number` pairs; what is no such text is no report."""
+    try:
+        pairs = (item.split(b"=") for item in text.split(b",") if item)
+        return {name.decode(): float(value) for name, value in pairs}
+    except ValueError:
+        return {}
+
+
+def read_answer(answer: object) -> tuple[Outcome, bytes | None, Report]:
+    """What a whole answer means: outcome, the value if it was served, the load report."""
+    if isinstance(answer, list):
+        value = answer[0] if answer else None
+        if not isinstance(value, bytes) or len(value) > VALUE_MOST:
+            return Outcome.ERROR, None, {}
+        told = answer[2] if len(answer) > 2 else None
+        return Outcome.OK, value, read_report(told) if isinstance(told, bytes) else {}
+    if isinstance(answer, hiredis.ReplyError):
+        words = str(answer).split(" ")
+        report = read_report(words[-1].encode()) if "=" in words[-1] else {}
+        if words[0] == "BUSY":
+            return Outcome.FULL, None, report
+        if words[0] != "ERR":
+            log.error("backend answered %r", str(answer))
+        return Outcome.ERROR, None, report
+    log.error("backend answered %r", answer)
+    return Outcome.ERROR, None, {}
+
+
+class _Pool:
+    """The connections to one backend."""
+
+    def __init__(self, owner: Backends, address: Address) -> None:
+        self.owner, self.address = owner, address
+        self.idle: list[_Link] = []
+        self.links: set[_Link] = set()
+        self.closing_at: float | None = None  # when the grace after a drain's notice ends
+
+    def start(self, attempt: Attempt, now: int) -> None:
+        loop_now = self.owner.loop.time()
+        while self.idle:
+            link = self.idle.pop()
+            young = loop_now - link.idle_at < self.owner.retire
+            if young and not cast(asyncio.Transport, link.transport).is_closing():
+                link.write(attempt, now)
+                return
+            link.drop()
+        if not self.owner.room():
+            # Out of descriptors: told as what it is, a connection that never came up.
+            self.owner.loop.call_soon(self.owner.fail_unsent, attempt)
+            return
+        link = _Link(self, attempt)
+        attempt.link = link
+        self.links.add(link)
+        self.owner.open += 1
+        link.timer = self.owner.loop.call_later(self.owner.connect_timeout, self._too_late, link)
+        link.task = self.owner.loop.create_task(self._connect(link))
+
+    async def _connect(self, link: _Link) -> None:
+        try:
+            await self.owner.loop.create_connection(lambda: link, *self.address)
+        except OSError:
+            self._too_late(link)
+
+    def _too_late(self, link: _Link) -> None:
+        """Refused, or not up in time: known never to have run."""
+        attempt = link.attempt
+        link.drop()
+        if attempt is not None:
+            self.finish(attempt, Outcome.CONNECT_FAILED)
+
+    def connected(self, link: _Link) -> None:
+        attempt = cast(Attempt, link.attempt)
+        if link.timer is not None:
+            link.timer.cancel()
+            link.timer = None
+        if self.closing_at is not None and self.owner.loop.time() > self.closing_at:
+            # Rule 3: decided before the drain was told, but too late to be written now.
+            self._too_late(link)
+            return
+        link.write(attempt, self.owner.clock())
+
+    def release(self, link: _Link) -> None:
+        """Back to the top of the stack: the rest below grow old and are retired."""
+        if self.closing_at is not None:
+            link.drop()
+            return
+        link.idle_at = self.owner.loop.time()
+        self.idle.append(link)
+
+    def lost(self, link: _Link) -> None:
+        if link in self.links:
+            self.links.remove(link)
+            self.owner.open -= 1
+            if link in self.idle:
+                self.idle.remove(link)
+
+    def finish(
+        self, attempt: Attempt, outcome: Outcome, value: bytes | None = None, report: Report | None = None
+    ) -> None:
+        self.owner.finish(attempt, outcome, value, report or {})
+
+    def retire(self, before: float) -> None:
+        """The oldest lie at the bottom."""
+        while self.idle and self.idle[0].idle_at <= before:
+            self.idle[0].drop()
+
+    def close_idle(self) -> None:
+        for link in self.idle[:]:
+            link.drop()
+
+
+class Backends:
+    """All pools, bounded together so that descriptors never run out."""
+
+    def __init__(
+        self, most: int, connect_timeout: float, idle_limit: float, drain_grace: float,
+        clock: Callable[[], int], done: Done,
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.open = 0
+        self.connect_timeout, self.retire = connect_timeout, idle_limit * RETIRE
+        self.clock = clock
+        self._most, self._done = most, done
+        self._grace = drain_grace * GRACE_PART
+        self._pools: dict[int, _Pool] = {}
+        self._sweeper = self.loop.call_later(SWEEP, self._sweep)
+
+    def learn(self, backend: int, address: Address | None) -> None:
+        """Where a backend is reached; None once it drains or is gone and gets nothing new."""
+        pool = self._pools.get(backend)
+        if address is None:
+            if pool is not None and pool.closing_at is None:
+                pool.closing_at = self.loop.time() + self._grace
+                pool.close_idle()
+        elif pool is None or pool.address != address or pool.closing_at is not None:
+            if pool is not None:
+                pool.closing_at = pool.closing_at or self.loop.time() + self._grace
+                pool.close_idle()
+            self._pools[backend] = _Pool(self, address)
+
+    def known(self) -> list[int]:
+        return list(self._pools)
+
+    def start(self, attempt: Attempt, timeout: float | None) -> None:
+        """Exactly one call of `done` follows, never before this returns."""
+        if timeout is not None:
+            attempt.timer = self.loop.call_later(timeout, self.expire, attempt)
+        pool = self._pools.get(attempt.backend)
+        if pool is None:
+            self.loop.call_soon(self.fail_unsent, attempt)
+        else:
+            pool.start(attempt, attempt.started)
+
+    def fail_unsent(self, attempt: Attempt) -> None:
+        self.finish(attempt, Outcome.CONNECT_FAILED, None, {})
+
+    def expire(self, attempt: Attempt) -> None:
+        """Stop waiting. What never left the write buffer never ran, anything else may have."""
+        link = attempt.link
+        unsent = link is None or link.unsent
+        self._abandon(attempt, Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT)
+
+    def cancel(self, attempt: Attempt) -> None:
+        self._abandon(attempt, Outcome.CANCELLED)
+
+    def _abandon(self, attempt: Attempt, outcome: Outcome) -> None:
+        if attempt.link is not None:
+            # Answers queue in order: a connection whose answer is not waited for is of no more use.
+            attempt.link.drop()
+        self.finish(attempt, outcome, None, {})
+
+    def finish(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
+        attempt.link = None
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        self._done(attempt, outcome, value, report)
+
+    def close_idle(self, backend: int) -> None:
+        if (pool := self._pools.get(backend)) is not None:
+            pool.close_idle()
+
+    def room(self) -> bool:
+        """Whether one more connection may be opened; an idle one elsewhere gives way."""
+        if self.open >= self._most:
+            spare = max(self._pools.values(), key=lambda pool: len(pool.idle), default=None)
+            if spare is not None and spare.idle:
+                spare.idle[0].drop()
+        return self.open < self._most
+
+    def _sweep(self) -> None:
+        before = self.loop.time() - self.retire
+        for backend, pool in list(self._pools.items()):
+            pool.retire(before)
+            if pool.closing_at is not None and not pool.links and self.loop.time() > pool.closing_at:
+                del self._pools[backend]
+        self._sweeper = self.loop.call_later(SWEEP, self._sweep)
+
+    def close(self) -> None:
+        self._sweeper.cancel()
+        for pool in self._pools.values():
+            for link in list(pool.links):
+                link.drop()
+
+
+def monotonic_unix_ns() -> Callable[[], int]:
+    """A clock that never goes back and reads Unix time at its start, so that `born_ms` lies on it."""
+    base = time.time_ns() - time.monotonic_ns()
+    return lambda: base + time.monotonic_ns()
--- /dev/null
+++ b/badgerspindle/net/config.py
@@ -0,0 +1,136 @@
+"""Environment and JSON to typed values; the module's settings go through the adapter's own parser."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from ..interface import Settings
+from ..wire import SettingsError, parse_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """A configuration that the gateway cannot start with; the text says what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that one gateway is told at its start. Durations are in nanoseconds."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: dict[str, Any] | None
+    settings: Settings
+    classes: tuple[bytes, ...]
+    plans: tuple[bytes, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    connect_timeout: int
+    connection_idle: int
+
+
+def flatten(value: Any, path: str = "") -> Iterator[str]:
+    """Nested settings as the `path=value` lines of the simulator's start message."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from flatten(inner, f"{path}.{key}" if path else str(key))
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        yield f"{path}.count={len(value)}"
+        for number, item in enumerate(value):
+            yield from flatten(item, f"{path}.{number}")
+    elif isinstance(value, list):
+        yield f"{path}={','.join(_plain(item) for item in value)}"
+    elif value is not None:
+        yield f"{path}={_plain(value)}"
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    # Separators inside a value would be read as structure; the start message replaces them likewise.
+    return "_".join(value.replace(",", " ").split(" ")) if isinstance(value, str) else str(value)
+
+
+def address(text: Any, what: str) -> Address:
+    """`host:port` as a pair."""
+    host, colon, port = str(text).rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 <= int(port) <= 0xFFFF):
+        raise ConfigError(f"{what}: {text!r} is no host:port")
+    return host, int(port)
+
+
+def _part(holder: Any, key: str, kind: type | tuple[type, ...], what: str) -> Any:
+    value = holder.get(key)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise ConfigError(f"{what}{key}: missing or of the wrong type")
+    return value
+
+
+def _names(settings: dict[str, Any], key: str) -> tuple[str, ...]:
+    return tuple(str(item) for item in _part(settings, key, list, "settings."))
+
+
+def _name_keys(settings: dict[str, Any], key: str) -> tuple[bytes, ...]:
+    return tuple(str(item.get("name")).encode() for item in _part(settings, key, list, "settings."))
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The configuration named by the environment, whose own variables come before the file's values."""
+    path = environment.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"ROUTER_CONFIG: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("ROUTER_CONFIG: not a JSON object")
+    return parse(raw, environment)
+
+
+def parse(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+    """Typed values from the JSON object; raises `ConfigError` on what is missing or impossible."""
+    nested = _part(raw, "settings", dict, "")
+    try:
+        settings = parse_settings("\n".join(flatten(nested)))
+    except SettingsError as error:
+        raise ConfigError(f"settings.{error}") from None
+    limits = _part(nested, "limits", dict, "settings.")
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+        sockets = int(raw.get("limits", {}).get("sockets", 1024))
+    except (AttributeError, TypeError, ValueError):
+        raise ConfigError("seed or limits.sockets: not a number") from None
+    peers = tuple(address(peer, "peers") for peer in raw.get("peers") or [])
+    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    known = raw.get("known")
+    return Config(
+        name=environment.get("ROUTER_NAME") or str(raw.get("name", "gateway")),
+        listen=address(environment.get("ROUTER_LISTEN") or raw.get("listen"), "listen"),
+        discovery=address(environment.get("ROUTER_DISCOVERY") or raw.get("discovery"), "discovery"),
+        seed=seed,
+        sockets=sockets,
+        peer_listen=address(peer_listen, "peer_listen") if peer_listen else None,
+        peers=peers,
+        peers_all=address(peers_all, "peers_all") if peers_all else None,
+        known=known if isinstance(known, dict) else None,
+        # There is no counter on real sockets: without one the module goes by its even slices.
+        settings=replace(settings, counter=False, may_message=settings.may_message and bool(peer_listen)),
+        classes=_name_keys(nested, "classes"),
+        plans=_name_keys(nested, "packages"),
+        zones=_names(nested, "zones"),
+        kinds=_names(nested, "kinds"),
+        connect_timeout=int(_part(limits, "connectTimeout", (int, float), "settings.limits.")),
+        connection_idle=int(_part(limits, "connIdle", (int, float), "settings.limits.")),
+    )
--- /dev/null
+++ b/badgerspindle/net/discovery.py
@@ -0,0 +1,199 @@
+"""Discovery over HTTP: a watch that is followed in order, and taken up again where it broke."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any, cast
+
+import h11
+
+from ..interface import Backend, Health, ListKind, Topology
+from .config import Address, ConfigError, address
+
+log = logging.getLogger(__name__)
+
+SILENCE = 5.0  # s without a byte: an idle watch brings an empty line every 2 s, so two were missed
+CONNECT = 1.0  # s for the agent, which is on this machine
+BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a good line resets it
+LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
+MILLISECOND = 1_000_000
+_HEALTH = {"in_service": Health.READY, "terminating": Health.DRAINING, "terminated": Health.GONE}
+
+
+class ListError(ValueError):
+    """A list that cannot be read."""
+
+
+class Update:
+    """One version of the list or of its changes: for the module, and where each backend is reached."""
+
+    __slots__ = ("addresses", "topology")
+
+    def __init__(self, topology: Topology, addresses: dict[int, Address]) -> None:
+        self.topology = topology
+        self.addresses = addresses
+
+
+def backend_id(host: str) -> int:
+    """The same at every gateway and after every restart, as it hangs on the name alone."""
+    return int.from_bytes(blake2b(host.encode(), digest_size=6).digest(), "big")
+
+
+def parse_update(raw: Any, zones: tuple[str, ...], kinds: tuple[str, ...], cached: bool = False) -> Update:
+    """Discovery's form to the module's; zone and kind become indices, as on the simulator's wire."""
+    try:
+        kind = ListKind.CACHED if cached else ListKind.FULL if raw["whole"] else ListKind.DELTA
+        addresses: dict[int, Address] = {}
+        entries = []
+        for host in raw["hosts"]:
+            number, health = backend_id(host["host"]), _HEALTH[host["health"]]
+            if health is not Health.GONE:
+                addresses[number] = address(host["dial"], "dial")
+            entries.append(
+                Backend(
+                    number,
+                    _index(zones, host.get("site")),
+                    _index(kinds, host.get("class")),
+                    int(host.get("block", 0)),
+                    health,
+                    float(host.get("share", 1.0)),
+                    # The module's clock reads Unix time; 0 stays 0, long ago.
+                    int(host.get("born_ms", 0)) * MILLISECOND,
+                )
+            )
+        return Update(Topology(kind, int(raw["seq"]), tuple(entries)), addresses)
+    except (AttributeError, KeyError, TypeError, ValueError, ConfigError) as error:
+        raise ListError(f"{type(error).__name__}: {error}") from None
+
+
+def _index(names: tuple[str, ...], name: Any) -> int:
+    """A name that the settings lack is like none of theirs."""
+    return names.index(name) if name in names else len(names)
+
+
+class Discovery:
+    """Keeps one watch open. The list last told goes on serving while there is none."""
+
+    def __init__(
+        self, agent: Address, zones: tuple[str, ...], kinds: tuple[str, ...], index: int | None,
+        told: Callable[[Update], None],
+    ) -> None:
+        self._agent = agent
+        self._zones, self._kinds = zones, kinds
+        self._index = index
+        self._told = told
+        self._backoff = BACKOFF_FIRST
+        self._watch: _Watch | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = self._agent
+        while True:
+            watch = _Watch(f"{host}:{port}", self._index, self._line)
+            try:
+                async with asyncio.timeout(CONNECT):
+                    await loop.create_connection(lambda made=watch: made, host, port)  # type: ignore[misc]
+                await watch.ended
+            except (OSError, TimeoutError) as error:
+                log.warning("discovery: %s", error or type(error).__name__)
+            finally:
+                watch.close()
+            # Jitter, or gateways whose agents broke together would come back together.
+            await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
+            self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
+
+    def _line(self, line: bytes) -> None:
+        update = parse_update(json.loads(line), self._zones, self._kinds)
+        whole = update.topology.kind is ListKind.FULL
+        # A second watch may tell again what is known: an older version must not undo a newer one.
+        if not whole and self._index is not None and update.topology.version < self._index:
+            return
+        self._index, self._backoff = update.topology.version, BACKOFF_FIRST
+        self._told(update)
+
+
+class _Watch(asyncio.Protocol):
+    """One HTTP exchange; `ended` is done when nothing more can come of it."""
+
+    def __init__(self, host: str, index: int | None, line: Callable[[bytes], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.ended: asyncio.Future[None] = self._loop.create_future()
+        self._http = h11.Connection(h11.CLIENT)
+        self._host, self._index, self._line = host, index, line
+        self._rest = b""
+        self._heard_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        request = h11.Request(
+            method="GET", target=f"/api/targets?stream=1&index={self._index or 0}",
+            headers=[("Host", self._host), ("Accept", "application/json")],
+        )
+        out = (self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
+        self._transport.write(out)
+        self._listen()
+
+    def _listen(self) -> None:
+        """A machine that vanished says nothing: silence ends the watch as a break would."""
+        left = self._heard_at + SILENCE - self._loop.time()
+        if left <= 0:
+            self._end("silent")
+        else:
+            self._timer = self._loop.call_later(left, self._listen)
+
+    def data_received(self, data: bytes) -> None:
+        self._heard_at = self._loop.time()
+        try:
+            self._http.receive_data(data)
+            while not self.ended.done():
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.Response) and event.status_code != 200:
+                    return self._end(f"status {event.status_code}")
+                if isinstance(event, h11.Data):
+                    self._lines(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    return self._end("answer ended")
+        except (h11.RemoteProtocolError, ListError, ValueError) as error:
+            self._end(str(error))
+
+    def _lines(self, data: bytes) -> None:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        for line in lines:
+            if line.strip():
+                self._line(line)
+        if len(self._rest) > LINE:
+            self._end("endless line")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end(str(exc or "closed"))
+
+    def _end(self, why: str) -> None:
+        if not self.ended.done():
+            log.warning("discovery watch over: %s", why)
+            self.ended.set_result(None)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+        if not self.ended.done():
+            self.ended.cancel()
--- /dev/null
+++ b/badgerspindle/net/gateway.py
@@ -0,0 +1,282 @@
+"""The one decision module and the tables round it: happenings become its events, its actions become calls."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from itertools import count
+
+from ..interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    Cancel,
+    ClientLeft,
+    CloseIdle,
+    Event,
+    Fail,
+    Health,
+    ListKind,
+    LogLine,
+    Outcome,
+    PeerMessage,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    SetTimer,
+    Tell,
+    TimerFired,
+    Topology,
+)
+from ..logic import Gateway
+from .backends import Attempt, Backends, Report, monotonic_unix_ns
+from .clients import Call, Clients, Slot
+from .config import Config
+from .discovery import Discovery, ListError, Update, parse_update
+from .peers import Peers
+
+log = logging.getLogger(__name__)
+
+SECOND = 1_000_000_000
+MILLISECOND = 1_000_000
+MARGIN = 10 * MILLISECOND  # before a client's time ends: its way here and back, and a loop that lags
+FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
+FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
+RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
+BACKEND_PART = 0.5  # of the other descriptors; each request needs one on either side at most
+
+
+class Request:
+    """A request that was taken, until its final answer and its last attempt's end."""
+
+    __slots__ = ("attempts", "call", "closed", "out", "slot", "timer", "valid_until")
+
+    def __init__(self, call: Call, slot: Slot, valid_until: int) -> None:
+        self.call, self.slot, self.valid_until = call, slot, valid_until
+        self.closed = False
+        self.attempts = 0
+        self.out: dict[int, Attempt] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Node:
+    """One running gateway."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self._loop = asyncio.get_running_loop()
+        self._now = monotonic_unix_ns()
+        self._module = Gateway(config.settings, config.seed, self._now())
+        self._numbers = count(1)
+        self._requests: dict[int, Request] = {}
+        self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
+        self._told = asyncio.Event()
+        spare = max(16, config.sockets - RESERVED)
+        settings = config.settings
+        self.backends = Backends(
+            int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
+            settings.drain_grace / SECOND, self._now, self._attempt_ended,
+        )
+        self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
+        self.peers = Peers(config.peers, config.peers_all, settings.position, self._heard)
+        index = None
+        if config.known is not None:
+            try:
+                cached = parse_update(config.known, config.zones, config.kinds, cached=True)
+            except ListError as error:
+                log.warning("known list passed over: %s", error)
+            else:
+                self._learn(cached)
+                index = cached.topology.version
+        if index is None:
+            self._handle(Topology(ListKind.CACHED, 0, ()))
+        self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
+
+    async def start(self) -> None:
+        """Open the sockets; the clients' comes last, when requests can be served."""
+        if self.config.peer_listen is not None and self.config.settings.may_message:
+            await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+        self.discovery.start()
+        try:
+            # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
+            async with asyncio.timeout(FIRST_LIST):
+                await self._told.wait()
+        except TimeoutError:
+            log.warning("no word from discovery yet, starting with the list last known")
+        await self.clients.start()
+
+    async def stop(self) -> None:
+        """End in good order: all that was taken is answered first."""
+        await self.clients.drain()
+        await self.discovery.close()
+        self.backends.close()
+        self.peers.close()
+
+    # From the list and the peers.
+
+    def _listed(self, update: Update) -> None:
+        self._told.set()
+        self._learn(update)
+
+    def _learn(self, update: Update) -> None:
+        named = {entry.id for entry in update.topology.entries}
+        if update.topology.kind is not ListKind.DELTA:
+            for backend in self._seen - named:
+                self.backends.learn(backend, None)
+            self._seen = set()
+        for entry in update.topology.entries:
+            gone = entry.health is not Health.READY
+            self.backends.learn(entry.id, None if gone else update.addresses[entry.id])
+            (self._seen.discard if entry.health is Health.GONE else self._seen.add)(entry.id)
+        self._handle(update.topology)
+
+    def _heard(self, sender: int, data: bytes) -> None:
+        self._handle(PeerMessage(sender, data))
+
+    # From the clients.
+
+    def ready(self) -> bool:
+        return bool(self._seen)
+
+    def take(self, call: Call, slot: Slot) -> None:
+        now, number = self._now(), next(self._numbers)
+        valid_until = now + max(0, call.wait_ms * MILLISECOND - MARGIN)
+        request = Request(call, slot, valid_until)
+        slot.request = number
+        self._requests[number] = request
+        self._handle(
+            Arrival(number, call.cls, call.plan, call.customer, valid_until, call.units, call.spread,
+                    call.first, call.options),
+            number,
+        )
+        if not request.closed:
+            delay = (valid_until - self._now()) / SECOND
+            request.timer = self._loop.call_later(max(0.0, delay), self._deadline, number)
+
+    def left(self, number: int) -> None:
+        request = self._requests.get(number)
+        if request is not None and not request.closed:
+            self._close(number, request)
+            self._handle(ClientLeft(number))
+
+    def _deadline(self, number: int) -> None:
+        """The client's time is up: attempts still out end, and the request gets an answer come what may."""
+        request = self._requests.get(number)
+        if request is None or request.closed:
+            return
+        left = request.valid_until - self._now()
+        if left > 0:  # timers count in milliseconds and may come early
+            request.timer = self._loop.call_later(left / SECOND, self._deadline, number)
+            return
+        for attempt in list(request.out.values()):
+            self.backends.expire(attempt)
+        if not request.closed:
+            # The module left it open, perhaps after a fault: a failure promises nothing.
+            self._answer(number, request, b"-ERR out of time\r\n")
+            self._handle(ClientLeft(number))
+
+    # Answers.
+
+    def _close(self, number: int, request: Request) -> None:
+        """The final answer is given, or nobody is there for it: no other follows."""
+        request.closed = True
+        if request.timer is not None:
+            request.timer.cancel()
+            request.timer = None
+        if not request.out:
+            self._requests.pop(number, None)
+
+    def _answer(self, number: int, request: Request, answer: bytes) -> None:
+        self._close(number, request)
+        request.slot.client.answer(request.slot, answer)
+
+    # From the backends.
+
+    def _attempt_ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
+        number = attempt.request
+        request = self._requests[number]
+        request.out.pop(attempt.index, None)
+        if outcome is Outcome.OK and value is not None and not request.closed:
+            self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value))
+        names = self.config.settings.report_names
+        load = tuple(report[name] for name in names) if report and report.keys() >= set(names) else ()
+        elapsed = max(0, self._now() - attempt.started)
+        event = AttemptEnded(
+            number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
+        )
+        self._handle(event, number)
+        if request.closed and not request.out:
+            self._requests.pop(number, None)
+
+    # The module.
+
+    def _handle(self, event: Event, number: int = 0) -> None:
+        """One event in, its actions out; a fault costs one request a failure, never the process."""
+        try:
+            for action in self._module.handle(self._now(), event):
+                self._act(action)
+        except Exception:
+            log.exception("fault in handling %s", type(event).__name__)
+            request = self._requests.get(number)
+            if request is not None and not request.closed:
+                self._answer(number, request, b"-ERR internal fault\r\n")
+            if isinstance(event, TimerFired):
+                self._act(SetTimer(FAULT_RETRY, event.token))
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case Refuse(number, retry_in):
+                if (request := self._requests.get(number)) is not None and not request.closed:
+                    wait = -(-retry_in // MILLISECOND)
+                    self._answer(number, request, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+            case Fail(number):
+                if (request := self._requests.get(number)) is not None and not request.closed:
+                    self._answer(number, request, b"-ERR failed\r\n")
+            case SetTimer(after, token):
+                self._loop.call_later(after / SECOND, self._handle, TimerFired(token))
+            case Tell(to, data):
+                self.peers.tell(to, data)
+            case Cancel(number, index):
+                request = self._requests.get(number)
+                if request is not None and (attempt := request.out.get(index)) is not None:
+                    self._loop.call_soon(self._cancel, attempt)
+            case CloseIdle(backend):
+                self.backends.close_idle(backend)
+            case LogLine(text):
+                log.info("%s", text)
+            case Probe(backend):
+                # Probes are not sent on sockets: each costs the backend work, and the module asks for none.
+                self._loop.call_soon(self._handle, Probed(Outcome.MOOT, backend, 0, ()))
+            case _:
+                log.error("%s is not possible on sockets", type(action).__name__)
+
+    def _send(self, action: Send) -> None:
+        request = self._requests.get(action.request)
+        if request is None:
+            log.error("attempt for a request that is over")
+            return
+        now, index = self._now(), request.attempts
+        request.attempts += 1
+        if request.closed or now >= request.valid_until:
+            event = AttemptEnded(
+                action.request, request.closed, 0, action.backend, 0, Outcome.MOOT, 0, index, ()
+            )
+            self._loop.call_soon(self._handle, event, action.request)
+            return
+        left = request.valid_until - now
+        timeout = action.timeout / SECOND if 0 < action.timeout < left else None
+        expires = now + (action.timeout if timeout is not None else left)
+        call = request.call
+        attempt = Attempt(action.request, index, action.backend, now, expires,
+                          (call.front, call.head, call.tail, call.body))
+        request.out[index] = attempt
+        self.backends.start(attempt, timeout)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        """Not within the module's own turn: its outcome is an event of its own."""
+        request = self._requests.get(attempt.request)
+        if request is not None and attempt.index in request.out:
+            self.backends.cancel(attempt)
--- /dev/null
+++ b/badgerspindle/net/peers.py
@@ -0,0 +1,56 @@
+"""Datagrams between gateways: a sender's address gives its number; strangers and junk are dropped."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+from ..mail import MESSAGE
+from .config import Address
+
+log = logging.getLogger(__name__)
+
+
+class Peers(asyncio.DatagramProtocol):
+    """The UDP socket that all messages to and from other gateways go through."""
+
+    def __init__(
+        self, peers: tuple[Address, ...], everyone: Address | None, me: int,
+        heard: Callable[[int, bytes], None],
+    ) -> None:
+        self._peers = peers
+        self._numbers = {peer: number for number, peer in enumerate(peers) if number != me}
+        self._everyone = everyone
+        self._heard = heard
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self._numbers.get((addr[0], addr[1]))
+        if number is not None and len(data) <= MESSAGE:
+            self._heard(number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        """A dead peer's port answers with an ICMP error; messages may be lost anyway."""
+
+    def tell(self, to: int | None, data: bytes) -> None:
+        """To one peer by number, or to all. One that is too long is dropped here."""
+        if len(data) > MESSAGE:
+            log.error("message of %d bytes to a peer dropped", len(data))
+            return
+        if self._transport is None:
+            return
+        if to is not None:
+            targets = [self._peers[to]] if 0 <= to < len(self._peers) else []
+        else:
+            targets = [self._everyone] if self._everyone else list(self._numbers)
+        for target in targets:
+            self._transport.sendto(data, target)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
