--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -219,7 +219,7 @@
         if link.timer is not None:
             link.timer.cancel()
             link.timer = None
-        if self.closing_at is not None and self.owner.loop.time() > self.closing_at:
+        if self.closing_at is not None and self.owner.loop.time() >= self.closing_at:
             # Rule 3: decided before the drain was told, but too late to be written now.
             self._too_late(link)
             return
@@ -287,6 +287,10 @@
     def known(self) -> list[int]:
         return list(self._pools)
 
+    def idle(self) -> int:
+        """Connections that wait for an attempt."""
+        return sum(len(pool.idle) for pool in self._pools.values())
+
     def start(self, attempt: Attempt, timeout: float | None) -> None:
         """Exactly one call of `done` follows, never before this returns."""
         if timeout is not None:
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -22,8 +22,9 @@
 ARGUMENTS_MOST = 64  # of a command: a header that names millions would have their places set aside
 WAIT_MOST = 86_400_000  # ms: no client waits longer than a day
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
+ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
-MILLISECOND = 1_000_000
+SECOND = 1_000_000_000
 RETRY_FLAG = 2  # bit of `options`: a client's repeat
 
 
@@ -249,6 +250,9 @@
     def close(self) -> None:
         cast(asyncio.Transport, self._transport).close()
 
+    def abort(self) -> None:
+        cast(asyncio.Transport, self._transport).abort()
+
 
 def _plausible(data: bytes) -> bool:
     """Whether a command may begin so: an array with a count that is no attack on memory."""
@@ -271,6 +275,8 @@
         self._clients: dict[Client, None] = {}
         self._server: asyncio.Server | None = None
         self._last_came = 0.0
+        # Every request has ended by then; only half a command can hold a connection open for longer.
+        self._longest = max(c.deadline for c in config.settings.classes) / SECOND + QUIET
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -298,8 +304,20 @@
         self._last_came = loop.time()
         while (left := self._last_came + QUIET - loop.time()) > 0:
             await asyncio.sleep(left)
+            # A loop that lagged wakes with its timer due and connections still in the accept queue: look
+            # once more, or they would be closed unread.
+            await asyncio.sleep(ACCEPT_LOOK)
         cast(asyncio.Server, self._server).close()
-        while self._clients:
+        end = loop.time() + self._longest
+        while self._clients and loop.time() < end:
             for client in [c for c in self._clients if c.resting()]:
                 client.close()
             await asyncio.sleep(IDLE_LOOK)
+        self.shut()
+
+    def shut(self) -> None:
+        """Close everything as it stands."""
+        if self._server is not None:
+            self._server.close()
+        for client in list(self._clients):
+            client.abort()
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -66,8 +66,8 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self._loop = asyncio.get_running_loop()
-        self._now = monotonic_unix_ns()
-        self._module = Gateway(config.settings, config.seed, self._now())
+        self.now = monotonic_unix_ns()
+        self.module = Gateway(config.settings, config.seed, self.now())
         self._numbers = count(1)
         self._requests: dict[int, Request] = {}
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
@@ -76,10 +76,10 @@
         settings = config.settings
         self.backends = Backends(
             int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
-            settings.drain_grace / SECOND, self._now, self._attempt_ended,
+            settings.drain_grace / SECOND, self.now, self._attempt_ended,
         )
         self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
-        self.peers = Peers(config.peers, config.peers_all, settings.position, self._heard)
+        self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
         index = None
         if config.known is not None:
             try:
@@ -105,6 +105,7 @@
         except TimeoutError:
             log.warning("no word from discovery yet, starting with the list last known")
         await self.clients.start()
+        log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
 
     async def stop(self) -> None:
         """End in good order: all that was taken is answered first."""
@@ -116,8 +117,8 @@
     # From the list and the peers.
 
     def _listed(self, update: Update) -> None:
-        self._told.set()
         self._learn(update)
+        self._told.set()
 
     def _learn(self, update: Update) -> None:
         named = {entry.id for entry in update.topology.entries}
@@ -131,7 +132,7 @@
             (self._seen.discard if entry.health is Health.GONE else self._seen.add)(entry.id)
         self._handle(update.topology)
 
-    def _heard(self, sender: int, data: bytes) -> None:
+    def heard(self, sender: int, data: bytes) -> None:
         self._handle(PeerMessage(sender, data))
 
     # From the clients.
@@ -140,7 +141,7 @@
         return bool(self._seen)
 
     def take(self, call: Call, slot: Slot) -> None:
-        now, number = self._now(), next(self._numbers)
+        now, number = self.now(), next(self._numbers)
         valid_until = now + max(0, call.wait_ms * MILLISECOND - MARGIN)
         request = Request(call, slot, valid_until)
         slot.request = number
@@ -151,7 +152,7 @@
             number,
         )
         if not request.closed:
-            delay = (valid_until - self._now()) / SECOND
+            delay = (valid_until - self.now()) / SECOND
             request.timer = self._loop.call_later(max(0.0, delay), self._deadline, number)
 
     def left(self, number: int) -> None:
@@ -165,7 +166,7 @@
         request = self._requests.get(number)
         if request is None or request.closed:
             return
-        left = request.valid_until - self._now()
+        left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
             request.timer = self._loop.call_later(left / SECOND, self._deadline, number)
             return
@@ -201,7 +202,7 @@
             self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value))
         names = self.config.settings.report_names
         load = tuple(report[name] for name in names) if report and report.keys() >= set(names) else ()
-        elapsed = max(0, self._now() - attempt.started)
+        elapsed = max(0, self.now() - attempt.started)
         event = AttemptEnded(
             number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
         )
@@ -214,7 +215,7 @@
     def _handle(self, event: Event, number: int = 0) -> None:
         """One event in, its actions out; a fault costs one request a failure, never the process."""
         try:
-            for action in self._module.handle(self._now(), event):
+            for action in self.module.handle(self.now(), event):
                 self._act(action)
         except Exception:
             log.exception("fault in handling %s", type(event).__name__)
@@ -258,7 +259,7 @@
         if request is None:
             log.error("attempt for a request that is over")
             return
-        now, index = self._now(), request.attempts
+        now, index = self.now(), request.attempts
         request.attempts += 1
         if request.closed or now >= request.valid_until:
             event = AttemptEnded(
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,245 @@
+"""Small servers and clients on ephemeral loopback ports, driven by the tests event by event."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any, TypeVar
+
+import hiredis
+import uvloop
+
+from badgerspindle.net.config import Config, parse
+from badgerspindle.net.gateway import Node
+
+WAIT = 20.0  # s: only a hang reaches it, no verdict hangs on it
+LOCAL = "127.0.0.1"
+CUSTOMER = b"00000000b4d65521"
+T = TypeVar("T")
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a test's coroutine on the loop that the gateway runs on."""
+    uvloop.run(asyncio.wait_for(test(), 3 * WAIT))
+
+
+async def soon(awaitable: Awaitable[T]) -> T:
+    return await asyncio.wait_for(awaitable, WAIT)
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Give the loop turns until something holds."""
+    async with asyncio.timeout(WAIT):
+        while not holds():
+            await asyncio.sleep(0.001)
+
+
+def nested_settings(**changes: Any) -> dict[str, Any]:
+    """Settings in the nested form of a real configuration; hand-made."""
+
+    def a_class(name: str, repeat: str, group: str) -> dict[str, Any]:
+        return {
+            "name": name, "aim": 800_000_000, "deadline": 2_000_000_000, "points": 3.0, "lateWorth": 0.0,
+            "idempotency": repeat, "group": group, "window": 5_000_000_000,
+        }
+
+    plan = {
+        "name": "team", "quotaRate": 1000.0, "mostAtOnce": 1000.0, "parallel": 0, "worthFactor": 1.0,
+        "beyondEarns": 0.0, "excessCost": 1.0, "ceilingRate": 0.0, "hardBurst": 0.0, "ceilingSlack": 0.0,
+    }
+    made: dict[str, Any] = {
+        "classes": [a_class("look up", "free", "all"), a_class("submit", "guarded", "cell"),
+                    a_class("charge", "single_shot", "all")],
+        "packages": [plan],
+        "zones": ["a", "b"], "kinds": ["m1", "m2"], "zone": 0, "position": 0, "replicasOfMe": 2,
+        "report": {"how": "answers", "names": ["load_share", "concurrent"]},
+        "limits": {
+            "maxAttempts": 4, "secondCopies": True, "cancel": True, "probes": True, "peerMessages": True,
+            "retryAfter": True, "maxRetryAfter": 1_000_000_000, "connectTimeout": 250_000_000,
+            "connIdle": 30_000_000_000,
+        },
+        "familyInfo": {"counter": False, "usePeriod": 0, "largest": 1, "mailPerS": 40.0, "truedUp": False},
+        "rules": {
+            "askWithin": 10_000_000_000, "drainGrace": 1_000_000_000, "fall": 3_000_000_000,
+            "fallMultiple": 3.0, "startCapacity": 0.23, "warmUp": 18_000_000_000,
+        },
+        "prices": {"crossZone": 0.01},
+        "discovery": "pushed",
+    }
+    for path, value in changes.items():
+        part, _, key = path.partition("__")
+        if key:
+            made[part][key] = value
+        else:
+            made[part] = value
+    return made
+
+
+def host(
+    name: str, port: int, health: str = "in_service", born_ms: int = 0, block: int = 0
+) -> dict[str, Any]:
+    return {
+        "host": name, "dial": f"{LOCAL}:{port}", "site": "a", "class": "m2", "block": block,
+        "health": health, "share": 1.0, "born_ms": born_ms,
+    }
+
+
+def listing(seq: int, *hosts: dict[str, Any], whole: bool = True) -> dict[str, Any]:
+    return {"seq": seq, "whole": whole, "hosts": list(hosts)}
+
+
+def raw_config(agent: int, known: dict[str, Any] | None = None, **changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n0", "listen": f"{LOCAL}:0", "discovery": f"{LOCAL}:{agent}", "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 1024}, "peers": [], "known": known, "settings": nested_settings(**changes),
+    }
+
+
+def config(agent: int, known: dict[str, Any] | None = None, **changes: Any) -> Config:
+    return parse(raw_config(agent, known, **changes), {})
+
+
+class Agent:
+    """Discovery: remembers what was asked for, and writes what a test tells it to."""
+
+    def __init__(self) -> None:
+        self.asked: asyncio.Queue[bytes] = asyncio.Queue()
+        self.writers: list[asyncio.StreamWriter] = []
+        self.first: dict[str, Any] | None = None
+        self.port = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.writers.append(writer)
+        if self.first is not None:
+            self.tell(self.first)
+        self.asked.put_nowait(head.split(b"\r\n")[0])
+
+    def tell(self, update: dict[str, Any]) -> None:
+        self.raw(json.dumps(update).encode() + b"\n")
+
+    def raw(self, data: bytes) -> None:
+        self.writers[-1].write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def hang_up(self) -> None:
+        self.writers[-1].transport.abort()
+
+
+class Connection:
+    """One end of a RESP connection, for reading whole commands or answers."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self._parser = hiredis.Reader(notEnoughData=self)
+
+    async def next(self) -> Any:
+        """One command or answer; None at the end of the connection."""
+        while (got := self._parser.gets()) is self:
+            try:
+                data = await soon(self.reader.read(1 << 16))
+            except ConnectionError:
+                return None
+            if not data:
+                return None
+            self._parser.feed(data)
+        return got
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def abort(self) -> None:
+        self.writer.transport.abort()
+
+
+class Backend:
+    """Hands every command to the test as (connection, words)."""
+
+    def __init__(self) -> None:
+        self.commands: asyncio.Queue[tuple[Connection, list[bytes]]] = asyncio.Queue()
+        self.connections: list[Connection] = []
+        self.ended = 0
+        self.port = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = Connection(reader, writer)
+        self.connections.append(connection)
+        while (words := await connection.next()) is not None:
+            self.commands.put_nowait((connection, words))
+        self.ended += 1
+
+    async def command(self) -> tuple[Connection, list[bytes]]:
+        return await soon(self.commands.get())
+
+
+@asynccontextmanager
+async def listening(served: Agent | Backend) -> AsyncIterator[None]:
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.add(task)
+        try:
+            await served.serve(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError, asyncio.CancelledError):
+            pass
+        finally:
+            tasks.discard(task)
+
+    server = await asyncio.start_server(serve, LOCAL, 0)
+    served.port = server.sockets[0].getsockname()[1]
+    try:
+        yield
+    finally:
+        server.close()
+        for task in list(tasks):
+            task.cancel()
+
+
+class World:
+    """A gateway with one backend and its discovery, and clients for it."""
+
+    def __init__(self, node: Node, agent: Agent, backend: Backend) -> None:
+        self.node, self.agent, self.backend = node, agent, backend
+
+    async def client(self) -> Connection:
+        return Connection(*await soon(asyncio.open_connection(LOCAL, self.node.clients.port)))
+
+
+@asynccontextmanager
+async def world(**changes: Any) -> AsyncIterator[World]:
+    agent, backend = Agent(), Backend()
+    async with listening(agent), listening(backend):
+        agent.first = listing(1, host("s-1", backend.port))
+        node = Node(config(agent.port, None, **changes))
+        await soon(node.start())
+        try:
+            yield World(node, agent, backend)
+        finally:
+            await node.discovery.close()
+            node.backends.close()
+            node.peers.close()
+            node.clients.shut()
+
+
+def call(
+    cls: str = "look up", number: int = 1, wait_ms: int = 5000, body: bytes | None = None, extra: str = ""
+) -> bytes:
+    """A command as a client sends it."""
+    name = b"CALL.GET" if cls == "look up" else b"CALL.POST"
+    key = ",k=5c0f6e1a2b3d4c59" if cls == "submit" else ""
+    pairs = f"c={cls},t=team,d={wait_ms}{key},units=1,spread=2,first=0{extra}"
+    words = (name, CUSTOMER, b"%016x" % number, pairs.encode()) + (() if body is None else (body,))
+    return hiredis.pack_command(words)  # type: ignore[no-any-return,arg-type]
+
+
+def bulk(value: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def served(value: bytes, report: bytes | None = b"load_share=0.5,concurrent=3") -> bytes:
+    """A backend's good answer."""
+    return b"*3\r\n" + bulk(value) + b"$-1\r\n" + (b"$-1\r\n" if report is None else bulk(report))
--- /dev/null
+++ b/tests/test_net_backends.py
@@ -0,0 +1,355 @@
+"""Pools and attempts over loopback sockets: what each happening means, and which connection is used."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, closing
+
+import pytest
+
+from badgerspindle.interface import Outcome
+from badgerspindle.net.backends import Attempt, Backends, Report, monotonic_unix_ns, read_answer
+
+from .fakes import LOCAL, Backend, Connection, bulk, listening, run, served, soon, until
+
+SECOND = 1_000_000_000
+CLOCK = monotonic_unix_ns()
+Ended = tuple[int, Outcome, bytes | None, Report]
+
+
+class Bench:
+    """Pools to one fake backend (number 7), and how attempts ended."""
+
+    def __init__(self, most: int, connect: float, idle: float, grace: float) -> None:
+        self.ends: asyncio.Queue[Ended] = asyncio.Queue()
+        self.pools = Backends(
+            most, connect, idle, grace, CLOCK,
+            lambda attempt, *end: self.ends.put_nowait((attempt.request, *end)),
+        )
+
+    def start(
+        self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7
+    ) -> Attempt:
+        now = CLOCK()
+        parts = ((b"CALL.POST", b"c", b"i"), b"c=x,", b",k=y", (body,))
+        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, parts)
+        self.pools.start(attempt, timeout)
+        return attempt
+
+    async def end(self) -> Ended:
+        return await soon(self.ends.get())
+
+
+@asynccontextmanager
+async def bench(
+    backend: Backend | None = None, most: int = 100, connect: float = 20.0, idle: float = 30.0,
+    grace: float = 20.0, port: int = 0,
+) -> AsyncIterator[Bench]:
+    made = Bench(most, connect, idle, grace)
+    try:
+        if backend is None:
+            made.pools.learn(7, (LOCAL, port))
+            yield made
+        else:
+            async with listening(backend):
+                made.pools.learn(7, (LOCAL, backend.port))
+                yield made
+    finally:
+        made.pools.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome", "value", "report"),
+    [
+        (served(b"\x00\r\n\xff"), Outcome.OK, b"\x00\r\n\xff", {"load_share": 0.5, "concurrent": 3.0}),
+        (served(b"", None), Outcome.OK, b"", {}),
+        (served(b"x" * (64 << 10), None), Outcome.OK, b"x" * (64 << 10), {}),
+        (b"-ERR failed\r\n", Outcome.ERROR, None, {}),
+        (b"-ERR failed util=0.9,inflight=2\r\n", Outcome.ERROR, None, {"util": 0.9, "inflight": 2.0}),
+        (b"-BUSY\r\n", Outcome.FULL, None, {}),
+        (b"-BUSY util=1\r\n", Outcome.FULL, None, {"util": 1.0}),
+        (b"-SYNTAX\r\n", Outcome.ERROR, None, {}),
+        (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome.ERROR, None, {}),
+        (b"*0\r\n", Outcome.ERROR, None, {}),
+        (b"$1\r\nx\r\n", Outcome.ERROR, None, {}),
+        (b"!not resp\r\n", Outcome.RESET, None, {}),
+        (b"*3\r\n$200000\r\n" + b"x" * 90_000, Outcome.RESET, None, {}),
+    ],
+)
+def test_outcome_of_each_answer(
+    answer: bytes, outcome: Outcome, value: bytes | None, report: Report
+) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            connection, words = await backend.command()
+            assert words[:3] == [b"CALL.POST", b"c", b"i"] and words[4] == b"B"
+            left = words[3].removeprefix(b"c=x,d=").removesuffix(b",k=y")
+            assert 0 < int(left) <= 3000
+            connection.send(answer)
+            assert await b.end() == (1, outcome, value, report)
+
+    run(test)
+
+
+def test_refused_connect_never_ran() -> None:
+    async def test() -> None:
+        with closing(socket.create_server((LOCAL, 0))) as unused:
+            port = unused.getsockname()[1]
+        async with bench(port=port) as b:
+            b.start(1)
+            assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+            assert b.pools.open == 0
+
+    run(test)
+
+
+@pytest.mark.parametrize("given_up_by", ["connect time-out", "attempt time-out"])
+def test_unfinished_connect_never_ran(given_up_by: str) -> None:
+    async def test() -> None:
+        # A full accept queue leaves a connect unanswered, as a vanished machine does.
+        with closing(socket.socket()) as full:
+            full.bind((LOCAL, 0))
+            full.listen(0)
+            address = full.getsockname()
+            fill = [socket.socket() for _ in range(4)]
+            for one in fill:
+                one.setblocking(False)
+                one.connect_ex(address)
+            late = given_up_by == "connect time-out"
+            async with bench(port=address[1], connect=0.05 if late else 20.0) as b:
+                b.start(1, timeout=None if late else 0.05)
+                assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+                assert b.pools.open == 0
+            for one in fill:
+                one.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["reset", "end", "time-out", "cancel"])
+def test_after_the_last_byte_it_may_have_run(how: str) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            attempt = b.start(1)
+            connection, _ = await backend.command()
+            wanted = Outcome.RESET
+            if how == "reset":
+                connection.abort()
+            elif how == "end":
+                connection.writer.close()
+            elif how == "time-out":
+                b.pools.expire(attempt)
+                wanted = Outcome.TIMEOUT
+            else:
+                b.pools.cancel(attempt)
+                wanted = Outcome.CANCELLED
+            assert await b.end() == (1, wanted, None, {})
+            # The connection is closed too: an answer that still comes belongs to nobody.
+            await until(lambda: backend.ended == 1)
+            assert b.pools.open == 0 and b.ends.empty()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["reset", "time-out"])
+def test_break_before_the_last_byte_never_ran(how: str) -> None:
+    async def test() -> None:
+        with closing(socket.create_server((LOCAL, 0))) as server:
+            async with bench(port=server.getsockname()[1]) as b:
+                # More than both socket buffers hold, so that some of it stays behind.
+                attempt = b.start(1, body=b"x" * (32 << 20))
+                loop = asyncio.get_running_loop()
+                server.setblocking(False)
+                taken, _ = await soon(loop.sock_accept(server))
+                await until(lambda: attempt.link is not None and attempt.link.transport is not None)
+                if how == "reset":
+                    taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    taken.close()
+                else:
+                    b.pools.expire(attempt)
+                    taken.close()
+                assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+
+    run(test)
+
+
+def test_write_that_meets_a_broken_pooled_connection_never_ran() -> None:
+    async def test() -> None:
+        with closing(socket.create_server((LOCAL, 0))) as server:
+            server.setblocking(False)
+            loop = asyncio.get_running_loop()
+            async with bench(port=server.getsockname()[1]) as b:
+                b.start(1)
+                taken, _ = await soon(loop.sock_accept(server))
+                assert await soon(loop.sock_recv(taken, 4096))
+                await soon(loop.sock_sendall(taken, served(b"v")))
+                assert (await b.end())[1] is Outcome.OK
+                # Reset between two turns of the loop: the gateway has not heard of it when it writes.
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                taken.close()
+                b.start(2)
+                assert (await b.end())[:2] == (2, Outcome.CONNECT_FAILED)
+
+    run(test)
+
+
+def test_late_answer_is_never_taken_for_the_next_attempt() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            attempt = b.start(1)
+            first, _ = await backend.command()
+            b.pools.expire(attempt)
+            assert (await b.end())[1] is Outcome.TIMEOUT
+            b.start(2)
+            second, _ = await backend.command()
+            assert second is not first
+            first.send(served(b"late"))
+            second.send(served(b"own"))
+            assert (await b.end())[:3] == (2, Outcome.OK, b"own")
+
+    run(test)
+
+
+def test_words_nobody_asked_for_close_the_connection() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            connection, _ = await backend.command()
+            connection.send(served(b"v") + served(b"again"))
+            assert (await b.end())[1] is Outcome.OK
+            await until(lambda: backend.ended == 1)
+            assert b.pools.open == 0
+
+    run(test)
+
+
+def test_connections_are_reused_last_in_first_out_with_one_request_each() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            b.start(2)
+            held = [await backend.command() for _ in range(2)]
+            assert held[0][0] is not held[1][0]
+            for connection, _ in held:
+                connection.send(served(b"v"))
+                await b.end()
+            for number in (3, 4):
+                b.start(number)
+                connection, _ = await backend.command()
+                assert connection is held[1][0]
+                connection.send(served(b"v"))
+                await b.end()
+            assert b.pools.open == 2
+
+    run(test)
+
+
+def test_idle_connections_are_retired_before_the_backend_closes_them() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend, idle=0.0) as b:
+            b.start(1)
+            connection, _ = await backend.command()
+            connection.send(served(b"v"))
+            await b.end()
+            b.start(2)  # the old one is past its time, looked for or not
+            other, _ = await backend.command()
+            assert other is not connection
+            other.send(served(b"v"))
+            await b.end()
+            await until(lambda: backend.ended == 2)  # the sweep finds the second
+
+    run(test)
+
+
+def test_connections_are_bounded_and_idle_ones_give_way() -> None:
+    async def test() -> None:
+        one, two = Backend(), Backend()
+        async with listening(two), bench(one, most=1) as b:
+            b.pools.learn(8, (LOCAL, two.port))
+            b.start(1)
+            connection, _ = await one.command()
+            b.start(2, backend=8)
+            assert (await b.end())[:2] == (2, Outcome.CONNECT_FAILED)
+            connection.send(served(b"v"))
+            assert (await b.end())[:2] == (1, Outcome.OK)
+            b.start(3, backend=8)
+            connection, _ = await two.command()
+            connection.send(served(b"v"))
+            assert (await b.end())[:2] == (3, Outcome.OK)
+            assert b.pools.open == 1
+
+    run(test)
+
+
+def test_backend_that_drains_loses_idle_connections_and_finishes_what_it_has() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            b.start(2)
+            held = [await backend.command() for _ in range(2)]
+            held[0][0].send(served(b"v"))
+            await b.end()
+            b.pools.learn(7, None)
+            await until(lambda: backend.ended == 1)
+            held[1][0].send(served(b"w"))
+            assert (await b.end())[1:3] == (Outcome.OK, b"w")
+            await until(lambda: backend.ended == 2)
+
+    run(test)
+
+
+def test_nothing_still_connecting_is_written_past_the_drain_grace() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend, grace=0.0) as b:
+            b.start(1)
+            b.pools.learn(7, None)
+            assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+            assert backend.commands.empty() and b.pools.open == 0
+
+    run(test)
+
+
+def test_unknown_backend_never_ran() -> None:
+    async def test() -> None:
+        async with bench(port=1) as b:
+            b.start(1, backend=99)
+            assert b.ends.empty()  # told in a turn of its own
+            assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+
+    run(test)
+
+
+def test_error_report_must_be_numbers() -> None:
+    assert read_answer([b"v", None, b"util=much"]) == (Outcome.OK, b"v", {})
+
+
+def test_value_over_the_limit_is_not_passed_on() -> None:
+    assert read_answer([b"x" * ((64 << 10) + 1)])[0] is Outcome.ERROR
+
+
+def test_connection_helper_reads_whole_answers() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend):
+            client = Connection(*await asyncio.open_connection(LOCAL, backend.port))
+            client.send(b"*1\r\n$4\r\nPI")
+            client.send(b"NG\r\n")
+            connection, words = await backend.command()
+            assert words == [b"PING"]
+            connection.send(bulk(b"x"))
+            assert await client.next() == b"x"
+            client.abort()
+
+    run(test)
--- /dev/null
+++ b/tests/test_net_clients.py
@@ -0,0 +1,291 @@
+"""The gateway as its clients see it, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import hiredis
+import pytest
+
+from badgerspindle.interface import (
+    Action, Arrival, AttemptEnded, ClientLeft, Event, Fail, Outcome, Refuse, Send, TimerFired,
+)
+
+from .fakes import CUSTOMER, World, call, run, served, soon, until, world
+
+MS, SECOND = 1_000_000, 1_000_000_000
+
+
+class Script:
+    """Stands in for the module: does for each arrival what the test says, and notes every event."""
+
+    def __init__(self, *plans: Any) -> None:
+        self.plans, self.events = list(plans), list[Event]()
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.events.append(event)
+        if not isinstance(event, Arrival):
+            return []
+        plan = self.plans.pop(0)
+        if isinstance(plan, Exception):
+            raise plan
+        actions: list[Action] = plan(event)
+        return actions
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+def script(w: World, *plans: Any) -> Script:
+    made = Script(*plans)
+    w.node.module = made  # type: ignore[assignment]
+    return made
+
+
+def only_backend(w: World) -> int:
+    return w.node.backends.known()[0]
+
+
+def test_request_and_value_pass_through_unchanged() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next() == b"PONG"
+            body = b"\x00\r\n$5\r\n" * 100
+            client.send(call("submit", 0x9B1F, body=body, extra=",r=1,odd=\xff"))
+            connection, words = await w.backend.command()
+            left = int(words[3].split(b",d=")[1].split(b",")[0])
+            assert 4000 < left < 5000
+            assert words == [
+                b"CALL.POST", CUSTOMER, b"0000000000009b1f",
+                b"c=submit,t=team,d=%d,k=5c0f6e1a2b3d4c59,units=1,spread=2,first=0,r=1,odd=\xc3\xbf" % left,
+                body,
+            ]
+            value = bytes(range(256)) * 256
+            connection.send(served(value))
+            assert await client.next() == value
+
+    run(test)
+
+
+def test_arrival_tells_the_module_what_the_client_said() -> None:
+    async def test() -> None:
+        async with world() as w:
+            s = script(w, lambda a: [Refuse(a.request, 1_500_001)], lambda a: [Refuse(a.request, 0)])
+            client = await w.client()
+            client.send(call("charge", wait_ms=480, extra=",r=1"))
+            answer = await client.next()
+            assert isinstance(answer, hiredis.ReplyError) and str(answer) == "BUSY 2"
+            (arrival,) = s.of(Arrival)
+            assert (arrival.cls, arrival.plan, arrival.customer) == (2, 0, 0xB4D65521)
+            assert (arrival.units, arrival.spread, arrival.first, arrival.options) == (1.0, 2, 0, 2)
+            client.send(call())
+            assert str(await client.next()) == "BUSY"
+            assert s.of(Arrival)[1].options == 0
+
+    run(test)
+
+
+def test_answers_stand_in_the_order_of_the_commands() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call(number=1) + call(number=2) + b"*1\r\n$4\r\nPING\r\n")
+            by_id = {}
+            for _ in range(2):
+                connection, words = await w.backend.command()
+                by_id[words[2]] = connection
+            by_id[b"%016x" % 2].send(served(b"two"))
+            # The second's answer has been taken in once its connection serves again.
+            other = await w.client()
+            await until(lambda: w.node.backends.idle() == 1)
+            other.send(call(number=3))
+            connection, words = await w.backend.command()
+            assert connection is by_id[b"%016x" % 2]
+            connection.send(served(b"three"))
+            assert await other.next() == b"three"
+            by_id[b"%016x" % 1].send(served(b"one"))
+            assert [await client.next() for _ in range(3)] == [b"one", b"two", b"PONG"]
+
+    run(test)
+
+
+def test_request_left_open_fails_before_the_client_gives_up() -> None:
+    async def test() -> None:
+        async with world() as w:
+            s = script(w, lambda a: [])
+            client = await w.client()
+            client.send(call(wait_ms=60))
+            assert str(await client.next()).startswith("ERR")
+            assert len(s.of(ClientLeft)) == 1  # the module need not care for it any longer
+
+    run(test)
+
+
+def test_attempt_at_the_end_of_its_time_is_a_time_out_and_its_late_answer_goes_nowhere() -> None:
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            client = await w.client()
+            s = script(w, lambda a: [Send(a.request, backend, 0)], lambda a: [Fail(a.request)])
+            client.send(call(wait_ms=60))
+            connection, _ = await w.backend.command()
+            assert str(await client.next()).startswith("ERR")
+            outcomes = [e.outcome for e in s.of(AttemptEnded)]
+            assert outcomes == [Outcome.TIMEOUT]
+            connection.send(served(b"late"))
+            client.send(call(number=2))
+            assert str(await client.next()) == "ERR failed"
+
+    run(test)
+
+
+def test_second_answer_of_the_module_is_dropped() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, lambda a: [Fail(a.request), Refuse(a.request, 0)], lambda a: [Refuse(a.request, 0)])
+            client = await w.client()
+            client.send(call(number=1))
+            assert str(await client.next()) == "ERR failed"
+            client.send(call(number=2))
+            assert str(await client.next()) == "BUSY"
+
+    run(test)
+
+
+def test_attempt_for_a_request_that_is_over_is_moot() -> None:
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            s = script(w, lambda a: [Fail(a.request), Send(a.request, backend, 0)],
+                       lambda a: [Send(a.request, backend, 0)])
+            client = await w.client()
+            client.send(call(number=1))
+            assert str(await client.next()) == "ERR failed"
+            client.send(call(number=2))
+            _, words = await w.backend.command()
+            assert words[2] == b"%016x" % 2  # the first was never written
+            assert not s.of(ClientLeft)
+
+    run(test)
+
+
+def test_client_that_leaves_is_told_to_the_module_once() -> None:
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            s = script(w, lambda a: [Send(a.request, backend, 0)])
+            client = await w.client()
+            client.send(call())
+            connection, _ = await w.backend.command()
+            client.abort()
+            await until(lambda: bool(s.of(ClientLeft)))
+            connection.send(served(b"for nobody"))
+            await until(lambda: bool(s.of(AttemptEnded)))
+            (ended,) = s.of(AttemptEnded)
+            assert ended.finished and ended.outcome is Outcome.OK
+            assert len(s.of(ClientLeft)) == 1
+
+    run(test)
+
+
+def test_fault_in_one_event_costs_one_failure(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, KeyError("broken"), lambda a: [Refuse(a.request, 0)])
+            client = await w.client()
+            with caplog.at_level(logging.ERROR):
+                client.send(call(number=1))
+                assert str(await client.next()) == "ERR internal fault"
+            assert "KeyError: 'broken'" in caplog.text
+            client.send(call(number=2))
+            assert str(await client.next()) == "BUSY"
+
+    run(test)
+
+
+def test_beat_of_the_module_survives_a_fault() -> None:
+    class Faulty(Script):
+        def handle(self, now: int, event: Event) -> list[Action]:
+            super().handle(now, event)
+            raise ValueError("every time")
+
+    async def test() -> None:
+        async with world() as w:
+            s = Faulty()
+            w.node.module = s  # type: ignore[assignment]
+            await until(lambda: len(s.of(TimerFired)) >= 2)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("words", "reason"),
+    [
+        ((b"CALL.GET", CUSTOMER, b"1"), "wrong number of arguments"),
+        ((b"CALL.GET", b"zz", b"1", b"c=look up,t=team,d=5"), "bad customer"),
+        ((b"CALL.GET", b"0000000200000000", b"1", b"c=look up,t=team,d=5"), "bad customer"),
+        ((b"CALL.GET", CUSTOMER, b"", b"c=look up,t=team,d=5"), "bad request id"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=none,t=team,d=5"), "unknown class"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=none,d=5"), "unknown plan"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=charge,t=team,d=5"), "the class is not served by this command"),
+        ((b"CALL.POST", CUSTOMER, b"1", b"c=submit,t=team,d=5"), "k missing"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team"), "d missing"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=-5"), "bad or missing d"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,d=6"), "a name stands twice"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,units=nan,spread=1,first=0"), "bad units"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=9,first=0"), "bad or missing spread"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=2"), "bad or missing first"),
+        ((b"CALL.POST", CUSTOMER, b"1", b"c=charge,t=team,d=5", b"x" * 65537), "value over 64 KiB"),
+        ((b"FLUSHALL",), "unknown command"),
+    ],
+)
+def test_bad_command_gets_a_plain_reason_and_the_connection_stays(
+    words: tuple[bytes, ...], reason: str
+) -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(hiredis.pack_command(words))  # type: ignore[arg-type]
+            answer = await client.next()
+            assert isinstance(answer, hiredis.ReplyError) and reason in str(answer)
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next() == b"PONG"
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n:5\r\n", b"*x\r\n", b"$4\r\nPING\r\n", b"*1000000\r\n",
+     b"*2\r\n$4\r\nPING\r\n$400000000\r\n" + b"x" * 300_000],
+)
+def test_broken_resp_closes_the_connection_and_no_other(data: bytes) -> None:
+    async def test() -> None:
+        async with world() as w:
+            other, client = await w.client(), await w.client()
+            client.send(data)
+            while (answer := await client.next()) is not None:
+                assert str(answer).startswith("ERR")
+            other.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await other.next() == b"PONG"
+
+    run(test)
+
+
+def test_command_in_pieces_is_read_whole() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, lambda a: [Refuse(a.request, 0)])
+            client = await w.client()
+            data = call("charge", body=b"y" * 2000)
+            for at in range(0, len(data), 700):
+                client.send(data[at:at + 700])
+                await soon(client.writer.drain())
+                await asyncio.sleep(0)
+            assert str(await client.next()) == "BUSY"
+
+    run(test)
--- /dev/null
+++ b/tests/test_net_lists.py
@@ -0,0 +1,237 @@
+"""Discovery's watch, the mapping of its entries, and messages between gateways, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+
+from badgerspindle.interface import Backend, Health, ListKind, PeerMessage
+from badgerspindle.net import discovery
+from badgerspindle.net.config import Address
+from badgerspindle.net.discovery import Discovery, ListError, Update, backend_id, parse_update
+from badgerspindle.net.gateway import Node
+from badgerspindle.net.peers import Peers
+
+from .fakes import LOCAL, Agent, call, config, host, listening, listing, run, served, soon, until, world
+from .test_net_clients import Script
+
+ZONES, KINDS = ("a", "b"), ("m1", "m2")
+
+
+class Follower:
+    """Notes what a watch brings."""
+
+    def __init__(self, agent: Agent, index: int | None) -> None:
+        self.updates: asyncio.Queue[Update] = asyncio.Queue()
+        self.watch = Discovery((LOCAL, agent.port), ZONES, KINDS, index, self.updates.put_nowait)
+        self.watch.start()
+
+    async def next(self) -> Update:
+        return await soon(self.updates.get())
+
+
+def test_entry_is_mapped_as_on_the_simulators_wire() -> None:
+    entry = host("s-5be2a07c", 6379, "terminating", born_ms=1_700_000_000_123, block=3)
+    update = parse_update(listing(41, entry, whole=False), ZONES, KINDS)
+    assert update.topology.kind is ListKind.DELTA and update.topology.version == 41
+    number = backend_id("s-5be2a07c")
+    born = 1_700_000_000_123_000_000
+    assert update.topology.entries == (Backend(number, 0, 1, 3, Health.DRAINING, 1.0, born),)
+    assert update.addresses == {number: (LOCAL, 6379)}
+
+
+def test_backend_number_hangs_on_the_name_alone() -> None:
+    # Written down, so that a changed mapping shows: gateways of two versions may run side by side.
+    assert backend_id("s-5be2a07c") == 54393183237098
+    assert backend_id("s-5be2a07d") != backend_id("s-5be2a07c")
+
+
+def test_born_long_ago_stays_zero_and_a_cold_backend_lies_on_the_modules_clock() -> None:
+    async def test() -> None:
+        async with world() as w:
+            now_ms = time.time_ns() // 1_000_000
+            entries = host("old", 1, born_ms=0), host("new", 2, born_ms=now_ms)
+            w.agent.tell(listing(2, *entries))
+            servers = w.node.module.fleet.servers
+            await until(lambda: backend_id("new") in servers)
+            assert servers[backend_id("old")].entry.booted == 0
+            start = w.node.config.settings.start_capacity
+            warmth = w.node.module.fleet.warmth(w.node.now(), servers[backend_id("new")])
+            assert start <= warmth < 1.0
+
+    run(test)
+
+
+def test_terminated_entry_needs_no_address() -> None:
+    raw: dict[str, Any] = {"seq": 2, "whole": False, "hosts": [{"host": "s-1", "health": "terminated"}]}
+    update = parse_update(raw, ZONES, KINDS)
+    assert update.topology.entries[0].health is Health.GONE and update.addresses == {}
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        [], {}, {"seq": 1, "whole": True}, listing(1, {"host": "s"}), listing(1, host("s", 1, "odd")),
+        {"seq": "x", "whole": True, "hosts": []}, listing(1, host("s", 1) | {"dial": "nowhere"}),
+    ],
+)
+def test_unreadable_list_is_an_error_not_a_crash(raw: Any) -> None:
+    with pytest.raises(ListError):
+        parse_update(raw, ZONES, KINDS)
+
+
+def test_changes_come_in_order_and_a_broken_watch_goes_on_from_the_last_version() -> None:
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            f = Follower(agent, 40)
+            assert await soon(agent.asked.get()) == b"GET /api/targets?stream=1&index=40 HTTP/1.1"
+            agent.tell(listing(41, host("s-1", 1)))
+            line = b'{"seq":42,"whole":false,"hosts":[]}\n\n{"seq":43,"whole":false,"hosts":[]}\n{"se'
+            agent.raw(line)
+            kinds = [(u.topology.version, u.topology.kind) for u in [await f.next() for _ in range(3)]]
+            assert kinds == [(41, ListKind.FULL), (42, ListKind.DELTA), (43, ListKind.DELTA)]
+            agent.hang_up()
+            assert await soon(agent.asked.get()) == b"GET /api/targets?stream=1&index=43 HTTP/1.1"
+            agent.tell(listing(44, whole=False))
+            assert (await f.next()).topology.version == 44
+            await f.watch.close()
+
+    run(test)
+
+
+def test_junk_on_the_watch_breaks_it_and_it_is_taken_up_again() -> None:
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            f = Follower(agent, None)
+            assert await soon(agent.asked.get()) == b"GET /api/targets?stream=1&index=0 HTTP/1.1"
+            agent.raw(b"no json\n")
+            await soon(agent.asked.get())
+            agent.tell(listing(1))
+            assert (await f.next()).topology.version == 1
+            await f.watch.close()
+
+    run(test)
+
+
+def test_silent_watch_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(discovery, "SILENCE", 0.05)
+        agent = Agent()
+        async with listening(agent):
+            f = Follower(agent, 7)
+            for _ in range(2):
+                assert b"index=7" in await soon(agent.asked.get())
+            await f.watch.close()
+
+    run(test)
+
+
+def test_old_list_serves_while_discovery_is_down(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 0.01)
+        node = Node(config(1, listing(5, host("s-1", 1))))
+        assert node.ready()
+        await soon(node.start())
+        assert node.clients.port > 0
+        await node.discovery.close()
+        node.clients.shut()
+
+    run(test)
+
+
+def test_without_any_list_a_ping_is_not_answered_with_pong(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 0.01)
+        async with world() as w:
+            w.agent.tell(listing(2))
+            await until(lambda: not w.node.ready())
+            client = await w.client()
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert str(await client.next()).startswith("LOADING")
+            w.agent.tell(listing(3, host("s-1", w.backend.port)))
+            await until(w.node.ready)
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next() == b"PONG"
+
+    run(test)
+
+
+def test_drained_backend_gets_nothing_new_and_a_whole_list_takes_away_what_it_lacks() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call(number=1))
+            connection, _ = await w.backend.command()
+            connection.send(served(b"v"))
+            assert await client.next() == b"v"
+            w.agent.tell(listing(2, host("s-1", w.backend.port, "terminating"), whole=False))
+            await until(lambda: w.backend.ended == 1)  # the idle connection is closed
+            client.send(call(number=2))
+            assert str(await client.next()).startswith("BUSY")
+            w.agent.tell(listing(3, host("s-1", w.backend.port), whole=False))
+            await until(lambda: w.node.module.fleet.servers[backend_id("s-1")].usable)
+            client.send(call(number=3))
+            connection, _ = await w.backend.command()
+            connection.send(served(b"w"))
+            assert await client.next() == b"w"
+            w.agent.tell(listing(4, host("s-2", w.backend.port)))
+            await until(lambda: w.backend.ended == 2)
+            assert not w.node.module.fleet.servers[backend_id("s-1")].usable
+
+    run(test)
+
+
+async def _peers(heard: list[tuple[int, bytes]], ports: list[Address], me: int) -> Peers:
+    made = Peers(tuple(ports), None, me, lambda number, data: heard.append((number, data)))
+    await asyncio.get_running_loop().create_datagram_endpoint(lambda: made, local_addr=ports[me])
+    return made
+
+
+def test_peers_are_known_by_their_address_and_strangers_and_junk_are_dropped() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        quiet = asyncio.DatagramProtocol
+        probes = [await loop.create_datagram_endpoint(quiet, local_addr=(LOCAL, 0)) for _ in range(4)]
+        ports = [transport.get_extra_info("sockname") for transport, _ in probes]
+        stranger = probes[3][0]
+        probes[0][0].close()
+        probes[1][0].close()
+        heard0: list[tuple[int, bytes]] = []
+        heard1: list[tuple[int, bytes]] = []
+        await asyncio.sleep(0)
+        zero, one = await _peers(heard0, ports[:3], 0), await _peers(heard1, ports[:3], 1)
+        stranger.sendto(b"stranger", ports[1])
+        probes[2][0].sendto(b"x" * 257, ports[1])
+        zero.tell(1, b"x" * 257)
+        zero.tell(9, b"nobody")
+        zero.tell(1, b"x" * 256)
+        await until(lambda: bool(heard1))
+        zero.tell(None, b"all")
+        await until(lambda: len(heard1) == 2)
+        one.tell(0, b"back")
+        await until(lambda: bool(heard0))
+        assert heard1 == [(0, b"x" * 256), (0, b"all")] and heard0 == [(1, b"back")]
+        for end in (zero, one):
+            end.close()
+        for transport, _ in probes[2:]:
+            transport.close()
+
+    run(test)
+
+
+def test_peer_message_reaches_the_module_and_junk_does_no_harm() -> None:
+    async def test() -> None:
+        async with world() as w:
+            for junk in (b"", b"\xff" * 7, b"\x01" * 256):
+                w.node.peers.datagram_received(junk, (LOCAL, 1))
+            s = Script()
+            w.node.module = s  # type: ignore[assignment]
+            w.node.heard(1, b"word")
+            assert s.events == [PeerMessage(1, b"word")]
+
+    run(test)
--- /dev/null
+++ b/tests/test_net_process.py
@@ -0,0 +1,162 @@
+"""The program as the platform runs it: configuration, start, SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from badgerspindle.net.config import ConfigError, flatten, load, parse
+
+from .fakes import (
+    LOCAL, Agent, Backend, Connection, call, host, listening, listing, nested_settings, raw_config, run,
+    served, soon,
+)
+
+COMMAND = (sys.executable, "-m", "badgerspindle")
+
+
+class Process:
+    """A gateway in a process of its own."""
+
+    def __init__(self, process: asyncio.subprocess.Process, port: int, backend: Backend) -> None:
+        self.process, self.port, self.backend = process, port, backend
+
+    async def client(self) -> Connection:
+        return Connection(*await soon(asyncio.open_connection(LOCAL, self.port)))
+
+
+@asynccontextmanager
+async def running(folder: Path) -> AsyncIterator[Process]:
+    agent, backend = Agent(), Backend()
+    async with listening(agent), listening(backend):
+        agent.first = listing(1, host("s-1", backend.port))
+        path = folder / "config.json"
+        path.write_text(json.dumps(raw_config(agent.port)))
+        process = await asyncio.create_subprocess_exec(
+            *COMMAND, env={**os.environ, "ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
+        )
+        try:
+            assert process.stderr is not None
+            while b"listening on" not in (line := await soon(process.stderr.readline())):
+                assert line, "ended before it listened"
+            yield Process(process, int(line.rsplit(b":", 1)[1]), backend)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+def test_sigterm_answers_all_that_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as p:
+            taken, idle = await p.client(), await p.client()
+            idle.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await idle.next() == b"PONG"
+            taken.send(call(number=1))
+            first, _ = await p.backend.command()
+            # Held still, so that all of this waits in socket and accept queue when the gateway is told to end.
+            p.process.send_signal(signal.SIGSTOP)
+            late = await p.client()
+            late.send(call(number=2))
+            idle.send(call(number=3))
+            await soon(asyncio.gather(late.writer.drain(), idle.writer.drain()))
+            p.process.send_signal(signal.SIGTERM)
+            p.process.send_signal(signal.SIGCONT)
+            held: dict[bytes, Connection] = {}
+            for _ in range(2):
+                connection, words = await p.backend.command()
+                held[words[2]] = connection
+            held[b"%016x" % 3].send(served(b"3"))
+            held[b"%016x" % 2].send(served(b"2"))
+            first.send(served(b"1"))
+            assert [await client.next() for client in (taken, late, idle)] == [b"1", b"2", b"3"]
+            assert [await client.next() for client in (taken, late, idle)] == [None, None, None]
+            assert await soon(p.process.wait()) == 0
+
+    run(test)
+
+
+def test_kill_and_start_again_serves_from_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        for number in (1, 2):
+            async with running(tmp_path) as p:
+                client = await p.client()
+                client.send(call(number=number))
+                connection, words = await p.backend.command()
+                assert words[2] == b"%016x" % number
+                connection.send(served(b"v"))
+                assert await client.next() == b"v"
+
+    run(test)
+
+
+def _without(key: str) -> dict[str, Any]:
+    raw = raw_config(1)
+    del raw[key]
+    return raw
+
+
+@pytest.mark.parametrize(
+    ("raw", "words"),
+    [
+        (None, "ROUTER_CONFIG"),
+        ("no json", "ROUTER_CONFIG"),
+        ([], "not a JSON object"),
+        (_without("settings"), "settings"),
+        (_without("listen"), "listen"),
+        (raw_config(1) | {"seed": "zz"}, "seed"),
+        (raw_config(1) | {"peers": ["nowhere"]}, "peers"),
+        (raw_config(1) | {"settings": nested_settings(zones=None)}, "settings.zones"),
+        (raw_config(1) | {"settings": nested_settings(limits__maxAttempts=0)}, "limits.maxAttempts"),
+    ],
+)
+def test_bad_configuration_ends_with_one_plain_line_and_exit_2(tmp_path: Path, raw: Any, words: str) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        if raw is not None:
+            path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+        process = await asyncio.create_subprocess_exec(
+            *COMMAND, env={**os.environ, "ROUTER_CONFIG": str(path)},
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await soon(process.communicate())
+        assert process.returncode == 2 and out == b""
+        (line,) = err.decode().splitlines()
+        assert line.startswith("badgerspindle: ") and words in line
+
+    run(test)
+
+
+def test_environment_comes_before_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw_config(1)))
+    config = load({
+        "ROUTER_CONFIG": str(path), "ROUTER_NAME": "n7", "ROUTER_LISTEN": "127.0.0.9:1",
+        "ROUTER_DISCOVERY": "127.0.0.8:2",
+    })
+    assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.9", 1), ("127.0.0.8", 2))
+    assert config.seed == 0x8C1F30D27A5BE964
+    with pytest.raises(ConfigError):
+        load({})
+
+
+def test_nested_settings_become_the_start_messages_lines() -> None:
+    nested = {"a": [{"name": "look up, twice", "on": True}], "b": {"c": [1, 2.5], "d": []}, "e": 10**12}
+    assert list(flatten(nested)) == [
+        "a.count=1", "a.0.name=look_up__twice", "a.0.on=true", "b.c=1,2.5", "b.d=", "e=1000000000000",
+    ]
+
+
+def test_names_on_the_wire_are_those_of_the_settings_as_written() -> None:
+    config = parse(raw_config(1), {})
+    assert config.classes == (b"look up", b"submit", b"charge") and config.plans == (b"team",)
+    assert config.settings.classes[0].name == "look_up"
