--- a/badgerspindle/__main__.py
+++ b/badgerspindle/__main__.py
@@ -26,6 +26,7 @@
     # What was made so far lives as long as the process: full collections need not look at it again.
     gc.freeze()
     await stop.wait()
+    logging.getLogger("badgerspindle").info("%s stopping", config.name)
     await node.stop()
 
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from badgerspindle.net.clients import QUIET
 from badgerspindle.net.config import ConfigError, flatten, load, parse
 
 from .fakes import (
@@ -63,7 +64,7 @@
             assert await idle.next() == b"PONG"
             taken.send(call(number=1))
             first, _ = await p.backend.command()
-            # Held still, so that all of this waits in socket and accept queue when the gateway is told to end.
+            # Held still, so that all of this waits in socket and accept queue at the gateway's SIGTERM.
             p.process.send_signal(signal.SIGSTOP)
             late = await p.client()
             late.send(call(number=2))
@@ -85,6 +86,27 @@
     run(test)
 
 
+def test_connection_in_the_accept_queue_is_taken_though_the_stopping_gateway_lagged(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as p:
+            p.process.send_signal(signal.SIGTERM)
+            assert p.process.stderr is not None
+            while b"stopping" not in (line := await soon(p.process.stderr.readline())):
+                assert line
+            p.process.send_signal(signal.SIGSTOP)
+            late = await p.client()
+            late.send(call())
+            await soon(late.writer.drain())
+            await asyncio.sleep(QUIET + 0.1)  # its time to close the door passes meanwhile
+            p.process.send_signal(signal.SIGCONT)
+            connection, _ = await p.backend.command()
+            connection.send(served(b"v"))
+            assert await late.next() == b"v"
+            assert await soon(p.process.wait()) == 0
+
+    run(test)
+
+
 def test_kill_and_start_again_serves_from_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         for number in (1, 2):
