Probes, and lists that meet a fault: no action of the module is a stub, no notice of a drain is lost

Seen while reading: Probe was answered MOOT unsent; a fault in taking in a list dropped it for good, though rule 3 counts from when it was written to us (gateway.py, _handle; discovery.py, _line moved its index first). Now the probe goes out where allowed, and the watch is taken up again from the version before. Tests for both, for Cancel, CloseIdle, reports in error lines and the bound on clients; no figure changes: the module sends no probes and met no fault.

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -23,6 +23,7 @@
 MILLISECOND = 1_000_000
 
 Report = dict[str, float]
+Ending = tuple[Outcome, "bytes | None", Report]
 Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
 
 
@@ -48,6 +49,24 @@
         words: tuple[bytes, ...] = (*front, b"%bd=%d%b" % (head, left, tail), *body)
         return cast(bytes, hiredis.pack_command(words))  # type: ignore[arg-type]
 
+    def read(self, answer: object) -> Ending:
+        return read_answer(answer)
+
+
+class ProbeAttempt(Attempt):
+    """Asks a backend for its load; on a pooled connection like any attempt, but of no request."""
+
+    __slots__ = ()
+
+    def __init__(self, backend: int, started: int, expires: int) -> None:
+        super().__init__(0, 0, backend, started, expires, ((), b"", b"", ()))
+
+    def payload(self, now: int) -> bytes:
+        return cast(bytes, hiredis.pack_command((b"INFO", b"load")))  # type: ignore[arg-type]
+
+    def read(self, answer: object) -> Ending:
+        return (Outcome.OK, None, read_report(answer)) if isinstance(answer, bytes) else read_answer(answer)
+
 
 class _Unready:
     """Stands for an answer that has not come whole."""
@@ -122,7 +141,7 @@
             self.drop()
         else:
             self.pool.release(self)
-        self.pool.finish(attempt, *read_answer(answer))
+        self.pool.finish(attempt, *attempt.read(answer))
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt = self.attempt, None
@@ -152,7 +171,7 @@
         return {}
 
 
-def read_answer(answer: object) -> tuple[Outcome, bytes | None, Report]:
+def read_answer(answer: object) -> Ending:
     """What a whole answer means: outcome, the value if it was served, the load report."""
     if isinstance(answer, list):
         value = answer[0] if answer else None
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -271,7 +271,7 @@
 
     def __init__(self, config: Config, requests: Requests, most: int) -> None:
         self.catalogue, self.requests = Catalogue(config), requests
-        self._address, self._most = config.listen, most
+        self._address, self.bound = config.listen, most
         self._clients: dict[Client, None] = {}
         self._server: asyncio.Server | None = None
         self._last_came = 0.0
@@ -289,12 +289,15 @@
     def came(self, client: Client) -> None:
         self._last_came = asyncio.get_running_loop().time()
         self._clients[client] = None
-        if len(self._clients) > self._most:
+        if len(self._clients) > self.bound:
             # Descriptors are few: whoever rests longest makes room, as a gateway may between requests.
             resting = next((c for c in self._clients if c is not client and c.resting()), None)
             if resting is not None:
                 resting.close()
 
+    def count(self) -> int:
+        return len(self._clients)
+
     def went(self, client: Client) -> None:
         self._clients.pop(client, None)
 
--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -122,8 +122,8 @@
         # A second watch may tell again what is known: an older version must not undo a newer one.
         if not whole and self._index is not None and update.topology.version < self._index:
             return
-        self._index, self._backoff = update.topology.version, BACKOFF_FIRST
         self._told(update)
+        self._index, self._backoff = update.topology.version, BACKOFF_FIRST
 
 
 class _Watch(asyncio.Protocol):
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -28,9 +28,10 @@
     Tell,
     TimerFired,
     Topology,
+    Watch,
 )
 from ..logic import Gateway
-from .backends import Attempt, Backends, Report, monotonic_unix_ns
+from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
 from .clients import Call, Clients, Slot
 from .config import Config
 from .discovery import Discovery, ListError, Update, parse_update
@@ -84,11 +85,10 @@
         if config.known is not None:
             try:
                 cached = parse_update(config.known, config.zones, config.kinds, cached=True)
-            except ListError as error:
-                log.warning("known list passed over: %s", error)
-            else:
                 self._learn(cached)
                 index = cached.topology.version
+            except ListError as error:
+                log.warning("known list passed over: %s", error)
         if index is None:
             self._handle(Topology(ListKind.CACHED, 0, ()))
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
@@ -195,14 +195,17 @@
     # From the backends.
 
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
+        elapsed = max(0, self.now() - attempt.started)
+        names = self.config.settings.report_names
+        load = tuple(report[name] for name in names) if report and report.keys() >= set(names) else ()
+        if isinstance(attempt, ProbeAttempt):
+            self._handle(Probed(outcome, attempt.backend, elapsed, load))
+            return
         number = attempt.request
         request = self._requests[number]
         request.out.pop(attempt.index, None)
         if outcome is Outcome.OK and value is not None and not request.closed:
             self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value))
-        names = self.config.settings.report_names
-        load = tuple(report[name] for name in names) if report and report.keys() >= set(names) else ()
-        elapsed = max(0, self.now() - attempt.started)
         event = AttemptEnded(
             number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
         )
@@ -224,6 +227,9 @@
                 self._answer(number, request, b"-ERR internal fault\r\n")
             if isinstance(event, TimerFired):
                 self._act(SetTimer(FAULT_RETRY, event.token))
+            if isinstance(event, Topology):
+                # A lost notice of a drain would break rule 3: the watch is taken up again before it.
+                raise ListError("not taken in by the module") from None
 
     def _act(self, action: Action) -> None:
         match action:
@@ -248,9 +254,11 @@
                 self.backends.close_idle(backend)
             case LogLine(text):
                 log.info("%s", text)
-            case Probe(backend):
-                # Probes are not sent on sockets: each costs the backend work, and the module asks for none.
-                self._loop.call_soon(self._handle, Probed(Outcome.MOOT, backend, 0, ()))
+            case Probe(backend) if self.config.settings.may_probe:
+                now, wait = self.now(), self.config.connect_timeout
+                self.backends.start(ProbeAttempt(backend, now, now + wait), wait / SECOND)
+            case Watch():
+                pass  # the watch is open from the start
             case _:
                 log.error("%s is not possible on sockets", type(action).__name__)
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -10,10 +10,11 @@
 import pytest
 
 from badgerspindle.interface import (
-    Action, Arrival, AttemptEnded, ClientLeft, Event, Fail, Outcome, Refuse, Send, TimerFired,
+    Action, Arrival, AttemptEnded, Cancel, ClientLeft, CloseIdle, Event, Fail, Outcome, Probe, Probed, Refuse,
+    Send, TimerFired, Topology,
 )
 
-from .fakes import CUSTOMER, World, call, run, served, soon, until, world
+from .fakes import CUSTOMER, World, bulk, call, host, listing, run, served, soon, until, world
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -222,6 +223,132 @@
     run(test)
 
 
+def test_list_that_meets_a_fault_is_told_again() -> None:
+    """A notice of a drain must not be lost to a fault: rule 3 counts from when it was written to us."""
+
+    class Faulty(Script):
+        def handle(self, now: int, event: Event) -> list[Action]:
+            super().handle(now, event)
+            if len(self.of(Topology)) == 1 and isinstance(event, Topology):
+                raise ValueError("once")
+            return []
+
+    async def test() -> None:
+        async with world() as w:
+            s = Faulty()
+            w.node.module = s  # type: ignore[assignment]
+            await soon(w.agent.asked.get())
+            drain = listing(2, host("s-1", w.backend.port, "terminating"), whole=False)
+            w.agent.tell(drain)
+            w.agent.first = drain
+            assert b"index=1 " in await soon(w.agent.asked.get())
+            await until(lambda: len(s.of(Topology)) == 2)
+            assert [event.version for event in s.of(Topology)] == [2, 2]
+
+    run(test)
+
+
+@pytest.mark.parametrize("allowed", [True, False])
+def test_probe_is_sent_only_where_allowed(allowed: bool) -> None:
+    async def test() -> None:
+        async with world(limits__probes=allowed) as w:
+            backend = only_backend(w)
+            s = script(w, lambda a: [Probe(backend), Send(a.request, backend, 0)])
+            client = await w.client()
+            client.send(call())
+            commands = {}
+            for _ in range(1 + allowed):
+                connection, words = await w.backend.command()
+                commands[words[0]] = connection
+            if allowed:
+                commands[b"INFO"].send(bulk(b"load_share=0.25,concurrent=4"))
+                await until(lambda: bool(s.of(Probed)))
+                (probed,) = s.of(Probed)
+                assert (probed.outcome, probed.backend, probed.report) == (Outcome.OK, backend, (0.25, 4.0))
+            commands[b"CALL.GET"].send(served(b"v"))
+            assert await client.next() == b"v"
+            assert w.backend.commands.empty() and len(s.of(Probed)) == allowed
+
+    run(test)
+
+
+def test_reports_reach_the_module_in_the_order_of_the_settings_also_from_error_lines() -> None:
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            s = script(w, *[lambda a: [Send(a.request, backend, 0)]] * 3)
+            client = await w.client()
+            reports = {
+                b"-ERR failed concurrent=9,load_share=0.5\r\n": (0.5, 9.0),
+                b"-BUSY concurrent=1,other=2,load_share=1\r\n": (1.0, 1.0),
+                b"-ERR failed concurrent=9\r\n": (),
+            }
+            for number, line in enumerate(reports):
+                client.send(call(number=number))
+                connection, _ = await w.backend.command()
+                connection.send(line)
+                await until(lambda: len(s.of(AttemptEnded)) > number)  # noqa: B023
+            assert [event.report for event in s.of(AttemptEnded)] == list(reports.values())
+            assert [event.finished for event in s.of(AttemptEnded)] == [False] * 3
+
+    run(test)
+
+
+def test_cancelled_attempt_closes_its_connection() -> None:
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            s = script(w, lambda a: [Send(a.request, backend, 0)],
+                       lambda a: [Cancel(a.request - 1, 0), Refuse(a.request, 0)])
+            client = await w.client()
+            client.send(call(number=1) + call(number=2))
+            await until(lambda: bool(s.of(AttemptEnded)))
+            assert s.of(AttemptEnded)[0].outcome is Outcome.CANCELLED
+            assert w.node.backends.open == 0
+
+    run(test)
+
+
+def test_idle_connections_close_when_the_module_says_so() -> None:
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            script(w, lambda a: [Send(a.request, backend, 0)],
+                   lambda a: [CloseIdle(backend), Refuse(a.request, 0)])
+            client = await w.client()
+            client.send(call(number=1))
+            connection, _ = await w.backend.command()
+            connection.send(served(b"v"))
+            assert await client.next() == b"v"
+            client.send(call(number=2))
+            assert str(await client.next()) == "BUSY"
+            await until(lambda: w.backend.ended == 1)
+
+    run(test)
+
+
+def test_clients_beyond_the_bound_make_resting_ones_give_way() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, lambda a: [])
+            w.node.clients.bound = 3
+            busy = await w.client()
+            busy.send(call())
+            await until(lambda: busy_requests(w) == 1)
+            resting = [await w.client() for _ in range(5)]
+            assert [await client.next() for client in resting[:3]] == [None] * 3
+            for client in resting[3:]:
+                client.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await client.next() == b"PONG"
+            assert w.node.clients.count() == 3 and busy_requests(w) == 1
+
+    run(test)
+
+
+def busy_requests(w: World) -> int:
+    return len(w.node.module.events)  # type: ignore[attr-defined]
+
+
 @pytest.mark.parametrize(
     ("words", "reason"),
     [
