Mend three faults found by reading against the protocol, each with a test that failed before

Seen: after a client left, its request's timer was cancelled (gateway.py, _close), so an attempt at a backend that had vanished stayed open for good: one descriptor and one place in the module's count each. Seen: an action that could not be carried out took all later ones of its turn with it, and a beat that was already asked for was asked for twice (gateway.py, _handle). Seen: while stopping, a connection was closed only when a look each 20 ms met it at rest; a client in a hurry could hold the gateway up to its SIGKILL (clients.py, drain). Now it closes with the answer. A first test by a hurrying client passed without the mend too, as such a look mostly does find a rest, and came out again. Also PONG now wants a backend that takes requests; one that only drains is none.

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -306,6 +306,10 @@
     def known(self) -> list[int]:
         return list(self._pools)
 
+    def usable(self) -> bool:
+        """Whether any backend takes requests."""
+        return any(pool.closing_at is None for pool in self._pools.values())
+
     def idle(self) -> int:
         """Connections that wait for an attempt."""
         return sum(len(pool.idle) for pool in self._pools.values())
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -225,12 +225,15 @@
         if slots[0] is slot and len(slots) == 1:
             slots.popleft()
             cast(asyncio.Transport, self._transport).write(answer)
-            return
-        out = []
-        while slots and slots[0].answer is not None:
-            out.append(slots.popleft().answer or b"")
-        if out:
-            cast(asyncio.Transport, self._transport).write(b"".join(out))
+        else:
+            out = []
+            while slots and slots[0].answer is not None:
+                out.append(slots.popleft().answer or b"")
+            if out:
+                cast(asyncio.Transport, self._transport).write(b"".join(out))
+        if self._owner.closing and self.resting():
+            # A client in a hurry would never be found at rest by a look now and then.
+            self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._owner.went(self)
@@ -240,9 +243,9 @@
                 self._owner.requests.left(slot.request)
 
     def resting(self) -> bool:
-        """Between requests, with nothing unread in the socket and nothing unwritten."""
+        """Between requests, with nothing unread in the socket; what is unwritten goes out before a close."""
         transport = cast(asyncio.Transport, self._transport)
-        if self.slots or self._received or transport.get_write_buffer_size():
+        if self.slots or self._received or transport.is_closing():
             return False
         waiting = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
         return bool(struct.unpack("i", waiting)[0] == 0)
@@ -275,6 +278,7 @@
         self._clients: dict[Client, None] = {}
         self._server: asyncio.Server | None = None
         self._last_came = 0.0
+        self.closing = False
         # Every request has ended by then; only half a command can hold a connection open for longer.
         self._longest = max(c.deadline for c in config.settings.classes) / SECOND + QUIET
 
@@ -311,6 +315,7 @@
             # once more, or they would be closed unread.
             await asyncio.sleep(ACCEPT_LOOK)
         cast(asyncio.Server, self._server).close()
+        self.closing = True
         end = loop.time() + self._longest
         while self._clients and loop.time() < end:
             for client in [c for c in self._clients if c.resting()]:
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -138,7 +138,7 @@
     # From the clients.
 
     def ready(self) -> bool:
-        return bool(self._seen)
+        return self.backends.usable()
 
     def take(self, call: Call, slot: Slot) -> None:
         now, number = self.now(), next(self._numbers)
@@ -151,7 +151,7 @@
                     call.first, call.options),
             number,
         )
-        if not request.closed:
+        if number in self._requests:
             delay = (valid_until - self.now()) / SECOND
             request.timer = self._loop.call_later(max(0.0, delay), self._deadline, number)
 
@@ -163,9 +163,7 @@
 
     def _deadline(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
-        request = self._requests.get(number)
-        if request is None or request.closed:
-            return
+        request = self._requests[number]
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
             request.timer = self._loop.call_later(left / SECOND, self._deadline, number)
@@ -182,10 +180,14 @@
     def _close(self, number: int, request: Request) -> None:
         """The final answer is given, or nobody is there for it: no other follows."""
         request.closed = True
-        if request.timer is not None:
-            request.timer.cancel()
-            request.timer = None
-        if not request.out:
+        self._forget(number, request)
+
+    def _forget(self, number: int, request: Request) -> None:
+        """Once its last attempt is over too. Until then the timer stays: a silent backend would hold the
+        connection of an attempt that nobody waits for, and its place in the module's count, for good."""
+        if request.closed and not request.out:
+            if request.timer is not None:
+                request.timer.cancel()
             self._requests.pop(number, None)
 
     def _answer(self, number: int, request: Request, answer: bytes) -> None:
@@ -210,26 +212,37 @@
             number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
         )
         self._handle(event, number)
-        if request.closed and not request.out:
-            self._requests.pop(number, None)
+        self._forget(number, request)
 
     # The module.
 
     def _handle(self, event: Event, number: int = 0) -> None:
         """One event in, its actions out; a fault costs one request a failure, never the process."""
         try:
-            for action in self.module.handle(self.now(), event):
-                self._act(action)
+            actions = self.module.handle(self.now(), event)
         except Exception:
             log.exception("fault in handling %s", type(event).__name__)
-            request = self._requests.get(number)
-            if request is not None and not request.closed:
-                self._answer(number, request, b"-ERR internal fault\r\n")
+            self._fault(number)
             if isinstance(event, TimerFired):
                 self._act(SetTimer(FAULT_RETRY, event.token))
             if isinstance(event, Topology):
                 # A lost notice of a drain would break rule 3: the watch is taken up again before it.
                 raise ListError("not taken in by the module") from None
+            return
+        for action in actions:
+            # Each by itself: one that can't be carried out must not take the module's next beat with it.
+            try:
+                self._act(action)
+            except Exception:
+                log.exception("fault in carrying out %s", type(action).__name__)
+                self._fault(getattr(action, "request", 0))
+
+    def _fault(self, number: int) -> None:
+        """The request that a fault hit still gets its one answer, and the module need not keep it."""
+        request = self._requests.get(number)
+        if request is not None and not request.closed:
+            self._answer(number, request, b"-ERR internal fault\r\n")
+            self._handle(ClientLeft(number))
 
     def _act(self, action: Action) -> None:
         match action:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,7 +13,7 @@
 
 
 def test_no_line_is_longer_than_110_characters() -> None:
-    sources = [*ROOT.glob("badgerspindle/*.py"), *ROOT.glob("tests/*.py")]
+    sources = [*ROOT.glob("badgerspindle/**/*.py"), *ROOT.glob("tests/*.py")]
     assert len(sources) > 5
     assert [p.name for p in sources for line in p.read_text().splitlines() if len(line) > 110] == []
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -11,7 +11,7 @@
 
 from badgerspindle.interface import (
     Action, Arrival, AttemptEnded, Cancel, ClientLeft, CloseIdle, Event, Fail, Outcome, Probe, Probed, Refuse,
-    Send, TimerFired, Topology,
+    Send, SetTimer, Tell, TimerFired, Topology,
 )
 
 from .fakes import CUSTOMER, World, bulk, call, host, listing, run, served, soon, until, world
@@ -196,11 +196,12 @@
 def test_fault_in_one_event_costs_one_failure(caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         async with world() as w:
-            script(w, KeyError("broken"), lambda a: [Refuse(a.request, 0)])
+            s = script(w, KeyError("broken"), lambda a: [Refuse(a.request, 0)])
             client = await w.client()
             with caplog.at_level(logging.ERROR):
                 client.send(call(number=1))
                 assert str(await client.next()) == "ERR internal fault"
+            assert len(s.of(ClientLeft)) == 1
             assert "KeyError: 'broken'" in caplog.text
             client.send(call(number=2))
             assert str(await client.next()) == "BUSY"
@@ -208,6 +209,49 @@
     run(test)
 
 
+def test_attempt_whose_client_left_ends_with_its_time() -> None:
+    """A backend that vanished says nothing: the connection would stay open, counted as out, for good."""
+
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            s = script(w, lambda a: [Send(a.request, backend, 0)])
+            client = await w.client()
+            client.send(call(wait_ms=100))
+            await w.backend.command()
+            client.abort()
+            await until(lambda: bool(s.of(AttemptEnded)))
+            (ended,) = s.of(AttemptEnded)
+            assert (ended.outcome, ended.finished) == (Outcome.TIMEOUT, True)
+            await until(lambda: w.backend.ended == 1)
+            assert w.node.backends.open == 0
+
+    run(test)
+
+
+def test_action_that_cannot_be_carried_out_takes_no_other_with_it(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """The beat is asked for once a tick: lost with a fault it would stop, asked for again it would double."""
+
+    async def test() -> None:
+        async with world() as w:
+
+            def tell(to: int | None, data: bytes) -> None:
+                raise OSError("no buffer")
+
+            monkeypatch.setattr(w.node.peers, "tell", tell)
+            s = script(w, lambda a: [Tell(None, b"x"), SetTimer(MS, 7), Refuse(a.request, 0)])
+            client = await w.client()
+            client.send(call())
+            assert str(await client.next()) == "BUSY"
+            await until(lambda: any(event.token == 7 for event in s.of(TimerFired)))
+            assert [event.token for event in s.of(TimerFired)].count(7) == 1
+            assert "fault in carrying out Tell" in caplog.text
+
+    run(test)
+
+
 def test_beat_of_the_module_survives_a_fault() -> None:
     class Faulty(Script):
         def handle(self, now: int, event: Event) -> list[Action]:
@@ -327,6 +371,21 @@
     run(test)
 
 
+def test_stopping_gateway_closes_a_busy_connection_with_its_answer() -> None:
+    """Between two requests of a client in a hurry there is hardly a rest that a look now and then finds."""
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call())
+            connection, _ = await w.backend.command()
+            w.node.clients.closing = True
+            connection.send(served(b"v"))
+            assert [await client.next(), await client.next()] == [b"v", None]
+
+    run(test)
+
+
 def test_clients_beyond_the_bound_make_resting_ones_give_way() -> None:
     async def test() -> None:
         async with world() as w:
