--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -153,7 +153,7 @@
         )
         if number in self._requests:
             delay = (valid_until - self.now()) / SECOND
-            request.timer = self._loop.call_later(max(0.0, delay), self._deadline, number)
+            request.timer = self._loop.call_later(max(0.0, delay), self.time_is_up, number)
 
     def left(self, number: int) -> None:
         request = self._requests.get(number)
@@ -161,12 +161,12 @@
             self._close(number, request)
             self._handle(ClientLeft(number))
 
-    def _deadline(self, number: int) -> None:
+    def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
         request = self._requests[number]
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
-            request.timer = self._loop.call_later(left / SECOND, self._deadline, number)
+            request.timer = self._loop.call_later(left / SECOND, self.time_is_up, number)
             return
         for attempt in list(request.out.values()):
             self.backends.expire(attempt)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -45,6 +45,14 @@
     return made
 
 
+def let_time_pass(w: World, s: Script) -> None:
+    """As if the latest request's time were over, however fast the machine is."""
+    clock = w.node.now
+    w.node.now = lambda: clock() + 60 * SECOND
+    w.node.time_is_up(s.of(Arrival)[-1].request)
+    w.node.now = clock
+
+
 def only_backend(w: World) -> int:
     return w.node.backends.known()[0]
 
@@ -132,8 +140,9 @@
             backend = only_backend(w)
             client = await w.client()
             s = script(w, lambda a: [Send(a.request, backend, 0)], lambda a: [Fail(a.request)])
-            client.send(call(wait_ms=60))
+            client.send(call())
             connection, _ = await w.backend.command()
+            let_time_pass(w, s)
             assert str(await client.next()).startswith("ERR")
             outcomes = [e.outcome for e in s.of(AttemptEnded)]
             assert outcomes == [Outcome.TIMEOUT]
@@ -217,10 +226,14 @@
             backend = only_backend(w)
             s = script(w, lambda a: [Send(a.request, backend, 0)])
             client = await w.client()
-            client.send(call(wait_ms=100))
+            client.send(call())
             await w.backend.command()
             client.abort()
-            await until(lambda: bool(s.of(AttemptEnded)))
+            await until(lambda: bool(s.of(ClientLeft)))
+            assert not s.of(AttemptEnded)
+            timer = w.node._requests[s.of(Arrival)[0].request].timer
+            assert timer is not None and not timer.cancelled()
+            let_time_pass(w, s)
             (ended,) = s.of(AttemptEnded)
             assert (ended.outcome, ended.finished) == (Outcome.TIMEOUT, True)
             await until(lambda: w.backend.ended == 1)
