--- a/badgerspindle/__main__.py
+++ b/badgerspindle/__main__.py
@@ -22,7 +22,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config)
-    await node.start()
+    try:
+        await node.start()
+    except OSError as error:
+        # An address that is taken, or not this machine's, is as much a wrong setting as one left out.
+        raise ConfigError(f"cannot listen: {error}") from None
     # What was made so far lives as long as the process: full collections need not look at it again.
     gc.freeze()
     await stop.wait()
@@ -33,11 +37,10 @@
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
-        config = load(os.environ)
+        uvloop.run(serve(load(os.environ)))
     except ConfigError as error:
         print(f"badgerspindle: {error}", file=sys.stderr)
         return 2
-    uvloop.run(serve(config))
     return 0
 
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -158,6 +158,24 @@
     run(test)
 
 
+def test_address_in_use_ends_with_one_plain_line_and_exit_2(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent = Agent()
+        agent.first = listing(1, host("s-1", 1))
+        async with listening(agent):
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(raw_config(agent.port) | {"listen": f"{LOCAL}:{agent.port}"}))
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, env={**os.environ, "ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
+            )
+            _, err = await soon(process.communicate())
+            assert process.returncode == 2
+            assert err.decode().splitlines()[-1].startswith("badgerspindle: cannot listen: ")
+            assert b"Traceback" not in err
+
+    run(test)
+
+
 def test_environment_comes_before_the_file(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(raw_config(1)))
