Broken RESP behind a request no longer loses that request

Now nothing more is read, what was taken is answered in order, the error goes last, then the connection closes. The new test fails without the change.

--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -159,12 +159,13 @@
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = ("_owner", "_reader", "_received", "_transport", "slots")
+    __slots__ = ("_ending", "_owner", "_reader", "_received", "_transport", "slots")
 
     def __init__(self, owner: Clients) -> None:
         self._owner = owner
         self._reader = hiredis.Reader(notEnoughData=_UNREADY)
         self._received = 0
+        self._ending = False
         self._transport: asyncio.Transport | None = None
         self.slots: deque[Slot] = deque()
 
@@ -194,12 +195,14 @@
             self._received = 0
 
     def _broken(self, reason: str) -> None:
-        """Where the next command begins can't be known any more."""
+        """Where the next command begins can't be known any more; what was taken before is still answered,
+        or closing at once would lose it (rule 1)."""
         log.warning("client sent broken RESP: %s", reason)
-        transport = cast(asyncio.Transport, self._transport)
-        if not self.slots:
-            transport.write(b"-ERR Protocol error: %b\r\n" % _line(reason))
-        transport.close()
+        cast(asyncio.Transport, self._transport).pause_reading()
+        self._ending = True
+        slot = Slot(self)
+        self.slots.append(slot)
+        self.answer(slot, b"-ERR Protocol error: %b\r\n" % _line(reason))
 
     def _command(self, words: list[bytes]) -> None:
         slot, name = Slot(self), words[0].upper()
@@ -231,7 +234,9 @@
                 out.append(slots.popleft().answer or b"")
             if out:
                 cast(asyncio.Transport, self._transport).write(b"".join(out))
-        if self._owner.closing and self.resting():
+        if self._ending and not slots:
+            self.close()
+        elif self._owner.closing and self.resting():
             # A client in a hurry would never be found at rest by a look now and then.
             self.close()
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -475,6 +475,20 @@
     run(test)
 
 
+def test_broken_resp_behind_a_request_does_not_lose_it() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call() + b"?\r\n")
+            connection, _ = await w.backend.command()
+            connection.send(served(b"v"))
+            assert await client.next() == b"v"
+            assert str(await client.next()).startswith("ERR Protocol error")
+            assert await client.next() is None
+
+    run(test)
+
+
 def test_command_in_pieces_is_read_whole() -> None:
     async def test() -> None:
         async with world() as w:
