SIGHUP moves discovery instead of ending the process

Line at fault: __main__.py installed handlers for SIGTERM and SIGINT alone. Traced: the new agent's first line is a change at the same version, so the index goes on; the environment's ROUTER_DISCOVERY still names the old agent, so at a reload the file comes before it. An older whole list of an agent that lags is followed, but a drain once told holds.

--- a/badgerspindle/__main__.py
+++ b/badgerspindle/__main__.py
@@ -11,17 +11,32 @@
 
 import uvloop
 
-from .net.config import Config, ConfigError, load
+from .net.config import Config, ConfigError, load, reload
 from .net.gateway import Node
 
+HANGUP = {signal.SIGHUP}  # held back, never at its default, wherever no handler is in place: that would kill
+log = logging.getLogger("badgerspindle")
+
 
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then end in good order."""
+    """Run until SIGTERM or SIGINT, then end in good order; SIGHUP has the configuration read again."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config)
+
+    def reread() -> None:
+        """A file that can't be used changes nothing: whoever wrote it half will send the signal again."""
+        try:
+            fresh = reload(os.environ)
+        except ConfigError as error:
+            log.error("configuration not taken, the old one goes on: %s", error)
+        else:
+            node.reconfigure(fresh)
+
+    loop.add_signal_handler(signal.SIGHUP, reread)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANGUP)
     try:
         await node.start()
     except OSError as error:
@@ -30,11 +45,14 @@
     # What was made so far lives as long as the process: full collections need not look at it again.
     gc.freeze()
     await stop.wait()
-    logging.getLogger("badgerspindle").info("%s stopping", config.name)
+    log.info("%s stopping", config.name)
     await node.stop()
+    # The loop takes its handlers along when it closes.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANGUP)
 
 
 def main() -> int:
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANGUP)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
         uvloop.run(serve(load(os.environ)))
--- a/badgerspindle/net/config.py
+++ b/badgerspindle/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -85,6 +85,21 @@
     return tuple(str(item.get("name")).encode() for item in _part(settings, key, list, "settings."))
 
 
+LIVE = frozenset({"discovery", "seed", "known"})  # moved while running, or of use at a start alone
+
+
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """What a new configuration changes that a running gateway does not take up."""
+    return [f.name for f in fields(Config)
+            if f.name not in LIVE and getattr(old, f.name) != getattr(new, f.name)]
+
+
+def reload(environment: Mapping[str, str]) -> Config:
+    """The configuration as it is now. The environment is as old as the process: the file's `discovery`,
+    which is what moves under a running gateway, comes before it here."""
+    return load({key: value for key, value in environment.items() if key != "ROUTER_DISCOVERY"})
+
+
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration named by the environment, whose own variables come before the file's values."""
     path = environment.get("ROUTER_CONFIG")
--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from hashlib import blake2b
 from typing import Any, cast
 
@@ -21,6 +22,7 @@
 CONNECT = 1.0  # s for the agent, which is on this machine
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a good line resets it
 LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
+LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
 MILLISECOND = 1_000_000
 _HEALTH = {"in_service": Health.READY, "terminating": Health.DRAINING, "terminated": Health.GONE}
 
@@ -88,13 +90,25 @@
         self._index = index
         self._told = told
         self._backoff = BACKOFF_FIRST
-        self._watch: _Watch | None = None
+        self._closed = False
+        self._leaving: dict[int, int] = {}  # backends told to drain or be gone, and when each had started
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def move(self, agent: Address) -> None:
+        """Leave the watch for one at another agent, at once: the old one tells nothing more for long."""
+        if agent == self._agent or self._closed:
+            return
+        log.info("discovery moves to %s:%d", *agent)
+        self._agent, self._backoff = agent, BACKOFF_FIRST
+        if self._task is not None:
+            self._task.cancel()
+            self.start()
+
     async def close(self) -> None:
+        self._closed = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -116,13 +130,30 @@
             await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
             self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
 
+    def _behind(self, update: Update) -> Update:
+        """A whole list that is older than what is known, as of an agent that lags behind the one before it:
+        followed, as the changes after it come in order, but a drain once told holds (rule 3)."""
+        entries = tuple(
+            replace(entry, health=Health.DRAINING) if self._leaving.get(entry.id) == entry.booted else entry
+            for entry in update.topology.entries
+        )
+        return Update(replace(update.topology, entries=entries), update.addresses)
+
     def _line(self, line: bytes) -> None:
         update = parse_update(json.loads(line), self._zones, self._kinds)
         whole = update.topology.kind is ListKind.FULL
         # A second watch may tell again what is known: an older version must not undo a newer one.
         if not whole and self._index is not None and update.topology.version < self._index:
             return
+        if whole and self._index is not None and update.topology.version < self._index:
+            update = self._behind(update)
         self._told(update)
+        for entry in update.topology.entries:
+            self._leaving.pop(entry.id, None)
+            if entry.health is not Health.READY:
+                self._leaving[entry.id] = entry.booted
+        while len(self._leaving) > LEAVING_MOST:
+            del self._leaving[next(iter(self._leaving))]
         self._index, self._backoff = update.topology.version, BACKOFF_FIRST
 
 
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -33,7 +33,7 @@
 from ..logic import Gateway
 from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
 from .clients import Call, Clients, Slot
-from .config import Config
+from .config import Config, needs_restart
 from .discovery import Discovery, ListError, Update, parse_update
 from .peers import Peers
 
@@ -114,6 +114,13 @@
         self.backends.close()
         self.peers.close()
 
+    def reconfigure(self, fresh: Config) -> None:
+        """Follow discovery to where it is now; list, requests and connections stay as they are."""
+        changed = needs_restart(self.config, fresh)
+        if changed:
+            log.warning("configuration: a restart is needed for %s", ", ".join(changed))
+        self.discovery.move(fresh.discovery)
+
     # From the list and the peers.
 
     def _listed(self, update: Update) -> None:
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -103,6 +103,49 @@
     run(test)
 
 
+def test_watch_moves_to_another_agent_and_goes_on_from_the_last_version() -> None:
+    async def test() -> None:
+        old, new = Agent(), Agent()
+        async with listening(old), listening(new):
+            f = Follower(old, None)
+            await soon(old.asked.get())
+            old.tell(listing(41, host("s-1", 1)))
+            await f.next()
+            f.watch.move((LOCAL, new.port))
+            assert b"index=41" in await soon(new.asked.get())
+            f.watch.move((LOCAL, new.port))  # where it already is
+            new.tell(listing(42, whole=False))
+            assert (await f.next()).topology.version == 42
+            assert new.asked.empty() and old.asked.empty()
+            await f.watch.close()
+            f.watch.move((LOCAL, old.port))
+            await asyncio.sleep(0)
+            assert old.asked.empty()
+
+    run(test)
+
+
+def test_drain_holds_though_an_agent_that_lags_tells_an_older_whole_list() -> None:
+    async def test() -> None:
+        old, new = Agent(), Agent()
+        async with listening(old), listening(new):
+            f = Follower(old, None)
+            await soon(old.asked.get())
+            old.tell(listing(41, host("s-1", 1, "terminating"), host("s-2", 2, "terminating")))
+            await f.next()
+            f.watch.move((LOCAL, new.port))
+            await soon(new.asked.get())
+            # The second has been started anew, so it is another: it was told too, before its drain.
+            new.tell(listing(40, host("s-1", 1), host("s-2", 2, born_ms=5), host("s-3", 3)))
+            told = (await f.next()).topology
+            assert [e.health for e in told.entries] == [Health.DRAINING, Health.READY, Health.READY]
+            new.tell(listing(42, host("s-1", 1), whole=False))
+            assert (await f.next()).topology.entries[0].health is Health.READY
+            await f.watch.close()
+
+    run(test)
+
+
 def test_junk_on_the_watch_breaks_it_and_it_is_taken_up_again() -> None:
     async def test() -> None:
         agent = Agent()
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -15,11 +15,11 @@
 import pytest
 
 from badgerspindle.net.clients import QUIET
-from badgerspindle.net.config import ConfigError, flatten, load, parse
+from badgerspindle.net.config import ConfigError, flatten, load, needs_restart, parse, reload
 
 from .fakes import (
     LOCAL, Agent, Backend, Connection, call, host, listening, listing, nested_settings, raw_config, run,
-    served, soon,
+    served, soon, until,
 )
 
 COMMAND = (sys.executable, "-m", "badgerspindle")
@@ -28,8 +28,14 @@
 class Process:
     """A gateway in a process of its own."""
 
-    def __init__(self, process: asyncio.subprocess.Process, port: int, backend: Backend) -> None:
-        self.process, self.port, self.backend = process, port, backend
+    def __init__(self, process: asyncio.subprocess.Process, port: int, backend: Backend, path: Path) -> None:
+        self.process, self.port, self.backend, self.path = process, port, backend, path
+
+    async def logged(self, words: bytes) -> None:
+        """Reads the log up to a line that holds these words."""
+        assert self.process.stderr is not None
+        while words not in (line := await soon(self.process.stderr.readline())):
+            assert line, "ended before it said so"
 
     async def client(self) -> Connection:
         return Connection(*await soon(asyncio.open_connection(LOCAL, self.port)))
@@ -43,13 +49,14 @@
         path = folder / "config.json"
         path.write_text(json.dumps(raw_config(agent.port)))
         process = await asyncio.create_subprocess_exec(
-            *COMMAND, env={**os.environ, "ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
+            *COMMAND, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}"},
         )
         try:
             assert process.stderr is not None
             while b"listening on" not in (line := await soon(process.stderr.readline())):
                 assert line, "ended before it listened"
-            yield Process(process, int(line.rsplit(b":", 1)[1]), backend)
+            yield Process(process, int(line.rsplit(b":", 1)[1]), backend, path)
         finally:
             if process.returncode is None:
                 process.kill()
@@ -107,6 +114,44 @@
     run(test)
 
 
+def test_sighup_moves_discovery_and_keeps_the_rest_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent, second = Agent(), Backend()
+        agent.first = listing(2, host("s-2", second.port), whole=False)
+        async with listening(agent), listening(second), running(tmp_path) as p:
+            client = await p.client()
+            client.send(call(number=1))
+            before, _ = await p.backend.command()
+            whole = json.dumps(raw_config(agent.port) | {"name": "other"})
+            for bad in (whole[:-9], json.dumps({"discovery": f"{LOCAL}:{agent.port}"})):
+                p.path.write_text(bad)
+                p.process.send_signal(signal.SIGHUP)
+                await p.logged(b"configuration not taken")
+            assert agent.asked.empty()
+            p.path.write_text(whole)
+            for _ in range(3):
+                p.process.send_signal(signal.SIGHUP)
+            await p.logged(b"a restart is needed for name")
+            agent.first = listing(2, host("s-2", second.port), whole=False)
+            assert b"index=1 " in await soon(agent.asked.get())
+            before.send(served(b"one"))
+            assert await client.next() == b"one"
+            # The list in use stays, and what the new agent tells is added to it.
+            agent.tell(listing(3, host("s-1", p.backend.port, "terminating"), whole=False))
+            await until(lambda: p.backend.ended == 1)  # its connection at rest goes with the drain
+            client.send(call(number=2))
+            connection, _ = await second.command()
+            connection.send(served(b"two"))
+            assert await client.next() == b"two"
+            p.process.send_signal(signal.SIGTERM)
+            await p.logged(b"stopping")
+            for _ in range(3):
+                p.process.send_signal(signal.SIGHUP)
+            assert await soon(p.process.wait()) == 0
+
+    run(test)
+
+
 def test_kill_and_start_again_serves_from_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         for number in (1, 2):
@@ -189,6 +234,18 @@
         load({})
 
 
+def test_reload_goes_by_the_file_where_discovery_is(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw_config(1)))
+    environment = {"ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": "127.0.0.8:2", "ROUTER_NAME": "n7"}
+    old = load(environment)
+    path.write_text(json.dumps(raw_config(3, listing(4), zones=["c"]) | {"seed": "1", "name": "ignored"}))
+    new = reload(environment)
+    assert new.discovery == (LOCAL, 3)
+    assert needs_restart(old, new) == ["zones"]
+    assert needs_restart(old, old) == []
+
+
 def test_nested_settings_become_the_start_messages_lines() -> None:
     nested = {"a": [{"name": "look up, twice", "on": True}], "b": {"c": [1, 2.5], "d": []}, "e": 10**12}
     assert list(flatten(nested)) == [
