Backends' answers: headers are bounded before hiredis reads them, a spoilt answer closes its connection

Probe: a header '*' makes hiredis set aside as many places, and each collection of garbage walks them (0.24 s); hiredis reads RESP3 and skips the two bytes behind a value unseen. Lines at fault: backends.py data_received fed everything, read_answer called wrong answers ERROR and the pool took their connection back, on which the next request then hung. Now: resp.py finds each message's end and bounds every header; a spoilt answer, or half of one with 0.25 s of silence behind, is a reset; a connection with unread bytes or an end is not reused, and rests 5 ms; report figures are finite and not negative; log lines of backends are bounded.

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import re
+import select
 import time
 from collections.abc import Callable
 from typing import cast
@@ -12,16 +14,22 @@
 
 from ..interface import Outcome
 from .config import Address
+from .logs import Sparing
+from .resp import AnswerFrames, FrameError
 
 log = logging.getLogger(__name__)
+log.addFilter(Sparing())
 
-VALUE_MOST = 64 << 10  # bytes of a value, by the protocol
-ANSWER_MOST = VALUE_MOST + 4096  # bytes of a whole answer: the value, figures, report and framing
+STALL = 0.25  # s in which the rest of an answer follows its first bytes; far over a round trip
+SETTLE = 0.005  # s that a connection rests after an answer, where another is free: a second copy may follow
 RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
 SWEEP = 1.0  # s between looks for idle connections to retire
 GRACE_PART = 0.8  # part of the drain grace in which a late connection is still written to: a loop may lag
 MILLISECOND = 1_000_000
 
+# What the protocol writes, not all that Python reads as a number: no sign and no infinity.
+_NUMBER = re.compile(rb"[0-9]{1,20}(?:\.[0-9]{1,20})?(?:[eE][+-]?[0-9]{1,2})?")
+
 Report = dict[str, float]
 Ending = tuple[Outcome, "bytes | None", Report]
 Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
@@ -68,17 +76,14 @@
         return (Outcome.OK, None, read_report(answer)) if isinstance(answer, bytes) else read_answer(answer)
 
 
-class _Unready:
-    """Stands for an answer that has not come whole."""
-
-
-_UNREADY = _Unready()
+class Spoilt(ValueError):
+    """An answer that is none by the protocol: the request may have run, the connection is of no use."""
 
 
 class _Link(asyncio.Protocol):
     """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
 
-    __slots__ = ("attempt", "idle_at", "pool", "reader", "received", "task", "timer", "transport", "unsent")
+    __slots__ = ("attempt", "frames", "idle_at", "pool", "reader", "task", "timer", "transport", "unsent")
 
     def __init__(self, pool: _Pool, attempt: Attempt) -> None:
         self.pool = pool
@@ -86,9 +91,8 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.reader = hiredis.Reader(notEnoughData=_UNREADY)
+        self.reader, self.frames = hiredis.Reader(), AnswerFrames()
         self.unsent = True
-        self.received = 0
         self.idle_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -102,7 +106,7 @@
 
     def write(self, attempt: Attempt, now: int) -> None:
         transport = cast(asyncio.Transport, self.transport)
-        attempt.link, self.attempt, self.received = self, attempt, 0
+        attempt.link, self.attempt = self, attempt
         self.unsent = True
         transport.write(attempt.payload(now))
         # A write that met a broken connection leaves the transport closing, with nothing sent.
@@ -122,26 +126,45 @@
             if attempt is not None:
                 self.pool.finish(attempt, Outcome.CONNECT_FAILED)
             return
-        self.received += len(data)
         try:
-            self.reader.feed(data)
-            answer = self.reader.gets()
-            whole = answer is not _UNREADY
-            more = whole and self.reader.has_data()
-        except (hiredis.ProtocolError, ValueError) as error:
-            log.warning("backend %s: %s", self.pool.address, error)
-            whole, more, answer, self.received = False, True, None, ANSWER_MOST + 1
-        if not whole:
-            if self.received > ANSWER_MOST:
-                self.drop()
-                self.pool.finish(attempt, Outcome.RESET)
-            return
+            end = self.frames.scan(data, 0)
+            self.reader.feed(data if end < 0 else data[:end])
+            if end < 0:
+                if self.timer is None:
+                    self.timer = self.pool.owner.loop.call_later(STALL, self._spoilt, "answer without end")
+                return
+            ending = attempt.read(self.reader.gets())
+        except (FrameError, Spoilt, hiredis.ProtocolError, ValueError) as error:
+            return self._spoilt(str(error))
+        self.quiet()
         self.attempt = None
-        if more:
-            self.drop()
+        if end < len(data):
+            self.drop()  # what follows the answer is nobody's, and more of it may come
         else:
             self.pool.release(self)
-        self.pool.finish(attempt, *attempt.read(answer))
+        self.pool.finish(attempt, *ending)
+
+    def _spoilt(self, why: str) -> None:
+        """The request may have run; nothing that comes here from now on can be told apart."""
+        attempt = cast(Attempt, self.attempt)
+        log.warning("backend %s:%d, spoilt answer: %s", *self.pool.address, why)
+        self.drop()
+        self.pool.finish(attempt, Outcome.RESET)
+
+    def clean(self) -> bool:
+        """Whether neither bytes nor an end lie unread in the socket: a second copy would be taken for the
+        next answer, and a request written behind an end may be thought to have run."""
+        transport = cast(asyncio.Transport, self.transport)
+        if transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not look.poll(0)
+
+    def quiet(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt = self.attempt, None
@@ -152,9 +175,7 @@
     def drop(self) -> None:
         """Close at once: nothing more is sent, and what still comes is nobody's."""
         self.attempt = None
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self.quiet()
         if self.transport is not None:
             self.transport.abort()
         elif self.task is not None:
@@ -164,31 +185,30 @@
 
 def read_report(text: bytes) -> Report:
     """`name=number` pairs; what is no such text is no report."""
-    try:
-        pairs = (item.split(b"=") for item in text.split(b",") if item)
-        return {name.decode(): float(value) for name, value in pairs}
-    except ValueError:
-        return {}
+    report: Report = {}
+    for item in text.split(b","):
+        name, _, number = item.partition(b"=")
+        if not (name.isascii() and _NUMBER.fullmatch(number)):
+            return {}
+        report[name.decode()] = float(number)
+    return report
 
 
 def read_answer(answer: object) -> Ending:
-    """What a whole answer means: outcome, the value if it was served, the load report."""
-    if isinstance(answer, list):
-        value = answer[0] if answer else None
-        if not isinstance(value, bytes) or len(value) > VALUE_MOST:
-            return Outcome.ERROR, None, {}
-        told = answer[2] if len(answer) > 2 else None
-        return Outcome.OK, value, read_report(told) if isinstance(told, bytes) else {}
+    """What a whole answer means: outcome, the value if it was served, the load report.
+
+    Value and framing must be right; a report or figures that can't be read spoil nothing."""
+    if isinstance(answer, list) and isinstance(answer[0], bytes):
+        told = answer[2]
+        return Outcome.OK, answer[0], read_report(told) if isinstance(told, bytes) else {}
     if isinstance(answer, hiredis.ReplyError):
-        words = str(answer).split(" ")
-        report = read_report(words[-1].encode()) if "=" in words[-1] else {}
-        if words[0] == "BUSY":
-            return Outcome.FULL, None, report
-        if words[0] != "ERR":
-            log.error("backend answered %r", str(answer))
-        return Outcome.ERROR, None, report
-    log.error("backend answered %r", answer)
-    return Outcome.ERROR, None, {}
+        line = str(answer)
+        for words, outcome in (("ERR failed", Outcome.ERROR), ("BUSY", Outcome.FULL)):
+            if line == words:
+                return outcome, None, {}
+            if line.startswith(words + " "):
+                return outcome, None, read_report(line[len(words) + 1:].encode())
+    raise Spoilt(f"{answer!r:.80}")
 
 
 class _Pool:
@@ -201,15 +221,13 @@
         self.closing_at: float | None = None  # when the grace after a drain's notice ends
 
     def start(self, attempt: Attempt, now: int) -> None:
-        loop_now = self.owner.loop.time()
-        while self.idle:
-            link = self.idle.pop()
-            young = loop_now - link.idle_at < self.owner.retire
-            if young and not cast(asyncio.Transport, link.transport).is_closing():
+        if (link := self._free(SETTLE)) is not None:
+            link.write(attempt, now)
+            return
+        if not self.owner.room():
+            if (link := self._free(0.0)) is not None:
                 link.write(attempt, now)
                 return
-            link.drop()
-        if not self.owner.room():
             # Out of descriptors: told as what it is, a connection that never came up.
             self.owner.loop.call_soon(self.owner.fail_unsent, attempt)
             return
@@ -220,6 +238,19 @@
         link.timer = self.owner.loop.call_later(self.owner.connect_timeout, self._too_late, link)
         link.task = self.owner.loop.create_task(self._connect(link))
 
+    def _free(self, rested: float) -> _Link | None:
+        """The newest idle connection that has rested so long, clean and not about to be closed."""
+        now = self.owner.time()
+        for at in range(len(self.idle) - 1, -1, -1):
+            link = self.idle[at]
+            if now - link.idle_at < rested:
+                continue
+            if now - link.idle_at < self.owner.retire and link.clean():
+                del self.idle[at]
+                return link
+            link.drop()
+        return None
+
     async def _connect(self, link: _Link) -> None:
         try:
             await self.owner.loop.create_connection(lambda: link, *self.address)
@@ -235,9 +266,7 @@
 
     def connected(self, link: _Link) -> None:
         attempt = cast(Attempt, link.attempt)
-        if link.timer is not None:
-            link.timer.cancel()
-            link.timer = None
+        link.quiet()
         if self.closing_at is not None and self.owner.loop.time() >= self.closing_at:
             # Rule 3: decided before the drain was told, but too late to be written now.
             self._too_late(link)
@@ -249,7 +278,7 @@
         if self.closing_at is not None:
             link.drop()
             return
-        link.idle_at = self.owner.loop.time()
+        link.idle_at = self.owner.time()
         self.idle.append(link)
 
     def lost(self, link: _Link) -> None:
@@ -282,6 +311,7 @@
         clock: Callable[[], int], done: Done,
     ) -> None:
         self.loop = asyncio.get_running_loop()
+        self.time = self.loop.time
         self.open = 0
         self.connect_timeout, self.retire = connect_timeout, idle_limit * RETIRE
         self.clock = clock
@@ -362,7 +392,7 @@
         return self.open < self._most
 
     def _sweep(self) -> None:
-        before = self.loop.time() - self.retire
+        before = self.time() - self.retire
         for backend, pool in list(self._pools.items()):
             pool.retire(before)
             if pool.closing_at is not None and not pool.links and self.loop.time() > pool.closing_at:
