Clients: silent, half, unread and pipelined ones are bounded; words are matched strictly

Confirmed by loopback tests that failed before: a client that says nothing, half a command or never reads stayed for ever; headers behind another command or in two pieces passed the look at a first chunk's start; a close with unread bytes became a reset; Python's int and float let '+1', '1_0' and ' 1' through; an id that an open request has was taken again; with no connection at rest the bound was not kept; in a stopping gateway a command behind one that is refused at once was dropped with the close. Lines at fault: clients.py data_received, _plausible, _broken, came, _customer, _units; gateway.py take.

--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -5,29 +5,50 @@
 import asyncio
 import fcntl
 import logging
+import re
 import struct
 import termios
 from collections import deque
+from itertools import chain
 from typing import Protocol, cast
 
 import hiredis
 
 from ..interface import Repeat
 from .config import Config
+from .logs import Sparing
+from .resp import CommandFrames, FrameError
 
 log = logging.getLogger(__name__)
+log.addFilter(Sparing())
 
-VALUE_MOST = 64 << 10  # bytes of one value, by the protocol
-COMMAND_MOST = 4 * VALUE_MOST  # bytes of one unfinished command; beyond it the rest is not waited for
-ARGUMENTS_MOST = 64  # of a command: a header that names millions would have their places set aside
+PAIRS_MOST = 1024  # bytes of a command's names and values
+PIPELINE = 32  # commands of one connection without an answer; what comes behind them waits unread
 WAIT_MOST = 86_400_000  # ms: no client waits longer than a day
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
+LOOK = 0.25  # s between looks at all connections for those that have had their time
+MUTE = 2.0  # s without a whole command from connecting on, or from the first byte of one on
+STUCK = 2.0  # s in which a client takes nothing of what waits for it
+IDLE = 25.0  # s at rest after a command: under the usual half minute, and calm clients come sooner
+IDLE_CROWDED = 2.0  # s at rest that every connection is granted where few are left
+CROWDED = 0.75  # part of the bound on connections from which they count as few
+LINGER = 0.75  # s that what a client still sends is read on and dropped, once all is answered
+LINGER_MOST = 1 << 20  # bytes of it; more is left unread
+BUFFER_LEAST = 96 << 10  # bytes, for each connection, of what a client has not taken: over a whole value
+BUFFER_PART = 0.125  # of the memory, for what all clients together have not taken, and likewise not been read
 SECOND = 1_000_000_000
 RETRY_FLAG = 2  # bit of `options`: a client's repeat
 
 
+# As the protocol has them; Python's own `int` and `float` take signs, underscores and spaces too.
+_CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+_ID = re.compile(rb"[0-9A-Za-z_.:-]{1,64}")
+_KEY = re.compile(rb"[\x21-\x7e]{1,128}")
+_UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+
+
 class BadCall(ValueError):
     """A command that cannot be taken; the text is the client's answer."""
 
@@ -35,14 +56,15 @@
 class Call:
     """One request as a client put it."""
 
-    __slots__ = ("body", "cls", "customer", "first", "front", "head", "options", "plan", "spread", "tail",
-                 "units", "wait_ms")
+    __slots__ = ("body", "cls", "customer", "first", "front", "head", "id", "options", "plan", "spread",
+                 "tail", "units", "wait_ms")
 
     def __init__(
         self, front: tuple[bytes, ...], head: bytes, tail: bytes, body: tuple[bytes, ...], cls: int,
         plan: int, customer: int, wait_ms: int, units: float, spread: int, first: int, options: int,
     ) -> None:
         self.front, self.head, self.tail, self.body = front, head, tail, body
+        self.id = front[2]
         self.cls, self.plan, self.customer, self.wait_ms = cls, plan, customer, wait_ms
         self.units, self.spread, self.first, self.options = units, spread, first, options
 
@@ -54,23 +76,24 @@
         self._classes = {name: (i, c.repeat) for i, (name, c) in
                          enumerate(zip(config.classes, config.settings.classes, strict=True))}
         self._plans = {name: i for i, name in enumerate(config.plans)}
-        self._gateways = config.settings.gateways
+        self._gateways, self._largest = config.settings.gateways, max(1.0, config.settings.largest)
 
     def read(self, args: list[bytes]) -> Call:
         """A call from a command's words; raises `BadCall` with a plain reason."""
         if len(args) not in (4, 5):
             raise BadCall("wrong number of arguments")
         customer = _customer(args[1])
-        if not 0 < len(args[2]) <= 64:
+        if not _ID.fullmatch(args[2]):
             raise BadCall("bad request id")
-        if len(args) == 5 and len(args[4]) > VALUE_MOST:
-            raise BadCall("value over 64 KiB")
-        if len(args[3]) > 1024:
+        if len(args[3]) > PAIRS_MOST:
             raise BadCall("list of names and values too long")
-        pairs = [item.partition(b"=")[::2] for item in args[3].split(b",")]
-        named = dict(pairs)
+        items = args[3].split(b",")
+        pairs = [item.partition(b"=") for item in items]
+        named = {name: value for name, _, value in pairs}
         if len(named) != len(pairs):
             raise BadCall("a name stands twice")
+        if not all(name and equals for name, equals, _ in pairs):
+            raise BadCall("expected a list of name=value")
         cls, repeat = self._classes.get(named.get(b"c", b""), (-1, Repeat.SAFE))
         if cls < 0:
             raise BadCall("unknown class")
@@ -79,12 +102,13 @@
             raise BadCall("unknown plan")
         if (args[0].upper() == b"CALL.GET") != (repeat is Repeat.SAFE):
             raise BadCall("the class is not served by this command")
-        if repeat is Repeat.KEYED and not named.get(b"k"):
+        if repeat is Repeat.SAFE and len(args) == 5:
+            raise BadCall("the class takes no value")
+        if repeat is Repeat.KEYED and not _KEY.fullmatch(named.get(b"k", b"")):
             raise BadCall("k missing: the class wants an idempotency key")
-        at = next(i for i, pair in enumerate(pairs) if pair[0] == b"d") if b"d" in named else -1
-        if at < 0:
+        if b"d" not in named:
             raise BadCall("d missing")
-        items = args[3].split(b",")
+        at = next(i for i, pair in enumerate(pairs) if pair[0] == b"d")
         before, after = b",".join(items[:at]), b",".join(items[at + 1:])
         return Call(
             front=(args[0], args[1], args[2]),
@@ -95,7 +119,7 @@
             plan=plan,
             customer=customer,
             wait_ms=_whole(named, b"d", 0, WAIT_MOST),
-            units=_units(named),
+            units=_units(named, self._largest),
             spread=_whole(named, b"spread", 1, self._gateways),
             first=_whole(named, b"first", 0, self._gateways - 1),
             options=RETRY_FLAG if named.get(b"r") == b"1" else 0,
@@ -103,10 +127,7 @@
 
 
 def _customer(word: bytes) -> int:
-    try:
-        number = int(word, 16) if len(word) == 16 else -1
-    except ValueError:
-        number = -1
+    number = int(word, 16) if _CUSTOMER.fullmatch(word) else -1
     if not 0 <= number < 1 << 33:
         raise BadCall("bad customer")
     return number
@@ -119,12 +140,10 @@
     return int(word)
 
 
-def _units(named: dict[bytes, bytes]) -> float:
-    try:
-        units = float(named.get(b"units", b"1"))
-    except ValueError:
-        units = -1.0
-    if not 0.0 < units < 1e9:
+def _units(named: dict[bytes, bytes], most: float) -> float:
+    word = named.get(b"units", b"1")
+    units = float(word) if _UNITS.fullmatch(word) else -1.0
+    if not 0.0 < units <= most:
         raise BadCall("bad units")
     return units
 
@@ -144,76 +163,134 @@
 
     def ready(self) -> bool: ...
 
-    def take(self, call: Call, slot: Slot) -> None: ...
+    def take(self, call: Call, slot: Slot, waited: float) -> None: ...
 
     def left(self, request: int) -> None: ...
 
 
-class _Unready:
-    """Stands for a command that has not come whole."""
-
-
-_UNREADY = _Unready()
-
-
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = ("_ending", "_owner", "_reader", "_received", "_transport", "slots")
+    __slots__ = ("_blocked", "_ending", "_frames", "_half", "_late", "_lingering", "_owner", "_read_on",
+                 "_reader", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "said", "seen", "slots")
 
     def __init__(self, owner: Clients) -> None:
         self._owner = owner
-        self._reader = hiredis.Reader(notEnoughData=_UNREADY)
-        self._received = 0
-        self._ending = False
+        self._reader, self._frames = hiredis.Reader(), CommandFrames()
         self._transport: asyncio.Transport | None = None
+        self._ending = False  # nothing more is taken; closed once all that was taken is answered
+        self._lingering = 0.0  # when reading on ends, once the last answer is written
+        self._late = 0  # bytes read on since then
+        self._half = 0.0  # when the first byte of a command came whose last has not; 0 for none
+        self._rest, self._rest_at = b"", 0.0  # read, but not taken yet, and since when
+        self._blocked = 0.0  # since when what waits for the client has not grown less; 0 if nothing waits
+        self._unsent = 0  # bytes of it at that time
+        self._read_on = True
+        self._taking = False  # more may lie behind the command that is being taken
+        self.said = False  # whether a whole command ever came
+        self.seen = owner.time()  # when it last came to rest
         self.slots: deque[Slot] = deque()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=self._owner.buffer)
         self._owner.came(self)
 
     def data_received(self, data: bytes) -> None:
-        if not self._received and not _plausible(data):
-            return self._broken("expected an array of bulk strings")
-        self._received += len(data)
-        try:
-            self._reader.feed(data)
-            while (words := self._reader.gets()) is not _UNREADY:
-                self._received = 0
-                if not isinstance(words, list) or not all(isinstance(w, bytes) for w in words):
-                    return self._broken("expected an array of bulk strings")
-                if words:
-                    self._command(words)
-        except (hiredis.ProtocolError, ValueError) as error:
-            return self._broken(str(error))
-        if self._reader.has_data():
-            self._received = max(self._received, 1)
-            if self._received > COMMAND_MOST:
-                self._broken("command too long")
+        if self._ending:
+            self._late += len(data)
+            if self._late > LINGER_MOST:
+                self._gate()
+        elif self._rest:
+            self._hold(self._rest + data)
         else:
-            self._received = 0
+            self._take(data, 0.0)
+
+    def _take(self, data: bytes, waited: float) -> None:
+        """Command by command, as far as they may be taken now; `waited` counts in for each."""
+        self._taking = True
+        try:
+            self._take_from(data, waited)
+        finally:
+            self._taking = False
+        if self._owner.closing and self.resting():
+            self.close()
+
+    def _take_from(self, data: bytes, waited: float) -> None:
+        at = 0
+        while at < len(data) and not self._ending:
+            if len(self.slots) >= PIPELINE or self._blocked:
+                return self._hold(data[at:])
+            try:
+                end = self._frames.scan(data, at)
+                self._reader.feed(data[at:end] if end >= 0 else data[at:])
+                if end < 0:
+                    self._half = self._half or self._owner.time()
+                    return
+                words = self._reader.gets()
+            except (FrameError, hiredis.ProtocolError) as error:
+                return self._broken(str(error))
+            at, self._half = end, 0.0
+            self._command(words, waited)
+
+    def _hold(self, rest: bytes) -> None:
+        """Backpressure: more commands than are worked on at once stay where they are."""
+        if not self._rest:
+            self._rest_at = self._owner.time()
+        self._owner.held += len(rest) - len(self._rest)
+        self._rest = rest
+        if self._owner.held > self._owner.memory:
+            self._release()
+            return self._broken("too many commands at once")
+        self._gate()
+
+    def _release(self) -> bytes:
+        rest, self._rest = self._rest, b""
+        self._owner.held -= len(rest)
+        return rest
+
+    def _go_on(self) -> None:
+        if self._rest and not self._ending and not cast(asyncio.Transport, self._transport).is_closing():
+            waited = self._owner.time() - self._rest_at
+            self._take(self._release(), waited)
+        self._gate()
+
+    def _gate(self) -> None:
+        """Read only what can be taken."""
+        read_on = self._late <= LINGER_MOST if self._ending else not (self._rest or self._blocked)
+        if read_on is not self._read_on:
+            self._read_on, transport = read_on, cast(asyncio.Transport, self._transport)
+            if not transport.is_closing():
+                (transport.resume_reading if read_on else transport.pause_reading)()
+
+    def pause_writing(self) -> None:
+        self._blocked = self._owner.time()
+        self._unsent = cast(asyncio.Transport, self._transport).get_write_buffer_size()
+        self._gate()
+
+    def resume_writing(self) -> None:
+        self._blocked = 0.0
+        self._go_on()
 
     def _broken(self, reason: str) -> None:
         """Where the next command begins can't be known any more; what was taken before is still answered,
         or closing at once would lose it (rule 1)."""
         log.warning("client sent broken RESP: %s", reason)
-        cast(asyncio.Transport, self._transport).pause_reading()
-        self._ending = True
+        self._half, self._ending = 0.0, True
         slot = Slot(self)
         self.slots.append(slot)
+        self._gate()
         self.answer(slot, b"-ERR Protocol error: %b\r\n" % _line(reason))
 
-    def _command(self, words: list[bytes]) -> None:
+    def _command(self, words: list[bytes], waited: float) -> None:
         slot, name = Slot(self), words[0].upper()
         self.slots.append(slot)
+        self._owner.spoke(self)
         if name in (b"CALL.GET", b"CALL.POST"):
             try:
-                call = self._owner.catalogue.read(words)
+                self._owner.requests.take(self._owner.catalogue.read(words), slot, waited)
             except BadCall as error:
                 self.answer(slot, b"-ERR %b\r\n" % _line(str(error)))
-            else:
-                self._owner.requests.take(call, slot)
         elif name == b"PING" and len(words) == 1:
             # The front takes a gateway in on this word.
             ready = self._owner.requests.ready()
@@ -224,24 +301,62 @@
     def answer(self, slot: Slot, answer: bytes) -> None:
         """Kept until all before it on this connection are answered."""
         slot.answer = answer
-        slots = self.slots
-        if slots[0] is slot and len(slots) == 1:
+        slots, transport = self.slots, cast(asyncio.Transport, self._transport)
+        if slots[0] is not slot:
+            return
+        if len(slots) == 1:
             slots.popleft()
-            cast(asyncio.Transport, self._transport).write(answer)
+            transport.write(answer)
         else:
             out = []
             while slots and slots[0].answer is not None:
                 out.append(slots.popleft().answer or b"")
-            if out:
-                cast(asyncio.Transport, self._transport).write(b"".join(out))
-        if self._ending and not slots:
-            self.close()
+            transport.write(b"".join(out))
+        if slots:
+            if self._rest and len(slots) < PIPELINE:
+                self._owner.soon(self._go_on)
+            return
+        self.seen = self._owner.time()
+        if self._ending:
+            self._linger()
+        elif self._rest:
+            self._owner.soon(self._go_on)
         elif self._owner.closing and self.resting():
             # A client in a hurry would never be found at rest by a look now and then.
             self.close()
 
+    def _linger(self) -> None:
+        """Half-close: to close on bytes that came unread is to reset, and a reset may take answers along that
+        the client has not read yet."""
+        transport = cast(asyncio.Transport, self._transport)
+        if not self._lingering and not transport.is_closing():
+            self._lingering = self._owner.time() + LINGER
+            transport.write_eof()
+
+    def look(self, now: float, crowded: bool) -> None:
+        """Whether this connection has had its time."""
+        if self._blocked:
+            unsent = cast(asyncio.Transport, self._transport).get_write_buffer_size()
+            if unsent < self._unsent:
+                self._blocked, self._unsent = now, unsent
+            elif now - self._blocked >= STUCK:
+                log.warning("client does not read its answers")
+                self.abort()
+        elif self._lingering:
+            if now >= self._lingering:
+                self.abort()
+        elif self._half:
+            # Whoever has said nothing yet has had its time from connecting on.
+            if now - (self._half if self.said else self.seen) >= MUTE:
+                self._broken("command without end")
+        elif not self.slots and not self._rest:
+            idle = MUTE if not self.said else IDLE_CROWDED if crowded else IDLE
+            if now - self.seen >= idle and self.resting():
+                self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._owner.went(self)
+        self._release()
         slots, self.slots = self.slots, deque()
         for slot in slots:
             if slot.answer is None:
@@ -250,7 +365,8 @@
     def resting(self) -> bool:
         """Between requests, with nothing unread in the socket; what is unwritten goes out before a close."""
         transport = cast(asyncio.Transport, self._transport)
-        if self.slots or self._received or transport.is_closing():
+        busy = self.slots or self._rest or self._taking or self._frames.midway or self._ending
+        if busy or transport.is_closing():
             return False
         waiting = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
         return bool(struct.unpack("i", waiting)[0] == 0)
@@ -262,14 +378,6 @@
         cast(asyncio.Transport, self._transport).abort()
 
 
-def _plausible(data: bytes) -> bool:
-    """Whether a command may begin so: an array with a count that is no attack on memory."""
-    count = data[1:data.find(b"\r")] if b"\r" in data[:16] else data[1:16]
-    if data[:1] != b"*" or not (count.isdigit() or not count):
-        return False
-    return not count or int(count) <= ARGUMENTS_MOST
-
-
 def _line(text: str) -> bytes:
     return text.encode().replace(b"\r", b" ").replace(b"\n", b" ")
 
@@ -279,9 +387,18 @@
 
     def __init__(self, config: Config, requests: Requests, most: int) -> None:
         self.catalogue, self.requests = Catalogue(config), requests
-        self._address, self.bound = config.listen, most
-        self._clients: dict[Client, None] = {}
+        loop = asyncio.get_running_loop()
+        self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
+        self.bound = most
+        self.memory = int(config.memory * BUFFER_PART)  # bytes that all clients' rests may hold
+        self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
+        self.held = 0  # bytes of all rests
+        self._address = config.listen
+        # Both have whoever came to rest longest ago first.
+        self._clients: dict[Client, None] = {}  # those that have sent a whole command
+        self._fresh: dict[Client, None] = {}  # those that have not
         self._server: asyncio.Server | None = None
+        self._looker: asyncio.TimerHandle | None = None
         self._last_came = 0.0
         self.closing = False
         # Every request has ended by then; only half a command can hold a connection open for longer.
@@ -290,24 +407,44 @@
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Client(self), *self._address, backlog=1024)
+        self._looker = self._later(LOOK, self._look)
+
+    def _look(self) -> None:
+        now, crowded = self.time(), self.count() > CROWDED * self.bound
+        for client in [*self._fresh, *self._clients]:
+            client.look(now, crowded)
+        self._looker = self._later(LOOK, self._look)
 
     @property
     def port(self) -> int:
         return int(cast(asyncio.Server, self._server).sockets[0].getsockname()[1])
 
     def came(self, client: Client) -> None:
-        self._last_came = asyncio.get_running_loop().time()
+        self._last_came = self.time()
+        if self.count() >= self.bound:
+            # Descriptors are few: whoever never said anything, or else rests longest, makes room, as a
+            # gateway may close between requests. Where nobody rests the new one can't be kept.
+            for other in chain(self._fresh, self._clients):
+                if other.resting():
+                    other.close()
+                    self.went(other)
+                    break
+            else:
+                client.close()
+                return
+        self._fresh[client] = None
+
+    def spoke(self, client: Client) -> None:
+        """A whole command came from it: the last to be closed."""
+        (self._clients if client.said else self._fresh).pop(client, None)
+        client.said = True
         self._clients[client] = None
-        if len(self._clients) > self.bound:
-            # Descriptors are few: whoever rests longest makes room, as a gateway may between requests.
-            resting = next((c for c in self._clients if c is not client and c.resting()), None)
-            if resting is not None:
-                resting.close()
 
     def count(self) -> int:
-        return len(self._clients)
+        return len(self._clients) + len(self._fresh)
 
     def went(self, client: Client) -> None:
+        self._fresh.pop(client, None)
         self._clients.pop(client, None)
 
     async def drain(self) -> None:
@@ -322,15 +459,17 @@
         cast(asyncio.Server, self._server).close()
         self.closing = True
         end = loop.time() + self._longest
-        while self._clients and loop.time() < end:
-            for client in [c for c in self._clients if c.resting()]:
+        while self.count() and loop.time() < end:
+            for client in [c for c in [*self._fresh, *self._clients] if c.resting()]:
                 client.close()
             await asyncio.sleep(IDLE_LOOK)
         self.shut()
 
     def shut(self) -> None:
         """Close everything as it stands."""
+        if self._looker is not None:
+            self._looker.cancel()
         if self._server is not None:
             self._server.close()
-        for client in list(self._clients):
+        for client in [*self._fresh, *self._clients]:
             client.abort()
--- a/badgerspindle/net/config.py
+++ b/badgerspindle/net/config.py
@@ -27,6 +27,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -125,8 +126,9 @@
     try:
         seed = int(str(raw.get("seed", "0")), 16)
         sockets = int(raw.get("limits", {}).get("sockets", 1024))
+        memory = int(raw.get("limits", {}).get("memory_mb", 64)) << 20
     except (AttributeError, TypeError, ValueError):
-        raise ConfigError("seed or limits.sockets: not a number") from None
+        raise ConfigError("seed or limits: not a number") from None
     peers = tuple(address(peer, "peers") for peer in raw.get("peers") or [])
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
     known = raw.get("known")
@@ -136,6 +138,7 @@
         discovery=address(environment.get("ROUTER_DISCOVERY") or raw.get("discovery"), "discovery"),
         seed=seed,
         sockets=sockets,
+        memory=memory,
         peer_listen=address(peer_listen, "peer_listen") if peer_listen else None,
         peers=peers,
         peers_all=address(peers_all, "peers_all") if peers_all else None,
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -32,7 +32,7 @@
 )
 from ..logic import Gateway
 from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
-from .clients import Call, Clients, Slot
+from .clients import BadCall, Call, Clients, Slot
 from .config import Config, needs_restart
 from .discovery import Discovery, ListError, Update, parse_update
 from .peers import Peers
@@ -71,6 +71,7 @@
         self.module = Gateway(config.settings, config.seed, self.now())
         self._numbers = count(1)
         self._requests: dict[int, Request] = {}
+        self._ids: set[bytes] = set()  # of the requests that still owe an answer
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
         self._told = asyncio.Event()
         spare = max(16, config.sockets - RESERVED)
@@ -147,10 +148,15 @@
     def ready(self) -> bool:
         return self.backends.usable()
 
-    def take(self, call: Call, slot: Slot) -> None:
+    def take(self, call: Call, slot: Slot, waited: float) -> None:
+        """`waited`: seconds that the command lay here already. Raises `BadCall`."""
+        if call.id in self._ids:
+            raise BadCall("a request with this id is open")
         now, number = self.now(), next(self._numbers)
-        valid_until = now + max(0, call.wait_ms * MILLISECOND - MARGIN)
+        wait = min(call.wait_ms * MILLISECOND, self.config.settings.classes[call.cls].deadline)
+        valid_until = now + max(0, wait - int(waited * SECOND) - MARGIN)
         request = Request(call, slot, valid_until)
+        self._ids.add(call.id)
         slot.request = number
         self._requests[number] = request
         self._handle(
@@ -186,7 +192,9 @@
 
     def _close(self, number: int, request: Request) -> None:
         """The final answer is given, or nobody is there for it: no other follows."""
-        request.closed = True
+        if not request.closed:
+            request.closed = True
+            self._ids.discard(request.call.id)
         self._forget(number, request)
 
     def _forget(self, number: int, request: Request) -> None:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -14,6 +14,8 @@
     Send, SetTimer, Tell, TimerFired, Topology,
 )
 
+from badgerspindle.net import clients
+
 from .fakes import CUSTOMER, World, bulk, call, host, listing, run, served, soon, until, world
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -64,10 +66,10 @@
             client.send(b"*1\r\n$4\r\nPING\r\n")
             assert await client.next() == b"PONG"
             body = b"\x00\r\n$5\r\n" * 100
-            client.send(call("submit", 0x9B1F, body=body, extra=",r=1,odd=\xff"))
+            client.send(call("submit", 0x9B1F, wait_ms=1500, body=body, extra=",r=1,odd=\xff"))
             connection, words = await w.backend.command()
             left = int(words[3].split(b",d=")[1].split(b",")[0])
-            assert 4000 < left < 5000
+            assert 500 < left < 1500
             assert words == [
                 b"CALL.POST", CUSTOMER, b"0000000000009b1f",
                 b"c=submit,t=team,d=%d,k=5c0f6e1a2b3d4c59,units=1,spread=2,first=0,r=1,odd=\xc3\xbf" % left,
@@ -431,7 +433,20 @@
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,units=nan,spread=1,first=0"), "bad units"),
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=9,first=0"), "bad or missing spread"),
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=2"), "bad or missing first"),
-        ((b"CALL.POST", CUSTOMER, b"1", b"c=charge,t=team,d=5", b"x" * 65537), "value over 64 KiB"),
+        *[((b"CALL.GET", customer, b"1", b"c=look up,t=team,d=5"), "bad customer") for customer in (
+            b"0x000000b4d65521", b"+0000000b4d65521", b"00000000b4d6_521", b" 0000000b4d65521", b"b4d65521")],
+        *[((b"CALL.GET", CUSTOMER, id_, b"c=look up,t=team,d=5"), "bad request id") for id_ in (
+            b"a b", b"\xff", b"c=look", b"x" * 65)],
+        *[((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=0,units=" + units),
+           "bad units")
+          for units in (b"", b"0", b"-1", b"+1", b"1_0", b" 1", b"1e0", b"inf", b"2", b"9" * 11, b"0x1")],
+        *[((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,units=1,spread=1,first=0,d=" + d),
+           "bad or missing d")
+          for d in (b"", b"1.5", b"+5", b"5_0", b"soon", b"99999999999999", "\u0665".encode())],
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,odd"), "name=value"),
+        ((b"CALL.GET", CUSTOMER, b"1", b""), "name=value"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5", b"BODY"), "takes no value"),
+        ((b"CALL.POST", CUSTOMER, b"1", b"c=submit,t=team,d=5,k=a b"), "k missing"),
         ((b"FLUSHALL",), "unknown command"),
     ],
 )
@@ -450,24 +465,207 @@
     run(test)
 
 
+@pytest.mark.parametrize("behind", [b"", call()])
 @pytest.mark.parametrize(
     "data",
-    [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n:5\r\n", b"*x\r\n", b"$4\r\nPING\r\n", b"*1000000\r\n",
-     b"*2\r\n$4\r\nPING\r\n$400000000\r\n" + b"x" * 300_000],
+    [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n:5\r\n", b"*x\r\n", b"$4\r\nPING\r\n", b"*1000000\r\n", b"*-1\r\n",
+     b"*0\r\n", b"*" + b"1" * 4096, b"x" * 4096, b"*1\r\n$-1\r\n", b"*1\r\n$3\r\nPING\r\n", b"*+1\r\n",
+     b"*1\r\n$-9223372036854775808\r\n", b"*1\r\n*1\r\n", b"*1\r\n_\r\n", b"PING\r\n",
+     b"*2\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$65536\r\n",
+     b"*2\r\n$4\r\nPING\r\n$60000000\r\n" + b"x" * 300_000],
 )
-def test_broken_resp_closes_the_connection_and_no_other(data: bytes) -> None:
+def test_broken_resp_is_told_and_closes_the_connection_and_no_other(data: bytes, behind: bytes) -> None:
     async def test() -> None:
         async with world() as w:
+            script(w, lambda a: [Refuse(a.request, 0)])
             other, client = await w.client(), await w.client()
-            client.send(data)
-            while (answer := await client.next()) is not None:
-                assert str(answer).startswith("ERR")
+            # Behind another command, and with its header in two pieces.
+            client.send(behind + data[:2])
+            await asyncio.sleep(0)
+            client.send(data[2:])
+            if behind:
+                assert str(await client.next()) == "BUSY"
+            assert str(await client.next()).startswith("ERR Protocol error")
+            assert await client.next() is None
             other.send(b"*1\r\n$4\r\nPING\r\n")
             assert await other.next() == b"PONG"
 
     run(test)
 
 
+def test_close_with_bytes_unread_takes_no_answer_along() -> None:
+    """Half-close: the client may go on sending for a while, and reads all that it is owed."""
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call() + b"?" + b"x" * 200_000)
+            connection, _ = await w.backend.command()
+            value = b"v" * 60_000
+            connection.send(served(value))
+            await until(lambda: w.node.backends.idle() == 1)
+            for _ in range(20):
+                client.send(b"x" * 10_000)
+                await asyncio.sleep(0)
+            assert await client.next() == value
+            assert str(await client.next()).startswith("ERR Protocol error")
+            assert await client.next() is None
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "said", [b"", b"*", b"*4\r\n$8\r\nCALL.GET\r\n", b"*1\r\n$60000\r\n" + b"x" * 59_000]
+)
+def test_client_that_says_nothing_or_half_a_command_is_closed(
+    said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert clients.MUTE + clients.LOOK < 3.0
+    monkeypatch.setattr(clients, "MUTE", 0.02)
+    monkeypatch.setattr(clients, "LOOK", 0.01)
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(said)
+            if said:
+                assert "without end" in str(await client.next())
+            assert await client.next() is None
+            await until(lambda: w.node.clients.count() == 0)
+
+    run(test)
+
+
+def test_client_that_does_not_read_is_closed_and_its_commands_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert clients.STUCK + clients.LOOK < 3.0
+    monkeypatch.setattr(clients, "STUCK", 0.05)
+    monkeypatch.setattr(clients, "LOOK", 0.01)
+
+    async def test() -> None:
+        async with world() as w:
+            backend, most = only_backend(w), 600  # some 40 MB of answers, far over the sockets' buffers
+            s = script(w, *[lambda a: [Send(a.request, backend, 0)]] * most)
+
+            async def answer() -> None:
+                while True:
+                    connection, _ = await w.backend.commands.get()
+                    connection.send(served(b"v" * 65_000))
+
+            answering = asyncio.create_task(answer())
+            client = await w.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(b"".join(call(number=number) for number in range(most)))
+            await until(lambda: bool(s.of(Arrival)) and w.node.clients.count() == 0)
+            answering.cancel()
+            assert len(s.of(Arrival)) < most
+            assert w.node.clients.held == 0
+
+    run(test)
+
+
+def test_commands_beyond_the_pipeline_wait_unread_and_are_all_answered_in_order() -> None:
+    async def test() -> None:
+        async with world() as w:
+            number = 3 * clients.PIPELINE
+            arrived: list[int] = []
+
+            def hold(a: Arrival) -> list[Action]:
+                arrived.append(a.request)
+                return []
+
+            script(w, *[hold] * number)
+            client = await w.client()
+            client.send(b"".join(call(number=n) for n in range(number)))
+            await until(lambda: len(arrived) == clients.PIPELINE)
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            while len(arrived) < number:
+                assert len(w.node._requests) <= clients.PIPELINE
+                before = len(arrived)
+                w.node._act(Refuse(arrived[before - 1], 7 * MS))  # out of order: the last of them first
+                for request in arrived[before - clients.PIPELINE:before - 1]:
+                    w.node._act(Refuse(request, 7 * MS))
+                await until(lambda before=before: len(arrived) > before)  # type: ignore[misc]
+            for request in arrived[-clients.PIPELINE:]:
+                w.node._act(Refuse(request, 7 * MS))
+            assert {str(await client.next()) for _ in range(number)} == {"BUSY 7"}
+            assert await client.next() == b"PONG"
+            assert w.node.clients.held == 0
+
+    run(test)
+
+
+def test_commands_that_wait_unread_are_bounded_over_all_clients() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.node.clients.memory = 10_000
+            script(w, *[lambda a: []] * clients.PIPELINE)
+            client = await w.client()
+            client.send(b"".join(call(number=n, wait_ms=60) for n in range(300)))
+            answers = [str(await client.next()) for _ in range(clients.PIPELINE)]
+            assert set(answers) == {"ERR out of time"}
+            assert "too many" in str(await client.next())
+            assert await client.next() is None and w.node.clients.held == 0
+
+    run(test)
+
+
+def test_id_of_an_open_request_is_not_taken_again() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, *[lambda a: []] * 3)
+            client, other = await w.client(), await w.client()
+            client.send(call(number=5))
+            await until(lambda: busy_requests(w) == 1)
+            other.send(call(number=5))
+            assert "open" in str(await other.next())
+            assert busy_requests(w) == 1
+            client.abort()
+            await until(lambda: busy_requests(w) == 2)  # told that the client has left
+            other.send(call(number=5, wait_ms=60))
+            assert str(await other.next()) == "ERR out of time"
+            other.send(call(number=5, wait_ms=60))
+            assert str(await other.next()) == "ERR out of time"
+
+    run(test)
+
+
+def test_resting_clients_are_closed_early_only_where_connections_are_few(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clients, "IDLE_CROWDED", 0.0)
+
+    async def test() -> None:
+        async with world() as w:
+            made = [await w.client() for _ in range(4)]
+            for client in made:
+                client.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await client.next() == b"PONG"
+            w.node.clients.bound = 6
+            w.node.clients._look()
+            await asyncio.sleep(0)
+            assert w.node.clients.count() == 4
+            w.node.clients.bound = 5
+            w.node.clients._look()
+            await until(lambda: w.node.clients.count() == 0)
+
+    run(test)
+
+
+def test_newcomer_is_closed_where_no_connection_rests() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.node.clients.bound = 2
+            script(w, *[lambda a: []] * 2)
+            busy = [await w.client() for _ in range(2)]
+            for number, client in enumerate(busy):
+                client.send(call(number=number))
+            await until(lambda: busy_requests(w) == 2)
+            assert await (await w.client()).next() is None
+            assert w.node.clients.count() == 2
+
+    run(test)
+
+
 def test_broken_resp_behind_a_request_does_not_lose_it() -> None:
     async def test() -> None:
         async with world() as w:
