--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -168,6 +168,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt = self.attempt, None
+        self.quiet()
         self.pool.lost(self)
         if attempt is not None:
             self.pool.finish(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -136,6 +136,29 @@
     run(test)
 
 
+def test_half_an_answer_that_breaks_off_ends_the_attempt_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(backends, "STALL", 0.02)
+
+    async def test() -> None:
+        faults: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context))
+        backend = Backend()
+        async with bench(backend) as b:
+            attempt = b.start(1)
+            connection, _ = await backend.command()
+            connection.send(b"*3\r\n$5\r\nhal")
+            link = attempt.link
+            assert link is not None
+            await until(lambda: link.timer is not None)
+            connection.abort()
+            assert (await b.end())[:2] == (1, Outcome.RESET)
+            assert link.timer is None
+            await asyncio.sleep(2 * backends.STALL)  # nothing is left that could come then
+            assert faults == [] and b.ends.empty()
+
+    run(test)
+
+
 @pytest.mark.parametrize("size", [1, 2, 3, 7])
 def test_answer_in_pieces_is_read_whole(size: int) -> None:
     async def test() -> None:
