Kept connections retire at the age at which they are found to be reset; a line on how attempts ended

Ruled out: ends that lie unread (looked for before reuse). Traced: of 795 reuses after 0.1 s at rest and more a third were reset within 6 ms, of those before that one in 25, as on new connections. Line at fault: backends.py kept all for half of the settings' idle time. Now tries and resets are counted by age at rest, and forgotten within minutes. Each gateway logs every 10 s how attempts ended.

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -7,6 +7,7 @@
 import re
 import select
 import time
+from bisect import bisect
 from collections.abc import Callable
 from typing import cast
 
@@ -24,6 +25,10 @@
 SETTLE = 0.005  # s that a connection rests after an answer, where another is free: a second copy may follow
 RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
 SWEEP = 1.0  # s between looks for idle connections to retire
+AGES = tuple(0.05 * 2**i for i in range(9))  # s at rest that part kept connections into groups
+AGE_BREAK = 0.02  # s after a request's last byte in which a reset is the answer to it: over a round trip
+AGE_BREAKS, AGE_PART = 3.0, 0.15  # breaks in a group, and their part, from which it counts as stale
+AGE_KEPT = 0.97  # part of a group's count that a second leaves: what was stale is tried again within minutes
 GRACE_PART = 0.8  # part of the drain grace in which a late connection is still written to: a loop may lag
 MILLISECOND = 1_000_000
 
@@ -80,10 +85,45 @@
     """An answer that is none by the protocol: the request may have run, the connection is of no use."""
 
 
+class Ages:
+    """How long a connection may rest and still be likely to serve.
+
+    Something on the way, or the backend itself, may drop a connection at rest long before the time in the
+    settings and tell nobody: the next request on it is answered by a reset, and may have run.
+    """
+
+    def __init__(self, most: float) -> None:
+        self.most = self.limit = most
+        self._tries, self._breaks = ([0.0] * (len(AGES) + 1) for _ in range(2))
+
+    def tried(self, age: float) -> None:
+        self._tries[bisect(AGES, age)] += 1.0
+
+    def broke(self, age: float) -> None:
+        self._breaks[bisect(AGES, age)] += 1.0
+        self._judge()
+
+    def decay(self) -> None:
+        """Called once a second."""
+        for counts in (self._tries, self._breaks):
+            counts[:] = [AGE_KEPT * count for count in counts]
+        self._judge()
+
+    def _judge(self) -> None:
+        # The freshest are kept come what may: a backend that breaks on those does so whatever their age.
+        self.limit = self.most
+        for group in range(1, len(self._tries)):
+            breaks = self._breaks[group]
+            if breaks >= AGE_BREAKS and breaks >= AGE_PART * self._tries[group]:
+                self.limit = min(self.most, AGES[group - 1])
+                return
+
+
 class _Link(asyncio.Protocol):
     """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
 
-    __slots__ = ("attempt", "frames", "idle_at", "pool", "reader", "task", "timer", "transport", "unsent")
+    __slots__ = ("age", "attempt", "frames", "idle_at", "pool", "reader", "task", "timer", "transport",
+                 "unsent", "written_at")
 
     def __init__(self, pool: _Pool, attempt: Attempt) -> None:
         self.pool = pool
@@ -93,7 +133,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.reader, self.frames = hiredis.Reader(), AnswerFrames()
         self.unsent = True
-        self.idle_at = 0.0
+        self.idle_at = self.written_at = 0.0
+        self.age = -1.0  # s at rest before its request; negative on a new one
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -107,7 +148,10 @@
     def write(self, attempt: Attempt, now: int) -> None:
         transport = cast(asyncio.Transport, self.transport)
         attempt.link, self.attempt = self, attempt
-        self.unsent = True
+        self.unsent, self.written_at = True, self.pool.owner.time()
+        if self.idle_at:
+            self.age = self.written_at - self.idle_at
+            self.pool.owner.ages.tried(self.age)
         transport.write(attempt.payload(now))
         # A write that met a broken connection leaves the transport closing, with nothing sent.
         self.unsent = transport.is_closing() or transport.get_write_buffer_size() > 0
@@ -171,6 +215,10 @@
         self.quiet()
         self.pool.lost(self)
         if attempt is not None:
+            owner = self.pool.owner
+            at_once = not self.frames.midway and owner.time() - self.written_at <= AGE_BREAK
+            if self.age >= 0.0 and at_once:
+                owner.ages.broke(self.age)
             self.pool.finish(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
 
     def drop(self) -> None:
@@ -246,7 +294,7 @@
             link = self.idle[at]
             if now - link.idle_at < rested:
                 continue
-            if now - link.idle_at < self.owner.retire and link.clean():
+            if now - link.idle_at < self.owner.ages.limit and link.clean():
                 del self.idle[at]
                 return link
             link.drop()
@@ -314,7 +362,7 @@
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
         self.open = 0
-        self.connect_timeout, self.retire = connect_timeout, idle_limit * RETIRE
+        self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
         self.clock = clock
         self._most, self._done = most, done
         self._grace = drain_grace * GRACE_PART
@@ -393,7 +441,8 @@
         return self.open < self._most
 
     def _sweep(self) -> None:
-        before = self.time() - self.retire
+        self.ages.decay()
+        before = self.time() - self.ages.limit
         for backend, pool in list(self._pools.items()):
             pool.retire(before)
             if pool.closing_at is not None and not pool.links and self.loop.time() > pool.closing_at:
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from itertools import count
 
 from ..interface import (
@@ -44,6 +45,7 @@
 MARGIN = 10 * MILLISECOND  # before a client's time ends: its way here and back, and a loop that lags
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
 FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
+TALLY = 10.0  # s between lines on how attempts ended
 RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
 BACKEND_PART = 0.5  # of the other descriptors; each request needs one on either side at most
 
@@ -74,6 +76,8 @@
         self._ids: set[bytes] = set()  # of the requests that still owe an answer
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
         self._told = asyncio.Event()
+        self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
+        self._teller: asyncio.TimerHandle | None = None
         spare = max(16, config.sockets - RESERVED)
         settings = config.settings
         self.backends = Backends(
@@ -99,6 +103,7 @@
         if self.config.peer_listen is not None and self.config.settings.may_message:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.discovery.start()
+        self._teller = self._loop.call_later(TALLY, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
             async with asyncio.timeout(FIRST_LIST):
@@ -108,9 +113,20 @@
         await self.clients.start()
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
 
+    def _tally(self) -> None:
+        """One line for the operators, which shows trouble that no single attempt does."""
+        ends = ", ".join(f"{outcome.name} {n}" for outcome, n in sorted(self._ends.items()))
+        log.info("attempts: %s; requests %d, connections of clients %d, to backends %d, of these idle %d",
+                 ends or "none", len(self._requests), self.clients.count(), self.backends.open,
+                 self.backends.idle())
+        self._ends.clear()
+        self._teller = self._loop.call_later(TALLY, self._tally)
+
     async def stop(self) -> None:
         """End in good order: all that was taken is answered first."""
         await self.clients.drain()
+        if self._teller is not None:
+            self._teller.cancel()
         await self.discovery.close()
         self.backends.close()
         self.peers.close()
@@ -218,6 +234,7 @@
         if isinstance(attempt, ProbeAttempt):
             self._handle(Probed(outcome, attempt.backend, elapsed, load))
             return
+        self._ends[outcome] += 1
         number = attempt.request
         request = self._requests[number]
         request.out.pop(attempt.index, None)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -13,7 +13,7 @@
 from badgerspindle.interface import Outcome
 from badgerspindle.net import backends
 from badgerspindle.net.backends import (
-    Attempt, Backends, Report, monotonic_unix_ns, read_answer, read_report,
+    Ages, Attempt, Backends, Report, monotonic_unix_ns, read_answer, read_report,
 )
 from badgerspindle.net.resp import AnswerFrames
 
@@ -423,6 +423,50 @@
     run(test)
 
 
+def test_connections_that_are_reset_after_a_rest_are_not_kept_so_long() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            clock = [100.0]
+            b.pools.time = lambda: clock[0]
+
+            async def rested(seconds: float, broken: bool) -> bool:
+                """A good answer, then another request after that rest; whether it came on the same one."""
+                b.start(1)
+                first, _ = await backend.command()
+                first.send(served(b"v"))
+                await b.end()
+                clock[0] += seconds
+                b.start(2)
+                second, _ = await backend.command()
+                second.abort() if broken else second.send(served(b"v"))
+                assert (await b.end())[1] is (Outcome.RESET if broken else Outcome.OK)
+                clock[0] += 1000.0  # nothing of this round is used again
+                return second is first
+
+            for _ in range(3):
+                assert await rested(0.3, True)
+            assert not await rested(0.3, False)
+            assert await rested(0.15, False)
+            for _ in range(120):
+                b.pools.ages.decay()
+            assert await rested(0.3, False)  # after a while it is tried again
+
+    run(test)
+
+
+def test_breaks_that_come_at_any_age_or_seldom_shorten_no_rest() -> None:
+    ages = Ages(15.0)
+    for age in (0.01, 0.02) * 10:
+        ages.tried(age)
+        ages.broke(age)
+    for _ in range(100):
+        ages.tried(1.0)
+    for _ in range(4):
+        ages.broke(1.0)
+    assert ages.limit == 15.0
+
+
 def test_connections_are_bounded_and_idle_ones_give_way() -> None:
     async def test() -> None:
         one, two = Backend(), Backend()
