--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -26,6 +26,7 @@
 PIPELINE = 32  # commands of one connection without an answer; what comes behind them waits unread
 WAIT_MOST = 86_400_000  # ms: no client waits longer than a day
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
+DOOR_MOST = 0.9  # s after which it does so all the same: who does not heed the front would keep it open for ever
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
 LOOK = 0.25  # s between looks at all connections for those that have had their time
@@ -451,7 +452,8 @@
         """Take what comes until new connections cease, answer all of it, close what rests."""
         loop = asyncio.get_running_loop()
         self._last_came = loop.time()
-        while (left := self._last_came + QUIET - loop.time()) > 0:
+        latest = self._last_came + DOOR_MOST
+        while (left := min(latest, self._last_came + QUIET) - loop.time()) > 0:
             await asyncio.sleep(left)
             # A loop that lagged wakes with its timer due and connections still in the accept queue: look
             # once more, or they would be closed unread.
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -114,6 +114,26 @@
     run(test)
 
 
+def test_stopping_gateway_closes_its_door_though_new_connections_keep_coming(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as p:
+            p.process.send_signal(signal.SIGTERM)
+            await p.logged(b"stopping")
+
+            async def knock() -> None:
+                while True:  # ends when the door is closed; each stays open and says nothing
+                    kept.append(await p.client())
+                    await asyncio.sleep(0.02)
+
+            kept: list[Connection] = []
+            with pytest.raises(ConnectionRefusedError):
+                await soon(knock())
+            assert len(kept) > 1
+            assert await soon(p.process.wait()) == 0
+
+    run(test)
+
+
 def test_sighup_moves_discovery_and_keeps_the_rest_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         agent, second = Agent(), Backend()
