A stopping gateway goes on telling its peers that it uses nothing, up to the longest deadline

Ruled out: pressure on the backends (no such line in the logs). Cause: a gateway that has stopped falls silent, and its peers give its slices of the quotas back to it (logic.py share) while its customers lean on them; gateway.py stop closed the peers' socket at once.

--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -46,6 +46,7 @@
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
 FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
 TALLY = 10.0  # s between lines on how attempts ended
+TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
 BACKEND_PART = 0.5  # of the other descriptors; each request needs one on either side at most
 
@@ -124,11 +125,17 @@
 
     async def stop(self) -> None:
         """End in good order: all that was taken is answered first."""
+        settings = self.config.settings
+        end = self._loop.time() + max(c.deadline for c in settings.classes) / SECOND + TELL_ON
         await self.clients.drain()
         if self._teller is not None:
             self._teller.cancel()
         await self.discovery.close()
         self.backends.close()
+        if settings.may_message and settings.gateways > 1:
+            # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
+            # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
+            await asyncio.sleep(max(0.0, end - self._loop.time()))
         self.peers.close()
 
     def reconfigure(self, fresh: Config) -> None:
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -9,13 +9,15 @@
 import pytest
 
 from badgerspindle.interface import Backend, Health, ListKind, PeerMessage
-from badgerspindle.net import discovery
-from badgerspindle.net.config import Address
+from badgerspindle.net import discovery, gateway
+from badgerspindle.net.config import Address, parse
 from badgerspindle.net.discovery import Discovery, ListError, Update, backend_id, parse_update
 from badgerspindle.net.gateway import Node
 from badgerspindle.net.peers import Peers
 
-from .fakes import LOCAL, Agent, call, config, host, listening, listing, run, served, soon, until, world
+from .fakes import (
+    LOCAL, Agent, call, config, host, listening, listing, raw_config, run, served, soon, until, world,
+)
 from .test_net_clients import Script
 
 ZONES, KINDS = ("a", "b"), ("m1", "m2")
@@ -229,6 +231,50 @@
     run(test)
 
 
+def test_stopping_gateway_has_word_for_its_peers_up_to_the_longest_deadline(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Or they would hold its slices of the quotas back for one that fell silent, while its customers lean
+    on them."""
+    monkeypatch.setattr(gateway, "TELL_ON", -0.5)  # short of the deadline here, to be quick
+
+    async def test() -> None:
+        agent, told = Agent(), Told()
+        agent.first = listing(1, host("s-1", 1))
+        loop = asyncio.get_running_loop()
+        peer, _ = await loop.create_datagram_endpoint(lambda: told, local_addr=(LOCAL, 0))
+        own, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=(LOCAL, 0))
+        ports = [":".join(map(str, end.get_extra_info("sockname"))) for end in (own, peer)]
+        own.close()
+        await asyncio.sleep(0)
+        async with listening(agent):
+            raw = raw_config(agent.port) | {"peer_listen": ports[0], "peers": ports}
+            node = Node(parse(raw, {}))
+            await soon(node.start())
+            stopping = asyncio.create_task(node.stop())
+            await until(lambda: node.clients.closing and node.clients.count() == 0)
+            told.at.clear()
+            await until(lambda: len(told.at) >= 3)
+            assert not stopping.done()
+            await soon(stopping)
+            last = len(told.at)
+            await asyncio.sleep(0)
+            assert len(told.at) == last
+        peer.close()
+
+    run(test)
+
+
+class Told(asyncio.DatagramProtocol):
+    """Notes when word came."""
+
+    def __init__(self) -> None:
+        self.at: list[float] = []
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self.at.append(asyncio.get_running_loop().time())
+
+
 async def _peers(heard: list[tuple[int, bytes]], ports: list[Address], me: int) -> Peers:
     made = Peers(tuple(ports), None, me, lambda number, data: heard.append((number, data)))
     await asyncio.get_running_loop().create_datagram_endpoint(lambda: made, local_addr=ports[me])
