--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -342,6 +342,9 @@
         if known and 0 < last_word[2] - word[1] <= OVERTAKEN:
             return  # newer word came before it: its totals are older than those that are known
         self.peers[event.sender] = word[0], now, word[1]
+        if not known:  # restarted: it counts from nothing, for each customer whenever first told
+            for each in self.accounts.values():
+                each.heard.pop(event.sender, None)
         older = self._note_age(now, word[1])
         for customer, sent, _ in word[2]:
             account = self.accounts.get(customer)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -193,6 +193,17 @@
     assert g.quota.accounts[1].level == pytest.approx(level - 2.0)
 
 
+def test_totals_of_a_restarted_peer_count_from_nothing_also_when_told_later() -> None:
+    g = gateway()
+    g.handle(0, arrival(1, 0))
+    now = 4 * SECOND
+    g.handle(now, word(8, 40))
+    g.handle(now, PeerMessage(1, pack_totals(10, 0, [])))  # restarted, and nothing of this customer yet
+    level = g.quota.accounts[1].level
+    g.handle(now, word(12, 1, incarnation=10))
+    assert g.quota.accounts[1].level == pytest.approx(level - 3.0)
+
+
 def test_word_that_claims_a_great_age_does_not_shut_out_what_comes_after() -> None:
     g = gateway()
     g.handle(0, arrival(1, 0))
