Layout: the package is called trackspread, with a package for each concern

Need: planners, JSON-RPC, Consul, a shared counter and several cores come next; one flat folder under an inherited name is no place for them.

--- a/badgerspindle/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""badgerspindle: which customers' requests a gateway sends on, where, and which it refuses."""
--- a/badgerspindle/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real gateway: sockets round the decision module. Nothing in here decides about a request."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,8 +11,8 @@
 import hiredis
 import uvloop
 
-from badgerspindle.net.config import Config, parse
-from badgerspindle.net.gateway import Node
+from trackspread.config.platform import Config, parse
+from trackspread.node.gateway import Node
 
 WAIT = 20.0  # s: only a hang reaches it, no verdict hangs on it
 LOCAL = "127.0.0.1"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from badgerspindle.interface import (
+from trackspread.decide.interface import (
     Arrival,
     AttemptEnded,
     Backend,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from badgerspindle.interface import (
+from trackspread.decide.interface import (
     NEVER_RAN,
     Action,
     ClientLeft,
@@ -24,8 +24,8 @@
     Tell,
     TimerFired,
 )
-from badgerspindle.logic import EVERY_TICK, TICK, Gateway
-from badgerspindle.mail import pack_totals
+from trackspread.decide.broker import EVERY_TICK, TICK, Gateway
+from trackspread.decide.mail import pack_totals
 
 from .helpers import (
     KEYED,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -15,11 +15,11 @@
 
 
 def test_no_line_is_longer_than_110_characters() -> None:
-    sources = [*ROOT.glob("badgerspindle/**/*.py"), *ROOT.glob("tests/*.py")]
+    sources = [*ROOT.glob("trackspread/**/*.py"), *ROOT.glob("tests/*.py")]
     assert len(sources) > 5
     assert [p.name for p in sources for line in p.read_text().splitlines() if len(line) > 110] == []
 
 
 def test_decision_module_names_its_interface_at_the_top() -> None:
-    text = (ROOT / "badgerspindle" / "logic.py").read_text()
+    text = (ROOT / "trackspread" / "decide" / "broker.py").read_text()
     assert "interface.py" in text[:400]
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from badgerspindle.interface import Outcome
-from badgerspindle.net import backends
-from badgerspindle.net.backends import (
+from trackspread.decide.interface import Outcome
+from trackspread.backends import pools as backends
+from trackspread.backends.pools import (
     Ages, Attempt, Backends, Report, monotonic_unix_ns, read_answer, read_report,
 )
-from badgerspindle.net.resp import AnswerFrames
+from trackspread.framing.resp import AnswerFrames
 
 from .fakes import LOCAL, Backend, Connection, bulk, listening, run, served, soon, until
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -9,12 +9,12 @@
 import hiredis
 import pytest
 
-from badgerspindle.interface import (
+from trackspread.decide.interface import (
     Action, Arrival, AttemptEnded, Cancel, ClientLeft, CloseIdle, Event, Fail, Outcome, Probe, Probed, Refuse,
     Send, SetTimer, Tell, TimerFired, Topology,
 )
 
-from badgerspindle.net import clients
+from trackspread.fronts import clients
 
 from .fakes import CUSTOMER, World, bulk, call, host, listing, run, served, soon, until, world
 
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -8,12 +8,13 @@
 
 import pytest
 
-from badgerspindle.interface import Backend, Health, ListKind, PeerMessage
-from badgerspindle.net import discovery, gateway
-from badgerspindle.net.config import Address, parse
-from badgerspindle.net.discovery import Discovery, ListError, Update, backend_id, parse_update
-from badgerspindle.net.gateway import Node
-from badgerspindle.net.peers import Peers
+from trackspread.decide.interface import Backend, Health, ListKind, PeerMessage
+from trackspread.lists import agent as discovery
+from trackspread.node import gateway
+from trackspread.config.platform import Address, parse
+from trackspread.lists.agent import Discovery, ListError, Update, backend_id, parse_update
+from trackspread.node.gateway import Node
+from trackspread.peers.datagrams import Peers
 
 from .fakes import (
     LOCAL, Agent, call, config, host, listening, listing, raw_config, run, served, soon, until, world,
@@ -178,7 +179,7 @@
 
 def test_old_list_serves_while_discovery_is_down(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 0.01)
+        monkeypatch.setattr("trackspread.node.gateway.FIRST_LIST", 0.01)
         node = Node(config(1, listing(5, host("s-1", 1))))
         assert node.ready()
         await soon(node.start())
@@ -191,7 +192,7 @@
 
 def test_without_any_list_a_ping_is_not_answered_with_pong(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 0.01)
+        monkeypatch.setattr("trackspread.node.gateway.FIRST_LIST", 0.01)
         async with world() as w:
             w.agent.tell(listing(2))
             await until(lambda: not w.node.ready())
--- a/tests/test_net_logs.py
+++ b/tests/test_net_logs.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from badgerspindle.net.backends import log as backends_log
-from badgerspindle.net.clients import log as clients_log
-from badgerspindle.net.logs import LINES_MOST, SPAN, Sparing
+from trackspread.backends.pools import log as backends_log
+from trackspread.fronts.clients import log as clients_log
+from trackspread.logs import LINES_MOST, SPAN, Sparing
 
 
 def test_a_flood_of_lines_is_cut_and_counted(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     clock = [1000.0]
-    monkeypatch.setattr("badgerspindle.net.logs.time.monotonic", lambda: clock[0])
+    monkeypatch.setattr("trackspread.logs.time.monotonic", lambda: clock[0])
     log = logging.getLogger("test.flood")
     log.addFilter(Sparing())
     for number in range(500):
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -14,15 +14,15 @@
 
 import pytest
 
-from badgerspindle.net.clients import QUIET
-from badgerspindle.net.config import ConfigError, flatten, load, needs_restart, parse, reload
+from trackspread.fronts.clients import QUIET
+from trackspread.config.platform import ConfigError, flatten, load, needs_restart, parse, reload
 
 from .fakes import (
     LOCAL, Agent, Backend, Connection, call, host, listening, listing, nested_settings, raw_config, run,
     served, soon, until,
 )
 
-COMMAND = (sys.executable, "-m", "badgerspindle")
+COMMAND = (sys.executable, "-m", "trackspread")
 
 
 class Process:
@@ -218,7 +218,7 @@
         out, err = await soon(process.communicate())
         assert process.returncode == 2 and out == b""
         (line,) = err.decode().splitlines()
-        assert line.startswith("badgerspindle: ") and words in line
+        assert line.startswith("trackspread: ") and words in line
 
     run(test)
 
@@ -235,7 +235,7 @@
             )
             _, err = await soon(process.communicate())
             assert process.returncode == 2
-            assert err.decode().splitlines()[-1].startswith("badgerspindle: cannot listen: ")
+            assert err.decode().splitlines()[-1].startswith("trackspread: cannot listen: ")
             assert b"Traceback" not in err
 
     run(test)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 
-from badgerspindle.interface import (
+from trackspread.decide.interface import (
     Action,
     AddToCounter,
     Counted,
@@ -25,8 +25,8 @@
     Tell,
     TimerFired,
 )
-from badgerspindle.logic import EVERY_TICK, HOLD, OPEN, TICK, Gateway
-from badgerspindle.mail import Draw, Kind, pack_draw, unpack_draw
+from trackspread.decide.broker import EVERY_TICK, HOLD, OPEN, TICK, Gateway
+from trackspread.decide.mail import Draw, Kind, pack_draw, unpack_draw
 
 from .helpers import MS, SECOND, UNSAFE, arrival, backend, ended, full_list, plan, settings
 from .test_gateway import EVENTS, Bench
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,10 @@
 
 import pytest
 
-from badgerspindle import wire
-from badgerspindle.interface import Arrival, AttemptEnded, Backend, LogLine, Outcome, Send, SetTimer, Topology
+from trackspread.decide.interface import (
+    Arrival, AttemptEnded, Backend, LogLine, Outcome, Send, SetTimer, Topology,
+)
+from trackspread.simulator import wire
 
 ROOT = Path(__file__).parent.parent
 SETTINGS_TEXT = "\n".join(
@@ -87,7 +89,7 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "badgerspindle.wirehost"]
+    command = [sys.executable, "-m", "trackspread.simulator.host"]
     return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, check=False, timeout=60)
 
 
--- a/badgerspindle/__main__.py
+++ b/trackspread/__main__.py
@@ -11,11 +11,11 @@
 
 import uvloop
 
-from .net.config import Config, ConfigError, load, reload
-from .net.gateway import Node
+from .config.platform import Config, ConfigError, load, reload
+from .node.gateway import Node
 
 HANGUP = {signal.SIGHUP}  # held back, never at its default, wherever no handler is in place: that would kill
-log = logging.getLogger("badgerspindle")
+log = logging.getLogger("trackspread")
 
 
 async def serve(config: Config) -> None:
@@ -57,7 +57,7 @@
     try:
         uvloop.run(serve(load(os.environ)))
     except ConfigError as error:
-        print(f"badgerspindle: {error}", file=sys.stderr)
+        print(f"trackspread: {error}", file=sys.stderr)
         return 2
     return 0
 
--- /dev/null
+++ b/trackspread/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Pools of connections to backends and what these speak."""
--- a/badgerspindle/net/backends.py
+++ b/trackspread/backends/pools.py
@@ -13,10 +13,10 @@
 
 import hiredis
 
-from ..interface import Outcome
-from .config import Address
-from .logs import Sparing
-from .resp import AnswerFrames, FrameError
+from ..decide.interface import Outcome
+from ..config.platform import Address
+from ..logs import Sparing
+from ..framing.resp import AnswerFrames, FrameError
 
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
--- /dev/null
+++ b/trackspread/config/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway is told at its start."""
--- a/badgerspindle/net/config.py
+++ b/trackspread/config/platform.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from ..interface import Settings
-from ..wire import SettingsError, parse_settings
+from ..decide.interface import Settings
+from ..simulator.wire import SettingsError, parse_settings
 
 Address = tuple[str, int]
 
--- /dev/null
+++ b/trackspread/decide/__init__.py
@@ -0,0 +1,1 @@
+"""The decision module: every choice of a gateway, without input or output."""
--- a/badgerspindle/interface.py
+++ b/trackspread/decide/interface.py
@@ -1,4 +1,4 @@
-"""Types that pass between a gateway program and the decision module (`logic.py`).
+"""Types that pass between a gateway program and the decision module (`broker.py`).
 
 Times are integer nanoseconds, on any clock that never goes backwards. Everything is immutable;
 nothing here decides anything.
--- a/badgerspindle/state.py
+++ b/trackspread/decide/state.py
@@ -1,4 +1,4 @@
-"""What a gateway remembers: plain state and one helper, for `logic.py`. Nothing here decides anything."""
+"""What a gateway remembers: plain state and one helper, for the module. Nothing here decides anything."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/trackspread/framing/__init__.py
@@ -0,0 +1,1 @@
+"""Where messages of a protocol begin and end, for both sides of the gateway."""
--- /dev/null
+++ b/trackspread/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""What clients speak."""
--- a/badgerspindle/net/clients.py
+++ b/trackspread/fronts/clients.py
@@ -14,10 +14,10 @@
 
 import hiredis
 
-from ..interface import Repeat
-from .config import Config
-from .logs import Sparing
-from .resp import CommandFrames, FrameError
+from ..decide.interface import Repeat
+from ..config.platform import Config
+from ..logs import Sparing
+from ..framing.resp import CommandFrames, FrameError
 
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
--- /dev/null
+++ b/trackspread/lists/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of backends comes from."""
--- a/badgerspindle/net/discovery.py
+++ b/trackspread/lists/agent.py
@@ -13,8 +13,8 @@
 
 import h11
 
-from ..interface import Backend, Health, ListKind, Topology
-from .config import Address, ConfigError, address
+from ..decide.interface import Backend, Health, ListKind, Topology
+from ..config.platform import Address, ConfigError, address
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/trackspread/node/__init__.py
@@ -0,0 +1,1 @@
+"""The running gateway."""
--- a/badgerspindle/net/gateway.py
+++ b/trackspread/node/gateway.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from itertools import count
 
-from ..interface import (
+from ..decide.interface import (
     Action,
     Arrival,
     AttemptEnded,
@@ -31,12 +31,12 @@
     Topology,
     Watch,
 )
-from ..logic import Gateway
-from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
-from .clients import BadCall, Call, Clients, Slot
-from .config import Config, needs_restart
-from .discovery import Discovery, ListError, Update, parse_update
-from .peers import Peers
+from ..decide.broker import Gateway
+from ..backends.pools import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
+from ..fronts.clients import BadCall, Call, Clients, Slot
+from ..config.platform import Config, needs_restart
+from ..lists.agent import Discovery, ListError, Update, parse_update
+from ..peers.datagrams import Peers
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/trackspread/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between gateways."""
--- a/badgerspindle/net/peers.py
+++ b/trackspread/peers/datagrams.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from ..mail import MESSAGE
-from .config import Address
+from ..decide.mail import MESSAGE
+from ..config.platform import Address
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/trackspread/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire and the host that speaks it."""
--- a/badgerspindle/wirehost.py
+++ b/trackspread/simulator/host.py
@@ -6,7 +6,7 @@
 import sys
 from typing import BinaryIO
 
-from .logic import Gateway
+from ..decide.broker import Gateway
 from .wire import DIE, Down, SettingsError, Up, WireError, decode, encode, encode_action
 from .wire import parse_settings, text_record
 
--- a/badgerspindle/wire.py
+++ b/trackspread/simulator/wire.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from .interface import (
+from ..decide.interface import (
     Action,
     AddToCounter,
     Arrival,
