--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from trackspread.config.platform import Config, parse
-from trackspread.node.gateway import Node
+from trackspread.node.gateway import Gateway
 
 WAIT = 20.0  # s: only a hang reaches it, no verdict hangs on it
 LOCAL = "127.0.0.1"
@@ -202,7 +202,7 @@
 class World:
     """A gateway with one backend and its discovery, and clients for it."""
 
-    def __init__(self, node: Node, agent: Agent, backend: Backend) -> None:
+    def __init__(self, node: Gateway, agent: Agent, backend: Backend) -> None:
         self.node, self.agent, self.backend = node, agent, backend
 
     async def client(self) -> Connection:
@@ -214,7 +214,7 @@
     agent, backend = Agent(), Backend()
     async with listening(agent), listening(backend):
         agent.first = listing(1, host("s-1", backend.port))
-        node = Node(config(agent.port, None, **changes))
+        node = Gateway(config(agent.port, None, **changes))
         await soon(node.start())
         try:
             yield World(node, agent, backend)
--- a/tests/test_gateway.py
+++ b/tests/test_broker.py
@@ -24,7 +24,8 @@
     Tell,
     TimerFired,
 )
-from trackspread.decide.broker import EVERY_TICK, TICK, Gateway
+from trackspread.decide.broker import EVERY_TICK, Broker
+from trackspread.decide.model import TICK
 from trackspread.decide.mail import pack_totals
 
 from .helpers import (
@@ -50,8 +51,8 @@
     return [a for a in actions if isinstance(a, Refuse)]
 
 
-def gateway(**changes: Any) -> Gateway:
-    made = Gateway(settings(**changes), 7, 0)
+def gateway(**changes: Any) -> Broker:
+    made = Broker(settings(**changes), 7, 0)
     made.handle(0, full_list(*(backend(i) for i in range(1, 5)), kind=ListKind.CACHED))
     return made
 
@@ -71,7 +72,7 @@
 
 
 def test_no_backend_means_refusal() -> None:
-    g = Gateway(settings(), 7, 0)
+    g = Broker(settings(), 7, 0)
     g.handle(0, full_list(kind=ListKind.CACHED))
     assert refusals(g.handle(MS, arrival(1, MS)))
 
@@ -95,7 +96,7 @@
 
 
 def test_keyed_repeat_stays_in_its_cell_and_window() -> None:
-    g = Gateway(settings(), 7, 0)
+    g = Broker(settings(), 7, 0)
     cells = {1: 1, 2: 1, 3: 2, 4: 2}
     g.handle(0, full_list(*(backend(i, cell=c) for i, c in cells.items())))
     for request in range(8):
@@ -104,7 +105,7 @@
         assert cells[again.backend] == cells[send.backend]
         late = ended(request, again.backend, Outcome.ERROR, attempt=1)
         assert g.handle(3 * SECOND, late) == [Fail(request)]
-        g = Gateway(settings(), request, 0)
+        g = Broker(settings(), request, 0)
         g.handle(0, full_list(*(backend(i, cell=c) for i, c in cells.items())))
 
 
@@ -127,7 +128,7 @@
 
 
 def test_cold_backend_gets_only_its_part() -> None:
-    g = Gateway(settings(plans=(plan(rate=1000.0, burst=1000.0),)), 7, 0)
+    g = Broker(settings(plans=(plan(rate=1000.0, burst=1000.0),)), 7, 0)
     g.handle(0, full_list(*(backend(i) for i in range(1, 4)), backend(9, booted=1)))
     cold = total = 0
     for i in range(200):
@@ -144,7 +145,7 @@
     capped = plan(ceiling_rate=10.0, ceiling_burst=20.0, ceiling_slack=2.0, rate=1000.0, burst=1000.0)
     sent = 0
     for position in range(2):
-        g = Gateway(settings(plans=(capped,), position=position), 7, 0)
+        g = Broker(settings(plans=(capped,), position=position), 7, 0)
         g.handle(0, full_list(backend(1), backend(2)))
         for i in range(1000):
             now = i * 10 * MS
@@ -155,7 +156,7 @@
 
 
 def test_told_use_of_a_peer_is_taken_from_the_bucket() -> None:
-    here, there = (Gateway(settings(position=p), p + 7, 0) for p in range(2))
+    here, there = (Broker(settings(position=p), p + 7, 0) for p in range(2))
     for g in (here, there):
         g.handle(0, full_list(backend(1), backend(2)))
         g.handle(0, arrival(1000, 0))
@@ -291,7 +292,7 @@
     """Plays legal but odd event orders and checks rule 1 and rule 2 on every action."""
 
     def __init__(self) -> None:
-        self.gateway = Gateway(settings(), 3, 0)
+        self.gateway = Broker(settings(), 3, 0)
         self.classes: dict[int, int] = {}
         self.state: dict[int, str] = {}
         self.out: dict[tuple[int, int], int] = {}
@@ -421,7 +422,7 @@
 
 
 def test_older_peer_shows_a_restart_and_the_bucket_starts_with_a_slice() -> None:
-    young, old = gateway(), Gateway(settings(position=1), 8, 0)
+    young, old = gateway(), Broker(settings(position=1), 8, 0)
     old.handle(0, full_list(backend(1)))
     told = [a for a in old.handle(9 * SECOND, TimerFired(EVERY_TICK)) if isinstance(a, Tell)]
     young.handle(MS, arrival(1, MS))
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from trackspread.decide.broker import TICK, Goal, QueueModel, mean_values, seven_cases
+from trackspread.decide.model import TICK, Goal, QueueModel, mean_values, seven_cases
 
 from .helpers import MS, SECOND, settings
 
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -13,7 +13,7 @@
 from trackspread.node import gateway
 from trackspread.config.platform import Address, parse
 from trackspread.lists.agent import Discovery, ListError, Update, backend_id, parse_update
-from trackspread.node.gateway import Node
+from trackspread.node.gateway import Gateway
 from trackspread.peers.datagrams import Peers
 
 from .fakes import (
@@ -180,7 +180,7 @@
 def test_old_list_serves_while_discovery_is_down(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         monkeypatch.setattr("trackspread.node.gateway.FIRST_LIST", 0.01)
-        node = Node(config(1, listing(5, host("s-1", 1))))
+        node = Gateway(config(1, listing(5, host("s-1", 1))))
         assert node.ready()
         await soon(node.start())
         assert node.clients.port > 0
@@ -250,7 +250,7 @@
         await asyncio.sleep(0)
         async with listening(agent):
             raw = raw_config(agent.port) | {"peer_listen": ports[0], "peers": ports}
-            node = Node(parse(raw, {}))
+            node = Gateway(parse(raw, {}))
             await soon(node.start())
             stopping = asyncio.create_task(node.stop())
             await until(lambda: node.clients.closing and node.clients.count() == 0)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -25,11 +25,13 @@
     Tell,
     TimerFired,
 )
-from trackspread.decide.broker import EVERY_TICK, HOLD, OPEN, TICK, Gateway
+from trackspread.decide.broker import EVERY_TICK, HOLD, Broker
+from trackspread.decide.model import TICK
+from trackspread.decide.quota import OPEN
 from trackspread.decide.mail import Draw, Kind, pack_draw, unpack_draw
 
 from .helpers import MS, SECOND, UNSAFE, arrival, backend, ended, full_list, plan, settings
-from .test_gateway import EVENTS, Bench
+from .test_broker import EVENTS, Bench
 
 MANY = 200
 
@@ -48,8 +50,8 @@
         self.backends = [backend(i) for i in range(1, 9)]
         self.gateways = [self.start(p, 0) for p in range(self.changes["gateways"])]
 
-    def start(self, position: int, now: int) -> Gateway:
-        made = Gateway(settings(position=position, **self.changes), position + 7, now)
+    def start(self, position: int, now: int) -> Broker:
+        made = Broker(settings(position=position, **self.changes), position + 7, now)
         self.play(now, position, made.handle(now, full_list(*self.backends, kind=ListKind.CACHED)))
         return made
 
@@ -142,7 +144,7 @@
 
 
 def test_place_held_by_a_client_that_left_is_given_back() -> None:
-    g = Gateway(settings(gateways=MANY, may_message=False, counter=True, plans=(plan(open_limit=3),)), 7, 0)
+    g = Broker(settings(gateways=MANY, may_message=False, counter=True, plans=(plan(open_limit=3),)), 7, 0)
     g.handle(0, full_list(backend(1)))
     (call,) = [a for a in g.handle(MS, arrival(1, MS, spread=MANY)) if isinstance(a, AddToCounter)]
     g.open.pop(1)
@@ -151,7 +153,7 @@
 
 
 def test_lost_release_is_told_again() -> None:
-    g = Gateway(settings(gateways=MANY, may_message=False, counter=True, plans=(plan(open_limit=3),)), 7, 0)
+    g = Broker(settings(gateways=MANY, may_message=False, counter=True, plans=(plan(open_limit=3),)), 7, 0)
     g.handle(0, full_list(backend(1)))
     (call,) = [a for a in g.handle(MS, arrival(1, MS, spread=MANY)) if isinstance(a, AddToCounter)]
     g.handle(2 * MS, Counted(MS, Outcome.OK, call.name, call.amount))
@@ -190,7 +192,7 @@
 
 
 def test_silent_home_costs_a_short_wait_and_no_answer_is_owed() -> None:
-    g = Gateway(settings(gateways=MANY, messages_per_s=40.0), 7, 0)
+    g = Broker(settings(gateways=MANY, messages_per_s=40.0), 7, 0)
     g.handle(0, full_list(backend(1)))
     asked = [a for i in range(5) for a in g.handle(MS, arrival(i, MS, customer=i, spread=MANY))]
     held = len(g.held)
@@ -218,7 +220,7 @@
 
 def test_work_of_an_event_does_not_grow_with_the_gateways() -> None:
     def calls(gateways: int) -> int:
-        g = Gateway(settings(gateways=gateways, messages_per_s=1.0), 7, 0)
+        g = Broker(settings(gateways=gateways, messages_per_s=1.0), 7, 0)
         g.handle(0, full_list(*(backend(i) for i in range(1, 9))))
         seen = 0
 
@@ -240,7 +242,7 @@
 
 
 def test_attempt_gets_a_time_out_only_once_answers_were_lost() -> None:
-    g = Gateway(settings(plans=(plan(rate=1000.0, burst=1000.0),)), 7, 0)
+    g = Broker(settings(plans=(plan(rate=1000.0, burst=1000.0),)), 7, 0)
     g.handle(0, full_list(*(backend(i) for i in range(1, 5))))
     (first,) = [a for a in g.handle(MS, arrival(1, MS)) if isinstance(a, Send)]
     assert first.timeout == 0
@@ -256,7 +258,7 @@
     """Without any answer a customer seen here often goes on less often than one seen once."""
     passed = []
     for asked in (1, 20):
-        g = Gateway(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
+        g = Broker(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
         taken = 0
         for customer in range(200):
             account = g.quota.account(0, customer, 0, MANY, 0)
@@ -270,7 +272,7 @@
 
 
 def test_each_counted_try_stands_for_those_not_counted() -> None:
-    g = Gateway(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
+    g = Broker(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
     g.handle(0, full_list(backend(1)))
     g.quota.pace = 0.5
     calls = [a for i in range(20) for a in g.handle(MS, arrival(i, MS, customer=i, spread=MANY))]
@@ -287,7 +289,7 @@
 
 def test_odd_word_to_a_home_is_passed_over() -> None:
     for position in range(3):
-        g = Gateway(settings(gateways=MANY, messages_per_s=1.0, position=position), 7, 0)
+        g = Broker(settings(gateways=MANY, messages_per_s=1.0, position=position), 7, 0)
         for data in odd_messages():
             assert not any(isinstance(a, Send) for a in g.handle(MS, PeerMessage(5000, data)))
 
@@ -299,7 +301,7 @@
 
 @pytest.mark.parametrize(("spread", "first"), [(0, 0), (MANY + 50, 3), (1, 17), (3, MANY - 1), (-4, -9)])
 def test_odd_spreads_neither_fault_nor_open_the_gate(spread: int, first: int) -> None:
-    g = Gateway(settings(gateways=MANY, may_message=False), 7, 0)
+    g = Broker(settings(gateways=MANY, may_message=False), 7, 0)
     g.handle(0, full_list(backend(1)))
     taken = 0
     for i in range(200):
@@ -314,7 +316,7 @@
 
     def __init__(self, **changes: Any) -> None:
         super().__init__()
-        self.gateway = Gateway(settings(gateways=MANY, messages_per_s=1.0, **changes), 3, 0)
+        self.gateway = Broker(settings(gateways=MANY, messages_per_s=1.0, **changes), 3, 0)
 
     def feed(self, now: int, event: Event) -> None:
         super().feed(now, event)
--- a/trackspread/__main__.py
+++ b/trackspread/__main__.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from .config.platform import Config, ConfigError, load, reload
-from .node.gateway import Node
+from .node.gateway import Gateway
 
 HANGUP = {signal.SIGHUP}  # held back, never at its default, wherever no handler is in place: that would kill
 log = logging.getLogger("trackspread")
@@ -24,7 +24,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Node(config)
+    node = Gateway(config)
 
     def reread() -> None:
         """A file that can't be used changes nothing: whoever wrote it half will send the signal again."""
--- /dev/null
+++ b/trackspread/decide/model.py
@@ -0,0 +1,103 @@
+"""The closed queuing model and the seven cases that grant a cap on requests in flight.
+
+May know: latencies and numbers in flight that the broker hands in. May not know: customers, quotas, backends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import ceil
+
+from .interface import Settings
+from .state import LONG, MEMORY, SECOND, Mean
+
+Goal = Callable[[int], bool]
+
+# Tuned values: unit and reason behind each; times are chosen against aims of the order of a second.
+TICK = SECOND // 10  # the module's own beat: refits the model, tells peers; a tenth of usual aims
+SAMPLES = 8.0  # answers that a class's recent latency rests on; where few come, memory is longer for it
+DELAY_GROWTH = 0.01  # part a second by which a shortest latency is forgotten upwards
+RISE = 0.15  # part of the room between delay and aim from which a wait is a rise; below it is noise
+TARGET = 0.4  # part of the room between delay and aim that the mean wait may take: latencies vary
+
+
+def mean_values(demand: float, delay: float, most: int) -> list[float]:
+    """Mean value analysis of one delay and one queue: response times for 0..most in flight."""
+    times, queued = [delay + demand], 0.0
+    for n in range(1, most + 1):
+        wait = demand * (1.0 + queued)
+        times.append(delay + wait)
+        queued = n * wait / (delay + wait)
+    return times
+
+
+class QueueModel:
+    """Delay plus one shared queue; the demand is fitted to recent latency at the recent number in flight."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.aims = [float(c.aim) for c in settings.classes]
+        self.latency = [Mean(MEMORY) for _ in settings.classes]
+        self.shortest = [0.0] * len(self.aims)
+        self.in_flight, self.risen = Mean(MEMORY), False
+        self.delay, self.mean, self.times = 0.0, 0.0, [0.0]
+        self.limit: int | None = None
+
+    def fit(self, now: int, out: int, outstanding: list[tuple[int, int]]) -> None:
+        """Refit; outstanding attempts older than the mean count as answers that late, to see jams in time."""
+        self.in_flight.add(now, out)
+        total = weight = delay = room = 0.0
+        for cls, latency in enumerate(self.latency):
+            latency.memory = int(min(LONG, max(MEMORY, SAMPLES * SECOND / max(1e-3, latency.rate(now)))))
+            if latency.weight < 0.5:
+                continue
+            ages = [age for c, age in outstanding if c == cls and age > latency.value]
+            w = latency.weight + len(ages)
+            mean = (latency.total + sum(ages)) / w
+            if latency.weight >= 4.0:
+                grown = self.shortest[cls] * (1.0 + DELAY_GROWTH * TICK / SECOND)
+                self.shortest[cls] = min(grown, latency.value) if grown else latency.value
+            total, weight, delay = total + mean * w, weight + w, delay + (self.shortest[cls] or mean) * w
+            room += w * self.room(cls)
+        self.risen, self.limit, n = False, None, ceil(self.in_flight.value)
+        if weight:
+            self.mean, self.delay = total / weight, min(delay / weight, total / weight)
+            self.risen = self.mean - self.delay > RISE * room / weight and n > 1
+        if self.risen:
+            self._fit_demand(n)
+
+    def _fit_demand(self, n: int) -> None:
+        low, high = 0.0, self.mean
+        for _ in range(20):
+            demand = (low + high) / 2
+            over = mean_values(demand, self.delay, n)[n] > self.mean
+            low, high = (low, demand) if over else (demand, high)
+        self.times = mean_values(high, self.delay, 4 * n + 20)
+        room = TARGET * min(self.room(cls) for cls in range(len(self.aims)))
+        self.limit = max(2, sum(t - self.delay <= room for t in self.times) - 1)
+
+    def room(self, cls: int) -> float:
+        return max(self.aims[cls] - self.shortest[cls], self.aims[cls] / 4)
+
+    def response(self, n: float) -> float:
+        return self.times[min(max(0, round(n)), len(self.times) - 1)]
+
+
+def seven_cases(wanted: int, response: Goal, throughput: Goal, others: Goal) -> int:
+    """The paper's section 5: concurrency offered, 0 to reject; each goal tells whether it holds at one."""
+
+    def first(levels: range, *goals: Goal) -> int:
+        return next((n for n in levels if all(goal(n) for goal in goals)), 0)
+
+    fewer, more = range(wanted - 1, 0, -1), range(wanted + 1, 2 * wanted + 1)
+
+    r, x, w = response(wanted), throughput(wanted), others(wanted)
+    if w and r and x:
+        return wanted  # case 1
+    if w and x:  # case 2: too slow; fewer, or else the fewest that keep the throughput
+        return first(fewer, response, throughput) or first(fewer[::-1], throughput) or wanted
+    if w and r:  # case 3: too little throughput; more, or else as many as stay fast enough
+        return first(more, response, throughput, others) or first(more[::-1], response, others) or wanted
+    if w:  # case 4: both
+        return first(fewer, response) or first(more, throughput, others) or wanted
+    both = first(fewer, response, throughput, others) or first(fewer, others, throughput)  # cases 5 to 7
+    return (x and both) or first(fewer, others)
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -31,7 +31,7 @@
     Topology,
     Watch,
 )
-from ..decide.broker import Gateway
+from ..decide.broker import Broker
 from ..backends.pools import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
 from ..fronts.clients import BadCall, Call, Clients, Slot
 from ..config.platform import Config, needs_restart
@@ -64,14 +64,14 @@
         self.timer: asyncio.TimerHandle | None = None
 
 
-class Node:
+class Gateway:
     """One running gateway."""
 
     def __init__(self, config: Config) -> None:
         self.config = config
         self._loop = asyncio.get_running_loop()
         self.now = monotonic_unix_ns()
-        self.module = Gateway(config.settings, config.seed, self.now())
+        self.module = Broker(config.settings, config.seed, self.now())
         self._numbers = count(1)
         self._requests: dict[int, Request] = {}
         self._ids: set[bytes] = set()  # of the requests that still owe an answer
--- a/trackspread/simulator/host.py
+++ b/trackspread/simulator/host.py
@@ -1,4 +1,4 @@
-"""Host loop for the simulator's wire: one `Gateway` an instance, nothing shared between them."""
+"""Host loop for the simulator's wire: one `Broker` an instance, nothing shared between them."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 import sys
 from typing import BinaryIO
 
-from ..decide.broker import Gateway
+from ..decide.broker import Broker
 from .wire import DIE, Down, SettingsError, Up, WireError, decode, encode, encode_action
 from .wire import parse_settings, text_record
 
 
-def _answer(instances: dict[int, Gateway], body: bytes, base: int) -> bytes:
+def _answer(instances: dict[int, Broker], body: bytes, base: int) -> bytes:
     """The whole reply to one batch; a fault of the decision code becomes `die` with its text."""
     now, events = decode(body, base)
     replies: dict[int, list[bytes]] = {}
@@ -19,7 +19,7 @@
         out = replies.setdefault(instance, [])
         try:
             if isinstance(event, Up):
-                instances[instance] = Gateway(parse_settings(event.settings), event.seed, now)
+                instances[instance] = Broker(parse_settings(event.settings), event.seed, now)
             elif isinstance(event, Down):
                 instances.pop(instance, None)
             elif instance in instances:
@@ -33,7 +33,7 @@
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
     """Answer batches until the input ends."""
-    instances: dict[int, Gateway] = {}
+    instances: dict[int, Broker] = {}
     at = 0
     while True:
         header = source.read(4)
