Seams: fronts, backend dialects and list sources each behind a protocol of their own

A front now turns bytes to a Call and an answer to bytes, a dialect turns a Call to bytes and bytes to an outcome, a source yields Topology; order, bounds and pools serve all alike.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -9,6 +9,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from trackspread.decide.broker import EVERY_TICK, Broker
 from trackspread.decide.interface import (
     NEVER_RAN,
     Action,
@@ -24,9 +25,8 @@
     Tell,
     TimerFired,
 )
-from trackspread.decide.broker import EVERY_TICK, Broker
-from trackspread.decide.model import TICK
 from trackspread.decide.mail import pack_totals
+from trackspread.decide.model import TICK
 
 from .helpers import (
     KEYED,
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -10,12 +10,15 @@
 
 import pytest
 
-from trackspread.decide.interface import Outcome
 from trackspread.backends import pools as backends
-from trackspread.backends.pools import (
-    Ages, Attempt, Backends, Report, monotonic_unix_ns, read_answer, read_report,
-)
-from trackspread.framing.resp import AnswerFrames
+from trackspread.backends.ages import Ages
+from trackspread.backends.pools import Attempt, Backends
+from trackspread.backends.resp import RespDialect, read_answer, read_report
+from trackspread.backends.seam import Report
+from trackspread.call import Call
+from trackspread.clock import monotonic_unix_ns
+from trackspread.decide.interface import Outcome
+from trackspread.framing.resp import AnswerFrames, Words
 
 from .fakes import LOCAL, Backend, Connection, bulk, listening, run, served, soon, until
 
@@ -31,15 +34,16 @@
         self.ends: asyncio.Queue[Ended] = asyncio.Queue()
         self.pools = Backends(
             most, connect, idle, grace, CLOCK,
-            lambda attempt, *end: self.ends.put_nowait((attempt.request, *end)),
+            lambda attempt, *end: self.ends.put_nowait((attempt.request, *end)), RespDialect(),
         )
 
     def start(
         self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7
     ) -> Attempt:
         now = CLOCK()
-        parts = ((b"CALL.POST", b"c", b"i"), b"c=x,", b",k=y", (body,))
-        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, parts)
+        words = Words((b"CALL.POST", b"c", b"i"), b"c=x,", b",k=y", (body,))
+        call = Call(words, b"i", 0, 0, 1, 3000, 1.0, 1, 0, 0)
+        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, call)
         self.pools.start(attempt, timeout)
         return attempt
 
@@ -186,7 +190,7 @@
             attempt = b.start(1)
             connection, _ = await backend.command()
             assert attempt.link is not None
-            monkeypatch.setattr(attempt.link, "reader", Noted())
+            monkeypatch.setattr(attempt.link.answers, "_reader", Noted())
             connection.send(b"*3\r\n$1\r\nv\r\n*100000000\r\n")
             assert (await b.end())[1] is Outcome.RESET
             assert not any(b"00000" in data for data in fed)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -10,11 +10,25 @@
 import pytest
 
 from trackspread.decide.interface import (
-    Action, Arrival, AttemptEnded, Cancel, ClientLeft, CloseIdle, Event, Fail, Outcome, Probe, Probed, Refuse,
-    Send, SetTimer, Tell, TimerFired, Topology,
+    Action,
+    Arrival,
+    AttemptEnded,
+    Cancel,
+    ClientLeft,
+    CloseIdle,
+    Event,
+    Fail,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    SetTimer,
+    Tell,
+    TimerFired,
+    Topology,
 )
-
-from trackspread.fronts import clients
+from trackspread.fronts import connections as clients
 
 from .fakes import CUSTOMER, World, bulk, call, host, listing, run, served, soon, until, world
 
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -8,16 +8,30 @@
 
 import pytest
 
+from trackspread.config.addresses import Address
+from trackspread.config.platform import parse
 from trackspread.decide.interface import Backend, Health, ListKind, PeerMessage
 from trackspread.lists import agent as discovery
+from trackspread.lists.agent import Discovery, parse_update
+from trackspread.lists.seam import ListError, Update, backend_id
 from trackspread.node import gateway
-from trackspread.config.platform import Address, parse
-from trackspread.lists.agent import Discovery, ListError, Update, backend_id, parse_update
 from trackspread.node.gateway import Gateway
 from trackspread.peers.datagrams import Peers
 
 from .fakes import (
-    LOCAL, Agent, call, config, host, listening, listing, raw_config, run, served, soon, until, world,
+    LOCAL,
+    Agent,
+    call,
+    config,
+    host,
+    listening,
+    listing,
+    raw_config,
+    run,
+    served,
+    soon,
+    until,
+    world,
 )
 from .test_net_clients import Script
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -14,12 +14,25 @@
 
 import pytest
 
-from trackspread.fronts.clients import QUIET
-from trackspread.config.platform import ConfigError, flatten, load, needs_restart, parse, reload
+from trackspread.config.addresses import ConfigError
+from trackspread.config.platform import flatten, load, needs_restart, parse, reload
+from trackspread.fronts.connections import QUIET
 
 from .fakes import (
-    LOCAL, Agent, Backend, Connection, call, host, listening, listing, nested_settings, raw_config, run,
-    served, soon, until,
+    LOCAL,
+    Agent,
+    Backend,
+    Connection,
+    call,
+    host,
+    listening,
+    listing,
+    nested_settings,
+    raw_config,
+    run,
+    served,
+    soon,
+    until,
 )
 
 COMMAND = (sys.executable, "-m", "trackspread")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 
+from trackspread.decide.broker import EVERY_TICK, HOLD, Broker
 from trackspread.decide.interface import (
     Action,
     AddToCounter,
@@ -25,10 +26,9 @@
     Tell,
     TimerFired,
 )
-from trackspread.decide.broker import EVERY_TICK, HOLD, Broker
+from trackspread.decide.mail import Draw, Kind, pack_draw, unpack_draw
 from trackspread.decide.model import TICK
 from trackspread.decide.quota import OPEN
-from trackspread.decide.mail import Draw, Kind, pack_draw, unpack_draw
 
 from .helpers import MS, SECOND, UNSAFE, arrival, backend, ended, full_list, plan, settings
 from .test_broker import EVENTS, Bench
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,14 @@
 import pytest
 
 from trackspread.decide.interface import (
-    Arrival, AttemptEnded, Backend, LogLine, Outcome, Send, SetTimer, Topology,
+    Arrival,
+    AttemptEnded,
+    Backend,
+    LogLine,
+    Outcome,
+    Send,
+    SetTimer,
+    Topology,
 )
 from trackspread.simulator import wire
 
--- a/trackspread/__main__.py
+++ b/trackspread/__main__.py
@@ -11,7 +11,8 @@
 
 import uvloop
 
-from .config.platform import Config, ConfigError, load, reload
+from .config.addresses import ConfigError
+from .config.platform import Config, load, reload
 from .node.gateway import Gateway
 
 HANGUP = {signal.SIGHUP}  # held back, never at its default, wherever no handler is in place: that would kill
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -1,22 +1,23 @@
-"""Connection pools to the backends, and one attempt at a time on each connection."""
+"""Connection pools to the backends, and one attempt at a time on each connection.
+
+May know: bytes, time, descriptors, the outcomes. May not know: the protocol spoken (`seam.Dialect`), or which
+backend a request goes to, how often and for how long: that is the decision module's.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import re
 import select
-import time
-from bisect import bisect
 from collections.abc import Callable
 from typing import cast
 
-import hiredis
-
+from ..call import Call
+from ..config.addresses import Address
 from ..decide.interface import Outcome
-from ..config.platform import Address
 from ..logs import Sparing
-from ..framing.resp import AnswerFrames, FrameError
+from .ages import Ages
+from .seam import Dialect, Report, Spoilt
 
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
@@ -25,104 +26,38 @@
 SETTLE = 0.005  # s that a connection rests after an answer, where another is free: a second copy may follow
 RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
 SWEEP = 1.0  # s between looks for idle connections to retire
-AGES = tuple(0.05 * 2**i for i in range(9))  # s at rest that part kept connections into groups
 AGE_BREAK = 0.02  # s after a request's last byte in which a reset is the answer to it: over a round trip
-AGE_BREAKS, AGE_PART = 3.0, 0.15  # breaks in a group, and their part, from which it counts as stale
-AGE_KEPT = 0.97  # part of a group's count that a second leaves: what was stale is tried again within minutes
 GRACE_PART = 0.8  # part of the drain grace in which a late connection is still written to: a loop may lag
 MILLISECOND = 1_000_000
 
-# What the protocol writes, not all that Python reads as a number: no sign and no infinity.
-_NUMBER = re.compile(rb"[0-9]{1,20}(?:\.[0-9]{1,20})?(?:[eE][+-]?[0-9]{1,2})?")
-
-Report = dict[str, float]
-Ending = tuple[Outcome, "bytes | None", Report]
 Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
 
 
 class Attempt:
-    """One try of one request at one backend."""
+    """One try of one request at one backend; a probe if `call` is None."""
 
-    __slots__ = ("backend", "expires", "index", "link", "parts", "request", "started", "timer")
+    __slots__ = ("backend", "call", "expires", "index", "link", "request", "started", "timer")
 
     def __init__(
-        self, request: int, index: int, backend: int, started: int, expires: int,
-        parts: tuple[tuple[bytes, ...], bytes, bytes, tuple[bytes, ...]],
+        self, request: int, index: int, backend: int, started: int, expires: int, call: Call | None
     ) -> None:
         self.request, self.index, self.backend = request, index, backend
         self.started, self.expires = started, expires
-        self.parts = parts
+        self.call = call
         self.link: _Link | None = None
         self.timer: asyncio.TimerHandle | None = None
 
-    def payload(self, now: int) -> bytes:
-        """The client's own bytes, but for `d`: the time for which this attempt is waited for."""
-        front, head, tail, body = self.parts
-        left = max(1, -(-(self.expires - now) // MILLISECOND))
-        words: tuple[bytes, ...] = (*front, b"%bd=%d%b" % (head, left, tail), *body)
-        return cast(bytes, hiredis.pack_command(words))  # type: ignore[arg-type]
-
-    def read(self, answer: object) -> Ending:
-        return read_answer(answer)
-
-
-class ProbeAttempt(Attempt):
-    """Asks a backend for its load; on a pooled connection like any attempt, but of no request."""
-
-    __slots__ = ()
-
-    def __init__(self, backend: int, started: int, expires: int) -> None:
-        super().__init__(0, 0, backend, started, expires, ((), b"", b"", ()))
-
-    def payload(self, now: int) -> bytes:
-        return cast(bytes, hiredis.pack_command((b"INFO", b"load")))  # type: ignore[arg-type]
-
-    def read(self, answer: object) -> Ending:
-        return (Outcome.OK, None, read_report(answer)) if isinstance(answer, bytes) else read_answer(answer)
-
-
-class Spoilt(ValueError):
-    """An answer that is none by the protocol: the request may have run, the connection is of no use."""
-
-
-class Ages:
-    """How long a connection may rest and still be likely to serve.
-
-    Something on the way, or the backend itself, may drop a connection at rest long before the time in the
-    settings and tell nobody: the next request on it is answered by a reset, and may have run.
-    """
-
-    def __init__(self, most: float) -> None:
-        self.most = self.limit = most
-        self._tries, self._breaks = ([0.0] * (len(AGES) + 1) for _ in range(2))
-
-    def tried(self, age: float) -> None:
-        self._tries[bisect(AGES, age)] += 1.0
-
-    def broke(self, age: float) -> None:
-        self._breaks[bisect(AGES, age)] += 1.0
-        self._judge()
-
-    def decay(self) -> None:
-        """Called once a second."""
-        for counts in (self._tries, self._breaks):
-            counts[:] = [AGE_KEPT * count for count in counts]
-        self._judge()
-
-    def _judge(self) -> None:
-        # The freshest are kept come what may: a backend that breaks on those does so whatever their age.
-        self.limit = self.most
-        for group in range(1, len(self._tries)):
-            breaks = self._breaks[group]
-            if breaks >= AGE_BREAKS and breaks >= AGE_PART * self._tries[group]:
-                self.limit = min(self.most, AGES[group - 1])
-                return
+    def payload(self, dialect: Dialect, now: int) -> bytes:
+        """`d` is the time for which this attempt is waited for."""
+        if self.call is None:
+            return dialect.probe()
+        return dialect.request(self.call, max(1, -(-(self.expires - now) // MILLISECOND)))
 
 
 class _Link(asyncio.Protocol):
     """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
 
-    __slots__ = ("age", "attempt", "frames", "idle_at", "pool", "reader", "task", "timer", "transport",
+    __slots__ = ("age", "answers", "attempt", "idle_at", "pool", "task", "timer", "transport",
                  "unsent", "written_at")
 
     def __init__(self, pool: _Pool, attempt: Attempt) -> None:
@@ -131,7 +66,7 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.reader, self.frames = hiredis.Reader(), AnswerFrames()
+        self.answers = pool.owner.dialect.answers()
         self.unsent = True
         self.idle_at = self.written_at = 0.0
         self.age = -1.0  # s at rest before its request; negative on a new one
@@ -152,7 +87,7 @@
         if self.idle_at:
             self.age = self.written_at - self.idle_at
             self.pool.owner.ages.tried(self.age)
-        transport.write(attempt.payload(now))
+        transport.write(attempt.payload(self.pool.owner.dialect, now))
         # A write that met a broken connection leaves the transport closing, with nothing sent.
         self.unsent = transport.is_closing() or transport.get_write_buffer_size() > 0
 
@@ -171,15 +106,13 @@
                 self.pool.finish(attempt, Outcome.CONNECT_FAILED)
             return
         try:
-            end = self.frames.scan(data, 0)
-            self.reader.feed(data if end < 0 else data[:end])
-            if end < 0:
-                if self.timer is None:
-                    self.timer = self.pool.owner.loop.call_later(STALL, self._spoilt, "answer without end")
-                return
-            ending = attempt.read(self.reader.gets())
-        except (FrameError, Spoilt, hiredis.ProtocolError, ValueError) as error:
+            end, ending = self.answers.read(data, attempt.call is None)
+        except Spoilt as error:
             return self._spoilt(str(error))
+        if ending is None:
+            if self.timer is None:
+                self.timer = self.pool.owner.loop.call_later(STALL, self._spoilt, "answer without end")
+            return
         self.quiet()
         self.attempt = None
         if end < len(data):
@@ -216,7 +149,7 @@
         self.pool.lost(self)
         if attempt is not None:
             owner = self.pool.owner
-            at_once = not self.frames.midway and owner.time() - self.written_at <= AGE_BREAK
+            at_once = not self.answers.midway and owner.time() - self.written_at <= AGE_BREAK
             if self.age >= 0.0 and at_once:
                 owner.ages.broke(self.age)
             self.pool.finish(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
@@ -232,34 +165,6 @@
         self.pool.lost(self)
 
 
-def read_report(text: bytes) -> Report:
-    """`name=number` pairs; what is no such text is no report."""
-    report: Report = {}
-    for item in text.split(b","):
-        name, _, number = item.partition(b"=")
-        if not (name.isascii() and _NUMBER.fullmatch(number)):
-            return {}
-        report[name.decode()] = float(number)
-    return report
-
-
-def read_answer(answer: object) -> Ending:
-    """What a whole answer means: outcome, the value if it was served, the load report.
-
-    Value and framing must be right; a report or figures that can't be read spoil nothing."""
-    if isinstance(answer, list) and isinstance(answer[0], bytes):
-        told = answer[2]
-        return Outcome.OK, answer[0], read_report(told) if isinstance(told, bytes) else {}
-    if isinstance(answer, hiredis.ReplyError):
-        line = str(answer)
-        for words, outcome in (("ERR failed", Outcome.ERROR), ("BUSY", Outcome.FULL)):
-            if line == words:
-                return outcome, None, {}
-            if line.startswith(words + " "):
-                return outcome, None, read_report(line[len(words) + 1:].encode())
-    raise Spoilt(f"{answer!r:.80}")
-
-
 class _Pool:
     """The connections to one backend."""
 
@@ -357,13 +262,13 @@
 
     def __init__(
         self, most: int, connect_timeout: float, idle_limit: float, drain_grace: float,
-        clock: Callable[[], int], done: Done,
+        clock: Callable[[], int], done: Done, dialect: Dialect,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
         self.open = 0
         self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
-        self.clock = clock
+        self.clock, self.dialect = clock, dialect
         self._most, self._done = most, done
         self._grace = drain_grace * GRACE_PART
         self._pools: dict[int, _Pool] = {}
@@ -454,9 +359,3 @@
         for pool in self._pools.values():
             for link in list(pool.links):
                 link.drop()
-
-
-def monotonic_unix_ns() -> Callable[[], int]:
-    """A clock that never goes back and reads Unix time at its start, so that `born_ms` lies on it."""
-    base = time.time_ns() - time.monotonic_ns()
-    return lambda: base + time.monotonic_ns()
--- /dev/null
+++ b/trackspread/backends/resp.py
@@ -0,0 +1,92 @@
+"""RESP2 towards backends: attempts and probes to bytes, answers to outcomes.
+
+May know: words and framing. May not know: connections, time-outs, decisions.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import cast
+
+import hiredis
+
+from ..call import Call
+from ..decide.interface import Outcome
+from ..framing.resp import AnswerFrames, FrameError, Words
+from .seam import Ending, Report, Spoilt
+
+# What the protocol writes, not all that Python reads as a number: no sign and no infinity.
+_NUMBER = re.compile(rb"[0-9]{1,20}(?:\.[0-9]{1,20})?(?:[eE][+-]?[0-9]{1,2})?")
+
+
+def read_report(text: bytes) -> Report:
+    """`name=number` pairs; what is no such text is no report."""
+    report: Report = {}
+    for item in text.split(b","):
+        name, _, number = item.partition(b"=")
+        if not (name.isascii() and _NUMBER.fullmatch(number)):
+            return {}
+        report[name.decode()] = float(number)
+    return report
+
+
+def read_answer(answer: object) -> Ending:
+    """What a whole answer means: outcome, the value if it was served, the load report.
+
+    Value and framing must be right; a report or figures that can't be read spoil nothing."""
+    if isinstance(answer, list) and isinstance(answer[0], bytes):
+        told = answer[2]
+        return Outcome.OK, answer[0], read_report(told) if isinstance(told, bytes) else {}
+    if isinstance(answer, hiredis.ReplyError):
+        line = str(answer)
+        for words, outcome in (("ERR failed", Outcome.ERROR), ("BUSY", Outcome.FULL)):
+            if line == words:
+                return outcome, None, {}
+            if line.startswith(words + " "):
+                return outcome, None, read_report(line[len(words) + 1:].encode())
+    raise Spoilt(f"{answer!r:.80}")
+
+
+def read_probe(answer: object) -> Ending:
+    """What `INFO load` brought: the report as a string, or an error line."""
+    return (Outcome.OK, None, read_report(answer)) if isinstance(answer, bytes) else read_answer(answer)
+
+
+class _Answers:
+    """One connection's answers; hiredis reads what `AnswerFrames` has found to be whole."""
+
+    __slots__ = ("_frames", "_reader")
+
+    def __init__(self) -> None:
+        self._reader, self._frames = hiredis.Reader(), AnswerFrames()
+
+    @property
+    def midway(self) -> bool:
+        return self._frames.midway
+
+    def read(self, data: bytes, probe: bool) -> tuple[int, Ending | None]:
+        try:
+            end = self._frames.scan(data, 0)
+            self._reader.feed(data if end < 0 else data[:end])
+            if end < 0:
+                return -1, None
+            answer = self._reader.gets()
+            return end, read_probe(answer) if probe else read_answer(answer)
+        except (FrameError, hiredis.ProtocolError, ValueError) as error:
+            raise Spoilt(str(error)) from None
+
+
+class RespDialect:
+    """RESP2, for all connections of one gateway."""
+
+    def answers(self) -> _Answers:
+        return _Answers()
+
+    def request(self, call: Call, left_ms: int) -> bytes:
+        """The client's own bytes, but for `d`."""
+        form = cast(Words, call.form)
+        words: tuple[bytes, ...] = (*form.front, b"%bd=%d%b" % (form.head, left_ms, form.tail), *form.body)
+        return cast(bytes, hiredis.pack_command(words))  # type: ignore[arg-type]
+
+    def probe(self) -> bytes:
+        return cast(bytes, hiredis.pack_command((b"INFO", b"load")))  # type: ignore[arg-type]
--- a/trackspread/config/platform.py
+++ b/trackspread/config/platform.py
@@ -10,12 +10,7 @@
 
 from ..decide.interface import Settings
 from ..simulator.wire import SettingsError, parse_settings
-
-Address = tuple[str, int]
-
-
-class ConfigError(ValueError):
-    """A configuration that the gateway cannot start with; the text says what is wrong."""
+from .addresses import Address, ConfigError, address
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,14 +58,6 @@
     return "_".join(value.replace(",", " ").split(" ")) if isinstance(value, str) else str(value)
 
 
-def address(text: Any, what: str) -> Address:
-    """`host:port` as a pair."""
-    host, colon, port = str(text).rpartition(":")
-    if not (colon and host and port.isascii() and port.isdigit() and 0 <= int(port) <= 0xFFFF):
-        raise ConfigError(f"{what}: {text!r} is no host:port")
-    return host, int(port)
-
-
 def _part(holder: Any, key: str, kind: type | tuple[type, ...], what: str) -> Any:
     value = holder.get(key)
     if not isinstance(value, kind) or isinstance(value, bool):
--- a/trackspread/framing/resp.py
+++ b/trackspread/framing/resp.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 VALUE_MOST = 64 << 10  # bytes of one value, by the protocol
 COMMAND_MOST = VALUE_MOST + 4096  # bytes of a whole command: the value, names and values, framing
 ARGUMENTS_MOST = 16  # words of a command; the longest that a client has a use for holds five
@@ -12,6 +14,15 @@
 DEPTH_MOST = 2  # arrays in one another in an answer
 
 
+class Words(NamedTuple):
+    """A client's command, to be passed on as it came but for the value of `d`."""
+
+    front: tuple[bytes, ...]  # command, customer, id
+    head: bytes  # names and values before `d`, with the comma behind them
+    tail: bytes  # those after it, with the comma before them
+    body: tuple[bytes, ...]
+
+
 class FrameError(ValueError):
     """Nothing that follows on this connection can be read; the text says why."""
 
--- a/trackspread/fronts/clients.py
+++ b/trackspread/fronts/connections.py
@@ -1,30 +1,29 @@
-"""The RESP server: commands to calls, answers back in the order of the commands."""
+"""Connections of clients: order, bounds and backpressure, alike for every front.
+
+May know: bytes, time, how many connections there are. May not know: the protocol spoken (`seam.Front`), nor
+what becomes of a call. A front that answers in another order than that of the calls needs more than this.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import fcntl
 import logging
-import re
 import struct
 import termios
 from collections import deque
 from itertools import chain
 from typing import Protocol, cast
 
-import hiredis
-
-from ..decide.interface import Repeat
-from ..config.platform import Config
+from ..call import BadCall, Call
+from ..config.addresses import Address
 from ..logs import Sparing
-from ..framing.resp import CommandFrames, FrameError
+from .seam import Broken, Front, Item, Ping
 
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
 
-PAIRS_MOST = 1024  # bytes of a command's names and values
 PIPELINE = 32  # commands of one connection without an answer; what comes behind them waits unread
-WAIT_MOST = 86_400_000  # ms: no client waits longer than a day
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
@@ -40,113 +39,6 @@
 BUFFER_LEAST = 96 << 10  # bytes, for each connection, of what a client has not taken: over a whole value
 BUFFER_PART = 0.125  # of the memory, for what all clients together have not taken, and likewise not been read
 SECOND = 1_000_000_000
-RETRY_FLAG = 2  # bit of `options`: a client's repeat
-
-
-# As the protocol has them; Python's own `int` and `float` take signs, underscores and spaces too.
-_CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
-_ID = re.compile(rb"[0-9A-Za-z_.:-]{1,64}")
-_KEY = re.compile(rb"[\x21-\x7e]{1,128}")
-_UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
-
-
-class BadCall(ValueError):
-    """A command that cannot be taken; the text is the client's answer."""
-
-
-class Call:
-    """One request as a client put it."""
-
-    __slots__ = ("body", "cls", "customer", "first", "front", "head", "id", "options", "plan", "spread",
-                 "tail", "units", "wait_ms")
-
-    def __init__(
-        self, front: tuple[bytes, ...], head: bytes, tail: bytes, body: tuple[bytes, ...], cls: int,
-        plan: int, customer: int, wait_ms: int, units: float, spread: int, first: int, options: int,
-    ) -> None:
-        self.front, self.head, self.tail, self.body = front, head, tail, body
-        self.id = front[2]
-        self.cls, self.plan, self.customer, self.wait_ms = cls, plan, customer, wait_ms
-        self.units, self.spread, self.first, self.options = units, spread, first, options
-
-
-class Catalogue:
-    """Names of classes and plans, for reading calls."""
-
-    def __init__(self, config: Config) -> None:
-        self._classes = {name: (i, c.repeat) for i, (name, c) in
-                         enumerate(zip(config.classes, config.settings.classes, strict=True))}
-        self._plans = {name: i for i, name in enumerate(config.plans)}
-        self._gateways, self._largest = config.settings.gateways, max(1.0, config.settings.largest)
-
-    def read(self, args: list[bytes]) -> Call:
-        """A call from a command's words; raises `BadCall` with a plain reason."""
-        if len(args) not in (4, 5):
-            raise BadCall("wrong number of arguments")
-        customer = _customer(args[1])
-        if not _ID.fullmatch(args[2]):
-            raise BadCall("bad request id")
-        if len(args[3]) > PAIRS_MOST:
-            raise BadCall("list of names and values too long")
-        items = args[3].split(b",")
-        pairs = [item.partition(b"=") for item in items]
-        named = {name: value for name, _, value in pairs}
-        if len(named) != len(pairs):
-            raise BadCall("a name stands twice")
-        if not all(name and equals for name, equals, _ in pairs):
-            raise BadCall("expected a list of name=value")
-        cls, repeat = self._classes.get(named.get(b"c", b""), (-1, Repeat.SAFE))
-        if cls < 0:
-            raise BadCall("unknown class")
-        plan = self._plans.get(named.get(b"t", b""), -1)
-        if plan < 0:
-            raise BadCall("unknown plan")
-        if (args[0].upper() == b"CALL.GET") != (repeat is Repeat.SAFE):
-            raise BadCall("the class is not served by this command")
-        if repeat is Repeat.SAFE and len(args) == 5:
-            raise BadCall("the class takes no value")
-        if repeat is Repeat.KEYED and not _KEY.fullmatch(named.get(b"k", b"")):
-            raise BadCall("k missing: the class wants an idempotency key")
-        if b"d" not in named:
-            raise BadCall("d missing")
-        at = next(i for i, pair in enumerate(pairs) if pair[0] == b"d")
-        before, after = b",".join(items[:at]), b",".join(items[at + 1:])
-        return Call(
-            front=(args[0], args[1], args[2]),
-            head=before + b"," if before else b"",
-            tail=b"," + after if after else b"",
-            body=tuple(args[4:]),
-            cls=cls,
-            plan=plan,
-            customer=customer,
-            wait_ms=_whole(named, b"d", 0, WAIT_MOST),
-            units=_units(named, self._largest),
-            spread=_whole(named, b"spread", 1, self._gateways),
-            first=_whole(named, b"first", 0, self._gateways - 1),
-            options=RETRY_FLAG if named.get(b"r") == b"1" else 0,
-        )
-
-
-def _customer(word: bytes) -> int:
-    number = int(word, 16) if _CUSTOMER.fullmatch(word) else -1
-    if not 0 <= number < 1 << 33:
-        raise BadCall("bad customer")
-    return number
-
-
-def _whole(named: dict[bytes, bytes], key: bytes, least: int, most: int) -> int:
-    word = named.get(key, b"")
-    if not (word.isdigit() and len(word) < 12 and least <= int(word) <= most):
-        raise BadCall(f"bad or missing {key.decode()}")
-    return int(word)
-
-
-def _units(named: dict[bytes, bytes], most: float) -> float:
-    word = named.get(b"units", b"1")
-    units = float(word) if _UNITS.fullmatch(word) else -1.0
-    if not 0.0 < units <= most:
-        raise BadCall("bad units")
-    return units
 
 
 class Slot:
@@ -158,6 +50,15 @@
         self.client, self.request = client, request
         self.answer: bytes | None = None
 
+    def served(self, call: Call, value: bytes) -> None:
+        self.client.answer(self, self.client.front.served(call, value))
+
+    def refused(self, call: Call, wait_ms: int) -> None:
+        self.client.answer(self, self.client.front.refused(call, wait_ms))
+
+    def failed(self, call: Call, reason: str) -> None:
+        self.client.answer(self, self.client.front.failed(call, reason))
+
 
 class Requests(Protocol):
     """What the server needs of the gateway."""
@@ -172,12 +73,13 @@
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = ("_blocked", "_ending", "_frames", "_half", "_late", "_lingering", "_owner", "_read_on",
-                 "_reader", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "said", "seen", "slots")
+    __slots__ = ("_blocked", "_ending", "_half", "_late", "_lingering", "_owner", "_read_on",
+                 "_reading", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "front", "said", "seen",
+                 "slots")
 
     def __init__(self, owner: Clients) -> None:
-        self._owner = owner
-        self._reader, self._frames = hiredis.Reader(), CommandFrames()
+        self._owner, self.front = owner, owner.front
+        self._reading = self.front.reading()
         self._transport: asyncio.Transport | None = None
         self._ending = False  # nothing more is taken; closed once all that was taken is answered
         self._lingering = 0.0  # when reading on ends, once the last answer is written
@@ -223,16 +125,14 @@
             if len(self.slots) >= PIPELINE or self._blocked:
                 return self._hold(data[at:])
             try:
-                end = self._frames.scan(data, at)
-                self._reader.feed(data[at:end] if end >= 0 else data[at:])
-                if end < 0:
-                    self._half = self._half or self._owner.time()
-                    return
-                words = self._reader.gets()
-            except (FrameError, hiredis.ProtocolError) as error:
+                end, item = self._reading.read(data, at)
+            except Broken as error:
                 return self._broken(str(error))
+            if item is None:
+                self._half = self._half or self._owner.time()
+                return
             at, self._half = end, 0.0
-            self._command(words, waited)
+            self._item(item, waited)
 
     def _hold(self, rest: bytes) -> None:
         """Backpressure: more commands than are worked on at once stay where they are."""
@@ -276,28 +176,26 @@
     def _broken(self, reason: str) -> None:
         """Where the next command begins can't be known any more; what was taken before is still answered,
         or closing at once would lose it (rule 1)."""
-        log.warning("client sent broken RESP: %s", reason)
+        log.warning("client sent what can't be read: %s", reason)
         self._half, self._ending = 0.0, True
         slot = Slot(self)
         self.slots.append(slot)
         self._gate()
-        self.answer(slot, b"-ERR Protocol error: %b\r\n" % _line(reason))
+        self.answer(slot, self.front.broken(reason))
 
-    def _command(self, words: list[bytes], waited: float) -> None:
-        slot, name = Slot(self), words[0].upper()
+    def _item(self, item: Item, waited: float) -> None:
+        slot = Slot(self)
         self.slots.append(slot)
         self._owner.spoke(self)
-        if name in (b"CALL.GET", b"CALL.POST"):
+        if isinstance(item, Call):
             try:
-                self._owner.requests.take(self._owner.catalogue.read(words), slot, waited)
+                self._owner.requests.take(item, slot, waited)
             except BadCall as error:
-                self.answer(slot, b"-ERR %b\r\n" % _line(str(error)))
-        elif name == b"PING" and len(words) == 1:
-            # The front takes a gateway in on this word.
-            ready = self._owner.requests.ready()
-            self.answer(slot, b"+PONG\r\n" if ready else b"-LOADING no list of backends yet\r\n")
+                self.answer(slot, self.front.bad(str(error)))
+        elif isinstance(item, Ping):
+            self.answer(slot, self.front.pong(self._owner.requests.ready()))
         else:
-            self.answer(slot, b"-ERR unknown command\r\n")
+            self.answer(slot, item)
 
     def answer(self, slot: Slot, answer: bytes) -> None:
         """Kept until all before it on this connection are answered."""
@@ -366,7 +264,7 @@
     def resting(self) -> bool:
         """Between requests, with nothing unread in the socket; what is unwritten goes out before a close."""
         transport = cast(asyncio.Transport, self._transport)
-        busy = self.slots or self._rest or self._taking or self._frames.midway or self._ending
+        busy = self.slots or self._rest or self._taking or self._reading.midway or self._ending
         if busy or transport.is_closing():
             return False
         waiting = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
@@ -379,22 +277,21 @@
         cast(asyncio.Transport, self._transport).abort()
 
 
-def _line(text: str) -> bytes:
-    return text.encode().replace(b"\r", b" ").replace(b"\n", b" ")
-
-
 class Clients:
     """The listening socket and the connections that came through it."""
 
-    def __init__(self, config: Config, requests: Requests, most: int) -> None:
-        self.catalogue, self.requests = Catalogue(config), requests
+    def __init__(
+        self, address: Address, front: Front, requests: Requests, most: int, memory: int, longest: int
+    ) -> None:
+        """`memory`: bytes that the process may use; `longest`: the longest deadline, ns."""
+        self.front, self.requests = front, requests
         loop = asyncio.get_running_loop()
         self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
         self.bound = most
-        self.memory = int(config.memory * BUFFER_PART)  # bytes that all clients' rests may hold
+        self.memory = int(memory * BUFFER_PART)  # bytes that all clients' rests may hold
         self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
         self.held = 0  # bytes of all rests
-        self._address = config.listen
+        self._address = address
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
@@ -403,7 +300,7 @@
         self._last_came = 0.0
         self.closing = False
         # Every request has ended by then; only half a command can hold a connection open for longer.
-        self._longest = max(c.deadline for c in config.settings.classes) / SECOND + QUIET
+        self._longest = longest / SECOND + QUIET
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/trackspread/fronts/resp.py
@@ -0,0 +1,173 @@
+"""RESP2 towards clients, as the platform's pages have it: commands to calls, answers to bytes.
+
+May know: words, names of classes and plans. May not know: connections, pools, decisions.
+"""
+
+from __future__ import annotations
+
+import re
+
+import hiredis
+
+from ..call import RETRY_FLAG, BadCall, Call
+from ..decide.interface import Repeat, Settings
+from ..framing.resp import CommandFrames, FrameError, Words
+from .seam import PING, Broken, Item
+
+PAIRS_MOST = 1024  # bytes of a command's names and values
+WAIT_MOST = 86_400_000  # ms: no client waits longer than a day
+
+# As the protocol has them; Python's own `int` and `float` take signs, underscores and spaces too.
+_CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+_ID = re.compile(rb"[0-9A-Za-z_.:-]{1,64}")
+_KEY = re.compile(rb"[\x21-\x7e]{1,128}")
+_UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+
+
+class Catalogue:
+    """Names of classes and plans, for reading calls."""
+
+    def __init__(
+        self, settings: Settings, classes: tuple[bytes, ...], plans: tuple[bytes, ...]
+    ) -> None:
+        self._classes = {name: (i, c.repeat) for i, (name, c) in
+                         enumerate(zip(classes, settings.classes, strict=True))}
+        self._plans = {name: i for i, name in enumerate(plans)}
+        self._gateways, self._largest = settings.gateways, max(1.0, settings.largest)
+
+    def read(self, args: list[bytes]) -> Call:
+        """A call from a command's words; raises `BadCall` with a plain reason."""
+        if len(args) not in (4, 5):
+            raise BadCall("wrong number of arguments")
+        customer = _customer(args[1])
+        if not _ID.fullmatch(args[2]):
+            raise BadCall("bad request id")
+        if len(args[3]) > PAIRS_MOST:
+            raise BadCall("list of names and values too long")
+        items = args[3].split(b",")
+        pairs = [item.partition(b"=") for item in items]
+        named = {name: value for name, _, value in pairs}
+        if len(named) != len(pairs):
+            raise BadCall("a name stands twice")
+        if not all(name and equals for name, equals, _ in pairs):
+            raise BadCall("expected a list of name=value")
+        cls, repeat = self._classes.get(named.get(b"c", b""), (-1, Repeat.SAFE))
+        if cls < 0:
+            raise BadCall("unknown class")
+        plan = self._plans.get(named.get(b"t", b""), -1)
+        if plan < 0:
+            raise BadCall("unknown plan")
+        if (args[0].upper() == b"CALL.GET") != (repeat is Repeat.SAFE):
+            raise BadCall("the class is not served by this command")
+        if repeat is Repeat.SAFE and len(args) == 5:
+            raise BadCall("the class takes no value")
+        if repeat is Repeat.KEYED and not _KEY.fullmatch(named.get(b"k", b"")):
+            raise BadCall("k missing: the class wants an idempotency key")
+        if b"d" not in named:
+            raise BadCall("d missing")
+        at = next(i for i, pair in enumerate(pairs) if pair[0] == b"d")
+        before, after = b",".join(items[:at]), b",".join(items[at + 1:])
+        return Call(
+            form=Words(
+                (args[0], args[1], args[2]), before + b"," if before else b"", b"," + after if after else b"",
+                tuple(args[4:]),
+            ),
+            id=args[2],
+            cls=cls,
+            plan=plan,
+            customer=customer,
+            wait_ms=_whole(named, b"d", 0, WAIT_MOST),
+            units=_units(named, self._largest),
+            spread=_whole(named, b"spread", 1, self._gateways),
+            first=_whole(named, b"first", 0, self._gateways - 1),
+            options=RETRY_FLAG if named.get(b"r") == b"1" else 0,
+        )
+
+
+def _customer(word: bytes) -> int:
+    number = int(word, 16) if _CUSTOMER.fullmatch(word) else -1
+    if not 0 <= number < 1 << 33:
+        raise BadCall("bad customer")
+    return number
+
+
+def _whole(named: dict[bytes, bytes], key: bytes, least: int, most: int) -> int:
+    word = named.get(key, b"")
+    if not (word.isdigit() and len(word) < 12 and least <= int(word) <= most):
+        raise BadCall(f"bad or missing {key.decode()}")
+    return int(word)
+
+
+def _units(named: dict[bytes, bytes], most: float) -> float:
+    word = named.get(b"units", b"1")
+    units = float(word) if _UNITS.fullmatch(word) else -1.0
+    if not 0.0 < units <= most:
+        raise BadCall("bad units")
+    return units
+
+
+def _line(text: str) -> bytes:
+    return text.encode().replace(b"\r", b" ").replace(b"\n", b" ")
+
+
+class _Reading:
+    """One connection's commands; hiredis reads what `CommandFrames` has found to be whole."""
+
+    __slots__ = ("_catalogue", "_frames", "_reader")
+
+    def __init__(self, catalogue: Catalogue) -> None:
+        self._catalogue = catalogue
+        self._reader, self._frames = hiredis.Reader(), CommandFrames()
+
+    @property
+    def midway(self) -> bool:
+        return self._frames.midway
+
+    def read(self, data: bytes, at: int) -> tuple[int, Item | None]:
+        try:
+            end = self._frames.scan(data, at)
+            self._reader.feed(data[at:end] if end >= 0 else data[at:])
+            if end < 0:
+                return -1, None
+            words = self._reader.gets()
+        except (FrameError, hiredis.ProtocolError) as error:
+            raise Broken(str(error)) from None
+        return end, self._item(words)
+
+    def _item(self, words: list[bytes]) -> Item:
+        name = words[0].upper()
+        if name in (b"CALL.GET", b"CALL.POST"):
+            try:
+                return self._catalogue.read(words)
+            except BadCall as error:
+                return b"-ERR %b\r\n" % _line(str(error))
+        # The platform's own front takes a gateway in on the answer to PING.
+        return PING if name == b"PING" and len(words) == 1 else b"-ERR unknown command\r\n"
+
+
+class RespFront:
+    """RESP2, for all connections of one gateway."""
+
+    def __init__(self, settings: Settings, classes: tuple[bytes, ...], plans: tuple[bytes, ...]) -> None:
+        self._catalogue = Catalogue(settings, classes, plans)
+
+    def reading(self) -> _Reading:
+        return _Reading(self._catalogue)
+
+    def served(self, call: Call, value: bytes) -> bytes:
+        return b"$%d\r\n%b\r\n" % (len(value), value)
+
+    def refused(self, call: Call, wait_ms: int) -> bytes:
+        return b"-BUSY %d\r\n" % wait_ms if wait_ms else b"-BUSY\r\n"
+
+    def failed(self, call: Call, reason: str) -> bytes:
+        return self.bad(reason)
+
+    def bad(self, reason: str) -> bytes:
+        return b"-ERR %b\r\n" % _line(reason)
+
+    def broken(self, reason: str) -> bytes:
+        return b"-ERR Protocol error: %b\r\n" % _line(reason)
+
+    def pong(self, ready: bool) -> bytes:
+        return b"+PONG\r\n" if ready else b"-LOADING no list of backends yet\r\n"
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -1,4 +1,4 @@
-"""Discovery over HTTP: a watch that is followed in order, and taken up again where it broke."""
+"""The platform's agent over HTTP: a watch that is followed in order, and taken up again where it broke."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from hashlib import blake2b
 from typing import Any, cast
 
 import h11
 
+from ..config.addresses import Address, ConfigError, address
 from ..decide.interface import Backend, Health, ListKind, Topology
-from ..config.platform import Address, ConfigError, address
+from .seam import ListError, Update, backend_id
 
 log = logging.getLogger(__name__)
 
@@ -27,25 +27,6 @@
 _HEALTH = {"in_service": Health.READY, "terminating": Health.DRAINING, "terminated": Health.GONE}
 
 
-class ListError(ValueError):
-    """A list that cannot be read."""
-
-
-class Update:
-    """One version of the list or of its changes: for the module, and where each backend is reached."""
-
-    __slots__ = ("addresses", "topology")
-
-    def __init__(self, topology: Topology, addresses: dict[int, Address]) -> None:
-        self.topology = topology
-        self.addresses = addresses
-
-
-def backend_id(host: str) -> int:
-    """The same at every gateway and after every restart, as it hangs on the name alone."""
-    return int.from_bytes(blake2b(host.encode(), digest_size=6).digest(), "big")
-
-
 def parse_update(raw: Any, zones: tuple[str, ...], kinds: tuple[str, ...], cached: bool = False) -> Update:
     """Discovery's form to the module's; zone and kind become indices, as on the simulator's wire."""
     try:
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -7,6 +7,13 @@
 from collections import Counter
 from itertools import count
 
+from ..backends.pools import Attempt, Backends
+from ..backends.resp import RespDialect
+from ..backends.seam import Report
+from ..call import BadCall, Call
+from ..clock import monotonic_unix_ns
+from ..config.platform import Config, needs_restart
+from ..decide.broker import Broker
 from ..decide.interface import (
     Action,
     Arrival,
@@ -31,11 +38,10 @@
     Topology,
     Watch,
 )
-from ..decide.broker import Broker
-from ..backends.pools import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
-from ..fronts.clients import BadCall, Call, Clients, Slot
-from ..config.platform import Config, needs_restart
-from ..lists.agent import Discovery, ListError, Update, parse_update
+from ..fronts.connections import Clients, Slot
+from ..fronts.resp import RespFront
+from ..lists.agent import Discovery, parse_update
+from ..lists.seam import ListError, Update
 from ..peers.datagrams import Peers
 
 log = logging.getLogger(__name__)
@@ -83,9 +89,12 @@
         settings = config.settings
         self.backends = Backends(
             int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
-            settings.drain_grace / SECOND, self.now, self._attempt_ended,
+            settings.drain_grace / SECOND, self.now, self._attempt_ended, RespDialect(),
+        )
+        self.clients = Clients(
+            config.listen, RespFront(settings, config.classes, config.plans), self,
+            spare - int(spare * BACKEND_PART), config.memory, max(c.deadline for c in settings.classes),
         )
-        self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
         index = None
         if config.known is not None:
@@ -208,7 +217,7 @@
             self.backends.expire(attempt)
         if not request.closed:
             # The module left it open, perhaps after a fault: a failure promises nothing.
-            self._answer(number, request, b"-ERR out of time\r\n")
+            self._fail(number, request, "out of time")
             self._handle(ClientLeft(number))
 
     # Answers.
@@ -228,9 +237,9 @@
                 request.timer.cancel()
             self._requests.pop(number, None)
 
-    def _answer(self, number: int, request: Request, answer: bytes) -> None:
+    def _fail(self, number: int, request: Request, reason: str) -> None:
         self._close(number, request)
-        request.slot.client.answer(request.slot, answer)
+        request.slot.failed(request.call, reason)
 
     # From the backends.
 
@@ -238,7 +247,7 @@
         elapsed = max(0, self.now() - attempt.started)
         names = self.config.settings.report_names
         load = tuple(report[name] for name in names) if report and report.keys() >= set(names) else ()
-        if isinstance(attempt, ProbeAttempt):
+        if attempt.call is None:
             self._handle(Probed(outcome, attempt.backend, elapsed, load))
             return
         self._ends[outcome] += 1
@@ -246,7 +255,8 @@
         request = self._requests[number]
         request.out.pop(attempt.index, None)
         if outcome is Outcome.OK and value is not None and not request.closed:
-            self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value))
+            self._close(number, request)
+            request.slot.served(request.call, value)
         event = AttemptEnded(
             number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
         )
@@ -280,7 +290,7 @@
         """The request that a fault hit still gets its one answer, and the module need not keep it."""
         request = self._requests.get(number)
         if request is not None and not request.closed:
-            self._answer(number, request, b"-ERR internal fault\r\n")
+            self._fail(number, request, "internal fault")
             self._handle(ClientLeft(number))
 
     def _act(self, action: Action) -> None:
@@ -290,10 +300,11 @@
             case Refuse(number, retry_in):
                 if (request := self._requests.get(number)) is not None and not request.closed:
                     wait = -(-retry_in // MILLISECOND)
-                    self._answer(number, request, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+                    self._close(number, request)
+                    request.slot.refused(request.call, wait)
             case Fail(number):
                 if (request := self._requests.get(number)) is not None and not request.closed:
-                    self._answer(number, request, b"-ERR failed\r\n")
+                    self._fail(number, request, "failed")
             case SetTimer(after, token):
                 self._loop.call_later(after / SECOND, self._handle, TimerFired(token))
             case Tell(to, data):
@@ -308,7 +319,7 @@
                 log.info("%s", text)
             case Probe(backend) if self.config.settings.may_probe:
                 now, wait = self.now(), self.config.connect_timeout
-                self.backends.start(ProbeAttempt(backend, now, now + wait), wait / SECOND)
+                self.backends.start(Attempt(0, 0, backend, now, now + wait, None), wait / SECOND)
             case Watch():
                 pass  # the watch is open from the start
             case _:
@@ -329,9 +340,7 @@
         left = request.valid_until - now
         timeout = action.timeout / SECOND if 0 < action.timeout < left else None
         expires = now + (action.timeout if timeout is not None else left)
-        call = request.call
-        attempt = Attempt(action.request, index, action.backend, now, expires,
-                          (call.front, call.head, call.tail, call.body))
+        attempt = Attempt(action.request, index, action.backend, now, expires, request.call)
         request.out[index] = attempt
         self.backends.start(attempt, timeout)
 
--- a/trackspread/peers/datagrams.py
+++ b/trackspread/peers/datagrams.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import cast
 
+from ..config.addresses import Address
 from ..decide.mail import MESSAGE
-from ..config.platform import Address
 
 log = logging.getLogger(__name__)
 
