Operator's own file deploy/gateway.toml with a typed schema, and the commands run and check

Need: what comes next (roles, listeners, list sources) has no place in the platform's configuration, and a wrong key must not pass in silence. The file is checked whole by msgspec: one line with file, key, what was found and what is wanted. Without it nothing changes.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,6 +11,7 @@
 import hiredis
 import uvloop
 
+from trackspread.config.operator import DEFAULTS, Operator
 from trackspread.config.platform import Config, parse
 from trackspread.node.gateway import Gateway
 
@@ -210,11 +211,11 @@
 
 
 @asynccontextmanager
-async def world(**changes: Any) -> AsyncIterator[World]:
+async def world(operator: Operator = DEFAULTS, **changes: Any) -> AsyncIterator[World]:
     agent, backend = Agent(), Backend()
     async with listening(agent), listening(backend):
         agent.first = listing(1, host("s-1", backend.port))
-        node = Gateway(config(agent.port, None, **changes))
+        node = Gateway(config(agent.port, None, **changes), operator)
         await soon(node.start())
         try:
             yield World(node, agent, backend)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -9,6 +9,7 @@
 import hiredis
 import pytest
 
+from trackspread.config.operator import DEFAULTS, ClientBounds, Operator
 from trackspread.decide.interface import (
     Action,
     Arrival,
@@ -573,12 +574,12 @@
 def test_client_that_says_nothing_or_half_a_command_is_closed(
     said: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    assert clients.MUTE + clients.LOOK < 3.0
-    monkeypatch.setattr(clients, "MUTE", 0.02)
+    assert DEFAULTS.clients.mute_s + clients.LOOK < 3.0
+    quick = Operator(clients=ClientBounds(mute_s=0.02))
     monkeypatch.setattr(clients, "LOOK", 0.01)
 
     async def test() -> None:
-        async with world() as w:
+        async with world(quick) as w:
             client = await w.client()
             client.send(said)
             if said:
@@ -590,12 +591,12 @@
 
 
 def test_client_that_does_not_read_is_closed_and_its_commands_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    assert clients.STUCK + clients.LOOK < 3.0
-    monkeypatch.setattr(clients, "STUCK", 0.05)
+    assert DEFAULTS.clients.unread_s + clients.LOOK < 3.0
+    quick = Operator(clients=ClientBounds(unread_s=0.05))
     monkeypatch.setattr(clients, "LOOK", 0.01)
 
     async def test() -> None:
-        async with world() as w:
+        async with world(quick) as w:
             backend, most = only_backend(w), 600  # some 40 MB of answers, far over the sockets' buffers
             s = script(w, *[lambda a: [Send(a.request, backend, 0)]] * most)
 
@@ -619,7 +620,7 @@
 def test_commands_beyond_the_pipeline_wait_unread_and_are_all_answered_in_order() -> None:
     async def test() -> None:
         async with world() as w:
-            number = 3 * clients.PIPELINE
+            number = 3 * DEFAULTS.clients.pipeline
             arrived: list[int] = []
 
             def hold(a: Arrival) -> list[Action]:
@@ -629,16 +630,16 @@
             script(w, *[hold] * number)
             client = await w.client()
             client.send(b"".join(call(number=n) for n in range(number)))
-            await until(lambda: len(arrived) == clients.PIPELINE)
+            await until(lambda: len(arrived) == DEFAULTS.clients.pipeline)
             client.send(b"*1\r\n$4\r\nPING\r\n")
             while len(arrived) < number:
-                assert len(w.node._requests) <= clients.PIPELINE
+                assert len(w.node._requests) <= DEFAULTS.clients.pipeline
                 before = len(arrived)
                 w.node._act(Refuse(arrived[before - 1], 7 * MS))  # out of order: the last of them first
-                for request in arrived[before - clients.PIPELINE:before - 1]:
+                for request in arrived[before - DEFAULTS.clients.pipeline:before - 1]:
                     w.node._act(Refuse(request, 7 * MS))
                 await until(lambda before=before: len(arrived) > before)  # type: ignore[misc]
-            for request in arrived[-clients.PIPELINE:]:
+            for request in arrived[-DEFAULTS.clients.pipeline:]:
                 w.node._act(Refuse(request, 7 * MS))
             assert {str(await client.next()) for _ in range(number)} == {"BUSY 7"}
             assert await client.next() == b"PONG"
@@ -651,10 +652,10 @@
     async def test() -> None:
         async with world() as w:
             w.node.clients.memory = 10_000
-            script(w, *[lambda a: []] * clients.PIPELINE)
+            script(w, *[lambda a: []] * DEFAULTS.clients.pipeline)
             client = await w.client()
             client.send(b"".join(call(number=n, wait_ms=60) for n in range(300)))
-            answers = [str(await client.next()) for _ in range(clients.PIPELINE)]
+            answers = [str(await client.next()) for _ in range(DEFAULTS.clients.pipeline)]
             assert set(answers) == {"ERR out of time"}
             assert "too many" in str(await client.next())
             assert await client.next() is None and w.node.clients.held == 0
--- /dev/null
+++ b/tests/test_operator_file.py
@@ -0,0 +1,124 @@
+"""The operator's own file, and the commands that read it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from trackspread.cli import main
+from trackspread.config.addresses import ConfigError
+from trackspread.config.operator import DEFAULTS, LIVE, Operator, needs_restart, parse
+
+from .fakes import LOCAL, Connection, call, raw_config, run, served, soon, world
+
+SAMPLE = Path(__file__).parent.parent / "deploy" / "gateway.toml"
+
+
+def test_sample_names_every_key_with_its_default() -> None:
+    raw = tomllib.loads(SAMPLE.read_text())
+    told = msgspec.to_builtins(DEFAULTS)
+    assert told.pop("listeners") == () and raw == told
+    assert parse(SAMPLE.read_text(), "f") == DEFAULTS == parse("", "f")
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ("pipelin = 3", "pipelin: found an unknown key, wanted one of role, listeners, list, clients"),
+        ("[clients]\npipelin = 3", "clients.pipelin: found an unknown key, did you mean pipeline?"),
+        ("[clients]\npipeline = 0", "clients.pipeline: found 0, wanted int >= 1"),
+        ("[clients]\npipeline = 4096", "clients.pipeline: found 4096, wanted int <= 1024"),
+        ("[clients]\nidle_s = 'long'", "clients.idle_s: found 'long', wanted float"),
+        ("[clients]\nidle_s = nan", "clients.idle_s: found nan, wanted float >= 0.05"),
+        ("[backends]\ndescriptor_part = true", "backends.descriptor_part: found True, wanted float"),
+        ("role = 'relay'", "role: found 'relay', wanted one of 'gateway'"),
+        ("[log]\nlevel = 'loud'", "log.level: found 'loud', wanted one of 'debug', 'error', 'info'"),
+        ("clients = 3", "clients: found 3, wanted object"),
+        ("[[listeners]]\nprotocol = 'resp'", "listeners[0].address: found nothing, wanted a value"),
+        ("[[listeners]]\naddress = 'here'", "listeners[0].address: found 'here', wanted host:port"),
+        ("[[listeners]]\naddress = 'a:1'\nprotocol = 'grpc'",
+         "listeners[0].protocol: found 'grpc', wanted one of 'resp'"),
+        ("[[listeners]]\naddress = 'a:1'\n[[listeners]]\naddress = 'a:1'",
+         "listeners[1].address: found 'a:1' twice, wanted once each"),
+        ("[clients", "not TOML: "),
+    ],
+)
+def test_a_mistake_is_one_line_with_file_key_found_and_wanted(text: str, line: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(text, "own.toml")
+    told = str(caught.value)
+    assert told.startswith(f"own.toml: {line}") and "\n" not in told
+
+
+def test_what_needs_a_restart_is_told_by_table() -> None:
+    changed = parse("[backends]\ngrace_part = 0.5\n[clients]\npipeline = 4\n[log]\nlevel = 'error'", "f")
+    assert needs_restart(DEFAULTS, changed) == ["backends"]
+    assert set(Operator.__struct_fields__) > LIVE
+
+
+def test_check_names_both_files_or_the_mistake(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv("ROUTER_CONFIG", raising=False)
+    own, platform = tmp_path / "own.toml", tmp_path / "config.json"
+    platform.write_text(json.dumps(raw_config(1)))
+    own.write_text("[clients]\npipeline = 8")
+    assert main(["check", str(own), "--config", str(platform)]) == 0
+    assert capsys.readouterr().out.count(": ok: ") == 2
+    listen = json.loads(platform.read_text())["listen"]
+    for text, word in (("[clients]\npipeline = -8", "clients.pipeline: found -8"),
+                       (f"[[listeners]]\naddress = '{listen}'", "gives already")):
+        own.write_text(text)
+        assert main(["check", str(own), "--config", str(platform)]) == 2
+        told = capsys.readouterr().err
+        assert word in told and told.count("\n") == 1
+    assert main(["check", str(tmp_path / "none.toml")]) == 2
+    assert "No such file" in capsys.readouterr().err
+    assert main(["check"]) == 2
+    assert "nothing to check" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("words", [[], ["run"], ["run", "--file", "none.toml"]])
+def test_start_without_a_configuration_is_one_plain_line(words: list[str], tmp_path: Path) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "trackspread", *words], capture_output=True, text=True, check=False, env={},
+        cwd=SAMPLE.parent.parent, timeout=60,
+    )
+    assert done.returncode == 2 and done.stderr.startswith("trackspread: ") and done.stderr.count("\n") == 1
+
+
+def test_help_tells_of_every_command(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as ended:
+        main(["--help"])
+    told = capsys.readouterr().out
+    assert ended.value.code == 0 and all(word in told for word in ("run", "check", "ROUTER_CONFIG"))
+
+
+def test_every_listener_serves_and_live_bounds_are_taken_up() -> None:
+    async def test() -> None:
+        async with world(parse("[[listeners]]\naddress = '127.0.0.1:0'", "f")) as w:
+            for number, server in enumerate(w.node.clients._servers):
+                port = server.sockets[0].getsockname()[1]
+                client = Connection(*await soon(asyncio.open_connection(LOCAL, port)))
+                client.send(call(number=number))
+                connection, _ = await w.backend.command()
+                connection.send(served(b"V"))
+                assert await client.next() == b"V"
+            assert number == 1
+            fresh = parse("[clients]\npipeline = 1\n[log]\ntally_s = 3", "f")
+            w.node.reconfigure(w.node.config, fresh)
+            client = await w.client()
+            client.send(call(number=7) + call(number=8))
+            connection, words = await w.backend.command()
+            assert words[2].endswith(b"7") and len(w.node._requests) == 1
+            connection.send(served(b"7"))
+            assert await client.next() == b"7"
+
+    run(test)
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -27,7 +27,6 @@
 RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
 SWEEP = 1.0  # s between looks for idle connections to retire
 AGE_BREAK = 0.02  # s after a request's last byte in which a reset is the answer to it: over a round trip
-GRACE_PART = 0.8  # part of the drain grace in which a late connection is still written to: a loop may lag
 MILLISECOND = 1_000_000
 
 Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
@@ -261,7 +260,7 @@
     """All pools, bounded together so that descriptors never run out."""
 
     def __init__(
-        self, most: int, connect_timeout: float, idle_limit: float, drain_grace: float,
+        self, most: int, connect_timeout: float, idle_limit: float, grace: float,
         clock: Callable[[], int], done: Done, dialect: Dialect,
     ) -> None:
         self.loop = asyncio.get_running_loop()
@@ -270,7 +269,7 @@
         self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
         self.clock, self.dialect = clock, dialect
         self._most, self._done = most, done
-        self._grace = drain_grace * GRACE_PART
+        self._grace = grace
         self._pools: dict[int, _Pool] = {}
         self._sweeper = self.loop.call_later(SWEEP, self._sweep)
 
--- /dev/null
+++ b/trackspread/cli.py
@@ -0,0 +1,87 @@
+"""The command line: `run` (also without words), `check` and `try`.
+
+An operator's error ends with exit status 2 and one plain line on standard error.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from .config import operator, platform
+from .config.addresses import ConfigError
+from .node import serve
+
+DESCRIPTION = """\
+A gateway that gives each customer a cap on requests in flight, chosen by a small closed queuing model, so
+that latency and throughput aims hold beside the commitments already made."""
+
+ENVIRONMENT = """\
+environment:
+  ROUTER_CONFIG     path of the platform's configuration, JSON; wanted by run
+  ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY
+                    come before the values of that file
+"""
+
+
+def _parser() -> argparse.ArgumentParser:
+    shape = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(
+        prog="trackspread", description=DESCRIPTION, epilog=ENVIRONMENT, formatter_class=shape
+    )
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND", title="commands")
+    runs = commands.add_parser(
+        "run", help="run one gateway in the foreground (the same as no command at all)", epilog=ENVIRONMENT,
+        formatter_class=shape,
+    )
+    runs.add_argument(
+        "--file", metavar="FILE",
+        help=f"the operator's own file (left out: {serve.OWN_FILE}, if it is there, else defaults)",
+    )
+    checks = commands.add_parser("check", help="check configuration files without starting anything")
+    checks.add_argument("file", metavar="FILE", nargs="?", help="the operator's own file")
+    checks.add_argument(
+        "--config", metavar="JSON",
+        help="the platform's configuration (left out: ROUTER_CONFIG, if it is set)",
+    )
+    return parser
+
+
+def _check(file: str | None, config: str | None) -> None:
+    environment = {**os.environ, **({"ROUTER_CONFIG": config} if config else {})}
+    own = operator.load(Path(file)) if file else None
+    told = platform.load(environment) if environment.get("ROUTER_CONFIG") else None
+    if own is None and told is None:
+        raise ConfigError("nothing to check: name a FILE, --config JSON or ROUTER_CONFIG")
+    if own is not None and told is not None and told.listen in own.addresses():
+        raise ConfigError(f"{file}: listeners: found {told.listen[0]}:{told.listen[1]}, which the platform's "
+                          "configuration gives already, wanted another address")
+    if own is not None:
+        print(f"{file}: ok: role {own.role}, list from {own.list.source}, "
+              f"{len(own.listeners)} listener(s) besides the platform's")
+    if told is not None:
+        print(f"{environment['ROUTER_CONFIG']}: ok: {told.name}, {len(told.classes)} classes, "
+              f"{len(told.plans)} plans, {told.settings.gateways} gateways")
+
+
+def main(words: Sequence[str]) -> int:
+    """Exit status: 0, or 2 on an operator's error."""
+    given = _parser().parse_args(words)
+    try:
+        match given.command:
+            case "check":
+                _check(given.file, given.config)
+            case _:
+                serve.run(getattr(given, "file", None))
+    except ConfigError as error:
+        print(f"trackspread: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+def script() -> int:
+    """What the installed command calls."""
+    return main(sys.argv[1:])
--- /dev/null
+++ b/trackspread/config/operator.py
@@ -0,0 +1,172 @@
+"""The operator's own file: what this project adds to the platform's configuration, as a checked schema.
+
+Without the file, or with an empty one, every value is its default and the program is what the platform's
+pages describe. A mistake is one line: file, key, what was found and what is wanted. Only `load` does I/O.
+"""
+
+from __future__ import annotations
+
+import difflib
+import re
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from .addresses import Address, ConfigError, address
+
+Seconds = Annotated[float, msgspec.Meta(ge=0.05, le=3600.0)]
+Part = Annotated[float, msgspec.Meta(ge=0.05, le=0.95)]
+
+
+class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A table of the file; a key that it does not know is an error."""
+
+
+class Listener(_Table, frozen=True):
+    """One more address on which clients are served."""
+
+    address: str
+    protocol: Literal["resp"] = "resp"
+
+
+class List(_Table, frozen=True):
+    """Where the list of backends comes from."""
+
+    source: Literal["agent"] = "agent"  # the platform's agent, at the address that the platform gives
+
+
+class ClientBounds(_Table, frozen=True):
+    """What a client's connection is granted."""
+
+    pipeline: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 32  # calls without an answer; more waits unread
+    idle_s: Seconds = 25.0  # at rest after a call: under the usual half minute, and calm clients come sooner
+    mute_s: Seconds = 2.0  # without a whole call from connecting on, or from the first byte of one on
+    unread_s: Seconds = 2.0  # in which a client takes nothing of what waits for it
+
+
+class BackendBounds(_Table, frozen=True):
+    """What the pools to backends are granted."""
+
+    descriptor_part: Part = 0.5  # of the descriptors; each request needs one on either side at most
+    grace_part: Part = 0.8  # of the drain's grace in which a late connection is still written to
+
+
+class Log(_Table, frozen=True):
+    """The log, on standard error."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    tally_s: Seconds = 10.0  # between lines on how attempts ended
+
+
+class Operator(_Table, frozen=True):
+    """The whole file."""
+
+    role: Literal["gateway"] = "gateway"
+    listeners: tuple[Listener, ...] = ()
+    list: List = List()
+    clients: ClientBounds = ClientBounds()
+    backends: BackendBounds = BackendBounds()
+    log: Log = Log()
+
+    def addresses(self) -> tuple[Address, ...]:
+        return tuple(address(each.address, "listeners.address") for each in self.listeners)
+
+
+DEFAULTS = Operator()
+LIVE = frozenset({"clients", "log"})  # taken up by a running gateway; the rest needs a restart
+
+
+def needs_restart(old: Operator, new: Operator) -> list[str]:
+    """Tables that a running gateway does not take up."""
+    return [name for name in Operator.__struct_fields__
+            if name not in LIVE and getattr(old, name) != getattr(new, name)]
+
+
+def load(path: Path) -> Operator:
+    """The file's values; raises `ConfigError` with one line."""
+    try:
+        text = path.read_bytes().decode()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: {_plain(error)}") from None
+    return parse(text, str(path))
+
+
+def parse(text: str, name: str) -> Operator:
+    """As `load`, from the file's text; `name` stands for it in errors."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigError(f"{name}: not TOML: {error}") from None
+    try:
+        made = msgspec.convert(raw, Operator, strict=True)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{name}: {_explain(str(error), raw)}") from None
+    seen: set[Address] = set()
+    for number, listener in enumerate(made.listeners):
+        key = f"listeners[{number}].address"
+        try:
+            each = address(listener.address, key)
+        except ConfigError:
+            raise ConfigError(f"{name}: {key}: found {listener.address!r}, wanted host:port") from None
+        if each in seen:
+            raise ConfigError(f"{name}: {key}: found {listener.address!r} twice, wanted once each")
+        seen.add(each)
+    return made
+
+
+def _plain(error: Exception) -> str:
+    return (error.strerror if isinstance(error, OSError) else None) or "not UTF-8 text"
+
+
+_AT = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<path>.*)`)?$")
+_UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
+_MISSING = re.compile(r"Object missing required field `(.*)`")
+_WRONG = re.compile(r"Expected `(.*)`, got `.*`")
+_STEP = re.compile(r"\[(\d+)\]|([^.\[\]]+)")
+
+
+def _explain(message: str, raw: dict[str, Any]) -> str:
+    """msgspec's words as key, what was found and what is wanted."""
+    match = _AT.match(message)
+    what, path = (match["what"], match["path"] or "") if match else (message, "")
+    if unknown := _UNKNOWN.fullmatch(what):
+        known = _keys(path)
+        near = difflib.get_close_matches(unknown[1], known, 1)
+        wanted = f"did you mean {near[0]}?" if near else f"wanted one of {', '.join(known)}"
+        return f"{path and path + '.'}{unknown[1]}: found an unknown key, {wanted}"
+    if missing := _MISSING.fullmatch(what):
+        return f"{path and path + '.'}{missing[1]}: found nothing, wanted a value"
+    found = _found(path, raw)
+    if what.startswith("Invalid enum value"):
+        return f"{path}: found {found!r}, wanted one of {', '.join(map(repr, _choices(path)))}"
+    wrong = _WRONG.fullmatch(what)
+    wanted = wrong[1] if wrong else what.removeprefix("Expected ").replace("`", "")
+    return f"{path}: found {found!r}, wanted {wanted}"
+
+
+def _found(path: str, raw: Any) -> Any:
+    for index, key in _STEP.findall(path):
+        raw = raw[int(index)] if index else raw[key]
+    return raw
+
+
+def _field_type(path: str) -> msgspec.inspect.Type:
+    kind: msgspec.inspect.Type = msgspec.inspect.type_info(Operator)
+    for index, key in _STEP.findall(path):
+        if index and isinstance(kind, msgspec.inspect.VarTupleType):
+            kind = kind.item_type
+        elif isinstance(kind, msgspec.inspect.StructType):
+            kind = next(field.type for field in kind.fields if field.encode_name == key)
+    return kind
+
+
+def _keys(path: str) -> list[str]:
+    kind = _field_type(path)
+    return [f.encode_name for f in kind.fields] if isinstance(kind, msgspec.inspect.StructType) else []
+
+
+def _choices(path: str) -> tuple[Any, ...]:
+    kind = _field_type(path)
+    return kind.values if isinstance(kind, msgspec.inspect.LiteralType) else ()
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -12,26 +12,25 @@
 import struct
 import termios
 from collections import deque
+from collections.abc import Sequence
+from functools import partial
 from itertools import chain
 from typing import Protocol, cast
 
 from ..call import BadCall, Call
 from ..config.addresses import Address
+from ..config.operator import ClientBounds
 from ..logs import Sparing
 from .seam import Broken, Front, Item, Ping
 
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
 
-PIPELINE = 32  # commands of one connection without an answer; what comes behind them waits unread
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
 LOOK = 0.25  # s between looks at all connections for those that have had their time
-MUTE = 2.0  # s without a whole command from connecting on, or from the first byte of one on
-STUCK = 2.0  # s in which a client takes nothing of what waits for it
-IDLE = 25.0  # s at rest after a command: under the usual half minute, and calm clients come sooner
 IDLE_CROWDED = 2.0  # s at rest that every connection is granted where few are left
 CROWDED = 0.75  # part of the bound on connections from which they count as few
 LINGER = 0.75  # s that what a client still sends is read on and dropped, once all is answered
@@ -77,8 +76,8 @@
                  "_reading", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "front", "said", "seen",
                  "slots")
 
-    def __init__(self, owner: Clients) -> None:
-        self._owner, self.front = owner, owner.front
+    def __init__(self, owner: Clients, front: Front) -> None:
+        self._owner, self.front = owner, front
         self._reading = self.front.reading()
         self._transport: asyncio.Transport | None = None
         self._ending = False  # nothing more is taken; closed once all that was taken is answered
@@ -122,7 +121,7 @@
     def _take_from(self, data: bytes, waited: float) -> None:
         at = 0
         while at < len(data) and not self._ending:
-            if len(self.slots) >= PIPELINE or self._blocked:
+            if len(self.slots) >= self._owner.bounds.pipeline or self._blocked:
                 return self._hold(data[at:])
             try:
                 end, item = self._reading.read(data, at)
@@ -212,7 +211,7 @@
                 out.append(slots.popleft().answer or b"")
             transport.write(b"".join(out))
         if slots:
-            if self._rest and len(slots) < PIPELINE:
+            if self._rest and len(slots) < self._owner.bounds.pipeline:
                 self._owner.soon(self._go_on)
             return
         self.seen = self._owner.time()
@@ -238,7 +237,7 @@
             unsent = cast(asyncio.Transport, self._transport).get_write_buffer_size()
             if unsent < self._unsent:
                 self._blocked, self._unsent = now, unsent
-            elif now - self._blocked >= STUCK:
+            elif now - self._blocked >= self._owner.bounds.unread_s:
                 log.warning("client does not read its answers")
                 self.abort()
         elif self._lingering:
@@ -246,10 +245,11 @@
                 self.abort()
         elif self._half:
             # Whoever has said nothing yet has had its time from connecting on.
-            if now - (self._half if self.said else self.seen) >= MUTE:
+            if now - (self._half if self.said else self.seen) >= self._owner.bounds.mute_s:
                 self._broken("command without end")
         elif not self.slots and not self._rest:
-            idle = MUTE if not self.said else IDLE_CROWDED if crowded else IDLE
+            bounds = self._owner.bounds
+            idle = bounds.mute_s if not self.said else IDLE_CROWDED if crowded else bounds.idle_s
             if now - self.seen >= idle and self.resting():
                 self.close()
 
@@ -278,24 +278,25 @@
 
 
 class Clients:
-    """The listening socket and the connections that came through it."""
+    """The listening sockets and the connections that came through them, bounded together."""
 
     def __init__(
-        self, address: Address, front: Front, requests: Requests, most: int, memory: int, longest: int
+        self, listeners: Sequence[tuple[Address, Front]], requests: Requests, most: int, memory: int,
+        longest: int, bounds: ClientBounds,
     ) -> None:
         """`memory`: bytes that the process may use; `longest`: the longest deadline, ns."""
-        self.front, self.requests = front, requests
+        self.requests, self.bounds = requests, bounds
         loop = asyncio.get_running_loop()
         self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
         self.bound = most
         self.memory = int(memory * BUFFER_PART)  # bytes that all clients' rests may hold
         self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
         self.held = 0  # bytes of all rests
-        self._address = address
+        self._listeners = listeners
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._looker: asyncio.TimerHandle | None = None
         self._last_came = 0.0
         self.closing = False
@@ -304,7 +305,9 @@
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Client(self), *self._address, backlog=1024)
+        for address, front in self._listeners:
+            made = partial(Client, self, front)
+            self._servers.append(await loop.create_server(made, *address, backlog=1024))
         self._looker = self._later(LOOK, self._look)
 
     def _look(self) -> None:
@@ -315,7 +318,8 @@
 
     @property
     def port(self) -> int:
-        return int(cast(asyncio.Server, self._server).sockets[0].getsockname()[1])
+        """The first listener's."""
+        return int(self._servers[0].sockets[0].getsockname()[1])
 
     def came(self, client: Client) -> None:
         self._last_came = self.time()
@@ -355,7 +359,7 @@
             # A loop that lagged wakes with its timer due and connections still in the accept queue: look
             # once more, or they would be closed unread.
             await asyncio.sleep(ACCEPT_LOOK)
-        cast(asyncio.Server, self._server).close()
+        self._close_door()
         self.closing = True
         end = loop.time() + self._longest
         while self.count() and loop.time() < end:
@@ -364,11 +368,14 @@
             await asyncio.sleep(IDLE_LOOK)
         self.shut()
 
+    def _close_door(self) -> None:
+        for server in self._servers:
+            server.close()
+
     def shut(self) -> None:
         """Close everything as it stands."""
         if self._looker is not None:
             self._looker.cancel()
-        if self._server is not None:
-            self._server.close()
+        self._close_door()
         for client in [*self._fresh, *self._clients]:
             client.abort()
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -12,6 +12,8 @@
 from ..backends.seam import Report
 from ..call import BadCall, Call
 from ..clock import monotonic_unix_ns
+from ..config.operator import DEFAULTS, Operator
+from ..config.operator import needs_restart as tables_need_restart
 from ..config.platform import Config, needs_restart
 from ..decide.broker import Broker
 from ..decide.interface import (
@@ -51,10 +53,8 @@
 MARGIN = 10 * MILLISECOND  # before a client's time ends: its way here and back, and a loop that lags
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
 FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
-TALLY = 10.0  # s between lines on how attempts ended
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
-BACKEND_PART = 0.5  # of the other descriptors; each request needs one on either side at most
 
 
 class Request:
@@ -73,8 +73,8 @@
 class Gateway:
     """One running gateway."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, operator: Operator = DEFAULTS) -> None:
+        self.config, self.operator = config, operator
         self._loop = asyncio.get_running_loop()
         self.now = monotonic_unix_ns()
         self.module = Broker(config.settings, config.seed, self.now())
@@ -86,14 +86,16 @@
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
         self._teller: asyncio.TimerHandle | None = None
         spare = max(16, config.sockets - RESERVED)
-        settings = config.settings
+        settings, most = config.settings, int(spare * operator.backends.descriptor_part)
+        grace = settings.drain_grace / SECOND * operator.backends.grace_part  # a loop may lag
         self.backends = Backends(
-            int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
-            settings.drain_grace / SECOND, self.now, self._attempt_ended, RespDialect(),
+            most, config.connect_timeout / SECOND, config.connection_idle / SECOND,
+            grace, self.now, self._attempt_ended, RespDialect(),
         )
+        front = RespFront(settings, config.classes, config.plans)
         self.clients = Clients(
-            config.listen, RespFront(settings, config.classes, config.plans), self,
-            spare - int(spare * BACKEND_PART), config.memory, max(c.deadline for c in settings.classes),
+            [(each, front) for each in (config.listen, *operator.addresses())], self, spare - most,
+            config.memory, max(c.deadline for c in settings.classes), operator.clients,
         )
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
         index = None
@@ -113,7 +115,7 @@
         if self.config.peer_listen is not None and self.config.settings.may_message:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.discovery.start()
-        self._teller = self._loop.call_later(TALLY, self._tally)
+        self._teller = self._loop.call_later(self.operator.log.tally_s, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
             async with asyncio.timeout(FIRST_LIST):
@@ -130,7 +132,7 @@
                  ends or "none", len(self._requests), self.clients.count(), self.backends.open,
                  self.backends.idle())
         self._ends.clear()
-        self._teller = self._loop.call_later(TALLY, self._tally)
+        self._teller = self._loop.call_later(self.operator.log.tally_s, self._tally)
 
     async def stop(self) -> None:
         """End in good order: all that was taken is answered first."""
@@ -147,11 +149,14 @@
             await asyncio.sleep(max(0.0, end - self._loop.time()))
         self.peers.close()
 
-    def reconfigure(self, fresh: Config) -> None:
-        """Follow discovery to where it is now; list, requests and connections stay as they are."""
-        changed = needs_restart(self.config, fresh)
+    def reconfigure(self, fresh: Config, operator: Operator) -> None:
+        """Follow discovery to where it is now, and the operator's bounds and log; list, requests and
+        connections stay as they are."""
+        changed = needs_restart(self.config, fresh) + tables_need_restart(self.operator, operator)
         if changed:
             log.warning("configuration: a restart is needed for %s", ", ".join(changed))
+        self.operator, self.clients.bounds = operator, operator.clients
+        logging.getLogger("trackspread").setLevel(operator.log.level.upper())
         self.discovery.move(fresh.discovery)
 
     # From the list and the peers.
