--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,150 @@
+"""The judge by hand-made ledgers: each rule is broken alone, and what breaks none is let pass."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from trackspread.judge.judge import judge
+from trackspread.judge.ledger import (
+    Answered, Asked, Attempted, Booted, ClassRule, Cut, Ended, Entry, Fell, Garbled, Killed, Lagged, Ledger,
+    Left, PlanRule, Started, Stopping, Stray, Told, World, load,
+)
+
+MS, S = 1_000_000, 1_000_000_000
+WORLD = World(
+    {"look": ClassRule("safe", "all", S), "send": ClassRule("keyed", "cell", S),
+     "pay": ClassRule("unsafe", "all", S)},
+    {"free": PlanRule(0.0, 0.0), "team": PlanRule(1.0, 4.0), "hard": PlanRule(0.0, 0.0, 1.0, 2.0, 1.0)},
+    S, 3 * S, 3.0, beyond_most=0.4,
+)
+BOOTS = [Booted(0, f"b{n}", "a", n // 2, 2.0, 1.0, S) for n in range(4)]
+
+
+def asked(request: str = "r", at: int = 0, cls: str = "look", **changes: Any) -> Asked:
+    made: dict[str, Any] = {"origin": request, "gateway": "n0", "plan": "free", "customer": 1, "units": 1.0,
+                            "wait": 2 * S}
+    return Asked(at, request, cls=cls, **{**made, **changes})
+
+
+def attempted(at: int, request: str = "r", backend: str = "b0", **changes: Any) -> Attempted:
+    made: dict[str, Any] = {"began": at, "gateway": "n0", "work": 50 * MS, "value": f"{backend}/{request}"}
+    return Attempted(at, request=request, backend=backend, **{**made, **changes})
+
+
+def answered(at: int, kind: Any = "served", request: str = "r", backend: str = "b0") -> Answered:
+    return Answered(at, request, kind, f"{backend}/{request}" if kind == "served" else "")
+
+
+def of(count: int, plan: str, gap: int, customer: int = 7) -> list[Entry]:
+    made: list[Entry] = []
+    for n in range(count):
+        made += [asked(f"r{n}", n * gap, plan=plan, customer=customer), attempted(n * gap, f"r{n}"),
+                 answered(n * gap, request=f"r{n}")]
+    return made
+
+
+KEPT: dict[str, list[Entry]] = {
+    "served": [asked(), attempted(MS), answered(2 * MS)],
+    "refused unsent": [asked(), answered(MS, "refused")],
+    "safe one sent again": [asked(), attempted(MS), attempted(2 * MS, backend="b3"), answered(9 * MS)],
+    "safe one refused after it ran": [asked(), attempted(MS), answered(2 * MS, "refused")],
+    "unsafe one sent again, turned away first":
+        [asked(cls="pay"), attempted(MS, turned_away=True, value=""), attempted(2 * MS), answered(9 * MS)],
+    "keyed one sent again in its pod":
+        [asked(cls="send"), attempted(MS), attempted(S, backend="b1"), answered(2 * S, backend="b1")],
+    "held when its gateway was killed": [asked(), attempted(MS), Killed(2 * MS, "n0"), Cut(3 * MS, "r")],
+    "written as its connection closed, and once more": [asked(), Cut(MS, "r"), asked(at=2 * MS, again=True),
+                                                        attempted(3 * MS), answered(9 * MS)],
+    "client hung up first": [asked(), attempted(MS), Left(S, "r")],
+    "within the grace":
+        [Told(0, "n0", "b0", False), asked(at=S), attempted(S + 9 * MS), answered(S + 99 * MS)],
+    "told by the list that it is back":
+        [Told(0, "n0", "b0", False), Told(S, "n0", "b0", True), asked(at=3 * S), attempted(3 * S),
+         answered(3 * S)],
+    "told the one before it only":
+        [Told(0, "n0", "b0", False), Killed(S, "n0"), asked(at=3 * S), attempted(3 * S), answered(3 * S)],
+    "quota": of(8, "team", S),
+    "ceiling with its slack": of(3, "hard", 0),
+    "stopped in good order": [Started(0, "n0"), Stopping(S, "n0"), Ended(2 * S, "n0", 0)],
+}
+BROKEN: dict[str, tuple[str, list[Entry]]] = {
+    "never answered": ("answers", [asked(), attempted(MS)]),
+    "connection ended": ("answers", [asked(), Cut(MS, "r")]),
+    "answered twice": ("answers", [asked(), answered(MS, "refused"), answered(2 * MS, "failed")]),
+    "answered late": ("answers", [asked(), answered(3 * S, "failed")]),
+    "hung up on after its time": ("answers", [asked(), Left(3 * S, "r")]),
+    "served what nobody made": ("answers", [asked(), attempted(MS), answered(2 * MS, backend="b2")]),
+    "sent after its answer": ("answers", [asked(), answered(MS, "refused"), attempted(S)]),
+    "sent unasked": ("answers", [attempted(MS)]),
+    "answered unasked": ("answers", [Stray(MS, "n0")]),
+    "worded anew": ("answers", [Garbled(MS, "b0", "n0", "CALL.GET nonsense")]),
+    "unsafe one run twice":
+        ("effects", [asked(cls="pay"), attempted(MS), attempted(2 * MS, backend="b1"), answered(9 * MS)]),
+    "unsafe one refused after it ran":
+        ("effects", [asked(cls="pay"), attempted(MS), answered(9 * MS, "refused")]),
+    "unsafe one run in two tries": ("effects", [
+        asked(cls="pay"), attempted(MS), answered(MS, "failed"),
+        asked("q", 2 * MS, cls="pay", origin="r"), attempted(3 * MS, "q"), answered(9 * MS, request="q"),
+    ]),
+    "keyed one run outside its pod":
+        ("effects", [asked(cls="send"), attempted(MS), attempted(2 * MS, backend="b2"), answered(9 * MS)]),
+    "keyed one sent after its window":
+        ("effects", [asked(cls="send"), attempted(MS), attempted(3 * S // 2, backend="b1"), answered(2 * S)]),
+    "keyed one refused after it ran":
+        ("effects", [asked(cls="send"), attempted(MS), answered(2 * MS, "refused")]),
+    "drained":
+        ("drains", [Told(0, "n0", "b0", False), asked(at=S), attempted(S + 99 * MS), answered(S + 99 * MS)]),
+    "cold": ("cold", [Booted(0, "b9", "a", 0, 1.0, 0.1, 9 * S), asked(),
+                      attempted(S, backend="b9", work=2 * S), answered(S + MS, backend="b9")]),
+    "fallen": ("cold", [Fell(S, "b0")]),
+    "ceiling": ("ceilings", of(4, "hard", 0)),
+    "quotas": ("quotas", of(8, "team", MS)),
+    "crash": ("crash", [Started(0, "n0"), Ended(S, "n0", 1)]),
+    "crash while stopping": ("crash", [Started(0, "n0"), Stopping(S, "n0"), Ended(2 * S, "n0", 3)]),
+}
+
+
+@pytest.mark.parametrize("name", KEPT)
+def test_what_keeps_the_rules_is_let_pass(name: str) -> None:
+    verdict = judge(WORLD, [*BOOTS, *KEPT[name]])
+    assert verdict.state == "kept" and verdict.violations == ()
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_a_ledger_that_breaks_one_rule_is_convicted_of_that_rule_alone(name: str) -> None:
+    rule, entries = BROKEN[name]
+    verdict = judge(WORLD, [*BOOTS, *entries])
+    assert verdict.state == "broken" and verdict.broken() == {rule}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_where_a_stand_in_lagged_only_what_hangs_on_no_time_counts(name: str) -> None:
+    """A run in which it lagged has no verdict, unless a breach needs no clock."""
+    verdict = judge(WORLD, [*BOOTS, *BROKEN[name][1], Lagged(S, "nodes", 80 * MS)])
+    assert verdict.state == ("void" if all(v.timed for v in verdict.violations) else "broken")
+
+
+def test_order_in_the_ledger_is_that_of_times_not_of_writing() -> None:
+    entries = [*BOOTS, *KEPT["told by the list that it is back"]]
+    assert judge(WORLD, entries[::-1]) == judge(WORLD, entries)
+
+
+def test_use_is_counted_unit_by_unit() -> None:
+    figures = judge(WORLD, [*BOOTS, *of(6, "team", MS), asked("x", 9 * S, plan="team", customer=7),
+                            answered(9 * S, "refused", "x")]).figures
+    assert (figures.units, figures.beyond, figures.refused_with_room) == (6.0, 2.0, 1)
+    assert (figures.tries, figures.served, figures.refused, figures.attempts) == (7, 6, 1, 6)
+
+
+def test_a_saved_ledger_reads_back_whole(tmp_path: Path) -> None:
+    ledger = Ledger()
+    for _, entries in BROKEN.values():
+        for entry in entries:
+            ledger.write(entry)
+    path = tmp_path / "ledger.jsonl"
+    ledger.save(path, WORLD)
+    with path.open("rb") as file:
+        assert load(file) == (WORLD, ledger.entries)
--- /dev/null
+++ b/tests/test_virtual.py
@@ -0,0 +1,56 @@
+"""Virtual time: the rules hold under seeded schedules, and the judge convicts every mutant."""
+
+from __future__ import annotations
+
+from itertools import count
+
+import pytest
+
+from trackspread.virtual.clock import START, Clock
+from trackspread.virtual.mutants import MUTANTS, convict
+from trackspread.virtual.schedules import CALM, FAULTS, make, play
+
+SEEDS = range(100, 148)
+FIRST = {"cold-flooded": 51, "window-forgotten": 4}  # where schedules first bring the fault out
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_rules_hold_under_a_seeded_schedule(seed: int) -> None:
+    schedule = make(seed)
+    verdict, _ = play(schedule)
+    assert verdict.state == "kept", f"{schedule}: {verdict.violations[:3]}"
+    assert verdict.figures.served > 0 and verdict.figures.unanswered < verdict.figures.tries
+
+
+def test_schedules_bring_every_fault_and_calm_ones_too() -> None:
+    made = [make(seed) for seed in range(200)]
+    assert {name for each in made for _, name in each.faults} == set(FAULTS)
+    assert sum(not each.faults for each in made) == 200 // CALM
+
+
+def test_the_same_seed_gives_the_same_ledger_to_the_last_entry() -> None:
+    first, second = (play(make(SEEDS[3]))[1].ledger.entries for _ in range(2))
+    assert first == second and len(first) > 100
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_every_mutant_is_convicted_of_the_rule_that_it_breaks(name: str) -> None:
+    assert convict(name, iter(range(FIRST.get(name, 0), 100))) is not None
+
+
+def test_a_planted_mutant_is_gone_afterwards() -> None:
+    before = play(make(2))[0]
+    assert before.state == "kept"
+    assert convict("effects-forgotten", count(2)) == 2
+    assert play(make(2))[0] == before
+
+
+def test_the_clock_keeps_order_and_does_not_go_back() -> None:
+    clock, seen = Clock(), []
+    clock.after(5, lambda: seen.append((clock.now, "c")))
+    clock.after(3, lambda: seen.append((clock.now, "a")))
+    clock.after(3, lambda: clock.at(0, lambda: seen.append((clock.now, "b"))))
+    clock.run(START + 4)
+    assert clock.now == START + 4 and [name for _, name in seen] == ["a", "b"]
+    clock.run(START + 9)
+    assert seen == [(START + 3, "a"), (START + 3, "b"), (START + 5, "c")]
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -13,28 +13,8 @@
 
 from .fleet import Filter, Fleet
 from .interface import (
-    NEVER_RAN,
-    Action,
-    Arrival,
-    AttemptEnded,
-    ClientLeft,
-    Counted,
-    Event,
-    Fail,
-    Group,
-    ListKind,
-    LogLine,
-    Outcome,
-    PeerMessage,
-    Refuse,
-    Repeat,
-    Send,
-    SetTimer,
-    Settings,
-    Tell,
-    TimerFired,
-    Topology,
-    Watch,
+    NEVER_RAN, Action, Arrival, AttemptEnded, ClientLeft, Counted, Event, Fail, Group, ListKind, LogLine,
+    Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired, Topology, Watch,
 )
 from .mail import Kind
 from .model import TARGET, TICK, QueueModel, seven_cases
--- a/trackspread/simulator/host.py
+++ b/trackspread/simulator/host.py
@@ -7,18 +7,8 @@
 from typing import BinaryIO
 
 from ..decide.broker import Broker
-from .wire import (
-    DIE,
-    Down,
-    SettingsError,
-    Up,
-    WireError,
-    decode,
-    encode,
-    encode_action,
-    parse_settings,
-    text_record,
-)
+from .wire import DIE, Down, SettingsError, Up, WireError, decode, encode, encode_action
+from .wire import parse_settings, text_record
 
 
 def _answer(instances: dict[int, Broker], body: bytes, base: int) -> bytes:
--- /dev/null
+++ b/trackspread/virtual/fleet.py
@@ -0,0 +1,336 @@
+"""A whole fleet in virtual time: hosts, network, rating nodes, the list, clients; all of it into a ledger.
+
+May know: everything about its world; faults are plain attributes that a schedule sets. May not know: what the
+module decides or why.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from ..config.platform import flatten
+from ..decide.interface import Backend, Health, ListKind, Outcome, Settings, Topology
+from ..judge.ledger import Answered, Asked, Attempted, Booted, Cut, Fell, Killed, Ledger, Left, Started, Told
+from ..lists.seam import backend_id
+from ..simulator.wire import parse_settings
+from ..standins.crowd import Want
+from ..standins.rating import NodeSpec, Pod, RatingNode, work_of
+from ..standins.scene import MILLISECOND, ZONES, Scene
+from .clock import Clock
+from .host import Attempt, Host, Kind
+
+WITNESS = 200 * MILLISECOND  # for which a client looks on after its time, to see an answer that is late
+CONNECTS = 3  # gateways that a client tries in turn
+
+
+@dataclass(slots=True)
+class Weather:
+    """The network's state. One-way delays in ns; chances from 0 to 1."""
+
+    least: int = 200_000
+    most: int = 2 * MILLISECOND
+    peer_loss: float = 0.02
+    peer_twice: float = 0.0
+    peer_delay: int = 0  # ns more, at most, for messages between gateways: they overtake one another
+    reset: float = 0.0  # chance that an attempt is reset once it has come whole
+    unwritten: float = 0.0  # chance that a connection breaks before the request's last byte is out
+    list_delay: int = 300 * MILLISECOND  # at most, for news of the list
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """A rating node and what the list says of it."""
+
+    spec: NodeSpec
+    model: RatingNode
+    id: int
+    entry: Backend
+    up: bool = True
+    silent: bool = False  # takes what comes and says nothing
+    out: dict[Attempt, Host] = field(default_factory=dict)
+
+
+class VirtualFleet:
+    """Make it, put happenings on its clock, `run` it, and hand its ledger to the judge."""
+
+    def __init__(self, scene: Scene, seed: int) -> None:
+        self.scene, self.rng = scene, random.Random(f"virtual:{seed}")
+        self.clock, self.ledger, self.weather = Clock(), Ledger(), Weather()
+        self.crowd = replace(scene, seed=seed).crowd()
+        self._settings = [_settings(scene, position) for position in range(scene.gateways)]
+        self._classes = {c.name: number for number, c in enumerate(scene.classes)}
+        self._plans = {name: number for number, name in enumerate(scene.world().plans)}
+        self._windows = {c.name: scene.window for c in scene.classes if c.repeat == "keyed"}
+        self._asked: dict[str, tuple[str, str]] = {}  # each request's class and key
+        self.apart: set[frozenset[int]] = set()  # pairs of gateways that don't hear one another
+        self.pods: dict[int, Pod] = {}
+        self.nodes: dict[int, Node] = {}
+        self.version = 1
+        for spec in scene.specs():
+            self.boot(spec, cold=False, tell=False)
+        self.hosts: list[Host | None] = [None] * scene.gateways
+        self._known: list[tuple[Backend, ...]] = [()] * scene.gateways
+        self._list_at = [0] * scene.gateways  # when the last news reaches each: news comes in order
+        self._open: list[dict[str, Callable[[], None]]] = [{} for _ in range(scene.gateways)]
+        for position in range(scene.gateways):
+            self.start(position)
+        self._arrive()
+
+    def run(self, span: int) -> None:
+        """`span` ns of happenings, and then so long as requests may still be under way."""
+        end = self.clock.now + span
+        self.clock.at(end, self._stop_asking)
+        self.clock.run(end + max(c.deadline for c in self.scene.classes) + WITNESS)
+
+    def _stop_asking(self) -> None:
+        self.crowd.surge = 0.0
+
+    def _delay(self) -> int:
+        return self.rng.randint(self.weather.least, self.weather.most)
+
+    # Gateways.
+
+    def start(self, position: int) -> None:
+        """A gateway starts from nothing but the list that it last had."""
+        if self.hosts[position] is not None:
+            return
+        seed = self.rng.getrandbits(48)
+        host = self.hosts[position] = Host(self.clock, self, position, self._settings[position], seed)
+        self._list_at[position] = 0
+        known = self._known[position] or self._entries()
+        host.learn(Topology(ListKind.CACHED, 0, known))
+        self._news(host, ListKind.FULL, self._entries())
+        self.ledger.write(Started(self.clock.now, f"n{position}"))
+
+    def kill(self, position: int) -> None:
+        """Outright: what it held is the clients' to retry."""
+        host = self.hosts[position]
+        if host is None:
+            return
+        host.alive, self.hosts[position] = False, None
+        self.ledger.write(Killed(self.clock.now, f"n{position}"))
+        for cut in list(self._open[position].values()):
+            cut()
+        self._open[position].clear()
+
+    # The list.
+
+    def _entries(self) -> tuple[Backend, ...]:
+        return tuple(node.entry for node in self.nodes.values() if node.entry.health is not Health.GONE)
+
+    def _change(self, node: Node, health: Health) -> None:
+        self.version += 1
+        node.entry = replace(node.entry, health=health)
+        for host in self.hosts:
+            if host is not None:
+                self._news(host, ListKind.DELTA, (node.entry,))
+
+    def _news(self, host: Host, kind: ListKind, entries: tuple[Backend, ...]) -> None:
+        position, version = host.position, self.version
+        wait = self.rng.randint(MILLISECOND, self.weather.list_delay)
+        at = self._list_at[position] = max(self._list_at[position], self.clock.now + wait)
+        self.clock.at(at, partial(self._told, host, kind, version, entries))
+
+    def _told(self, host: Host, kind: ListKind, version: int, entries: tuple[Backend, ...]) -> None:
+        if not host.alive:
+            return
+        names = {entry.id: entry.health is Health.READY for entry in entries}
+        for node in self.nodes.values():
+            if node.id in names or kind is ListKind.FULL:
+                self.ledger.write(Told(
+                    self.clock.now, f"n{host.position}", node.spec.name, names.get(node.id, False)
+                ))
+        known = {} if kind is ListKind.FULL else {entry.id: entry for entry in self._known[host.position]}
+        known.update({entry.id: entry for entry in entries})
+        self._known[host.position] = tuple(e for e in known.values() if e.health is not Health.GONE)
+        host.learn(Topology(kind, version, entries))
+
+    # Rating nodes.
+
+    def boot(self, spec: NodeSpec, cold: bool, tell: bool = True) -> Node:
+        now, number = self.clock.now, backend_id(spec.name)
+        model = self.scene.node(spec, self.pods, now, cold)
+        entry = Backend(number, ZONES.index(spec.zone), 0, spec.cell, Health.READY, 1.0, now if cold else 0)
+        node = self.nodes[number] = Node(spec, model, number, entry)
+        start = spec.start if cold else 1.0
+        cores = spec.cores * spec.speed
+        self.ledger.write(Booted(now, spec.name, spec.zone, spec.cell, cores, start, spec.warm))
+        if tell:
+            self._change(node, Health.READY)
+        return node
+
+    def drain(self, node: Node) -> None:
+        node.model.draining = True
+        self._change(node, Health.DRAINING)
+
+    def down(self, node: Node) -> None:
+        """The process dies: what is out there is reset, and new connections are refused."""
+        node.up = False
+        for attempt, host in list(node.out.items()):
+            self._finish(node, attempt, host, Outcome.RESET)
+
+    def remove(self, node: Node) -> None:
+        self.down(node)
+        self._change(node, Health.GONE)
+
+    def _fall(self, node: Node) -> None:
+        self.ledger.write(Fell(self.clock.now, node.spec.name))
+        self.down(node)
+
+    # Attempts.
+
+    def send(self, host: Host, request: str, attempt: Attempt) -> None:
+        node = self.nodes.get(attempt.backend)
+        if node is None or not node.up or self.rng.random() < self.weather.unwritten:
+            self.clock.after(self._delay(), partial(host.ended, attempt, Outcome.CONNECT_FAILED))
+            return
+        self.clock.after(self._delay(), partial(self._come, node, host, request, attempt))
+
+    def _come(self, node: Node, host: Host, request: str, attempt: Attempt) -> None:
+        if not node.up:
+            host.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        if attempt.over:
+            return  # given up before it was written whole
+        attempt.written, now = True, self.clock.now
+        cls, key = self._asked[request]
+        work = work_of(self.scene.seed, request, self.scene.work(cls))
+        taken = node.model.arrive(now, request, work, key, self._windows.get(cls, 0))
+        self.ledger.write(Attempted(
+            now, now, request, node.spec.name, f"n{host.position}", work, taken is None,
+            bool(taken and taken.repeat), taken.value if taken else "",
+        ))
+        if node.model.fallen:
+            self._fall(node)
+            host.ended(attempt, Outcome.RESET)
+            return
+        if taken is None and not node.silent:
+            self.clock.after(self._delay(), partial(host.ended, attempt, Outcome.FULL))
+            return
+        node.out[attempt] = host
+        if taken is None or node.silent:
+            return
+        if self.rng.random() < self.weather.reset:
+            at = self.rng.randint(now, taken.done)
+            self.clock.at(at, partial(self._finish, node, attempt, host, Outcome.RESET))
+        else:
+            self.clock.at(taken.done, partial(self._finish, node, attempt, host, Outcome.OK, taken.value))
+
+    def _finish(self, node: Node, attempt: Attempt, host: Host, outcome: Outcome, value: str = "") -> None:
+        if node.out.pop(attempt, None) is not None:
+            self.clock.after(self._delay(), partial(host.ended, attempt, outcome, value))
+
+    def hang_up(self, host: Host, attempt: Attempt) -> None:
+        node = self.nodes.get(attempt.backend)
+        if node is not None:
+            node.out.pop(attempt, None)
+
+    # Between gateways.
+
+    def tell(self, host: Host, to: int | None, data: bytes) -> None:
+        targets = range(self.scene.gateways) if to is None else [to]
+        for target in targets:
+            if target == host.position or frozenset((target, host.position)) in self.apart:
+                continue
+            copies = 1 + (self.rng.random() < self.weather.peer_twice)
+            for _ in range(copies * (self.rng.random() >= self.weather.peer_loss)):
+                late = self.rng.randint(0, self.weather.peer_delay)
+                self.clock.after(self._delay() + late, partial(self._hear, target, host.position, data))
+
+    def _hear(self, target: int, sender: int, data: bytes) -> None:
+        if (host := self.hosts[target]) is not None:
+            host.heard(sender, data)
+
+    # Clients.
+
+    def _arrive(self) -> None:
+        if self.crowd.surge:
+            self._try(self.crowd.want(), CONNECTS)
+            self.clock.after(self.crowd.pause(), self._arrive)
+
+    def _try(self, want: Want, connects: int) -> None:
+        host = self.hosts[want.gateway]
+        if host is None:
+            if connects > 1:
+                other = self.crowd.entry(want.customer, want.gateway)
+                self._try(replace(want, gateway=other), connects - 1)
+            return
+        now, request, customer = self.clock.now, self.crowd.request_id(want), want.customer
+        self._asked[request] = want.cls, want.key
+        self.ledger.write(Asked(
+            now, request, want.origin, f"n{want.gateway}", want.cls, customer.plan, customer.number,
+            want.units, want.wait,
+        ))
+        exchange = Exchange(self, want, request, host)
+        self._open[want.gateway][request] = exchange.cut
+        self.clock.after(self._delay(), exchange.deliver)
+        self.clock.after(want.wait + WITNESS, exchange.leave)
+
+    def close(self, position: int, request: str) -> None:
+        self._open[position].pop(request, None)
+
+    def come_again(self, want: Want, kind: str, advice_ms: int) -> None:
+        if (again := self.crowd.again(want, kind, advice_ms)) is not None and self.crowd.surge:
+            self.clock.after(again[0], partial(self._try, again[1], CONNECTS))
+
+    def arrival(self, want: Want) -> tuple[int, int]:
+        """Class and plan as the settings number them."""
+        return self._classes[want.cls], self._plans[want.customer.plan]
+
+
+class Exchange:
+    """One request of one client, until its answer or its end."""
+
+    def __init__(self, fleet: VirtualFleet, want: Want, request: str, host: Host) -> None:
+        self.fleet, self.want, self.request, self.host = fleet, want, request, host
+        self.number, self.over, self.gone = 0, False, False
+
+    def deliver(self) -> None:
+        if self.over or not self.host.alive:
+            return
+        want, (cls, plan) = self.want, self.fleet.arrival(self.want)
+        customer = want.customer
+        self.number = self.host.take(
+            self.request, cls, plan, customer.number, want.wait, want.units, customer.spread, customer.first,
+            self.answered,
+        )
+
+    def answered(self, kind: Kind, value: str, advice_ms: int) -> None:
+        """The host has written an answer; it is on its way, unless the host dies before it has left."""
+        self.fleet.clock.after(self.fleet._delay(), partial(self._read, kind, value, advice_ms))
+
+    def _read(self, kind: Kind, value: str, advice_ms: int) -> None:
+        if self.gone:
+            return
+        now = self.fleet.clock.now
+        self.fleet.ledger.write(Answered(now, self.request, kind, value, advice_ms))
+        if not self.over:
+            self._end()
+            if kind != "served":
+                self.fleet.come_again(self.want, kind, advice_ms)
+
+    def cut(self) -> None:
+        if not self.over:
+            self._end()
+            self.gone = True
+            self.fleet.ledger.write(Cut(self.fleet.clock.now, self.request))
+            self.fleet.come_again(self.want, "cut", 0)
+
+    def leave(self) -> None:
+        if not self.over:
+            self._end()
+            self.gone = True
+            self.fleet.ledger.write(Left(self.fleet.clock.now, self.request))
+            if self.number:
+                self.host.left(self.number)
+
+    def _end(self) -> None:
+        self.over = True
+        self.fleet.close(self.want.gateway, self.request)
+
+
+def _settings(scene: Scene, position: int) -> Settings:
+    return parse_settings("\n".join(flatten(scene.settings(position))))
--- /dev/null
+++ b/trackspread/virtual/mutants.py
@@ -0,0 +1,256 @@
+"""Gateways with one fault each, for the judge to convict: a judge that cannot fail proves nothing.
+
+Each mutant changes one decision (or one deed of the host) by a patch that is taken back; it names the rule
+that it breaks. Only tests and benchmarks plant them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest.mock import patch
+
+from ..decide import broker as broker_module
+from ..decide.broker import Broker
+from ..decide.fleet import Fleet
+from ..decide.interface import Fail, Health, Outcome, Refuse, Send
+from ..decide.quota import Quota
+from ..judge.verdict import Rule
+from .host import Host, Kind
+from .schedules import make, play
+
+EVERY = 23  # a deed that goes wrong does so once in so many times
+SEEDS_MOST = 400  # schedules after which a mutant counts as not convicted
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """One fault: the rule that it breaks, and the patches that plant it."""
+
+    rule: Rule
+    patches: Callable[[], list[Any]]
+
+
+def _effects_forgotten() -> list[Any]:
+    """What broke after it was written counts as never run: unsafe requests are sent again."""
+    return [patch.object(broker_module, "NEVER_RAN", frozenset(Outcome))]
+
+
+def _refuses_after_run() -> list[Any]:
+    real = Broker._try_again
+
+    def mutant(self: Broker, now: int, request: Any) -> list[Any]:
+        return [Refuse(a.request, 0) if isinstance(a, Fail) else a for a in real(self, now, request)]
+
+    return [patch.object(Broker, "_try_again", mutant)]
+
+
+def _group_forgotten() -> list[Any]:
+    return [patch.object(Broker, "_repeat_filter", lambda self, now, request: lambda backend: True)]
+
+
+def _window_forgotten() -> list[Any]:
+    real = Broker._repeat_filter
+
+    def mutant(self: Broker, now: int, request: Any) -> Any:
+        return real(self, min(now, request.keyed_at), request)
+
+    return [patch.object(Broker, "_repeat_filter", mutant)]
+
+
+def _two_copies() -> list[Any]:
+    """A second copy at once, whatever the class."""
+    real = Broker._admit
+
+    def mutant(self: Broker, now: int, request: Any, tell: bool) -> list[Any]:
+        made = real(self, now, request, tell)
+        again = self._send(now, request) if made and isinstance(made[0], Send) else None
+        return [*made, again] if again else made
+
+    return [patch.object(Broker, "_admit", mutant)]
+
+
+def _drains_ignored() -> list[Any]:
+    real = Fleet.learn
+
+    def mutant(self: Fleet, now: int, event: Any) -> None:
+        kept = tuple(
+            replace(e, health=Health.READY) if e.health is Health.DRAINING else e for e in event.entries
+        )
+        real(self, now, replace(event, entries=kept))
+
+    return [patch.object(Fleet, "learn", mutant)]
+
+
+def _cold_flooded() -> list[Any]:
+    """A new backend stands idle, so it gets all."""
+    real = Fleet.wait
+
+    def mutant(self: Fleet, now: int, server: Any) -> float:
+        return real(self, now, server) * (1.0 if self.warmth(now, server) >= 1.0 else 0.001)
+
+    def ready(self: Fleet, now: int, server: Any) -> bool:
+        return bool(server.usable)
+
+    return [patch.object(Fleet, "wait", mutant), patch.object(Fleet, "ready", ready)]
+
+
+def _ceilings_ignored() -> list[Any]:
+    real = Broker.__init__
+
+    def mutant(self: Broker, settings: Any, seed: int, now: int) -> None:
+        plans = tuple(replace(p, ceiling_rate=0.0, over_worth=9.0) for p in settings.plans)
+        real(self, replace(settings, plans=plans), seed, now)
+
+    return [patch.object(Broker, "__init__", mutant)]
+
+
+def _whole_ceiling_each() -> list[Any]:
+    """Each gateway grants the whole of ceiling and quota."""
+    real = Quota._slice
+
+    def mutant(self: Quota, account: Any, n: int, first: int) -> None:
+        real(self, account, 1, self.s.position)
+        account.ceiling = account.plan.ceiling_burst
+
+    return [patch.object(Quota, "_slice", mutant)]
+
+
+def _peers_unheard() -> list[Any]:
+    """Others' use is believed to be nothing, and the whole quota to be here."""
+    return [patch.object(Quota, "heard", lambda self, now, event: None),
+            patch.object(Quota, "share", lambda self, now, account: 1.0)]
+
+
+def _quota_unbooked() -> list[Any]:
+    return [patch.object(Quota, "book", lambda self, account, units, pays: True)]
+
+
+def _now_and_then() -> Callable[[], bool]:
+    counted = [0]
+
+    def due() -> bool:
+        counted[0] += 1
+        return counted[0] % EVERY == 0
+
+    return due
+
+
+def _answers_lost() -> list[Any]:
+    real, due = Host.reply, _now_and_then()
+
+    def mutant(self: Host, number: int, kind: Kind, advice_ms: int) -> None:
+        held = self.held.get(number)
+        if held is not None and due():
+            self._close(number, held)
+        else:
+            real(self, number, kind, advice_ms)
+
+    return [patch.object(Host, "reply", mutant)]
+
+
+def _answers_twice() -> list[Any]:
+    real, due = Host.reply, _now_and_then()
+
+    def mutant(self: Host, number: int, kind: Kind, advice_ms: int) -> None:
+        held = self.held.get(number)
+        real(self, number, kind, advice_ms)
+        if held is not None and due():
+            held.answer(kind, "", advice_ms)
+
+    return [patch.object(Host, "reply", mutant)]
+
+
+def _answers_late() -> list[Any]:
+    """A request given up is answered once its client's time is over."""
+    real, due = Host.reply, _now_and_then()
+
+    def mutant(self: Host, number: int, kind: Kind, advice_ms: int) -> None:
+        held = self.held.get(number)
+        if held is not None and due():
+            late = held.valid_until + 100_000_000
+            self.clock.at(late, lambda: real(self, number, kind, advice_ms))
+            held.valid_until = late + 100_000_000
+        else:
+            real(self, number, kind, advice_ms)
+
+    def waits(self: Host, number: int) -> None:
+        held = self.held.get(number)
+        if held is not None and held.valid_until <= self.clock.now:
+            up(self, number)
+
+    up = Host._time_is_up
+    return [patch.object(Host, "reply", mutant), patch.object(Host, "_time_is_up", waits)]
+
+
+def _answers_swapped() -> list[Any]:
+    """Now and then a client is served what was made for the one before."""
+    real, due, last = Host.ended, _now_and_then(), [""]
+
+    def mutant(self: Host, attempt: Any, outcome: Outcome, value: str = "") -> None:
+        if outcome is Outcome.OK:
+            last[0], made = value, value
+            value = last_made[0] if due() and last_made[0] else made
+            last_made[0] = made
+        real(self, attempt, outcome, value)
+
+    last_made = [""]
+    return [patch.object(Host, "ended", mutant)]
+
+
+def _sent_after_answer() -> list[Any]:
+    """A refused request is sent on all the same."""
+    real, due = Host.reply, _now_and_then()
+
+    def mutant(self: Host, number: int, kind: Kind, advice_ms: int) -> None:
+        held = self.held.get(number)
+        real(self, number, kind, advice_ms)
+        server = next(iter(self.module.fleet.servers), None)
+        if held is not None and server is not None and due():
+            held.closed, self.held[number] = False, held
+            self.clock.after(100_000_000, lambda: self._send(Send(number, server, 0)))
+
+    return [patch.object(Host, "reply", mutant)]
+
+
+MUTANTS: dict[str, Mutant] = {
+    "effects-forgotten": Mutant("effects", _effects_forgotten),
+    "refuses-after-run": Mutant("effects", _refuses_after_run),
+    "group-forgotten": Mutant("effects", _group_forgotten),
+    "window-forgotten": Mutant("effects", _window_forgotten),
+    "two-copies": Mutant("effects", _two_copies),
+    "drains-ignored": Mutant("drains", _drains_ignored),
+    "cold-flooded": Mutant("cold", _cold_flooded),
+    "ceilings-ignored": Mutant("ceilings", _ceilings_ignored),
+    "whole-ceiling-each": Mutant("ceilings", _whole_ceiling_each),
+    "peers-unheard": Mutant("quotas", _peers_unheard),
+    "quota-unbooked": Mutant("quotas", _quota_unbooked),
+    "answers-lost": Mutant("answers", _answers_lost),
+    "answers-twice": Mutant("answers", _answers_twice),
+    "answers-late": Mutant("answers", _answers_late),
+    "answers-swapped": Mutant("answers", _answers_swapped),
+    "sent-after-answer": Mutant("answers", _sent_after_answer),
+}
+
+
+@contextmanager
+def planted(name: str) -> Iterator[Mutant]:
+    """The mutant in place of the real thing, for as long as the block lasts, in this process."""
+    mutant = MUTANTS[name]
+    with ExitStack() as stack:
+        for each in mutant.patches():
+            stack.enter_context(each)
+        yield mutant
+
+
+def convict(name: str, seeds: Iterator[int]) -> int | None:
+    """The first of the seeds whose schedule shows the mutant breaking its rule; None if none does."""
+    with planted(name) as mutant:
+        for number, seed in enumerate(seeds):
+            if number >= SEEDS_MOST:
+                break
+            if mutant.rule in play(make(seed))[0].broken():
+                return seed
+    return None
