--- /dev/null
+++ b/trackspread/harness/fleet.py
@@ -0,0 +1,191 @@
+"""A fleet to play a scenario on: gateways as processes; nodes, lists, clients and the wire in this one.
+
+Everything is on loopback; whatever happens, nothing of it is left behind. All stand-ins share this process,
+its clock and its ledger, and its loop is watched: where it lagged the run has no verdict on time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from ..judge.judge import judge
+from ..judge.ledger import Lagged, Ledger
+from ..judge.verdict import Verdict
+from ..standins.agent import Agent, BackendList, Listed
+from ..standins.clients import Clients
+from ..standins.loopback import Address, Ports
+from ..standins.node_server import NodeServer
+from ..standins.rating import NodeSpec, Pod
+from ..standins.scene import Scene
+from ..standins.wire import Wire
+from .process import GatewayProcess
+
+BEAT = 0.01  # s between looks at this loop's own lag
+LAG_NOTED = 0.02  # s from which a lag goes into the ledger
+MEMORY_MB = 64  # what each gateway is told that it may use
+
+
+class Fleet:
+    """Use as `async with Fleet(scene) as fleet`; it starts everything but the clients."""
+
+    def __init__(
+        self, scene: Scene, command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 256,
+        relays: bool = False,
+    ) -> None:
+        """`relays`: also the ways to the rating nodes go over the wire (those between gateways always do)."""
+        self.scene, self.ledger, self.wire, self.list = scene, Ledger(), Wire(scene.seed), BackendList()
+        self.folder = Path(tempfile.mkdtemp(prefix="trackspread-"))
+        self.nodes: dict[str, NodeServer] = {}
+        self.gateways: list[GatewayProcess] = []
+        self.agents = [Agent(self.list, number, self.ledger) for number in range(scene.gateways)]
+        self._command, self._sockets, self._relays = command, sockets, relays
+        self._ports, self._pods = Ports(), dict[int, Pod]()
+        addresses = [self._ports.tcp() for _ in range(scene.gateways)]
+        self.clients = Clients(scene, scene.crowd(), self.ledger, addresses)
+        self._dials: dict[str, tuple[Address, ...]] = {}
+        self._beat: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Fleet:
+        try:
+            await self._start()
+        except BaseException:
+            await self._close()
+            raise
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self._close()
+
+    async def _start(self) -> None:
+        scene = self.scene
+        for spec in scene.specs():
+            await self.boot(spec, cold=False)
+        for agent in self.agents:
+            await agent.start()
+        names = [f"n{number}" for number in range(scene.gateways)]
+        heard_at = {name: self._ports.udp() for name in names}
+        peers = await self.wire.datagrams(heard_at)
+        for number, name in enumerate(names):
+            told = [_text(heard_at[other] if other == name else peers[name, other]) for other in names]
+            config = {
+                "name": name, "listen": _text(self.clients.addresses[number]),
+                "discovery": _text(self.agents[number].address),
+                "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self._sockets},
+                "peer_listen": _text(heard_at[name]), "peers": told, "known": self.list.whole(number),
+                "settings": scene.settings(number),
+            }
+            self.gateways.append(GatewayProcess(
+                name, self.clients.addresses[number], config, self.folder, self.ledger, self._command,
+                self._sockets,
+            ))
+        await asyncio.gather(*(gateway.start() for gateway in self.gateways))
+        self._beat = asyncio.get_running_loop().create_task(self._watch_lag())
+
+    async def _watch_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + BEAT
+            await asyncio.sleep(BEAT)
+            if (late := loop.time() - due) > LAG_NOTED:
+                self.ledger.write(Lagged(time.monotonic_ns(), "stand-ins", int(late * 1e9)))
+
+    async def _close(self) -> None:
+        if self._beat is not None:
+            self._beat.cancel()
+        self.clients.asking = False
+        for gateway in self.gateways:
+            await gateway.kill()
+        for agent in self.agents:
+            agent.close()
+        for node in self.nodes.values():
+            node.down()
+        self.wire.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Rating nodes.
+
+    async def boot(self, spec: NodeSpec, cold: bool = True) -> NodeServer:
+        """A new node, which the list tells of."""
+        scene = self.scene
+        node = self.nodes[spec.name] = NodeServer(
+            scene, spec, self._pods, self.ledger, self.clients.forms, scene.gateways, cold
+        )
+        await node.start()
+        dials = list(node.addresses)
+        if self._relays:
+            dials = [await self.wire.tcp(f"n{n}", spec.name, at) for n, at in enumerate(dials)]
+        self._dials[spec.name] = tuple(dials)
+        self.told(node, "in_service")
+        return node
+
+    def told(self, node: NodeServer, health: str) -> None:
+        """What the list says of a node from now on."""
+        spec = node.spec
+        self.list.put(Listed(
+            spec.name, self._dials[spec.name], spec.zone, spec.kind, spec.cell, health, node.born_ms
+        ))
+
+    def drain(self, node: NodeServer) -> None:
+        node.model.draining = True
+        self.told(node, "terminating")
+
+    def remove(self, node: NodeServer) -> None:
+        node.down()
+        self.told(node, "terminated")
+
+    async def replace(self, node: NodeServer, leave: float) -> None:
+        """Drain, start a cold successor, and end the old one after `leave` seconds."""
+        self.drain(node)
+        number, generation = [*node.spec.name.split("-")[1:], "0"][:2]
+        await self.boot(self.scene.spec(int(number), int(generation) + 1))
+        await asyncio.sleep(leave)
+        self.remove(node)
+
+    def listed(self) -> list[NodeServer]:
+        """Those that run and are wanted."""
+        return [n for n in self.nodes.values() if n.running and not n.model.draining]
+
+    # Gateways.
+
+    async def restart(self, numbers: Sequence[int], away: float, outright: bool = True) -> None:
+        """Kill (or end) them together; after `away` seconds they start from nothing but the last list."""
+        chosen = [self.gateways[number] for number in numbers]
+        await asyncio.gather(*(g.kill() if outright else g.end() for g in chosen))
+        await asyncio.sleep(away)
+        for number in numbers:
+            self.gateways[number].config["known"] = self.list.whole(number)
+        await asyncio.gather(*(gateway.start() for gateway in chosen))
+
+    # The run.
+
+    def ask(self) -> None:
+        self.clients.start()
+
+    async def settle(self) -> None:
+        """No more is asked; all that was is seen to its end, and the gateways end in good order."""
+        await self.clients.settle()
+        await asyncio.gather(*(gateway.end() for gateway in self.gateways))
+
+    def verdict(self) -> Verdict:
+        return judge(self.scene.world(), self.ledger.entries)
+
+    def figures(self) -> dict[str, Any]:
+        """CPU of the gateways a try, in ms, and the most memory that one held, in MB."""
+        tries = max(1, len(self.clients.forms))
+        return {
+            "cpu_ms": 1000 * sum(g.used() for g in self.gateways) / tries,
+            "memory_mb": max(g.peak for g in self.gateways) / (1 << 20),
+        }
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/trackspread/harness/process.py
@@ -0,0 +1,148 @@
+"""One gateway in a process of its own, with its limits; it never outlives whoever started it."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import resource
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ..judge.ledger import Ended, Killed, Ledger, Started, Stopping
+from ..standins.loopback import Address
+
+READY_MOST = 20.0  # s until a gateway answers a ping; a loaded machine may be slow to start twenty of them
+READY_LOOK = 0.02  # s between pings
+END_MOST = 10.0  # s that a gateway has to end after SIGTERM, over the longest deadline
+PR_SET_PDEATHSIG = 1  # prctl(2)
+PAGE = os.sysconf("SC_PAGE_SIZE")
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class GatewayProcess:
+    """Starts, kills and ends one gateway; `command` is what runs it, without the interpreter."""
+
+    def __init__(
+        self, name: str, address: Address, config: dict[str, Any], folder: Path, ledger: Ledger,
+        command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 1024,
+    ) -> None:
+        self.name, self.address, self.config = name, address, config
+        self.log = folder / f"{name}.log"
+        self._path, self._own = folder / f"{name}.json", folder / f"{name}.toml"
+        self._ledger, self._command, self._sockets = ledger, command, sockets
+        self._process: asyncio.subprocess.Process | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self.starts = 0
+        self.cpu = 0.0  # s, of the processes that have ended
+        self.peak = 0  # bytes of memory that any of them held at most
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid if self._process is not None else 0
+
+    async def start(self) -> None:
+        """From nothing; returns once it has answered a ping."""
+        self.starts += 1
+        self.config["seed"] = f"{(hash((self.name, self.starts)) & (1 << 63) - 1):016x}"
+        self._path.write_text(json.dumps(self.config))
+        self._own.touch()
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, *self._command, "--file", str(self._own), stdout=log, stderr=log,
+                env={**os.environ, "ROUTER_CONFIG": str(self._path)}, preexec_fn=self._limits(),
+            )
+        self._watch = asyncio.get_running_loop().create_task(self._ended(self._process))
+        await self._ready()
+
+    def _limits(self) -> Callable[[], None]:
+        libc, sockets = ctypes.CDLL(None), self._sockets
+
+        def child() -> None:
+            libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+
+        return child
+
+    async def _ready(self) -> None:
+        async with asyncio.timeout(READY_MOST):
+            while True:
+                if not self.running:
+                    raise RuntimeError(f"{self.name} did not start; its log: {self.tail()}")
+                try:
+                    reader, writer = await asyncio.open_connection(*self.address)
+                    writer.write(b"*1\r\n$4\r\nPING\r\n")
+                    line = await reader.readline()
+                    writer.close()
+                    if line == b"+PONG\r\n":
+                        break
+                except OSError:
+                    pass
+                await asyncio.sleep(READY_LOOK)
+        self._ledger.write(Started(time.monotonic_ns(), self.name))
+
+    def tail(self, lines: int = 5) -> str:
+        return " | ".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+    async def _ended(self, process: asyncio.subprocess.Process) -> None:
+        status = await process.wait()
+        self._ledger.write(Ended(time.monotonic_ns(), self.name, status))
+
+    async def kill(self) -> None:
+        """Outright, as a machine that loses power."""
+        if self._process is not None and self.running:
+            self.measure()
+            self._ledger.write(Killed(time.monotonic_ns(), self.name))
+            self._process.kill()
+            await self._gone()
+
+    async def end(self) -> None:
+        """SIGTERM, and wait until it is gone."""
+        if self._process is not None and self.running:
+            self.measure()
+            self._ledger.write(Stopping(time.monotonic_ns(), self.name))
+            self._process.terminate()
+            try:
+                async with asyncio.timeout(END_MOST):
+                    await self._gone()
+            except TimeoutError:
+                self._process.kill()
+                await self._gone()
+
+    async def _gone(self) -> None:
+        if self._watch is not None:
+            await asyncio.shield(self._watch)
+
+    def signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self.running:
+            self._process.send_signal(number)
+
+    def used(self) -> float:
+        """CPU seconds of all its processes so far."""
+        return self.cpu + self._cpu_now()
+
+    def _cpu_now(self) -> float:
+        try:
+            fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        except (OSError, ValueError):
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def measure(self) -> None:
+        """Take note of CPU and memory before the process goes."""
+        self.cpu += self._cpu_now()
+        try:
+            status = Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return
+        held = next((line for line in status.splitlines() if line.startswith("VmHWM")), "VmHWM: 0 kB")
+        self.peak = max(self.peak, int(held.split()[1]) << 10)
