Mutant gateways on sockets, for the judge to convict end to end

Need: a judge that convicts only hand-made ledgers proves little. A gateway process with one planted fault runs in any scenario.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,7 +10,7 @@
 ROOT = Path(__file__).parent.parent / "trackspread"
 # From the lowest up; a package imports from those before it only.
 ORDER = ("judge", "call", "clock", "logs", "decide", "simulator", "config", "framing", "peers", "lists",
-         "backends", "fronts", "node", "standins", "virtual", "harness", "cli")
+         "backends", "fronts", "node", "standins", "virtual", "cli", "harness")
 TESTBED = {"judge", "standins", "virtual", "harness"}
 
 
--- /dev/null
+++ b/trackspread/harness/mutant.py
@@ -0,0 +1,118 @@
+"""Runs a gateway with one planted fault: `python -m trackspread.harness.mutant NAME run ...`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest.mock import patch
+
+from .. import cli
+from ..backends.pools import Backends as Pools
+from ..fronts.connections import Slot
+from ..judge.verdict import Rule
+from ..node.gateway import Gateway
+from ..virtual.mutants import MUTANTS, planted
+
+EVERY = 15  # a deed that goes wrong does so once in so many times
+
+
+def _answers_twice() -> list[Any]:
+    real, count = Slot.refused, [0]
+
+    def mutant(self: Slot, call: Any, wait_ms: int) -> None:
+        real(self, call, wait_ms)
+        count[0] += 1
+        if count[0] % EVERY == 0 and not self.client.slots:
+            self.client._transport.write(b"-BUSY\r\n")  # type: ignore[union-attr]
+
+    return [patch.object(Slot, "refused", mutant)]
+
+
+def _answers_lost() -> list[Any]:
+    real, count = Slot.served, [0]
+
+    def mutant(self: Slot, call: Any, value: bytes) -> None:
+        count[0] += 1
+        if count[0] % EVERY:
+            real(self, call, value)
+
+    return [patch.object(Slot, "served", mutant)]
+
+
+def _connection_ended() -> list[Any]:
+    real, count = Slot.served, [0]
+
+    def mutant(self: Slot, call: Any, value: bytes) -> None:
+        count[0] += 1
+        if count[0] % EVERY:
+            real(self, call, value)
+        else:
+            self.client.abort()
+
+    return [patch.object(Slot, "served", mutant)]
+
+
+def _written_late() -> list[Any]:
+    """A drained backend gets what was decided before, however late."""
+    real = Pools.learn
+
+    def mutant(self: Pools, backend: int, address: Any) -> None:
+        if address is not None:
+            real(self, backend, address)
+
+    return [patch.object(Pools, "learn", mutant), *MUTANTS["drains-ignored"].patches()]
+
+
+def _crashes() -> list[Any]:
+    real = Gateway.take
+
+    def mutant(self: Gateway, call: Any, slot: Any, waited: float) -> None:
+        real(self, call, slot, waited)
+        if next(self._numbers) > 20 * EVERY:
+            os._exit(70)
+
+    return [patch.object(Gateway, "take", mutant)]
+
+
+# Faults of the running gateway, beside those of its decisions in `virtual.mutants`.
+ON_SOCKETS: dict[str, tuple[Rule, Callable[[], list[Any]]]] = {
+    "socket-answers-twice": ("answers", _answers_twice),
+    "socket-answers-lost": ("answers", _answers_lost),
+    "socket-connection-ended": ("answers", _connection_ended),
+    "socket-written-late": ("drains", _written_late),
+    "socket-crashes": ("crash", _crashes),
+}
+
+
+def rule(name: str) -> Rule:
+    """What the mutant breaks."""
+    return ON_SOCKETS[name][0] if name in ON_SOCKETS else MUTANTS[name].rule
+
+
+def command(name: str) -> tuple[str, ...]:
+    """What runs the mutant, for `Fleet`."""
+    return "-m", "trackspread.harness.mutant", name, "run"
+
+
+@contextmanager
+def _planted(name: str) -> Iterator[None]:
+    if name not in ON_SOCKETS:
+        with planted(name):
+            yield
+        return
+    with ExitStack() as stack:
+        for each in ON_SOCKETS[name][1]():
+            stack.enter_context(each)
+        yield
+
+
+def main(words: Sequence[str]) -> int:
+    with _planted(words[0]):
+        return cli.main(words[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
