--- /dev/null
+++ b/benchmarks/cost.py
@@ -0,0 +1,145 @@
+"""CPU a request of the gateway beside a bare uvloop relay, on the same closed-loop work in one run.
+
+Figures are ratios to the relay, which parses and decides nothing: with 9 nodes and 200 customers, with 100
+and 500 nodes, and with 10,000 customers. Answers come at once, so all CPU is the gateway's own.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+from asyncio.subprocess import DEVNULL, PIPE, Process, create_subprocess_exec
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from trackspread.harness.process import GatewayProcess
+from trackspread.judge.ledger import Ledger
+from trackspread.standins.agent import Agent, BackendList, Listed
+from trackspread.standins.loopback import Ports
+from trackspread.standins.settings import class_settings, nested_settings, plan_settings
+
+from .closed_loop import ANSWER, Address, Asker, Tally, commands
+
+CONNECTIONS = 32  # requests under way at any time
+WARM, SPAN, SPAN_QUICK = 1.0, 10.0, 3.5  # s
+QUOTA = 60.0  # requests a second and at once, of each customer: several times what it gets to ask
+SECOND = 1_000_000_000
+SERVED = b"$5\r\nvalue\r\n"
+
+
+@dataclass(frozen=True)
+class Work:
+    name: str
+    nodes: int
+    customers: int
+
+
+WORKS = (Work("ratio", 9, 200), Work("ratio_100", 100, 200), Work("ratio_500", 500, 200),
+         Work("ratio_10k_customers", 9, 10_000))
+
+
+async def _spawn(*words: str) -> tuple[Process, list[Address]]:
+    process = await create_subprocess_exec(
+        sys.executable, "-m", "benchmarks.closed_loop", *words, stdin=PIPE, stdout=PIPE, stderr=DEVNULL
+    )
+    assert process.stdout is not None
+    line = await process.stdout.readline()
+    return process, [(host, port) for host, port in json.loads(line)]
+
+
+def _cpu(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+async def _drive(address: Address, pid: int, customers: int, end: bytes, span: float) -> tuple[float, float]:
+    """CPU ms a request, and requests a second, while all connections ask without a pause."""
+    loop, tally, one = asyncio.get_running_loop(), Tally(), commands(customers)
+    made = [
+        await loop.create_connection(lambda: Asker(one, tally, end), *address) for _ in range(CONNECTIONS)
+    ]
+    await asyncio.sleep(WARM)
+    before, served, began = _cpu(pid), tally.served, loop.time()
+    await asyncio.sleep(span)
+    used, count, took = _cpu(pid) - before, tally.served - served, loop.time() - began
+    tally.asking = False
+    for transport, _ in made:
+        transport.close()
+    if tally.refused or tally.lost or not count:
+        raise RuntimeError(f"{tally.refused} refused, {tally.lost} lost, {count} served: no fair work")
+    return 1000 * used / count, count / took
+
+
+async def _relay(nodes: list[Address], span: float) -> tuple[float, float]:
+    process, (address,) = await _spawn("relay", ",".join(f"{host}:{port}" for host, port in nodes))
+    try:
+        return await _drive(address, process.pid, 200, ANSWER, span)
+    finally:
+        process.kill()
+        await process.wait()
+
+
+def _settings() -> dict[str, Any]:
+    classes = [class_settings("rate-lookup", "free", "all", SECOND, 1500_000_000, SECOND)]
+    wide = plan_settings("wide", QUOTA, QUOTA)
+    return nested_settings(classes, [wide], 0, 1, zones=("a", "b", "c"))
+
+
+async def _gateway(work: Work, nodes: list[Address], folder: Path, span: float) -> tuple[float, float]:
+    listed, ledger = BackendList(), Ledger()
+    for number, address in enumerate(nodes):
+        listed.put(Listed(
+            f"s-{number}", (address,), "abc"[number // 3 % 3], "m1", number // 3, "in_service", 0
+        ))
+    agent = Agent(listed, 0, ledger)
+    await agent.start()
+    at = Ports().tcp()
+    config = {
+        "name": "n0", "listen": f"{at[0]}:{at[1]}", "discovery": f"{agent.address[0]}:{agent.address[1]}",
+        "limits": {"memory_mb": 192, "sockets": 2048}, "known": listed.whole(0), "settings": _settings(),
+    }
+    gateway = GatewayProcess("n0", at, config, folder, ledger, sockets=2048)
+    await gateway.start()
+    try:
+        return await _drive(at, gateway.pid, work.customers, SERVED, span)
+    finally:
+        await gateway.kill()
+        agent.close()
+
+
+async def measure(span: float) -> dict[str, float]:
+    figures: dict[str, float] = {}
+    with tempfile.TemporaryDirectory() as folder:
+        for work in WORKS:
+            process, nodes = await _spawn("nodes", str(work.nodes))
+            try:
+                if work is WORKS[0]:
+                    bare, rate = await _relay(nodes, span)
+                    figures["relay_ms"] = round(bare, 4)
+                    print(f"relay: {bare:.4f} ms CPU a request, {rate:.0f} a second", file=sys.stderr)
+                cost, rate = await _gateway(work, nodes, Path(folder), span)
+            finally:
+                process.kill()
+                await process.wait()
+            figures[work.name] = round(cost / bare, 2)
+            print(f"{work.name}: {work.nodes} nodes, {work.customers} customers: {cost:.4f} ms a request, "
+                  f"{rate:.0f} a second, {cost / bare:.1f} times the relay", file=sys.stderr, flush=True)
+    return figures
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--quick", action="store_true", help="under 50 s")
+    given = parser.parse_args()
+    print(json.dumps(uvloop.run(measure(SPAN_QUICK if given.quick else SPAN))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import shutil
 import tempfile
 import time
@@ -29,6 +30,7 @@
 
 BEAT = 0.01  # s between looks at this loop's own lag
 LAG_NOTED = 0.02  # s from which a lag goes into the ledger
+LEAVING = (0.2, 0.4)  # s after SIGTERM in which new connections still come
 MEMORY_MB = 64  # what each gateway is told that it may use
 
 
@@ -46,6 +48,7 @@
         self.gateways: list[GatewayProcess] = []
         self.agents = [Agent(self.list, number, self.ledger) for number in range(scene.gateways)]
         self._command, self._sockets, self._relays = command, sockets, relays
+        self._rng = random.Random(f"fleet:{scene.seed}")
         self._ports, self._pods = Ports(), dict[int, Pod]()
         addresses = [self._ports.tcp() for _ in range(scene.gateways)]
         self.clients = Clients(scene, scene.crowd(), self.ledger, addresses)
@@ -159,11 +162,20 @@
     async def restart(self, numbers: Sequence[int], away: float, outright: bool = True) -> None:
         """Kill (or end) them together; after `away` seconds they start from nothing but the last list."""
         chosen = [self.gateways[number] for number in numbers]
+        if not outright:
+            self._leave(numbers)
         await asyncio.gather(*(g.kill() if outright else g.end() for g in chosen))
         await asyncio.sleep(away)
         for number in numbers:
             self.gateways[number].config["known"] = self.list.whole(number)
         await asyncio.gather(*(gateway.start() for gateway in chosen))
+        self.clients.leaving.difference_update(numbers)
+
+    def _leave(self, numbers: Sequence[int]) -> None:
+        """At a planned restart new connections go on coming for a moment, as the platform's pages have it."""
+        for number in numbers:
+            wait = self._rng.uniform(*LEAVING)
+            asyncio.get_running_loop().call_later(wait, self.clients.leaving.add, number)
 
     # The run.
 
--- a/trackspread/virtual/schedules.py
+++ b/trackspread/virtual/schedules.py
@@ -18,7 +18,7 @@
 from ..standins.scene import MILLISECOND, Scene
 from .fleet import Node, VirtualFleet
 
-SPAN = 5 * SECOND  # of happenings; long enough for a drain's grace and a cold start's window after it
+SPAN = 4 * SECOND  # of happenings; long enough for a drain with its grace, and a cold start after it
 BEYOND_MOST = 0.15  # of what a calm fleet sends on, beyond quotas: 1.3% on average, 9% at worst of 250
 CALM = 8  # every so many schedules one is calm, and held to the quotas as well
 Fault = Callable[[VirtualFleet, random.Random], None]
