--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,132 @@
+"""Real gateway processes under faults, judged; and nothing of them left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from trackspread.harness import mutant
+from trackspread.harness.fleet import Fleet
+from trackspread.judge.ledger import Ended, Killed
+from trackspread.judge.verdict import Verdict
+from trackspread.standins.scene import Scene
+
+SMALL = Scene(gateways=2, nodes=3, load=0.6, seed=7)
+TRIES = 4  # of a run whose stand-ins lagged: such a run has no verdict
+MOST = 60.0  # s: only a hang reaches it
+
+
+async def served(fleet: Fleet, more: int) -> None:
+    """Wait until so many more were served, and some refused or failed as well, or not."""
+    kinds = fleet.clients.kinds
+    goal = kinds["served"] + more
+    while kinds["served"] < goal:
+        await asyncio.sleep(0.01)
+
+
+def alive(pid: int) -> bool:
+    try:
+        return "Z" not in Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+    except OSError:
+        return False
+
+
+async def kill_and_part() -> tuple[Verdict, list[int]]:
+    async with Fleet(SMALL) as fleet:
+        fleet.ask()
+        await served(fleet, 30)
+        pids = [gateway.pid for gateway in fleet.gateways]
+        fleet.wire.part(["n0"], ["n1"])
+        await fleet.restart([0], 0.2)
+        await served(fleet, 30)
+        fleet.wire.heal()
+        node = fleet.listed()[0]
+        await fleet.replace(node, 0.3)
+        await served(fleet, 30)
+        pids += [gateway.pid for gateway in fleet.gateways]
+        await fleet.settle()
+        return fleet.verdict(), pids
+
+
+def test_rules_hold_while_a_gateway_is_killed_peers_are_parted_and_a_node_replaced() -> None:
+    for _ in range(TRIES):
+        verdict, pids = uvloop.run(asyncio.wait_for(kill_and_part(), MOST))
+        assert not any(alive(pid) for pid in pids)
+        if verdict.state != "void":
+            break
+    assert verdict.violations == ()
+    assert verdict.figures.served >= 90 and verdict.figures.tries > verdict.figures.served
+
+
+async def planted(name: str) -> Verdict:
+    async with Fleet(SMALL.changed(load=0.8), mutant.command(name)) as fleet:
+        for node in fleet.listed():
+            node.reset = 0.2
+        fleet.ask()
+        await served(fleet, 60)
+        await fleet.settle()
+        return fleet.verdict()
+
+
+@pytest.mark.parametrize("name", ["effects-forgotten", "socket-answers-lost", "socket-answers-twice"])
+def test_a_mutant_gateway_is_convicted_end_to_end(name: str) -> None:
+    verdict = uvloop.run(asyncio.wait_for(planted(name), MOST))
+    assert mutant.rule(name) in verdict.broken() and verdict.state == "broken"
+
+
+def test_what_fails_inside_leaves_no_process_and_no_file_behind() -> None:
+    async def test() -> tuple[list[int], Path]:
+        pids: list[int] = []
+        with pytest.raises(KeyError):
+            async with Fleet(SMALL) as fleet:
+                pids += [gateway.pid for gateway in fleet.gateways]
+                folder = fleet.folder
+                raise KeyError
+        return pids, folder
+
+    pids, folder = uvloop.run(test())
+    assert len(pids) == 2 and not any(alive(pid) for pid in pids) and not folder.exists()
+
+
+def test_a_gateway_dies_with_whoever_started_it() -> None:
+    """However the starter ends: nothing can clean up after SIGKILL."""
+    text = (
+        "import asyncio, uvloop\n"
+        "from tests.test_fleet import SMALL, Fleet\n"
+        "async def starter():\n"
+        "    async with Fleet(SMALL) as fleet:\n"
+        "        print(*[gateway.pid for gateway in fleet.gateways], flush=True)\n"
+        "        await asyncio.sleep(60)\n"
+        "uvloop.run(starter())\n"
+    )
+    with subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True) as starter:
+        assert starter.stdout is not None
+        pids = [int(word) for word in starter.stdout.readline().split()]
+        assert len(pids) == 2 and all(alive(pid) for pid in pids)
+        starter.kill()
+
+    async def gone() -> None:
+        while any(alive(pid) for pid in pids):
+            await asyncio.sleep(0.01)
+
+    asyncio.run(asyncio.wait_for(gone(), MOST))
+
+
+def test_a_gateway_that_ends_by_itself_is_in_the_ledger_and_so_is_a_kill() -> None:
+    async def test() -> None:
+        async with Fleet(SMALL) as fleet:
+            first, second = fleet.gateways
+            first.signal(signal.SIGQUIT)
+            await second.kill()
+            while not any(isinstance(e, Ended) and e.gateway == "n0" for e in fleet.ledger.entries):
+                await asyncio.sleep(0.01)
+            assert [e.gateway for e in fleet.ledger.entries if isinstance(e, Killed)] == ["n1"]
+            assert fleet.verdict().broken() == {"crash"}
+
+    uvloop.run(asyncio.wait_for(test(), MOST))
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,131 @@
+"""The stand-ins' models: rating nodes, crowds, the agent's list."""
+
+from __future__ import annotations
+
+import pytest
+
+from trackspread.config.addresses import Address
+from trackspread.judge.ledger import Ledger
+from trackspread.simulator.wire import parse_settings
+from trackspread.config.platform import flatten
+from trackspread.standins.agent import Agent, BackendList, Listed
+from trackspread.standins.loopback import Ports, own_address
+from trackspread.standins.rating import SECOND, NodeSpec, Pod, RatingNode, work_of
+from trackspread.standins.scene import MILLISECOND, Scene
+
+
+def node(cold: bool = False, **changes: object) -> RatingNode:
+    spec = NodeSpec("s", **changes)  # type: ignore[arg-type]
+    return RatingNode(spec, Pod(), 0, cold, 3 * SECOND, 3.0)
+
+
+def test_two_cores_work_at_once_and_the_third_waits() -> None:
+    n = node()
+    done = [taken.done for i in range(3) if (taken := n.arrive(0, f"r{i}", 100)) is not None]
+    assert done == [100, 100, 200]
+    assert n.arrive(150, "r3", 100).done == 250  # type: ignore[union-attr]
+
+
+def test_one_that_holds_too_many_turns_away_and_takes_again_later() -> None:
+    n = node(held=2)
+    assert [n.arrive(0, f"r{i}", 100) is None for i in range(3)] == [False, False, True]
+    assert n.arrive(101, "r3", 100) is not None
+    n.draining = True
+    assert n.arrive(300, "r4", 100) is None
+
+
+def test_a_cold_one_is_slow_at_first_and_falls_over_when_flooded() -> None:
+    n = node(cold=True, start=0.25, warm=10 * SECOND)
+    assert n.arrive(0, "r", 100).done == 400  # type: ignore[union-attr]
+    assert n.part(5 * SECOND) == pytest.approx(0.625) and n.part(10 * SECOND) == 1.0
+    able = 2 * 0.25 * 3 * SECOND * 3  # cores, capacity, window, multiple
+    calm, flooded = (node(cold=True, start=0.25, warm=10**6 * SECOND) for _ in range(2))
+    for i in range(10):
+        calm.arrive(i * SECOND, f"r{i}", int(able / 3.5))
+        flooded.arrive(i, f"r{i}", int(able / 3.5))
+    assert not calm.fallen and flooded.fallen
+    assert flooded.arrive(20, "more", 1) is None
+
+
+def test_a_pod_drops_a_repeat_while_it_remembers_the_key() -> None:
+    pod = Pod()
+    a, b = (RatingNode(NodeSpec(name), pod, 0, False, SECOND, 3.0) for name in "ab")
+    first = a.arrive(0, "r1", 100, "key", 1000)
+    again = b.arrive(50, "r1", 100, "key", 1000)
+    later = b.arrive(2000, "r1", 100, "key", 1000)
+    assert first and again and later
+    assert (again.repeat, again.value) == (True, first.value) and again.done >= first.done
+    assert not later.repeat and later.value != first.value
+
+
+def test_work_is_the_same_everywhere_and_has_the_mean_that_was_asked_for() -> None:
+    assert work_of(1, "r", 1000) == work_of(1, "r", 1000) != work_of(2, "r", 1000)
+    drawn = [work_of(1, str(i), 10**6) for i in range(4000)]
+    assert sum(drawn) / len(drawn) == pytest.approx(10**6, rel=0.03)
+
+
+def test_a_crowd_replays_and_asks_as_much_as_the_scene_says() -> None:
+    scene = Scene(load=0.5)
+    one, two = scene.crowd(), scene.crowd()
+    assert [(one.pause(), one.want()) for _ in range(200)] == [(two.pause(), two.want()) for _ in range(200)]
+    mean = sum(c.share * c.work for c in scene.classes) / SECOND
+    asked = sum(c.rate for c in one.customers) * mean / (scene.nodes * 2)
+    assert 0.5 <= asked < 0.7
+    assert one.move(1.0) == len(one.customers)
+
+
+def test_clients_come_again_only_where_that_is_harmless() -> None:
+    crowd = Scene(habit=Scene().habit).crowd()
+    seen: dict[tuple[str, str], set[bool]] = {}
+    for _ in range(600):
+        want = crowd.want()
+        for kind in ("refused", "failed", "cut"):
+            again = crowd.again(want, kind, 200)
+            seen.setdefault((want.cls, kind), set()).add(again is not None)
+            if again is not None:
+                assert again[1].origin == want.origin and again[1].key == want.key
+                assert crowd.request_id(again[1]) != crowd.request_id(want)
+    assert all(True in seen[cls, "refused"] for cls in ("rate-lookup", "usage-submit", "charge-post"))
+    assert seen["charge-post", "failed"] == seen["usage-submit", "cut"] == {False}
+    assert seen["rate-lookup", "failed"] == {True}
+
+
+def test_advice_is_followed_by_those_who_obey() -> None:
+    crowd = Scene().crowd()
+    waits = [again[0] for _ in range(400) if (again := crowd.again(crowd.want(), "refused", 900)) is not None]
+    obeyed = sum(wait >= 900 * MILLISECOND for wait in waits)
+    assert 0.7 < obeyed / len(waits) < 0.9
+
+
+def test_the_settings_of_a_scene_are_what_a_gateway_reads() -> None:
+    settings = parse_settings("\n".join(flatten(Scene().settings(1))))
+    assert settings.position == 1 and settings.gateways == 3 and settings.may_message
+    assert [c.name for c in settings.classes] == [c.name for c in Scene().classes]
+
+
+def entry(host: str, health: str = "in_service", port: int = 1) -> Listed:
+    dial: Address = ("127.0.0.1", port)
+    return Listed(host, (dial,), "a", "m1", 0, health, 0)
+
+
+def test_a_list_tells_what_changed_or_the_whole() -> None:
+    listed = BackendList()
+    Agent(listed, 0, Ledger())
+    listed.agents.clear()  # nobody watches
+    listed.put(entry("x"))
+    listed.put(entry("y"))
+    at = listed.version
+    listed.put(entry("x", "terminating"))
+    listed.put(entry("y", "terminated"))
+    changes = listed.since(0, at)
+    assert not changes["whole"] and changes["seq"] == listed.version
+    assert {h["host"]: h["health"] for h in changes["hosts"]} == {"x": "terminating", "y": "terminated"}
+    assert listed.since(0, listed.version)["hosts"] == []
+    assert listed.since(0, 99)["whole"] and [h["host"] for h in listed.whole(0)["hosts"]] == ["x"]
+
+
+def test_ports_are_given_once_at_an_address_of_this_process() -> None:
+    ports = Ports()
+    given = [ports.tcp() for _ in range(50)] + [ports.udp() for _ in range(50)]
+    assert {host for host, _ in given} == {own_address()} and own_address().startswith("127.")
+    assert len(set(given[:50])) == 50 == len(set(given[50:]))
