trackspread try: a fleet on loopback, live, with kills by key or plan; make try and make test

Need: a newcomer who followed the README ended with a missing config.json and had nothing to try it against. One command brings up three gateways, nine nodes and clients, draws what is served, refused and why (a line a second in a pipe), and ends with the judge's verdict as exit status.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Two commands do everything, set-up included: `make try` and `make test`.
+PYTHON ?= python3
+READY = .venv/.ready
+
+.PHONY: try test bench clean
+try: $(READY)
+	.venv/bin/python -m trackspread try $(ARGS)
+
+test: $(READY)
+	.venv/bin/python -m pytest -q
+
+bench: $(READY)
+	.venv/bin/python -m benchmarks.rules --quick
+	.venv/bin/python -m benchmarks.cost --quick
+
+$(READY): requirements.txt
+	test -x .venv/bin/python || $(PYTHON) -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	touch $@
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/tests/test_try.py
@@ -0,0 +1,102 @@
+"""`trackspread try`: what it shows, what it takes, and one run of it as a newcomer would."""
+
+from __future__ import annotations
+
+import os
+import pty
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from trackspread.cli import main
+from trackspread.config.addresses import ConfigError
+from trackspread.harness.screen import GatewayRow, NodeRow, Snapshot, bars, draw, one_line
+from trackspread.harness.tallies import Tallies
+from trackspread.harness.trial import plan_kills
+from trackspread.judge.ledger import Answered, Asked, Attempted, ClassRule, Cut, Entry, PlanRule, World
+from trackspread.standins.scene import Scene
+
+ROOT = Path(__file__).parent.parent
+S = 1_000_000_000
+COMMAND = (sys.executable, "-m", "trackspread", "try", "--seconds", "4", "--kill", "n1@1", "--kill", "s-2@1")
+
+
+def test_kills_are_planned_by_name_and_time_and_mistakes_say_what_is_wanted() -> None:
+    assert plan_kills(["s-2", "n1@2.5"], Scene(), 9.0) == [(2.5, "n1"), (3.0, "s-2")]
+    for word in ("n3", "s-9", "x", "n1@", "n1@10"):
+        with pytest.raises(ConfigError, match=f"--kill: found '{word}', wanted"):
+            plan_kills([word], Scene(), 9.0)
+
+
+def test_too_short_a_run_is_one_plain_line(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["try", "--seconds", "0.5"]) == 2
+    assert capsys.readouterr().err == "trackspread: --seconds: found 0.5, wanted 3 to 3600\n"
+
+
+def test_the_screen_names_everything_and_stays_within_its_width() -> None:
+    counts = Counter(asked=9, served=5, refused=3, failed=1)
+    rows = [GatewayRow("n0", True, counts), GatewayRow("n1", False, Counter())]
+    states = ("ready", "cold", "DOWN", "silent")
+    nodes = [NodeRow(f"s-{i}-1", state, 0.5, 64) for i, state in enumerate(states)]
+    shot = Snapshot(3.0, 20.0, rows, nodes, counts, Counter({"why": 3}), [counts] * 60, ("1.0 s  gone",))
+    lines = draw(shot, True)
+    text = "\n".join(lines)
+    assert max(map(len, lines)) <= 100
+    assert all(word in text for word in ("n1", "DOWN", "s-3-1", "silent", "why", "gone", "q quit", "served"))
+    assert "1/2 gateways, 2/4 nodes" in one_line(shot) and "\n" not in one_line(shot)
+    assert bars([0, 4, 8], 8) == " ▄█" and bars([1], 0) == " "
+    assert draw(Snapshot(0.0, 3.0, [], [], Counter(), Counter(), ()), False)
+
+
+def test_tallies_count_by_gateway_and_tell_a_used_up_quota_from_one_with_room() -> None:
+    plans = {"p": PlanRule(1.0, 2.0), "free": PlanRule(0.0, 0.0)}
+    world = World({"look": ClassRule("safe", "all", S)}, plans, S, S, 3.0)
+    tallies = Tallies(world)
+
+    def one(request: str, sent: bool, kind: Any, plan: str = "p") -> list[Entry]:
+        made: list[Entry] = [Asked(0, request, request, "n0", "look", plan, 1, 1.0, S)]
+        made += [Attempted(0, 0, request, "s", "n0", 1)] * sent
+        return [*made, Answered(0, request, kind)] if kind else [*made, Cut(0, request)]
+
+    tallies.take([*one("a", False, "refused"), *one("b", True, "served")])
+    tallies.take([*one("c", True, "refused"), *one("d", False, "refused"),
+                  *one("e", True, "served"), *one("f", True, ""), *one("g", False, "refused", "free")])
+    assert tallies.by_gateway["n0"] == Counter(refused=4, served=2, unanswered=1)
+    assert sorted(tallies.refusals.values()) == [1, 1, 2] and len(tallies.refusals) == 3
+    assert tallies.refusals["its customer's quota is used up"] == 1 and tallies.total["beyond"] == 2
+    assert [second["asked"] for second in tallies.seconds] == [2, 5]
+
+
+def test_in_a_pipe_it_prints_a_line_a_second_and_ends_with_the_verdict() -> None:
+    done = subprocess.run(COMMAND, cwd=ROOT, capture_output=True, text=True, timeout=120, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr
+    told = done.stdout
+    assert "gateway n1 is killed" in told and "node s-2 is killed" in told and "\x1b" not in told
+    assert "the five rules were kept" in told or "no verdict" in told
+    assert sum(" gateways, " in line for line in told.splitlines()) >= 3
+
+
+def test_in_a_terminal_it_draws_and_takes_keys() -> None:
+    mine, its = pty.openpty()
+    command = [*COMMAND[:4], "--seconds", "60"]
+    with subprocess.Popen(command, cwd=ROOT, stdin=its, stdout=its, stderr=its) as process:
+        os.close(its)
+        told = b""
+
+        def read_until(word: bytes) -> None:
+            nonlocal told
+            while word not in told:
+                told += os.read(mine, 1 << 16)
+
+        read_until(b"q quit")
+        os.write(mine, b"g")
+        read_until(b"is killed")
+        os.write(mine, b"q")
+        while b"rules were" not in told and b"no verdict" not in told:
+            told += os.read(mine, 1 << 16)
+        assert process.wait(60) == 0, told[-600:].decode()
+    os.close(mine)
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -47,6 +47,18 @@
         "--config", metavar="JSON",
         help="the platform's configuration (left out: ROUTER_CONFIG, if it is set)",
     )
+    tries = commands.add_parser(
+        "try", help="bring up gateways, rating nodes and clients on loopback, and watch them",
+        description="Three gateways, nine rating nodes and clients on loopback: shows live what is served "
+        "and refused, and why. In a terminal, keys kill a gateway (g) or a node (n), and q ends it.",
+    )
+    tries.add_argument("--seconds", type=float, default=20.0, help="how long it runs (20)")
+    tries.add_argument(
+        "--kill", action="append", default=[], metavar="NAME[@S]",
+        help="kill a gateway (n0 to n2) or a node (s-0 to s-8) after S seconds (a third of the time); more "
+        "than one may be given",
+    )
+    tries.add_argument("--seed", type=int, default=1, help="of clients and nodes (1)")
     return parser
 
 
@@ -74,6 +86,10 @@
         match given.command:
             case "check":
                 _check(given.file, given.config)
+            case "try":
+                from .harness import trial  # not needed in service: it takes memory there
+
+                return trial.run(given.seconds, given.kill, given.seed)
             case _:
                 serve.run(getattr(given, "file", None))
     except ConfigError as error:
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -162,7 +162,9 @@
     async def restart(self, numbers: Sequence[int], away: float, outright: bool = True) -> None:
         """Kill (or end) them together; after `away` seconds they start from nothing but the last list."""
         chosen = [self.gateways[number] for number in numbers]
-        if not outright:
+        if outright:
+            self.clients.killed.update(numbers)
+        else:
             self._leave(numbers)
         await asyncio.gather(*(g.kill() if outright else g.end() for g in chosen))
         await asyncio.sleep(away)
@@ -170,6 +172,7 @@
             self.gateways[number].config["known"] = self.list.whole(number)
         await asyncio.gather(*(gateway.start() for gateway in chosen))
         self.clients.leaving.difference_update(numbers)
+        self.clients.killed.difference_update(numbers)
 
     def _leave(self, numbers: Sequence[int]) -> None:
         """At a planned restart new connections go on coming for a moment, as the platform's pages have it."""
--- /dev/null
+++ b/trackspread/harness/tallies.py
@@ -0,0 +1,91 @@
+"""What a run shows while it goes on: counts by gateway and second, and why requests were refused.
+
+May know: ledger entries, in the order in which they are written. May not know: the gateways' own reasons;
+what is told as a reason follows from an exact count of each customer's quota. Without I/O or clock.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ..judge.judge import Store
+from ..judge.ledger import Answered, Asked, Attempted, Cut, Entry, Left, World
+
+KEPT = 60  # s of counts that are kept, for a line of the recent past
+SECOND = 1_000_000_000
+
+
+@dataclass(slots=True)
+class Tallies:
+    """Feed it with `take`; `seconds` has a count of each kind for each second, the oldest first."""
+
+    world: World
+    total: Counter[str] = field(default_factory=Counter)
+    by_gateway: dict[str, Counter[str]] = field(default_factory=dict)
+    refusals: Counter[str] = field(default_factory=Counter)
+    seconds: deque[Counter[str]] = field(default_factory=lambda: deque(maxlen=KEPT))
+    _asked: dict[str, Asked] = field(default_factory=dict)
+    _sent: set[str] = field(default_factory=set)
+    _stores: dict[int, Store] = field(default_factory=dict)
+
+    def take(self, entries: Sequence[Entry]) -> None:
+        """The entries since the last call; they make one more second."""
+        second: Counter[str] = Counter()
+        for entry in entries:
+            match entry:
+                case Asked():
+                    self._asked[entry.request] = entry
+                    second["asked"] += 1
+                case Attempted():
+                    self._attempted(entry)
+                case Answered():
+                    asked = self._asked.pop(entry.request, None)
+                    if asked is not None:
+                        self._answered(entry, asked, second)
+                    self._sent.discard(entry.request)
+                case Cut() | Left():
+                    if (asked := self._asked.pop(entry.request, None)) is not None:
+                        self._count(asked.gateway, "unanswered", second)
+        self.seconds.append(second)
+
+    def _store(self, asked: Asked, now: int) -> Store | None:
+        plan = self.world.plans[asked.plan]
+        if not plan.rate:
+            return None
+        store = self._stores.setdefault(asked.customer, Store(plan.rate, plan.burst, now))
+        store.fill(now)
+        return store
+
+    def _attempted(self, entry: Attempted) -> None:
+        asked = self._asked.get(entry.request)
+        if asked is None or entry.request in self._sent:
+            return
+        self._sent.add(entry.request)
+        store = self._store(asked, entry.at)
+        if store is None or store.level >= asked.units:
+            if store is not None:
+                store.level -= asked.units
+        else:
+            self.total["beyond"] += 1
+
+    def _answered(self, entry: Answered, asked: Asked, second: Counter[str]) -> None:
+        self._count(asked.gateway, entry.kind, second)
+        if entry.kind == "refused":
+            self.refusals[self._why(entry, asked)] += 1
+
+    def _why(self, entry: Answered, asked: Asked) -> str:
+        if entry.request in self._sent:
+            return "tried, and no other try was allowed"
+        store = self._store(asked, entry.at)
+        if store is not None and store.level < asked.units:
+            return "its customer's quota is used up"
+        if store is not None and store.level < store.most / 2:
+            return "the quota is nearly used up"
+        return "with quota left: a cap, a slice of the ceiling, or load"
+
+    def _count(self, gateway: str, kind: str, second: Counter[str]) -> None:
+        second[kind] += 1
+        self.total[kind] += 1
+        self.by_gateway.setdefault(gateway, Counter())[kind] += 1
--- a/trackspread/standins/clients.py
+++ b/trackspread/standins/clients.py
@@ -37,6 +37,7 @@
         self.asking = False
         self.kinds: Counter[str] = Counter()
         self.leaving: set[int] = set()  # gateways to which the front opens no new connections any more
+        self.killed: set[int] = set()  # gateways that were killed outright: nothing crossed, it may have run
         self.idle: list[list[_Line]] = [[] for _ in addresses]
         self.exchanges: set[Exchange] = set()
         self._arrivals: asyncio.Task[None] | None = None
@@ -156,7 +157,8 @@
         """The connection ended first."""
         now = time.monotonic_ns()
         self._end()
-        if self._kept and not midway and not self._again and now - self._asked < CROSSING:
+        crossed = now - self._asked < CROSSING and self.want.gateway not in self._clients.killed
+        if crossed and self._kept and not midway and not self._again:
             self._clients.once_more(self.want, self.request)
             return
         self._clients.kinds["cut"] += 1
