The pure core of forwarders and planners: leases whose sum never passes a limit, whatever dies or disagrees

Need: n gateways that tell one another everything do not grow, and forget with each restart. Planners grant forwarders parts of a member's limit by leases; a majority's lease (PaxosLease, no disk) on each slot of members says who may grant; a successor learns for one lease; grants are compare-and-set under epochs. No role uses it yet.

--- /dev/null
+++ b/benchmarks/planners.py
@@ -0,0 +1,162 @@
+"""Planning in virtual time: the invariant under seeded schedules, mutants, and how rights follow failures.
+
+The figures are of the pure core (lease book, election, forwarders) on clocks that drift by up to 1%; sockets
+are not in them yet. `--seed N` replays one schedule alone.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import multiprocessing
+import random
+import sys
+import time
+from functools import partial
+
+from trackspread.planning.terms import SECOND
+from trackspread.virtual.planned import Plan, World
+from trackspread.virtual.planned_schedules import MUTANTS, convict, make, play
+
+SCHEDULES_QUICK, SCHEDULES = 1000, 10_000
+CHUNK = 20
+MUTANT_SEEDS = 300
+WARM = 5 * SECOND  # ns until first leases are out and stores are at rest
+SPAN = 30 * SECOND
+KILL_EVERY, AWAY = 4 * SECOND, 2 * SECOND  # a planner drawn at random is killed so often, for so long
+FOLLOWED = 0.75  # of the rate before, from which rights count as there again
+WATCHED = 10  # s after a failure or a move
+INSIDE = 0.8  # of its limit that a member asks for
+
+
+def _schedules(seeds: range) -> tuple[list[tuple[int, str]], float]:
+    """Broken ones with what broke, and the worst excess, in units over a limit."""
+    broken, excess = [], 0.0
+    for seed in seeds:
+        schedule = make(seed)
+        world = play(schedule)
+        excess = max([excess, *(count.excess for count in world.counts)])
+        if world.broken:
+            broken.append((seed, f"{schedule}: {world.broken[0]}"))
+    return broken, excess
+
+
+def _convict(name: str) -> tuple[str, int | None]:
+    return name, convict(name, iter(range(MUTANT_SEEDS)))
+
+
+def _world(seed: int, asked: float = INSIDE) -> World:
+    world = World(Plan(seed, forwarders=6, planners=3, members=6, spread=4, asked=asked))
+    world.run(WARM)
+    return world
+
+
+def _sent(world: World) -> int:
+    return sum(count.sent for count in world.counts)
+
+
+def _share(seed: int, all_gone: bool) -> float:
+    """Sent on in `SPAN` while planners are killed, over the same load with none killed."""
+    counted = []
+    for killing in (False, True):
+        world, rng = _world(seed), random.Random(f"kills:{seed}")
+        before = _sent(world)
+        if killing and all_gone:
+            for process in world.planners:
+                world.kill(process)
+        elif killing:
+            for at in range(0, SPAN, KILL_EVERY):
+                process = rng.choice(world.planners)
+                world.clock.after(at, partial(world.kill, process))
+                world.clock.after(at + AWAY, partial(world.revive, process))
+        world.run(SPAN)
+        counted.append(_sent(world) - before)
+    return counted[1] / counted[0]
+
+
+def _until_followed(world: World, before: float) -> float:
+    """Seconds until the rate stays back for good: the end of the last whole second that fell short of it."""
+    sent = [_sent(world)]
+    for _ in range(WATCHED * 10):
+        world.run(SECOND // 10)
+        sent.append(_sent(world))
+    short = [i for i in range(10, len(sent)) if sent[i] - sent[i - 10] < FOLLOWED * before]
+    return (short[-1] / 10) if short else 0.0
+
+
+def _failover(seed: int) -> float:
+    """Seconds until what is sent on is back after the planner of most slots was killed for good."""
+    world = _world(seed, asked=2.0)
+    at = _sent(world)
+    world.run(5 * SECOND)
+    before = (_sent(world) - at) / 5
+    owners = [sum(e.owns(p.now()) for e in p.planner.elections) for p in world.planners]
+    world.kill(world.planners[owners.index(max(owners))])
+    return _until_followed(world, before)
+
+
+def _shift(seed: int) -> float:
+    """Seconds until it is back after all traffic of all members moved to one other forwarder each."""
+    world = _world(seed)
+    for weights in world.weights:
+        weights[:] = [1.0] + [0.0] * (len(weights) - 1)
+    world.run(5 * SECOND)
+    at = _sent(world)
+    world.run(5 * SECOND)
+    before = (_sent(world) - at) / 5
+    for weights in world.weights:
+        weights[:] = [0.0] * (len(weights) - 1) + [1.0]
+    return _until_followed(world, before)
+
+
+def measure(quick: bool) -> dict[str, float]:
+    began, count = time.monotonic(), SCHEDULES_QUICK if quick else SCHEDULES
+    worst, violations, caught = 0.0, 0, 0
+    with multiprocessing.get_context("spawn").Pool() as pool:
+        mutants = pool.imap_unordered(_convict, MUTANTS)
+        seeds = range(4 if quick else 16)
+        some = {name: pool.starmap_async(call, jobs) for name, call, jobs in (
+            ("served_share", _share, [(seed, False) for seed in seeds]),
+            ("served_share_no_planner", _share, [(seed, True) for seed in seeds]),
+            ("failover_s", _failover, [(seed,) for seed in seeds]),
+            ("shift_s", _shift, [(seed,) for seed in seeds]),
+        )}
+        chunks = [range(s, s + CHUNK) for s in range(10**6, 10**6 + count, CHUNK)]
+        for done, (broken, excess) in enumerate(pool.imap_unordered(_schedules, chunks), 1):
+            worst = max(worst, excess)
+            for seed, text in broken:
+                violations += 1
+                print(f"BROKEN, replay with --seed {seed}: {text}", file=sys.stderr)
+            if done % 10 == 0:
+                took = time.monotonic() - began
+                print(f"{done * CHUNK} of {count} schedules after {took:.0f} s", file=sys.stderr, flush=True)
+        for name, by in mutants:
+            caught += by is not None
+            told = "NOT CONVICTED" if by is None else f"convicted by seed {by}"
+            print(f"mutant {name}: {told}", file=sys.stderr)
+        values = {name: result.get() for name, result in some.items()}
+    return {
+        "schedules": count, "violations": violations, "ceiling_excess": round(worst, 3),
+        "mutants": len(MUTANTS), "mutants_caught": caught,
+        **{name: round((min if "share" in name else max)(each), 3) for name, each in values.items()},
+        "seconds": round(time.monotonic() - began, 1),
+    }
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--quick", action="store_true", help="under 50 s on eight cores")
+    parser.add_argument("--seed", type=int, help="replay one schedule")
+    given = parser.parse_args()
+    if given.seed is not None:
+        schedule = make(given.seed)
+        world = play(schedule)
+        print(schedule, *world.broken, sep="\n")
+        return 1 if world.broken else 0
+    figures = measure(given.quick)
+    print(json.dumps(figures))
+    return 0 if not figures["violations"] and figures["mutants"] == figures["mutants_caught"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,7 +10,7 @@
 ROOT = Path(__file__).parent.parent / "trackspread"
 # From the lowest up; a package imports from those before it only.
 ORDER = ("judge", "call", "clock", "logs", "decide", "simulator", "config", "framing", "peers", "lists",
-         "backends", "fronts", "node", "standins", "virtual", "harness", "cli")
+         "planning", "backends", "fronts", "node", "standins", "virtual", "harness", "cli")
 TESTBED = {"judge", "standins", "virtual", "harness"}
 
 
--- /dev/null
+++ b/trackspread/planning/holder.py
@@ -0,0 +1,89 @@
+"""One member's rights at a forwarder: what it may send on, by its lease and by its even slice.
+
+The rules of this file:
+- A lease counts from when it was asked for, and ends earlier by the drift. With it go its tokens.
+- A grant is taken only in answer to the open ask, in place of the very lease that the ask was made with, and
+  only under an epoch no older than the newest heard of. Late, doubled, reordered and stale ones do nothing.
+- The even slice starts empty and needs no planner: nobody is refused for want of one.
+
+May know: its own clock, grants in any order. May not know: which planner granted, other forwarders.
+"""
+
+from __future__ import annotations
+
+from math import exp
+
+from .terms import DRIFT, LEASE, NONE, PLANNED, SECOND, Ask, Grant, Limit, Number
+
+MEMORY = 600_000_000  # ns, time constant of the demand that is told: smooth over a beat, followed within two
+KEPT = int(LEASE * (1.0 - DRIFT))  # ns that a lease lasts here, on a clock that may run slow
+
+
+class Holder:
+    """`take` for each request; `ask` at each beat; `granted` for what comes back."""
+
+    def __init__(self, limit: Limit, slices: int, now: int) -> None:
+        """`slices`: forwarders among which the part that needs no planner is divided."""
+        part = (1.0 - PLANNED) / slices
+        self.even = Limit(limit.rate * part / (1.0 + DRIFT), limit.burst * part)
+        self.right, self.number, self.until = Limit(0.0, 0.0), NONE, 0
+        self.level = self.slice = self.returned = self.waits = 0.0
+        self.at, self.epoch = now, 0
+        self._asked: tuple[int, int, Number] = (-1, 0, NONE)  # the open ask: sequence, when, base
+        self._sequence = 0
+        self._rate, self._asked_for, self._told = 0.0, 0.0, now
+
+    def advance(self, now: int) -> None:
+        """Fill both stores; a lease that has run out takes its tokens along."""
+        span = max(0, min(now, self.until) - self.at) / SECOND
+        self.level = min(self.right.burst, self.level + self.right.rate * span)
+        self.slice = min(self.even.burst, self.slice + self.even.rate * (now - self.at) / SECOND)
+        if now >= self.until and self.right.burst:
+            self.right, self.level, self.returned = Limit(0.0, 0.0), 0.0, 0.0
+        self.at = now
+
+    def take(self, now: int, units: float) -> bool:
+        """Whether this request may be sent on; if so, its units are gone."""
+        self.advance(now)
+        self._asked_for += units
+        if self.level >= units:
+            self.level -= units
+        elif self.slice >= units:
+            self.slice -= units
+        elif self.level + self.slice >= units:
+            self.slice, self.level = self.slice + self.level - units, 0.0
+        else:
+            self.waits = units
+            return False
+        return True
+
+    def ask(self, now: int, forwarder: int, incarnation: int, member: int) -> Ask:
+        """The word of this beat; a grant that answers an earlier one does nothing any more."""
+        self.advance(now)
+        span = max(1, now - self._told)
+        kept = exp(-span / MEMORY)
+        self._rate = kept * self._rate + (1.0 - kept) * self._asked_for * SECOND / span
+        # Whoever was refused asks for what came just now, however little came before.
+        rate = max(self._rate, self._asked_for * SECOND / span) if self.waits else self._rate
+        self._asked_for, self._told = 0.0, now
+        self._sequence += 1
+        self._asked = self._sequence, now, self.number
+        returned, self.returned = self.returned, 0.0
+        waits, self.waits = self.waits, 0.0
+        return Ask(forwarder, incarnation, self._sequence, member, self.number, self.right, self.level,
+                   returned, rate, waits)
+
+    def granted(self, now: int, grant: Grant) -> bool:
+        """Take up a grant, or leave it be."""
+        self.advance(now)
+        sequence, asked_at, base = self._asked
+        stale = grant.sequence != sequence or grant.base != base or base != self.number
+        if stale or grant.epoch < self.epoch or grant.number <= self.number or asked_at + KEPT <= now:
+            return False
+        self.epoch, self.number, self.right = grant.epoch, grant.number, grant.right
+        self.until = asked_at + KEPT
+        self._asked = -1, 0, NONE
+        level = self.level + grant.tokens
+        self.level = min(level, self.right.burst)
+        self.returned += level - self.level
+        return True
--- /dev/null
+++ b/trackspread/planning/planner.py
@@ -0,0 +1,60 @@
+"""One planner: for each slot that it owns by a majority's lease, the books of the slot's members.
+
+A book lives as long as its planner owns the slot without a break; under a new epoch it starts anew and learns
+until all that may have been granted before has run out. What is asked without ownership is not answered.
+
+May know: its own clock, words of planners, asks. May not know: sockets, who is alive.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .book import OUT, Book
+from .election import Election, Out, Word
+from .placement import SLOTS, ranked, slot
+from .terms import Ask, Grant, Limit
+
+BEHIND = 300_000_000  # ns by which each next in rank waits before it first tries for a slot
+LimitOf = Callable[[int], Limit]
+
+
+class Planner:
+    """`tick` several times in a term, `heard` for words of planners (its own too), `ask` for forwarders'."""
+
+    def __init__(self, me: int, planners: int, limit_of: LimitOf, least: float, now: int, seed: int) -> None:
+        rng = random.Random(f"planner:{seed}")
+        self.me, self._limit_of, self._least = me, limit_of, least
+        self.elections = [
+            Election(me, planners, now + BEHIND * ranked(number, planners).index(me), rng)
+            for number in range(SLOTS)
+        ]
+        self._learns_until = [0] * SLOTS
+        self._epochs = [0] * SLOTS
+        self.books: dict[int, Book] = {}
+
+    def tick(self, now: int) -> list[tuple[int, Out]]:
+        """By slot, what to send."""
+        return [(n, out) for n, each in enumerate(self.elections) if (out := each.tick(now))]
+
+    def heard(self, now: int, sender: int, number: int, word: Word) -> Out:
+        return self.elections[number].heard(now, sender, word)
+
+    def ask(self, now: int, ask: Ask) -> Grant | None:
+        """The grant, or None from one that may not speak for the member."""
+        number = slot(ask.member)
+        election = self.elections[number]
+        if ask.base[0] > election.epoch:
+            election.newer(ask.base[0])
+        if not election.owns(now):
+            return None
+        if self._epochs[number] != election.epoch:
+            self._epochs[number], self._learns_until[number] = election.epoch, now + OUT
+        book = self.books.get(ask.member)
+        if book is None or book.epoch != election.epoch:
+            until = self._learns_until[number]
+            book = self.books[ask.member] = Book(
+                self._limit_of(ask.member), self._least, election.epoch, now, until
+            )
+        return book.ask(now, ask)
--- /dev/null
+++ b/trackspread/planning/terms.py
@@ -0,0 +1,57 @@
+"""The vocabulary of planning: limits, rights, and what forwarders and planners say to one another.
+
+Times are integer nanoseconds on each process's own monotonic clock; only lengths ever travel. Numbers of
+leases are pairs (epoch, count) and only grow. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+SECOND = 1_000_000_000
+DRIFT = 0.02  # part by which a process's clock may run fast or slow: twice what the worst crystal does
+LEASE = 1_600_000_000  # ns that a right lasts: four beats, so that three lost words cost nothing
+BEAT = 400_000_000  # ns between a forwarder's asks for a member: demand is followed within two of them
+PLANNED = 0.8  # part of each limit that planners hand out; the rest lies in even slices that need none
+
+Number = tuple[int, int]  # epoch and count: which grant is the newer
+NONE: Number = (0, 0)
+
+
+class Limit(NamedTuple):
+    """A store's figures: units a second, and units at once."""
+
+    rate: float
+    burst: float
+
+
+class Ask(NamedTuple):
+    """A forwarder's word on one member, at each beat.
+
+    `incarnation` is new with each start; `sequence` counts this forwarder's asks. `base` is the newest lease
+    that it has, `held` its right (nothing if that has run out), `level` what is left of its tokens;
+    `returned` tokens it gave up since the ask before. `rate` is what the member asks for here, units a
+    second; `least` is what one request takes that waits for a right, 0 if none does."""
+
+    forwarder: int
+    incarnation: int
+    sequence: int
+    member: int
+    base: Number
+    held: Limit
+    level: float
+    returned: float
+    rate: float
+    least: float
+
+
+class Grant(NamedTuple):
+    """A planner's answer: the right `number`, in place of `base`; `tokens` come with it once."""
+
+    epoch: int
+    member: int
+    sequence: int
+    base: Number
+    number: Number
+    right: Limit
+    tokens: float
