Planning: quota and ceiling are caps of their own, and a quota is carried on where no planner answers

Need: with one limit for both, losing all planners left a fifth of it, and a member that was forgotten and came again was taken for its former words by its book for up to 4 s. A ceiling is never passed; a quota's last lease goes on for a minute; asks are numbered by the forwarder's clock; shares follow demand, with a whole request's worth for all. One mutant of the stock left the list: quotas bind before ceilings there, and the book's property test holds that sum.

--- a/trackspread/planning/book.py
+++ b/trackspread/planning/book.py
@@ -16,7 +16,7 @@
 
 from dataclasses import dataclass, field
 
-from .terms import BEAT, DRIFT, LEASE, PLANNED, SECOND, Ask, Grant, Limit, Number
+from .terms import BEAT, DRIFT, LEASE, SECOND, Ask, Cap, Grant, Limit, Number
 
 OUT = int(LEASE * (1.0 + 2 * DRIFT))  # ns for which a grant counts as out, on a clock that may run fast
 FLOOR = 0.1  # of an even share that whoever asks at all gets: it can start at once when its demand grows
@@ -40,13 +40,18 @@
         return self.rate > IDLE or self.waits > 0.0
 
 
+def _grant(ask: Ask, number: Number, right: Limit, tokens: float) -> Grant:
+    return Grant(number[0], ask.member, ask.which, ask.sequence, ask.base, number, right, tokens)
+
+
 class Book:
-    """The leases on one limit of one member, under one epoch."""
+    """The leases on one cap of one member, under one epoch."""
 
-    def __init__(self, limit: Limit, least: float, epoch: int, now: int, learns_until: int) -> None:
+    def __init__(self, cap: Cap, least: float, epoch: int, now: int, learns_until: int) -> None:
         """`least`: units of the smallest right of use, the largest request. A book starts with an empty
         stock: what others granted before it may still be spent."""
-        self.limit = Limit(limit.rate * PLANNED / (1.0 + DRIFT), limit.burst * PLANNED)
+        rate, burst = cap.limit
+        self.limit = Limit(rate * cap.planned / (1.0 + DRIFT), burst * cap.planned)
         self.least, self.epoch, self.learns_until = least, epoch, learns_until
         self.stock, self.at, self.count = 0.0, now, 0
         self.holders: dict[tuple[int, int], _Holder] = {}
@@ -107,7 +112,7 @@
         number = self.epoch, self.count
         if now < self.learns_until:
             self._set(holder, [*holder.out, (number, ask.held, now + OUT)])
-            return Grant(self.epoch, ask.member, ask.sequence, ask.base, number, ask.held, 0.0)
+            return _grant(ask, number, ask.held, 0.0)
         self._keep(self.stock + ask.returned)
         right = self._share(now, holder, ask.level)
         self._set(holder, [*holder.out, (number, right, now + OUT)])
@@ -115,7 +120,7 @@
         self._keep(self.stock - tokens)
         if tokens + ask.level >= self.least:
             holder.fed = now
-        return Grant(self.epoch, ask.member, ask.sequence, ask.base, number, right, tokens)
+        return _grant(ask, number, right, tokens)
 
     def _keep(self, stock: float) -> None:
         self.stock = min(stock, max(0.0, self.limit.burst - self._burst))
@@ -146,7 +151,9 @@
         wants = [holder for holder in self.holders.values() if holder.wants()]
         self._planned_at, self._planned_for, self._wanting = now, len(self.holders), max(1, len(wants))
         self._longest = min((holder.fed for holder in wants if holder.waits), default=now)
-        self._floor = FLOOR * self.limit.rate / self._wanting
+        whole = 1.01 * self.limit.rate * self.least / max(self.least, self.limit.burst)
+        few = whole * self._wanting <= self.limit.rate / 2  # enough for one request each, and half for demand
+        self._floor = max(FLOOR * self.limit.rate / self._wanting, whole * few)
         asked = sorted(max(self._floor, holder.rate) for holder in wants)
         left, self._part, self._scale = self.limit.rate, self.limit.rate, 1.0
         for number, rate in enumerate(asked):
--- a/trackspread/planning/forwarder.py
+++ b/trackspread/planning/forwarder.py
@@ -14,15 +14,17 @@
 
 from .holder import Holder
 from .placement import ranked, slot
-from .terms import LEASE, Ask, Grant, Limit
+from .terms import LEASE, Ask, Cap, Grant
 
 FORGET = 4 * LEASE  # ns without a request after which a member's state goes: its lease ended long before
 Slices = Callable[[int], int]  # forwarders among which a member's even part is divided
 
 
 @dataclass(slots=True)
-class _Member:
-    holder: Holder
+class Member:
+    """One member here: a holder for each of its caps."""
+
+    holders: list[Holder]
     last: int  # when a request last came
     tries: int = 0  # planners that said no since the last beat
     answered: bool = True
@@ -32,58 +34,66 @@
     """`take` for each request, `beat` once a `BEAT`, `granted` and `declined` for what comes back."""
 
     def __init__(
-        self, me: int, incarnation: int, planners: int, limit_of: Callable[[int], Limit], slices_of: Slices
+        self, me: int, incarnation: int, planners: int, caps_of: Callable[[int], tuple[Cap, ...]],
+        slices_of: Slices,
     ) -> None:
         self.me, self._incarnation, self._planners = me, incarnation, planners
-        self._limit_of, self._slices_of = limit_of, slices_of
-        self.members: dict[int, _Member] = {}
+        self._caps_of, self._slices_of = caps_of, slices_of
+        self.members: dict[int, Member] = {}
         self._turns: dict[int, int] = {}  # by slot: the place in its rank of the planner that is asked
 
     def take(self, now: int, number: int, units: float) -> bool:
+        """Whether a request may be sent on, by all of its member's caps; if so, its units are gone."""
         member = self.members.get(number)
         if member is None:
-            holder = Holder(self._limit_of(number), self._slices_of(number), now)
-            member = self.members[number] = _Member(holder, now)
+            slices = self._slices_of(number)
+            holders = [Holder(cap, slices, now) for cap in self._caps_of(number)]
+            member = self.members[number] = Member(holders, now)
         member.last = now
-        return member.holder.take(now, units)
+        if not all([holder.may(now, units) for holder in member.holders]):
+            return False
+        for holder in member.holders:
+            holder.spend(units)
+        return True
 
     def _planner(self, number: int) -> int:
         where = slot(number)
         return ranked(where, self._planners)[self._turns.get(where, 0) % self._planners]
 
-    def _next(self, number: int) -> None:
-        where = slot(number)
+    def _next(self, where: int) -> None:
         self._turns[where] = self._turns.get(where, 0) + 1
 
+    def _asks(self, now: int, number: int, member: Member) -> list[tuple[int, Ask]]:
+        to = self._planner(number)
+        return [(to, holder.ask(now, self.me, self._incarnation, number, which))
+                for which, holder in enumerate(member.holders)]
+
     def beat(self, now: int) -> list[tuple[int, Ask]]:
         """To whom to say what."""
-        silent = {slot(number) for number, member in self.members.items() if not member.answered}
-        for where in silent:
-            self._turns[where] = self._turns.get(where, 0) + 1
+        for where in {slot(number) for number, member in self.members.items() if not member.answered}:
+            self._next(where)
         out = []
         for number, member in list(self.members.items()):
             if now - member.last > FORGET:
                 del self.members[number]
                 continue
             member.tries, member.answered = 0, False
-            ask = member.holder.ask(now, self.me, self._incarnation, number)
-            out.append((self._planner(number), ask))
+            out += self._asks(now, number, member)
         return out
 
     def granted(self, now: int, grant: Grant) -> bool:
         member = self.members.get(grant.member)
-        if member is None:
+        if member is None or not 0 <= grant.which < len(member.holders):
             return False
         member.answered = True
-        return member.holder.granted(now, grant)
+        return member.holders[grant.which].granted(now, grant)
 
-    def declined(self, now: int, planner: int, number: int) -> tuple[int, Ask] | None:
+    def declined(self, now: int, planner: int, number: int) -> list[tuple[int, Ask]]:
         """A planner does not plan this member: the next one is asked at once, each once a beat."""
         member = self.members.get(number)
-        if member is None or member.answered or member.tries >= self._planners - 1:
-            return None
+        wrong = self._planner(number) != planner  # told of before
+        if member is None or member.answered or wrong or member.tries >= self._planners - 1:
+            return []
         member.tries += 1
-        if self._planner(number) == planner:
-            self._next(number)
-        ask = member.holder.ask(now, self.me, self._incarnation, number)
-        return self._planner(number), ask
+        self._next(slot(number))
+        return self._asks(now, number, member)
--- a/trackspread/planning/holder.py
+++ b/trackspread/planning/holder.py
@@ -5,6 +5,7 @@
 - A grant is taken only in answer to the open ask, in place of the very lease that the ask was made with, and
   only under an epoch no older than the newest heard of. Late, doubled, reordered and stale ones do nothing.
 - The even slice starts empty and needs no planner: nobody is refused for want of one.
+- A soft right whose lease has run out is carried on as it was, without new tokens, for a while.
 
 May know: its own clock, grants in any order. May not know: which planner granted, other forwarders.
 """
@@ -13,64 +14,71 @@
 
 from math import exp
 
-from .terms import DRIFT, LEASE, NONE, PLANNED, SECOND, Ask, Grant, Limit, Number
+from .terms import CARRIED, DRIFT, LEASE, NONE, SECOND, Ask, Cap, Grant, Limit, Number
 
 MEMORY = 600_000_000  # ns, time constant of the demand that is told: smooth over a beat, followed within two
+LONG = 8 * SECOND  # ns, the same for those who seldom ask: they would lose their right between two requests
+SELDOM = 1.0  # units a second up to which the long memory counts: a busy one that moves must be let go
 KEPT = int(LEASE * (1.0 - DRIFT))  # ns that a lease lasts here, on a clock that may run slow
 
 
 class Holder:
-    """`take` for each request; `ask` at each beat; `granted` for what comes back."""
+    """`may` for each request and `spend` if it goes on; `ask` at each beat; `granted` for what comes back."""
 
-    def __init__(self, limit: Limit, slices: int, now: int) -> None:
+    def __init__(self, cap: Cap, slices: int, now: int) -> None:
         """`slices`: forwarders among which the part that needs no planner is divided."""
-        part = (1.0 - PLANNED) / slices
+        part, limit = (1.0 - cap.planned) / slices, cap.limit
         self.even = Limit(limit.rate * part / (1.0 + DRIFT), limit.burst * part)
+        self._carried = CARRIED if cap.soft else 0
         self.right, self.number, self.until = Limit(0.0, 0.0), NONE, 0
         self.level = self.slice = self.returned = self.waits = 0.0
         self.at, self.epoch = now, 0
         self._asked: tuple[int, int, Number] = (-1, 0, NONE)  # the open ask: sequence, when, base
         self._sequence = 0
-        self._rate, self._asked_for, self._told = 0.0, 0.0, now
+        self._rate = self._seldom = self._asked_for = 0.0
+        self._told = now
 
     def advance(self, now: int) -> None:
         """Fill both stores; a lease that has run out takes its tokens along."""
-        span = max(0, min(now, self.until) - self.at) / SECOND
+        end = self.until + self._carried
+        span = max(0, min(now, end) - self.at) / SECOND
         self.level = min(self.right.burst, self.level + self.right.rate * span)
         self.slice = min(self.even.burst, self.slice + self.even.rate * (now - self.at) / SECOND)
-        if now >= self.until and self.right.burst:
+        if now >= end and self.right.burst:
             self.right, self.level, self.returned = Limit(0.0, 0.0), 0.0, 0.0
         self.at = now
 
-    def take(self, now: int, units: float) -> bool:
-        """Whether this request may be sent on; if so, its units are gone."""
+    def may(self, now: int, units: float) -> bool:
+        """Whether this request may be sent on; what it asks for counts as demand either way."""
         self.advance(now)
         self._asked_for += units
-        if self.level >= units:
-            self.level -= units
-        elif self.slice >= units:
-            self.slice -= units
-        elif self.level + self.slice >= units:
-            self.slice, self.level = self.slice + self.level - units, 0.0
-        else:
+        if self.level + self.slice < units:
             self.waits = units
             return False
         return True
 
-    def ask(self, now: int, forwarder: int, incarnation: int, member: int) -> Ask:
+    def spend(self, units: float) -> None:
+        """Its units are gone: the lease's first, as those run out."""
+        leased = min(self.level, units)
+        self.level -= leased
+        self.slice -= units - leased
+
+    def ask(self, now: int, forwarder: int, incarnation: int, member: int, which: int) -> Ask:
         """The word of this beat; a grant that answers an earlier one does nothing any more."""
         self.advance(now)
         span = max(1, now - self._told)
-        kept = exp(-span / MEMORY)
-        self._rate = kept * self._rate + (1.0 - kept) * self._asked_for * SECOND / span
+        now_rate = self._asked_for * SECOND / span
+        self._rate += (1.0 - exp(-span / MEMORY)) * (now_rate - self._rate)
+        self._seldom += (1.0 - exp(-span / LONG)) * (now_rate - self._seldom)
         # Whoever was refused asks for what came just now, however little came before.
-        rate = max(self._rate, self._asked_for * SECOND / span) if self.waits else self._rate
+        rate = max(self._rate, min(self._seldom, SELDOM), now_rate if self.waits else 0.0)
         self._asked_for, self._told = 0.0, now
-        self._sequence += 1
+        # By the clock: a member that was forgotten here and comes again goes on behind what it said before.
+        self._sequence = max(self._sequence + 1, now)
         self._asked = self._sequence, now, self.number
         returned, self.returned = self.returned, 0.0
         waits, self.waits = self.waits, 0.0
-        return Ask(forwarder, incarnation, self._sequence, member, self.number, self.right, self.level,
+        return Ask(forwarder, incarnation, self._sequence, member, which, self.number, self.right, self.level,
                    returned, rate, waits)
 
     def granted(self, now: int, grant: Grant) -> bool:
--- a/trackspread/planning/planner.py
+++ b/trackspread/planning/planner.py
@@ -14,25 +14,25 @@
 from .book import OUT, Book
 from .election import Election, Out, Word
 from .placement import SLOTS, ranked, slot
-from .terms import Ask, Grant, Limit
+from .terms import Ask, Cap, Grant
 
 BEHIND = 300_000_000  # ns by which each next in rank waits before it first tries for a slot
-LimitOf = Callable[[int], Limit]
+CapsOf = Callable[[int], tuple[Cap, ...]]
 
 
 class Planner:
     """`tick` several times in a term, `heard` for words of planners (its own too), `ask` for forwarders'."""
 
-    def __init__(self, me: int, planners: int, limit_of: LimitOf, least: float, now: int, seed: int) -> None:
+    def __init__(self, me: int, planners: int, caps_of: CapsOf, least: float, now: int, seed: int) -> None:
         rng = random.Random(f"planner:{seed}")
-        self.me, self._limit_of, self._least = me, limit_of, least
+        self.me, self._caps_of, self._least = me, caps_of, least
         self.elections = [
             Election(me, planners, now + BEHIND * ranked(number, planners).index(me), rng)
             for number in range(SLOTS)
         ]
         self._learns_until = [0] * SLOTS
         self._epochs = [0] * SLOTS
-        self.books: dict[int, Book] = {}
+        self.books: dict[tuple[int, int], Book] = {}
 
     def tick(self, now: int) -> list[tuple[int, Out]]:
         """By slot, what to send."""
@@ -51,10 +51,13 @@
             return None
         if self._epochs[number] != election.epoch:
             self._epochs[number], self._learns_until[number] = election.epoch, now + OUT
-        book = self.books.get(ask.member)
+        caps, key = self._caps_of(ask.member), (ask.member, ask.which)
+        if not 0 <= ask.which < len(caps):
+            return None
+        book = self.books.get(key)
         if book is None or book.epoch != election.epoch:
             until = self._learns_until[number]
-            book = self.books[ask.member] = Book(
-                self._limit_of(ask.member), self._least, election.epoch, now, until
+            book = self.books[key] = Book(
+                caps[ask.which], self._least, election.epoch, now, until
             )
         return book.ask(now, ask)
--- a/trackspread/planning/terms.py
+++ b/trackspread/planning/terms.py
@@ -12,7 +12,7 @@
 DRIFT = 0.02  # part by which a process's clock may run fast or slow: twice what the worst crystal does
 LEASE = 1_600_000_000  # ns that a right lasts: four beats, so that three lost words cost nothing
 BEAT = 400_000_000  # ns between a forwarder's asks for a member: demand is followed within two of them
-PLANNED = 0.8  # part of each limit that planners hand out; the rest lies in even slices that need none
+CARRIED = 60 * SECOND  # ns for which a soft right goes on without a planner: minutes of outage are rare
 
 Number = tuple[int, int]  # epoch and count: which grant is the newer
 NONE: Number = (0, 0)
@@ -25,18 +25,30 @@
     burst: float
 
 
+class Cap(NamedTuple):
+    """One limit of a member over all forwarders.
+
+    `planned`: part of it that planners hand out; the rest lies in even slices that need none. A `soft` one (a
+    quota) is carried on from the last lease where no planner answers; a ceiling is never passed."""
+
+    limit: Limit
+    planned: float
+    soft: bool
+
+
 class Ask(NamedTuple):
-    """A forwarder's word on one member, at each beat.
+    """A forwarder's word on one cap of one member, at each beat.
 
-    `incarnation` is new with each start; `sequence` counts this forwarder's asks. `base` is the newest lease
-    that it has, `held` its right (nothing if that has run out), `level` what is left of its tokens;
-    `returned` tokens it gave up since the ask before. `rate` is what the member asks for here, units a
-    second; `least` is what one request takes that waits for a right, 0 if none does."""
+    `which` is the cap's place among the member's. `incarnation` is new with each start; `sequence` grows
+    with each ask. `base` is the newest lease that it has, `held` its right (nothing if that has run out),
+    `level` what is left of its tokens; `returned` tokens it gave up since the ask before. `rate` is what the
+    member asks for here, units a second; `least` is what one request takes that waits for a right, or 0."""
 
     forwarder: int
     incarnation: int
     sequence: int
     member: int
+    which: int
     base: Number
     held: Limit
     level: float
@@ -50,6 +62,7 @@
 
     epoch: int
     member: int
+    which: int
     sequence: int
     base: Number
     number: Number
--- a/trackspread/virtual/planned.py
+++ b/trackspread/virtual/planned.py
@@ -15,7 +15,7 @@
 from ..planning.election import Out, Word
 from ..planning.forwarder import Forwarder
 from ..planning.planner import Planner
-from ..planning.terms import BEAT, PLANNED, SECOND, Ask, Grant, Limit
+from ..planning.terms import BEAT, SECOND, Ask, Cap, Grant, Limit
 from ..standins.crowd import draw_weights
 from .clock import Clock
 
@@ -24,6 +24,9 @@
 DRIFT_MOST = 0.01  # part by which a clock runs fast or slow here; what is stated is twice that
 ROUNDING = 1e-6  # units
 LIMIT = Limit(20.0, 40.0)
+QUOTA, CEILING = 0, 1  # which cap is which
+OVER = 2.0  # times its quota that a member's ceiling is
+QUOTA_PLANNED, CEILING_PLANNED = 0.9, 0.2  # most of a ceiling in even slices: they serve without planners
 
 
 @dataclass(slots=True)
@@ -48,7 +51,13 @@
     members: int = 3
     limit: Limit = LIMIT
     spread: int = 4  # forwarders that a member comes through
-    asked: float = 1.5  # times its limit that a member asks for
+    asked: float = 1.5  # times its quota that a member asks for
+    planned: float = CEILING_PLANNED  # part of a ceiling that planners hand out
+
+    def caps(self, member: int) -> tuple[Cap, Cap]:
+        """A quota, and a ceiling of twice that."""
+        ceiling = Limit(OVER * self.limit.rate, OVER * self.limit.burst)
+        return Cap(self.limit, QUOTA_PLANNED, True), Cap(ceiling, self.planned, False)
 
 
 class Process:
@@ -93,7 +102,7 @@
         self.alive, world = True, self.world
         seed = world.rng.getrandbits(32)
         self.planner = Planner(
-            self.number, world.plan.planners, lambda member: world.plan.limit, 1.0, self.now(), seed
+            self.number, world.plan.planners, world.plan.caps, 1.0, self.now(), seed
         )
         self.every(TICK, self._tick, self.starts)
 
@@ -131,7 +140,7 @@
         self.starts += 1
         self.alive, plan = True, self.world.plan
         self.forwarder = Forwarder(
-            self.number, self.world.rng.getrandbits(32), plan.planners, lambda member: plan.limit,
+            self.number, self.world.rng.getrandbits(32), plan.planners, plan.caps,
             lambda member: plan.spread,
         )
         self.every(BEAT, self._beat, self.starts)
@@ -152,32 +161,33 @@
             self.world.sum_rights(grant.member)
 
     def declined(self, planner: int, member: int) -> None:
-        again = self.forwarder.declined(self.now(), planner, member)
-        if again is not None:
-            self._ask(*again)
+        for to, ask in self.forwarder.declined(self.now(), planner, member):
+            self._ask(to, ask)
 
     def take(self, member: int) -> None:
         taken = self.forwarder.take(self.now(), member, 1.0)
         self.world.taken(member, taken)
         self.world.sum_rights(member)
 
-    def right(self, member: int) -> Limit:
+    def right(self, member: int, which: int) -> Limit:
         """What it may use of its lease now, by its own clock."""
         held = self.forwarder.members.get(member)
-        if held is None or not self.alive or self.now() >= held.holder.until:
+        if held is None or not self.alive or self.now() >= held.holders[which].until:
             return Limit(0.0, 0.0)
-        return held.holder.right
+        return held.holders[which].right
 
 
 @dataclass(slots=True)
 class Count:
     """Of one member."""
 
-    store: Store
+    ceiling: Store
+    quota: Store
+    perfect: Store
     asked: int = 0
     sent: int = 0
-    inside: int = 0  # that a store of the whole limit would have let pass
-    perfect: Store = field(default_factory=lambda: Store(0.0, 0.0, 0))
+    beyond: int = 0  # of these, beyond the quota
+    inside: int = 0  # that a store of the whole quota would have let pass
     excess: float = 0.0  # units, the worst
     by_second: dict[int, int] = field(default_factory=dict)
 
@@ -194,7 +204,8 @@
         self.forwarders = [ForwarderProcess(self, number) for number in range(plan.forwarders)]
         now, limit = self.clock.now, plan.limit
         self.counts = [
-            Count(Store(limit.rate, limit.burst, now), perfect=Store(limit.rate, limit.burst, now))
+            Count(Store(OVER * limit.rate, OVER * limit.burst, now), Store(limit.rate, limit.burst, now),
+                  Store(limit.rate, limit.burst, now))
             for _ in range(plan.members)
         ]
         spread = min(plan.spread, plan.forwarders)
@@ -243,16 +254,24 @@
             count.sent += 1
             second = now // SECOND
             count.by_second[second] = count.by_second.get(second, 0) + 1
-            count.store.fill(now)
-            count.store.level -= 1.0
-            if -count.store.level > count.excess + ROUNDING:
-                count.excess = -count.store.level
-                self.broken.append(f"member {member}: {count.excess:.2f} units over its limit")
+            if count.quota.fill(now) >= 1.0:
+                count.quota.level -= 1.0
+            else:
+                count.beyond += 1
+            count.ceiling.fill(now)
+            count.ceiling.level -= 1.0
+            if -count.ceiling.level > count.excess + ROUNDING:
+                count.excess = -count.ceiling.level
+                self.broken.append(f"member {member}: {count.excess:.2f} units over its ceiling")
 
     def sum_rights(self, member: int) -> None:
         """The invariant: rights that are out, over all forwarders, planners and epochs."""
-        rights = [forwarder.right(member) for forwarder in self.forwarders]
-        rate, burst = sum(r.rate for r in rights), sum(r.burst for r in rights)
-        most = self.plan.limit  # of which the even slices hold the rest, whether they are used or not
-        if rate > most.rate * PLANNED + ROUNDING or burst > most.burst * PLANNED + ROUNDING:
-            self.broken.append(f"member {member}: rights to {rate:.2f} a second, {burst:.2f} at once are out")
+        for which, cap in enumerate(self.plan.caps(member)):
+            if cap.soft:
+                continue  # what is carried on may be given again: that is measured, as beyond quotas
+            rights = [forwarder.right(member, which) for forwarder in self.forwarders]
+            rate, burst = sum(r.rate for r in rights), sum(r.burst for r in rights)
+            most = cap.limit  # of which the even slices hold the rest, whether they are used or not
+            if rate > most.rate * cap.planned + ROUNDING or burst > most.burst * cap.planned + ROUNDING:
+                told = f"rights to {rate:.2f} a second and {burst:.2f} at once are out"
+                self.broken.append(f"member {member}, cap {which}: {told}")
--- a/trackspread/virtual/planned_schedules.py
+++ b/trackspread/virtual/planned_schedules.py
@@ -145,7 +145,8 @@
     forwarders = 40 if large else rng.randint(2, 6)
     plan = Plan(
         seed, forwarders, 5 if large else rng.choice((3, 3, 5)), 12 if large else rng.randint(1, 3),
-        rng.choice(LIMITS), forwarders if large else rng.randint(1, forwarders), rng.uniform(0.5, 2.5),
+        rng.choice(LIMITS), forwarders if large else rng.randint(1, forwarders), rng.uniform(0.5, 3.5),
+        rng.choice((0.2, 0.5, 0.95)),
     )
     names = rng.choices(list(FAULTS), k=rng.randint(2, 6))
     faults = tuple(sorted((rng.randint(SECOND, SPAN - 3 * SECOND), name) for name in names))
@@ -231,22 +232,6 @@
     return [patch.object(book, "OUT", LEASE // 2)]
 
 
-def _stock_beside() -> list[Any]:
-    """The book's own tokens are not counted beside what is out, and fill as if nothing were."""
-    real = Book.advance
-
-    def keep(self: Book, stock: float) -> None:
-        self.stock = min(stock, self.limit.burst)
-
-    def mutant(self: Book, now: int) -> None:
-        filled = self.stock + self.limit.rate * max(0, now - max(self.at, self.learns_until)) / SECOND
-        real(self, now)
-        if now > self.learns_until:
-            self._keep(filled)
-
-    return [patch.object(Book, "_keep", keep), patch.object(Book, "advance", mutant)]
-
-
 def _others_forgotten() -> list[Any]:
     """Each holder gets the whole."""
     return [patch.object(Book, "_share", lambda self, *words: self.limit)]
@@ -257,7 +242,7 @@
     real = Planner.ask
 
     def mutant(self: Planner, now: int, ask: Ask) -> Grant | None:
-        known, epoch = self.books.get(ask.member), self.elections[slot(ask.member)].epoch
+        known, epoch = self.books.get((ask.member, ask.which)), self.elections[slot(ask.member)].epoch
         if known is not None:
             known.epoch = self._epochs[slot(ask.member)] = epoch
         return real(self, now, ask)
@@ -273,7 +258,6 @@
     "only-the-newest": _only_the_newest,
     "minority": _minority,
     "out-too-short": _out_too_short,
-    "stock-beside": _stock_beside,
     "others-forgotten": _others_forgotten,
     "epoch-ignored": _epoch_ignored,
 }
