One home each for a node's successor, a process's CPU and the nested settings; seeds replay

Gateways of the harness drew their seed from `hash` of a name, which is another in every process, so that a run did not replay.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -18,7 +18,7 @@
 
 import uvloop
 
-from trackspread.harness.process import GatewayProcess
+from trackspread.harness.process import GatewayProcess, cpu_seconds
 from trackspread.judge.ledger import Ledger
 from trackspread.standins.agent import Agent, BackendList, Listed
 from trackspread.standins.loopback import Ports
@@ -53,11 +53,6 @@
     return process, [(host, port) for host, port in json.loads(line)]
 
 
-def _cpu(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / 100
-
-
 async def _drive(address: Address, pid: int, customers: int, end: bytes, span: float) -> tuple[float, float]:
     """CPU ms a request, and requests a second, while all connections ask without a pause."""
     loop, tally, one = asyncio.get_running_loop(), Tally(), commands(customers)
@@ -65,9 +60,9 @@
         await loop.create_connection(lambda: Asker(one, tally, end), *address) for _ in range(CONNECTIONS)
     ]
     await asyncio.sleep(WARM)
-    before, served, began = _cpu(pid), tally.served, loop.time()
+    before, served, began = cpu_seconds(pid), tally.served, loop.time()
     await asyncio.sleep(span)
-    used, count, took = _cpu(pid) - before, tally.served - served, loop.time() - began
+    used, count, took = cpu_seconds(pid) - before, tally.served - served, loop.time() - began
     tally.asking = False
     for transport, _ in made:
         transport.close()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -14,6 +14,8 @@
 from trackspread.config.operator import DEFAULTS, Operator
 from trackspread.config.platform import Config, parse
 from trackspread.node.gateway import Gateway
+from trackspread.standins import settings
+from trackspread.standins.settings import class_settings, plan_settings
 
 WAIT = 20.0  # s: only a hang reaches it, no verdict hangs on it
 LOCAL = "127.0.0.1"
@@ -41,34 +43,12 @@
     """Settings in the nested form of a real configuration; hand-made."""
 
     def a_class(name: str, repeat: str, group: str) -> dict[str, Any]:
-        return {
-            "name": name, "aim": 800_000_000, "deadline": 2_000_000_000, "points": 3.0, "lateWorth": 0.0,
-            "idempotency": repeat, "group": group, "window": 5_000_000_000,
-        }
-
-    plan = {
-        "name": "team", "quotaRate": 1000.0, "mostAtOnce": 1000.0, "parallel": 0, "worthFactor": 1.0,
-        "beyondEarns": 0.0, "excessCost": 1.0, "ceilingRate": 0.0, "hardBurst": 0.0, "ceilingSlack": 0.0,
-    }
-    made: dict[str, Any] = {
-        "classes": [a_class("look up", "free", "all"), a_class("submit", "guarded", "cell"),
-                    a_class("charge", "single_shot", "all")],
-        "packages": [plan],
-        "zones": ["a", "b"], "kinds": ["m1", "m2"], "zone": 0, "position": 0, "replicasOfMe": 2,
-        "report": {"how": "answers", "names": ["load_share", "concurrent"]},
-        "limits": {
-            "maxAttempts": 4, "secondCopies": True, "cancel": True, "probes": True, "peerMessages": True,
-            "retryAfter": True, "maxRetryAfter": 1_000_000_000, "connectTimeout": 250_000_000,
-            "connIdle": 30_000_000_000,
-        },
-        "familyInfo": {"counter": False, "usePeriod": 0, "largest": 1, "mailPerS": 40.0, "truedUp": False},
-        "rules": {
-            "askWithin": 10_000_000_000, "drainGrace": 1_000_000_000, "fall": 3_000_000_000,
-            "fallMultiple": 3.0, "startCapacity": 0.23, "warmUp": 18_000_000_000,
-        },
-        "prices": {"crossZone": 0.01},
-        "discovery": "pushed",
-    }
+        return class_settings(name, repeat, group, 800_000_000, 2_000_000_000, 5_000_000_000)
+
+    classes = [a_class("look up", "free", "all"), a_class("submit", "guarded", "cell"),
+               a_class("charge", "single_shot", "all")]
+    plans = [plan_settings("team", 1000.0, 1000.0)]
+    made = settings.nested_settings(classes, plans, 0, 2, report=("load_share", "concurrent"))
     for path, value in changes.items():
         part, _, key = path.partition("__")
         if key:
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -148,8 +148,7 @@
     async def replace(self, node: NodeServer, leave: float) -> None:
         """Drain, start a cold successor, and end the old one after `leave` seconds."""
         self.drain(node)
-        number, generation = [*node.spec.name.split("-")[1:], "0"][:2]
-        await self.boot(self.scene.spec(int(number), int(generation) + 1))
+        await self.boot(self.scene.successor(node.spec))
         await asyncio.sleep(leave)
         self.remove(node)
 
--- a/trackspread/harness/process.py
+++ b/trackspread/harness/process.py
@@ -6,6 +6,7 @@
 import ctypes
 import json
 import os
+import random
 import resource
 import signal
 import sys
@@ -21,10 +22,18 @@
 READY_LOOK = 0.02  # s between pings
 END_MOST = 10.0  # s that a gateway has to end after SIGTERM, over the longest deadline
 PR_SET_PDEATHSIG = 1  # prctl(2)
-PAGE = os.sysconf("SC_PAGE_SIZE")
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
+def cpu_seconds(pid: int) -> float:
+    """What a process has used so far; 0 for one that is gone."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
 class GatewayProcess:
     """Starts, kills and ends one gateway; `command` is what runs it, without the interpreter."""
 
@@ -53,7 +62,9 @@
     async def start(self) -> None:
         """From nothing; returns once it has answered a ping."""
         self.starts += 1
-        self.config["seed"] = f"{(hash((self.name, self.starts)) & (1 << 63) - 1):016x}"
+        # Not `hash`: that of a name is another in every process, and a run could not be replayed.
+        seed = random.Random(f"{self.name}:{self.starts}").getrandbits(63)
+        self.config["seed"] = f"{seed:016x}"
         self._path.write_text(json.dumps(self.config))
         self._own.touch()
         with self.log.open("ab") as log:
@@ -128,18 +139,11 @@
 
     def used(self) -> float:
         """CPU seconds of all its processes so far."""
-        return self.cpu + self._cpu_now()
-
-    def _cpu_now(self) -> float:
-        try:
-            fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
-        except (OSError, ValueError):
-            return 0.0
-        return (int(fields[11]) + int(fields[12])) / TICKS
+        return self.cpu + cpu_seconds(self.pid)
 
     def measure(self) -> None:
         """Take note of CPU and memory before the process goes."""
-        self.cpu += self._cpu_now()
+        self.cpu += cpu_seconds(self.pid)
         try:
             status = Path(f"/proc/{self.pid}/status").read_text()
         except OSError:
--- a/trackspread/harness/trial.py
+++ b/trackspread/harness/trial.py
@@ -101,9 +101,8 @@
         node.down()
         await asyncio.sleep(AWAY / 2)
         self.fleet.told(node, "terminated")
-        number, generation = [*name.split("-")[1:], "0"][:2]
         await asyncio.sleep(AWAY / 2)
-        fresh = self.fleet.scene.spec(int(number), int(generation) + 1)
+        fresh = self.fleet.scene.successor(node.spec)
         await self.fleet.boot(fresh)
         self.note(f"node {fresh.name} takes its place, cold")
 
--- a/trackspread/standins/scene.py
+++ b/trackspread/standins/scene.py
@@ -79,6 +79,11 @@
             name, ZONES[cell % len(ZONES)], "m1", cell, start=self.start, warm=self.warm,
         )
 
+    def successor(self, spec: NodeSpec) -> NodeSpec:
+        """The next generation in the same place."""
+        number, generation = [*spec.name.split("-")[1:], "0"][:2]
+        return self.spec(int(number), int(generation) + 1)
+
     def node(self, spec: NodeSpec, pods: dict[int, Pod], now: int, cold: bool) -> RatingNode:
         pod = pods.setdefault(spec.cell, Pod())
         return RatingNode(spec, pod, now, cold, self.fall_window, self.fall_multiple)
--- a/trackspread/virtual/schedules.py
+++ b/trackspread/virtual/schedules.py
@@ -82,8 +82,7 @@
     if not node.up or node.entry.health is not Health.READY:
         return
     fleet.drain(node)
-    number, generation = [*node.spec.name.split("-")[1:], "0"][:2]
-    spec = fleet.scene.spec(int(number), int(generation) + 1)
+    spec = fleet.scene.successor(node.spec)
     fleet.clock.after(rng.randint(SECOND, 2 * SECOND), partial(fleet.remove, node))
     fleet.clock.after(rng.randint(0, SECOND), partial(fleet.boot, spec, True))
 
