--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,155 @@
+"""State that outlives a process: documents, slots, journals and the real folder."""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from trackspread.storage.calls import (
+    Create, Found, Look, Read, Replace, Save, perform, segment_name, segment_of,
+)
+from trackspread.storage.directory import Directory
+from trackspread.storage.document import DocumentError, Schema
+from trackspread.storage.journal import MARK_EVERY, Journal
+from trackspread.storage.slots import (
+    HEAD, PAYLOAD, SLOT, Head, Scan, SegmentError, pack_head, pack_slot, place, scan, seed_of, unpack_head,
+    written,
+)
+from trackspread.virtual.disk import Disk, VirtualFiles
+
+
+class Thing(msgspec.Struct):
+    name: str
+    size: int = 0
+
+
+def _payload(number: int) -> bytes:
+    return b"\x01" + number.to_bytes(8, "little") + bytes(PAYLOAD - 9)
+
+
+def test_a_document_comes_back_and_a_changed_one_does_not() -> None:
+    schema = Schema("thing", 1)
+    data = schema.pack(Thing("a", 3))
+    assert schema.unpack(data + b"rest of a longer one", Thing) == Thing("a", 3)
+    for at in range(len(data) - 1):
+        with pytest.raises(DocumentError):
+            schema.unpack(data[:at] + bytes([data[at] ^ 1]) + data[at + 1:], Thing)
+
+
+def test_older_documents_are_upgraded_step_by_step_and_newer_ones_refused() -> None:
+    old = Schema("thing", 1).pack(Thing("a"))
+    steps = {1: lambda body: body | {"size": 1}, 2: lambda body: body | {"size": body["size"] + 10}}
+    assert Schema("thing", 3, steps).unpack(old, Thing) == Thing("a", 11)
+    with pytest.raises(DocumentError, match="found version 3, which a newer program wrote") as caught:
+        Schema("thing", 1).unpack(Schema("thing", 3, steps).pack(Thing("a")), Thing)
+    assert caught.value.newer
+    with pytest.raises(DocumentError, match="of kind 'thing', wanted 'other'"):
+        Schema("other", 1).unpack(old, Thing)
+    with pytest.raises(ValueError, match="no upgrade from version 2"):
+        Schema("thing", 3, {1: steps[1]})
+
+
+def test_each_slot_stands_for_itself_and_for_its_place_and_stream() -> None:
+    head, seed = Head(1, 0, 8, b"n" * 16), seed_of(b"n" * 16)
+    data = bytearray(8 * SLOT)
+    for number in (1, 2, 4):
+        data[(number - 1) * SLOT:number * SLOT] = pack_slot(_payload(number), seed, number)
+    data[SLOT + 7] ^= 4  # the second is damaged
+    data[5 * SLOT:6 * SLOT] = pack_slot(_payload(4), seed, 4)  # the fourth once more, in the sixth place
+    found = scan(bytes(data), head, 1)
+    assert sorted(found.payloads) == [1, 4] and found.bad == [2, 6] and found.last == 6
+    other = scan(bytes(data), Head(1, 0, 8, b"m" * 16), 1)
+    assert not other.payloads and other.bad == [1, 2, 4, 6]
+    assert written(bytes(data)) == 6 and written(bytes(SLOT)) == 0
+
+
+def test_a_head_is_refused_if_damaged_or_of_a_newer_layout() -> None:
+    head = Head(7, 3, 4, b"x" * 16)
+    data = pack_head(head) + bytes(4 * SLOT)
+    assert unpack_head(data) == head and head.first == 13 and place(head, 13) == HEAD
+    with pytest.raises(SegmentError, match="checksum"):
+        unpack_head(data[:9] + b"\xff" + data[10:])
+    with pytest.raises(SegmentError, match="shorter than its head says"):
+        unpack_head(data[:-1])
+    with pytest.raises(SegmentError, match="not a segment"):
+        unpack_head(bytes(100))
+
+
+def _journal(slots: int) -> tuple[Journal, VirtualFiles]:
+    files, head = VirtualFiles(Disk(random.Random(1))), Head(1, 0, slots, b"n" * 16)
+    area = perform(files, Create(head))
+    assert area is not None and not isinstance(area, Scan | Found)
+    return Journal(head, area), files
+
+
+def test_what_is_not_committed_never_fills_more_than_a_segment() -> None:
+    journal, files = _journal(4)
+    assert [journal.append(_payload(n)) for n in range(6)] == [True] * 4 + [False] * 2
+    spare = perform(files, Create(journal.head(1)))
+    assert spare is not None and not isinstance(spare, Scan | Found)
+    assert journal.wants() == journal.head(1)
+    journal.provide(spare)
+    assert not journal.append(_payload(9)), "four are not committed yet"
+    commit = journal.commit()
+    assert commit is not None and commit.upto == 4
+    assert journal.synced(commit) == [] and journal.committed == 4 and not journal.pending
+    assert journal.append(_payload(5)) and journal.index == 1 and journal.wants() is None
+    commit = journal.commit()
+    assert commit is not None and len(journal.synced(commit)) == 1, "the full segment can be closed"
+
+
+def test_marks_tell_how_far_the_stream_was_on_the_disk() -> None:
+    journal, files = _journal(4 * MARK_EVERY)
+    for number in range(2 * MARK_EVERY):
+        assert journal.append(_payload(number))
+        commit = journal.commit()
+        assert commit is not None
+        journal.synced(commit)
+    found = perform(files, Read(journal.head(0), 1, 4 * MARK_EVERY))
+    assert isinstance(found, Scan)
+    assert len(found.payloads) == 2 * MARK_EVERY and found.last == journal.next - 1 > 2 * MARK_EVERY
+    assert MARK_EVERY <= found.marked < found.last
+
+
+def test_a_real_folder_keeps_what_it_was_told_and_has_one_owner(tmp_path: Path) -> None:
+    files = Directory(tmp_path / "use")
+    with pytest.raises(OSError) as caught:
+        Directory(tmp_path / "use")
+    assert caught.value.errno == errno.EWOULDBLOCK
+    head = Head(1, 0, 4, os.urandom(16))
+    area = perform(files, Create(head))
+    assert area is not None and not isinstance(area, Scan | Found)
+    area.write(place(head, 1), pack_slot(_payload(1), seed_of(head.nonce), 1))
+    area.sync()
+    found = perform(files, Look(("a", "b"), 4096))
+    assert isinstance(found, Found) and found.segments == {(1, 0): (head, 1)} and len(found.areas) == 2
+    perform(files, Save(found.areas[0], b"one\n"))
+    perform(files, Replace("sum", b"two"))
+    (tmp_path / "use" / "left.new").write_bytes(b"half")
+    area.close()
+    files.close()
+    again = Directory(tmp_path / "use")
+    assert again.load("sum") == b"two" and again.load("none") is None
+    assert again.names() == ["a", "b", "sum", segment_name(1, 0)]
+    read = perform(Directory(tmp_path / "use", view=True), Read(head, 1, 4))
+    assert isinstance(read, Scan) and read.payloads == {1: _payload(1)}
+    again.close()
+
+
+def test_names_of_segments_are_told_from_others() -> None:
+    assert segment_of(segment_name(12, 3)) == (12, 3)
+    others = "control-a", "use-1.log", "use-x-y.log", "sum-1-2.json"
+    assert [segment_of(name) for name in others] == [None] * 4
+
+
+def test_a_full_real_disk_says_so_when_the_segment_is_made_not_when_it_is_written(tmp_path: Path) -> None:
+    files = Directory(tmp_path)
+    with pytest.raises(OSError) as caught:
+        files.create("huge", 1 << 60)
+    assert caught.value.errno in (errno.ENOSPC, errno.EFBIG) and files.names() == []
+    files.close()
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,201 @@
+"""Use records: what is counted, kept and exported, under seeded crashes and faults in virtual time."""
+
+from __future__ import annotations
+
+import random
+from datetime import UTC, datetime
+
+import msgspec
+import pytest
+
+from trackspread.standins.billing import Billing, Plain
+from trackspread.storage.slots import Scan
+from trackspread.usage import meter as meters
+from trackspread.usage.batch import Batch, decode, digest, encode, rows, signature, signed
+from trackspread.usage.control import (
+    AREA_SIZE, STREAMS_MOST, Control, Intent, Names, Part, Stream, newest, pack,
+)
+from trackspread.usage.exporter import forked
+from trackspread.usage.keeper import Bounds, State
+from trackspread.usage.meter import Meter, month_start
+from trackspread.usage.record import NANO, Ending, Kind, Use, nano, unpack
+from trackspread.usage.record import pack as pack_use
+from trackspread.virtual.used import MILLISECOND, SECOND, World
+from trackspread.virtual.used_mutants import MUTANTS, convict
+from trackspread.virtual.used_schedules import ENDS, TROUBLES, make, play
+from trackspread.virtual.disk import Disk
+
+BOUNDS = Bounds(16, 8, 10 * MILLISECOND, 100 * MILLISECOND, "fold")
+USE = Use(Kind.USE, Ending.SERVED, 1, 2, 3, 4, 1, 1_700_000_000_123, 0x1FFFFFFFF, nano(2.25))
+
+
+def _ms(text: str) -> int:
+    return int(datetime.fromisoformat(text).replace(tzinfo=UTC).timestamp() * 1000)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_billing_has_each_request_once_and_none_is_missing_without_a_reason(seed: int) -> None:
+    schedule = make(seed)
+    assert play(schedule)[0] == [], str(schedule)
+
+
+def test_schedules_bring_every_end_and_every_trouble() -> None:
+    made = [make(seed) for seed in range(200)]
+    assert {end for each in made for end in each.ends} == set(ENDS)
+    assert {name for each in made for troubles in each.troubles for name in troubles} == set(TROUBLES)
+    assert {each.bounds.full for each in made} == {"fold", "drop"}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_schedules_convict_every_mutant(name: str) -> None:
+    assert convict(name, iter(range(600))) is not None
+
+
+def test_the_same_seed_plays_the_same_lives() -> None:
+    first, second = (play(make(12))[1] for _ in range(2))
+    assert first.memory.rows == second.memory.rows != [] and first.alarms == second.alarms
+
+
+def test_a_record_is_exact_and_an_unknown_one_is_none() -> None:
+    assert unpack(pack_use(USE)) == USE and len(pack_use(USE)) == 40
+    assert unpack(pack_use(USE._replace(kind=9))) is None
+    assert nano(0.1) + nano(0.2) == nano(0.3) == 300_000_000
+    assert nano(999_999.123456789) == 999_999_123_456_789
+
+
+def test_a_clock_set_back_across_a_months_end_opens_no_month_again() -> None:
+    meter, end = Meter(), _ms("2026-11-01")
+    assert meter.stamp(end - 1) == end - 1 and meter.stamp(end + 5000) == end + 5000
+    assert meter.stamp(end - 1) == end == month_start(end + 5000) and meter.clamped == 1
+    assert meter.stamp(end + 4000) == end + 4000, "within the month the clock is followed"
+    later = Meter()
+    later.floor = end  # as a former life's control says
+    assert later.stamp(end - 60_000) == end
+    assert month_start(_ms("2028-03-01") - 1) == _ms("2028-02-01")
+
+
+def test_sums_are_bounded_and_what_is_past_the_bound_is_nobodys(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(meters, "SUMS_MOST", 2)
+    meter = Meter()
+    for customer in (1, 2, 3, 3, 1):
+        meter.fold(USE._replace(customer=customer))
+    made = []
+    while (use := meter.oldest()) is not None:
+        made.append((use.kind, use.customer, use.requests, use.units))
+        meter.written(use)
+    one = USE.units
+    assert made == [(Kind.SUM, 1, 2, 2 * one), (Kind.SUM, 2, 1, one), (Kind.LOST, 0, 2, 2 * one)]
+    assert meter.nobodys == 2 and not meter.sums
+
+
+def test_a_sum_past_what_a_record_holds_is_written_as_several() -> None:
+    meter = Meter()
+    for _ in range(3):
+        meter.fold(USE._replace(units=0xFFFFFFFFFFFFFFFF))
+    total, parts = 0, 0
+    while (use := meter.oldest()) is not None:
+        total, parts = total + use.units, parts + 1
+        meter.written(use)
+    assert total == 3 * 0xFFFFFFFFFFFFFFFF and parts == 3
+
+
+def test_of_two_copies_of_the_control_the_newest_that_checks_counts() -> None:
+    old, new = Control("p", generation=4), Control("p", generation=5)
+    best, at, wrong, newer = newest([pack(new), pack(old)])
+    assert best == new and (at, wrong, newer) == (0, [], False)
+    best, at, wrong, _ = newest([pack(new)[:-9], pack(old)])
+    assert best == old and at == 1 and len(wrong) == 1
+    assert newest([bytes(100), bytes(100)]) == (None, 0, [], False)
+
+
+def test_the_control_fits_its_area_with_every_stream_that_may_wait() -> None:
+    names = [Names("gateway", ("c" * 40,) * 10, ("p" * 40,) * 10)] * 16
+    stream = Stream("f" * 32, 65536, 15, [Part(1, "f" * 32)] * 2, 10**9, 10**9, 10**5, False)
+    control = Control("f" * 32, 10**9, 10**7, 10**13, names, dict.fromkeys(range(STREAMS_MOST), stream),
+                      Intent(10**7, 10**9, 10**9, None, "f" * 64), {"dropped": 10**9})
+    assert len(pack(control)) < AREA_SIZE
+
+
+def test_names_that_no_stream_uses_go() -> None:
+    control = Control("p", names=[Names("a", (), ()), Names("b", (), ())])
+    control.streams[1] = Stream("", 1, 1, [])
+    assert control.names_of(Names("c", (), ())) == 1 and control.streams[1].names == 0
+    assert [names.gateway for names in control.names] == ["b", "c"]
+
+
+def _batch(first: int, last: int, length: int | None = None, stream: str = "s", base: int = 0) -> bytes:
+    scan = Scan({n: pack_use(USE._replace(units=n * NANO)) for n in range(first, last + 1)})
+    held = rows(scan, Names("n0", ("look", "charge"), ("a", "b", "c")))
+    return encode(Batch("p", "n0", 1, stream, base, first, last, length, held, 0))
+
+
+def test_billing_takes_places_once_in_order_and_up_to_the_seal() -> None:
+    memory = Plain()
+    billing = Billing(memory)
+    assert billing.post(_batch(1, 4)).taken == 4
+    assert billing.post(_batch(1, 4)).taken == 4 and billing.seen["again"] == 1
+    assert billing.post(_batch(3, 6)).taken == 6, "a batch that was cut otherwise gives what is new in it"
+    assert billing.post(_batch(9, 9)).taken == 6, "nothing is left out"
+    assert billing.post(_batch(7, 6, 6)).sealed == 6
+    fenced = billing.post(_batch(5, 8))
+    assert fenced.fenced and fenced.sealed == 6 and billing.seen["fenced"] == 1
+    assert billing.post(_batch(7, 8, stream=forked("s", 7), base=6)).taken == 8
+    assert [int(row.units) // NANO for row in memory.rows] == list(range(1, 9))
+    first = memory.rows[0]
+    assert first.cls == "charge" and first.customer == "00000001ffffffff"
+
+
+def test_other_records_under_places_that_were_taken_are_told() -> None:
+    billing = Billing(Plain())
+    billing.post(_batch(1, 2))
+    batch = decode(_batch(1, 2))
+    changed = encode(msgspec.structs.replace(batch, rows=batch.rows[:1]))
+    assert billing.post(changed).conflict and not billing.post(_batch(1, 2)).conflict
+
+
+def test_a_signature_holds_for_its_own_key_and_bytes_alone() -> None:
+    body = _batch(1, 2)
+    told = signature(body, "s:1-2", b"secret")
+    assert signed(body, "s:1-2", b"secret", told)
+    assert not signed(body, "s:1-3", b"secret", told) and not signed(body + b" ", "s:1-2", b"secret", told)
+    assert not signed(body, "s:1-2", b"other", told) and not signed(body, "s:1-2", b"secret", "é")
+    assert digest(body) == digest(_batch(1, 2))
+
+
+def _live(world: World, disk: Disk) -> World:
+    life = world.begin(disk)
+    world.run(SECOND)
+    assert life.keeper.state is State.LIVE
+    return world
+
+
+def test_a_full_share_is_folded_and_nothing_is_lost_while_billing_is_down_for_long() -> None:
+    world, disk = World(BOUNDS, 1), Disk(random.Random(1))
+    _live(world, disk)
+    world.net.down = True
+    for _ in range(400):
+        world.lives[0].count(Ending.SERVED)
+        world.run(5 * MILLISECOND)
+    keeper = world.lives[0].keeper
+    assert keeper.folded > 100 and any("no room" in text for text in world.lives[0].alarms)
+    assert len([name for name in disk.files if name.startswith("use-")]) == BOUNDS.segments
+    world.net.down = False
+    world.run(100 * SECOND)
+    assert world.lives[0].drained and world.verdict() == []
+    assert sum(row.requests for row in world.memory.rows) == 400
+
+
+def test_what_a_newer_program_wrote_is_left_alone() -> None:
+    world, disk = World(BOUNDS, 2), Disk(random.Random(1))
+    _live(world, disk)
+    world.crashed(world.lives[0])
+    for name in ("control-a", "control-b"):
+        data = disk.files[name].cached
+        data[:] = data.replace(b'"version":1', b'"version":2', 1)
+    before = {name: bytes(file.cached) for name, file in disk.files.items()}
+    life = world.begin(disk)
+    world.run(10 * SECOND)
+    life.count(Ending.SERVED)
+    assert life.keeper.state is State.STUCK and life.keeper.folded == 1
+    assert {name: bytes(file.cached) for name, file in disk.files.items()} == before
+    assert any("a newer program wrote here" in text for text in life.alarms)
