Use on real gateways: a thread for the disk, HTTP and dropped files to billing, [use] in the operator's file

The keeper decides without I/O; a gateway now hosts it: each final answer is counted before it is written, the disk has a thread of its own, batches go by HTTP with idempotency keys and signatures or as files that are dropped and answered. Off without a folder, and nothing of it is loaded then. A billing stand-in keeps its memory in SQLite and loses answers on demand. On loopback, with gateways killed four times, a fifth of the answers lost and billing away in between, totals agree with the clients' to the billionth of a unit.

--- /dev/null
+++ b/tests/test_use_process.py
@@ -0,0 +1,168 @@
+"""Use records on real processes: gateways are killed, billing loses answers, and the totals agree."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+import uvloop
+
+from trackspread.harness.billed import compare
+from trackspread.harness.fleet import Fleet
+from trackspread.standins.billing import Billing, Plain
+from trackspread.standins.billing_server import BillingServer, take_drops
+from trackspread.standins.scene import Scene
+from trackspread.storage.directory import Directory
+from trackspread.usage.batch import Batch, Reply, digest, encode
+from trackspread.usage.control import Names
+from trackspread.usage.exporter import Post
+from trackspread.usage.host import UseHost, export_all
+from trackspread.usage.keeper import Bounds, State
+from trackspread.usage.record import Ending
+from trackspread.usage.senders import Drop, SendError, Target, sender
+
+MOST = 60.0  # s: only a hang reaches it
+SECRET = b"of the tests"
+
+
+async def _killed(folder: Path) -> None:
+    server = BillingServer(folder / "billing.db", SECRET)
+    server.lost = server.busy = 0.2
+    await server.start()
+    (folder / "secret").write_bytes(SECRET + b"\n")
+
+    def own(name: str) -> str:
+        return (f'[use]\nfolder = "{folder / name}"\nbilling = "{server.url}"\nsecret = "{folder}/secret"\n'
+                "batch_s = 0.1\ncommit_ms = 5\nsegment_mb = 0.05\ndisk_mb = 4\n")
+
+    rng = random.Random(5)
+    async with Fleet(Scene(gateways=2, nodes=3, load=0.6, seed=9), own=own) as fleet:
+        fleet.ask()
+        for _ in range(4):
+            await asyncio.sleep(rng.uniform(0.2, 0.6))
+            await fleet.restart([rng.randrange(2)], 0.05)
+        server.stop()
+        await asyncio.sleep(0.3)
+        await server.start()
+        goal = fleet.clients.kinds["served"] + 20
+        while fleet.clients.kinds["served"] < goal:
+            await asyncio.sleep(0.01)
+        await fleet.settle()
+        server.lost = server.busy = 0.0
+        for name in ("n0", "n1"):
+            keeper = await export_all(folder / name, sender(Target(server.url, SECRET)), MOST)
+            assert keeper.exported, keeper.exporter.trouble
+        told = compare(fleet.ledger.entries, server.ledger.totals())
+    assert server.billing.seen["again"] > 0 and server.billing.seen["conflict"] == 0
+    assert told.read > 0 and (told.lost, told.doubled) == (0, 0)
+    assert all(stream["sealed"] == stream["taken"] for stream in server.ledger.streams())
+    server.close()
+
+
+def test_billing_agrees_to_the_unit_with_clients_of_gateways_that_are_killed(tmp_path: Path) -> None:
+    uvloop.run(asyncio.wait_for(_killed(tmp_path), MOST))
+
+
+def _host(folder: Path) -> UseHost:
+    bounds = Bounds(64, 4, 1_000_000, 1_000_000, "fold")
+    return UseHost(folder, bounds, Names("n0", ("a",), ("p",)), time.monotonic_ns, None)
+
+
+async def _until(host: UseHost, state: State) -> None:
+    async with asyncio.timeout(MOST):
+        while host.keeper.state is not state:
+            await asyncio.sleep(0.005)
+
+
+async def _twins(folder: Path) -> None:
+    first, second = _host(folder), _host(folder)
+    first.start()
+    await _until(first, State.LIVE)
+    second.start()
+    async with asyncio.timeout(MOST):
+        while "another process's" not in second.keeper.trouble:
+            await asyncio.sleep(0.005)
+    second.count(Ending.SERVED, 0, 0, 0, 7, 1.0, 1)
+    assert second.keeper.folded == 1, "what the second counts is kept as sums until the folder is free"
+    await first.stop()
+    await _until(second, State.LIVE)
+    await second.stop()
+    assert second.keeper.state is State.CLOSED and second.keeper.control.epoch == 2
+    assert second.keeper.control.streams[2].length == 1
+
+
+def test_a_folder_has_one_owner_and_the_second_waits_without_losing_a_count(tmp_path: Path) -> None:
+    uvloop.run(asyncio.wait_for(_twins(tmp_path), MOST))
+
+
+def test_a_folder_that_cannot_be_made_stops_nothing(tmp_path: Path) -> None:
+    async def body() -> None:
+        (tmp_path / "file").write_text("")
+        host = _host(tmp_path / "file" / "use")
+        host.start()
+        async with asyncio.timeout(MOST):
+            while not host.keeper.trouble:
+                await asyncio.sleep(0.005)
+        host.count(Ending.SERVED, 0, 0, 0, 7, 1.0, 1)
+        assert host.keeper.folded == 1 and host.keeper.trouble == "Not a directory"
+        await host.abandon()
+
+    uvloop.run(asyncio.wait_for(body(), MOST))
+
+
+def _post(number: int) -> Post:
+    body = encode(Batch("p", "n0", 1, "s", 0, number, number, None, (), 0))
+    return Post(f"s:{number}-{number}", body, digest(body))
+
+
+def test_dropped_files_are_taken_once_and_answered(tmp_path: Path) -> None:
+    async def body() -> None:
+        billing, drop = Billing(Plain()), Drop(tmp_path)
+        for number in (1, 2):
+            sending = asyncio.create_task(drop.send(_post(number)))
+            while not take_drops(tmp_path, billing):
+                await asyncio.sleep(0.005)
+            assert await sending == Reply(number)
+        # A crash of the taker between its answer and the removal: the file is there once more.
+        (tmp_path / "in" / "s_2-2.json").write_bytes(_post(2).body)
+        assert take_drops(tmp_path, billing) == 1 and billing.seen["taken"] == 2
+        assert list((tmp_path / "in").iterdir()) == []
+
+    uvloop.run(asyncio.wait_for(body(), MOST))
+
+
+def test_a_wrong_signature_is_final_and_a_busy_receiver_says_when_to_return(tmp_path: Path) -> None:
+    async def body() -> None:
+        server = BillingServer(tmp_path / "b.db", SECRET)
+        await server.start()
+        with pytest.raises(SendError, match="403") as caught:
+            await sender(Target(server.url, b"another")).send(_post(1))
+        assert caught.value.final
+        server.busy = 1.0
+        with pytest.raises(SendError, match="503") as caught:
+            await sender(Target(server.url, SECRET)).send(_post(1))
+        assert caught.value.retry_in == 1_000_000_000 and not caught.value.final
+        server.busy = 0.0
+        assert await sender(Target(server.url, SECRET)).send(_post(1)) == Reply(1)
+        server.close()
+
+    uvloop.run(asyncio.wait_for(body(), MOST))
+
+
+@pytest.mark.parametrize("url", ["ftp://x/y", "http:///use", "billing"])
+def test_a_way_to_billing_that_is_none_is_said_so(url: str) -> None:
+    with pytest.raises(ValueError, match="wanted http://HOST:PORT/PATH"):
+        sender(Target(url))
+
+
+def test_the_lock_is_free_again_after_an_export(tmp_path: Path) -> None:
+    async def body() -> None:
+        keeper = await export_all(tmp_path, Drop(tmp_path / "drop"), 1.0)
+        assert keeper.exported and msgspec.to_builtins(keeper.control)["streams"] == {}
+        Directory(tmp_path).close()
+
+    uvloop.run(asyncio.wait_for(body(), MOST))
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -53,6 +53,20 @@
     grace_part: Part = 0.8  # of the drain's grace in which a late connection is still written to
 
 
+class Use(_Table, frozen=True):
+    """Use records and their export; off without a folder, as the platform gives no lasting disk."""
+
+    folder: str = ""  # where records are kept, this gateway's alone; empty: use is not recorded
+    billing: str = ""  # http://, https:// or file:// of the receiver; empty: records are kept and not sent
+    secret: str = ""  # file with the key that signs batches (HMAC-SHA-256); empty: not signed
+    ca: str = ""  # file with the certificates that the receiver's is checked against; empty: the system's
+    commit_ms: Annotated[float, msgspec.Meta(ge=1.0, le=1000.0)] = 20.0  # until a record's commit
+    batch_s: Seconds = 2.0  # for which a batch that is not full is waited for
+    segment_mb: Annotated[float, msgspec.Meta(ge=0.05, le=64.0)] = 4.0  # of one file, allocated ahead
+    disk_mb: Annotated[float, msgspec.Meta(ge=1.0, le=65536.0)] = 256.0  # of all of them, at most
+    when_full: Literal["fold", "drop"] = "fold"  # keep sums in memory, or give up the oldest records
+
+
 class Log(_Table, frozen=True):
     """The log, on standard error."""
 
@@ -68,6 +82,7 @@
     list: List = List()
     clients: ClientBounds = ClientBounds()
     backends: BackendBounds = BackendBounds()
+    use: Use = Use()
     log: Log = Log()
 
     def addresses(self) -> tuple[Address, ...]:
@@ -103,6 +118,7 @@
         made = msgspec.convert(raw, Operator, strict=True)
     except msgspec.ValidationError as error:
         raise ConfigError(f"{name}: {_explain(str(error), raw)}") from None
+    _check_use(made.use, name)
     seen: set[Address] = set()
     for number, listener in enumerate(made.listeners):
         key = f"listeners[{number}].address"
@@ -116,6 +132,17 @@
     return made
 
 
+def _check_use(use: Use, name: str) -> None:
+    if use.billing and not use.folder:
+        raise ConfigError(f"{name}: use.folder: found nothing, wanted a folder: use.billing is set")
+    if use.folder and use.disk_mb < 4 * use.segment_mb:
+        raise ConfigError(f"{name}: use.disk_mb: found {use.disk_mb:g}, wanted 4 times segment_mb or more")
+    scheme = use.billing.partition("://")[0]
+    if use.billing and (scheme not in ("http", "https", "file") or "://" not in use.billing):
+        raise ConfigError(f"{name}: use.billing: found {use.billing!r}, wanted http://HOST:PORT/PATH, "
+                          "https://HOST:PORT/PATH or file:///FOLDER")
+
+
 def _plain(error: Exception) -> str:
     return (error.strerror if isinstance(error, OSError) else None) or "not UTF-8 text"
 
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -11,7 +11,7 @@
 import shutil
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -39,15 +39,16 @@
 
     def __init__(
         self, scene: Scene, command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 256,
-        relays: bool = False,
+        relays: bool = False, own: Callable[[str], str] = lambda name: "",
     ) -> None:
-        """`relays`: also the ways to the rating nodes go over the wire (those between gateways always do)."""
+        """`own`: each gateway's operator's file, by name. `relays`: also the ways to the rating nodes go over
+        the wire (those between gateways always do)."""
         self.scene, self.ledger, self.wire, self.list = scene, Ledger(), Wire(scene.seed), BackendList()
         self.folder = Path(tempfile.mkdtemp(prefix="trackspread-"))
         self.nodes: dict[str, NodeServer] = {}
         self.gateways: list[GatewayProcess] = []
         self.agents = [Agent(self.list, number, self.ledger) for number in range(scene.gateways)]
-        self._command, self._sockets, self._relays = command, sockets, relays
+        self._command, self._sockets, self._relays, self._own = command, sockets, relays, own
         self._rng = random.Random(f"fleet:{scene.seed}")
         self._ports, self._pods = Ports(), dict[int, Pod]()
         addresses = [self._ports.tcp() for _ in range(scene.gateways)]
@@ -88,7 +89,7 @@
             }
             self.gateways.append(GatewayProcess(
                 name, self.clients.addresses[number], config, self.folder, self.ledger, self._command,
-                self._sockets,
+                self._sockets, self._own(name),
             ))
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
         self._beat = asyncio.get_running_loop().create_task(self._watch_lag())
--- a/trackspread/harness/process.py
+++ b/trackspread/harness/process.py
@@ -40,12 +40,14 @@
 
     def __init__(
         self, name: str, address: Address, config: dict[str, Any], folder: Path, ledger: Ledger,
-        command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 1024,
+        command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 1024, own: str = "",
     ) -> None:
+        """`own`: the text of the operator's file."""
         self.name, self.address, self.config = name, address, config
         self.log = folder / f"{name}.log"
         self._path, self._own = folder / f"{name}.json", folder / f"{name}.toml"
         self._ledger, self._command, self._sockets = ledger, command, sockets
+        self._own.write_text(own)
         self._process: asyncio.subprocess.Process | None = None
         self._watch: asyncio.Task[None] | None = None
         self.starts = 0
@@ -67,7 +69,6 @@
         seed = random.Random(f"{self.name}:{self.starts}").getrandbits(63)
         self.config["seed"] = f"{seed:016x}"
         self._path.write_text(json.dumps(self.config))
-        self._own.touch()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, *self._command, "--file", str(self._own), stdout=log, stderr=log,
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -6,6 +6,7 @@
 import logging
 from collections import Counter
 from itertools import count
+from typing import TYPE_CHECKING
 
 from ..backends.pools import Attempt, Backends
 from ..backends.resp import RespDialect
@@ -45,6 +46,10 @@
 from ..lists.agent import Discovery, parse_update
 from ..lists.seam import ListError, Update
 from ..peers.datagrams import Peers
+from ..usage.record import Ending
+
+if TYPE_CHECKING:
+    from .uses import Uses
 
 log = logging.getLogger(__name__)
 
@@ -97,6 +102,7 @@
             [(each, front) for each in (config.listen, *operator.addresses())], self, spare - most,
             config.memory, max(c.deadline for c in settings.classes), operator.clients,
         )
+        self.uses = self._uses()
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
         index = None
         if config.known is not None:
@@ -110,11 +116,21 @@
             self._handle(Topology(ListKind.CACHED, 0, ()))
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
 
+    def _uses(self) -> Uses | None:
+        """Where use is recorded; raises `ConfigError`."""
+        if not self.operator.use.folder:
+            return None
+        from .uses import Uses  # not needed otherwise: it takes memory
+
+        return Uses(self.config, self.operator.use, self.now)
+
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
         if self.config.peer_listen is not None and self.config.settings.may_message:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.discovery.start()
+        if self.uses is not None:
+            self.uses.start()
         self._teller = self._loop.call_later(self.operator.log.tally_s, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
@@ -148,6 +164,8 @@
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
             await asyncio.sleep(max(0.0, end - self._loop.time()))
         self.peers.close()
+        if self.uses is not None:
+            await self.uses.stop()
 
     def reconfigure(self, fresh: Config, operator: Operator) -> None:
         """Follow discovery to where it is now, and the operator's bounds and log; list, requests and
@@ -208,7 +226,7 @@
     def left(self, number: int) -> None:
         request = self._requests.get(number)
         if request is not None and not request.closed:
-            self._close(number, request)
+            self._close(number, request, Ending.LEFT)
             self._handle(ClientLeft(number))
 
     def time_is_up(self, number: int) -> None:
@@ -227,10 +245,12 @@
 
     # Answers.
 
-    def _close(self, number: int, request: Request) -> None:
+    def _close(self, number: int, request: Request, ending: Ending) -> None:
         """The final answer is given, or nobody is there for it: no other follows."""
         if not request.closed:
             request.closed = True
+            if self.uses is not None:
+                self.uses.count(request.call, ending, request.attempts)
             self._ids.discard(request.call.id)
         self._forget(number, request)
 
@@ -243,7 +263,7 @@
             self._requests.pop(number, None)
 
     def _fail(self, number: int, request: Request, reason: str) -> None:
-        self._close(number, request)
+        self._close(number, request, Ending.FAILED)
         request.slot.failed(request.call, reason)
 
     # From the backends.
@@ -260,7 +280,7 @@
         request = self._requests[number]
         request.out.pop(attempt.index, None)
         if outcome is Outcome.OK and value is not None and not request.closed:
-            self._close(number, request)
+            self._close(number, request, Ending.SERVED)
             request.slot.served(request.call, value)
         event = AttemptEnded(
             number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
@@ -305,7 +325,7 @@
             case Refuse(number, retry_in):
                 if (request := self._requests.get(number)) is not None and not request.closed:
                     wait = -(-retry_in // MILLISECOND)
-                    self._close(number, request)
+                    self._close(number, request, Ending.REFUSED)
                     request.slot.refused(request.call, wait)
             case Fail(number):
                 if (request := self._requests.get(number)) is not None and not request.closed:
--- a/trackspread/usage/keeper.py
+++ b/trackspread/usage/keeper.py
@@ -26,7 +26,7 @@
 from ..storage.seam import Area
 from ..storage.slots import MARK, Head, Scan
 from .control import AREA_SIZE, AREAS, STREAMS_MOST, Control, Names, Part, Stream, newest, pack
-from .exporter import Exporter, Post
+from .exporter import Exporter, Post, Stage
 from .meter import REFUSALS_MS, Meter
 from .record import Ending, Use
 from .record import pack as pack_use
@@ -75,7 +75,8 @@
 class Keeper:
     """`alarms`: lines for the operators; `spent`: areas to be closed. Whoever hosts takes them from here."""
 
-    def __init__(self, bounds: Bounds, names: Names, rng: random.Random) -> None:
+    def __init__(self, bounds: Bounds, names: Names, rng: random.Random, write: bool = True) -> None:
+        """`write`: whether this life counts; without, it exports what others left and makes no stream."""
         self.bounds, self.names, self.state = bounds, names, State.NEW
         self.meter, self.exporter = Meter(), Exporter(bounds.every, rng)
         self.journal: Journal | None = None
@@ -85,7 +86,7 @@
         self.spent: list[Area] = []
         self.recorded, self.folded = 0, 0  # requests with a record of their own, and those in sums
         self.trouble = ""  # the disk's last error; empty once a call went well
-        self._rng = rng
+        self._rng, self._write = rng, write
         self._areas: list[Area] = []  # of the control, in the order of `AREAS`
         self._good = 0  # which of them was last saved whole
         self._fresh: Journal | None = None  # a stream that is about to be declared
@@ -198,8 +199,11 @@
 
     def _writers(self, now: int) -> Call | None:
         match self.state:
-            case State.ABSENT if self._may("stream", now) and len(self.control.streams) < STREAMS_MOST:
-                return self._create()
+            case State.ABSENT if self._write and self._may("stream", now):
+                if len(self.control.streams) < STREAMS_MOST:
+                    return self._create()
+                self.alarms.append(f"use: {STREAMS_MOST} lives wait for their export: sums are kept in memory")
+                self._not_before["stream"] = now + TOLD_AGAIN
             case State.SETTLING:
                 assert self._fresh is not None
                 if (commit := self._fresh.commit()) is None:
@@ -397,6 +401,13 @@
         """No more is counted. All that was is committed; billing hears of it from the next life."""
         self._ending = True
 
+    @property
+    def exported(self) -> bool:
+        """Billing has all that former lives left, and the disk knows it."""
+        idle = self.exporter.stage is Stage.IDLE and not (self.exporter.dirty or self.shelf.dirty)
+        streams = self.control.streams.values()
+        return self.state in OPENED and self._out is None and idle and all(s.over() for s in streams)
+
     @property
     def over(self) -> bool:
         """Nothing is left to be written, or nothing can be."""
--- a/trackspread/usage/record.py
+++ b/trackspread/usage/record.py
@@ -25,15 +25,16 @@
 
 
 class Ending(IntEnum):
-    """The answer that the client got; of a client that left before, how the gateway closed its request."""
+    """The answer that the client got; LEFT: it had gone before there was one."""
 
     SERVED = 1
     FAILED = 2
     REFUSED = 3
+    LEFT = 4
 
 
 class Use(NamedTuple):
-    """`time`: Unix ms. `units`: billionths, of all `requests` together. `attempts`: written whole to
+    """`time`: Unix ms. `units`: billionths, of all `requests` together. `attempts`: begun at
     backends, second copies among them. `version`: of the plan in force."""
 
     kind: int
@@ -60,5 +61,5 @@
 def unpack(payload: bytes) -> Use | None:
     """None for a kind that this program doesn't know."""
     use = Use._make(_PAYLOAD.unpack(payload))
-    known = Kind.USE <= use.kind <= Kind.LOST and Ending.SERVED <= use.ending <= Ending.REFUSED
+    known = Kind.USE <= use.kind <= Kind.LOST and Ending.SERVED <= use.ending <= Ending.LEFT
     return use if known else None
