--- a/trackspread/usage/keeper.py
+++ b/trackspread/usage/keeper.py
@@ -132,7 +132,9 @@
         """Sums go to the journal as far as it has room."""
         assert self.journal is not None
         self._unfolded = now
-        while (use := self.meter.oldest()) is not None and self.journal.room() and self._append(now, pack_use(*use)):
+        while (use := self.meter.oldest()) is not None and self.journal.room():
+            if not self._append(now, pack_use(*use)):
+                break
             self.meter.written(use)
         self._owed = bool(self.meter.sums)
 
