Plans with a history: a book of versions, taken up by running gateways at one moment

Members change plans mid-month. A plan book holds every version of the figures with its moment and reason; trackspread plans history, diff, apply and withdraw keep it; gateways look once a second and take a version up at its moment, at least 5 s after it was made known. Stores are carried over as a share of a burst that falls and as units of one that rises, commitments are solved anew and those that don't fit are told; a member that asks under another plan takes its store along (before, it stayed on its old plan until it was forgotten). Records bear the version. In virtual time gateways with clocks a second apart differ by at most that second.

--- /dev/null
+++ b/tests/test_plans.py
@@ -0,0 +1,199 @@
+"""Plans with a history: the book's rules, stores that are carried over, and uptake on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import time
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trackspread.cli import main
+from trackspread.config.operator import parse
+from trackspread.decide.broker import Broker
+from trackspread.decide.interface import ListKind, LogLine, Plan, PlansChanged, Refuse, Send
+from trackspread.decide.quota import carried
+from trackspread.plans.book import (
+    NOTICE_MS, SCHEMA, Book, Figures, PlanError, Uptake, Version, applied, differences, in_force, upcoming,
+    withdrawn,
+)
+
+from .fakes import run, until, world
+from .helpers import MS, arrival, backend, ended, full_list, plan, settings
+
+NOW = 1_000_000_000
+LATE = NOW + 70_000
+FULL: dict[str, Figures] = {"full": Figures(10.0, 20.0)}
+LESS = {"full": Figures(5.0, 10.0, ceiling_rate=8.0, ceiling_burst=12.0)}
+
+
+def _book(*changes: tuple[dict[str, Figures], int]) -> Book:
+    book = Book()
+    for plans, since in changes:
+        book = applied(book, plans, since, NOW, "")
+    return book
+
+
+def test_versions_are_in_force_from_their_moment_on_and_stay_in_the_book() -> None:
+    book = _book((FULL, NOW + NOTICE_MS), (LESS, NOW + 60_000))
+    assert in_force(book, NOW) is None
+    first, second = in_force(book, NOW + NOTICE_MS), in_force(book, NOW + 60_000)
+    assert first is not None and second is not None and (first.number, second.number) == (1, 2)
+    assert upcoming(book, NOW + NOTICE_MS) == second and upcoming(book, NOW + 60_000) is None
+    assert SCHEMA.unpack(SCHEMA.pack(book), Book) == book
+
+
+def test_a_version_may_be_withdrawn_until_gateways_rely_on_it() -> None:
+    book = withdrawn(_book((FULL, NOW + 20_000), (LESS, NOW + 60_000)), 1, NOW)
+    assert in_force(book, NOW + 30_000) is None and len(book.versions) == 2
+    later = applied(book, FULL, NOW + 90_000, NOW, "again")
+    assert later.versions[-1].number == 3, "numbers are not used twice"
+    with pytest.raises(PlanError, match="found 1, wanted one that stands"):
+        withdrawn(book, 1, NOW)
+    with pytest.raises(PlanError, match="in force within 5 s or already"):
+        withdrawn(book, 2, NOW + 58_000)
+
+
+@pytest.mark.parametrize(
+    ("plans", "since", "line"),
+    [
+        (FULL, NOW + 1_000, "from: found a moment 1.0 s from now, wanted at least 5 s"),
+        (FULL, NOW + 60_000, "from: found a moment before that of a version that stands"),
+        ({}, NOW + 70_000, "plans: found none"),
+        ({"fulll": FULL["full"]}, LATE, "plans.fulll: found an unknown plan, wanted one of basic, full"),
+        ({"full": Figures(1.0, 0.0)}, LATE, "plans.full: found rate 1 and burst 0, wanted both over 0"),
+        ({"full": Figures(0, 0, 0, 1.0)}, LATE, "plans.full: found ceiling_rate 1 and ceiling_burst 0"),
+        ({"full": Figures(0, 0, 0, 1, 2, 3)}, LATE, "plans.full.ceiling_slack: found 3, wanted at most"),
+    ],
+)
+def test_a_change_that_cannot_be_meant_is_one_line(plans: dict[str, Figures], since: int, line: str) -> None:
+    with pytest.raises(PlanError) as caught:
+        applied(_book((LESS, NOW + 60_000)), plans, since, NOW, "", {"basic", "full"})
+    assert str(caught.value).startswith(line)
+
+
+def test_differences_are_told_figure_by_figure() -> None:
+    assert differences(FULL, LESS) == [
+        "full.rate: 10 -> 5", "full.burst: 20 -> 10", "full.ceiling_rate: 0 -> 8",
+        "full.ceiling_burst: 0 -> 12",
+    ]
+    assert differences(FULL, FULL) == [] and differences({}, FULL) == ["full: named"]
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_gateways_take_a_version_up_within_what_their_clocks_differ_by(seed: int) -> None:
+    """Each looks once a second, a look in ten fails, and clocks differ by up to a second."""
+    rng = random.Random(f"plans:{seed}")
+    book, clocks = Book(), [rng.randint(-500, 500) for _ in range(5)]
+    uptakes, taken = [Uptake() for _ in clocks], [dict[int, int]() for _ in clocks]
+    for now in range(NOW, NOW + 40_000, 50):
+        if rng.random() < 0.01 and upcoming(book, now) is None:
+            book = applied(book, FULL, now + rng.randint(NOTICE_MS, 9_000), now, "")
+        for number, (uptake, clock) in enumerate(zip(uptakes, clocks, strict=True)):
+            if (now + 200 * number) % 1000 == 0 and rng.random() < 0.9:
+                uptake.read(book)
+            if (due := uptake.due(now + clock)) is not None and due[0] is not None:
+                taken[number][due[0].number] = now
+    assert book.versions
+    for version in book.versions:
+        if version.since < NOW + 39_000:
+            at = [versions[version.number] for versions in taken]
+            assert max(at) - min(at) <= 1_050 and min(at) >= version.since - 500
+
+
+@given(st.floats(-50, 50), st.floats(0.1, 100), st.floats(0.1, 100))
+def test_a_change_is_never_a_gift_and_the_store_fits_its_burst(level: float, old: float, new: float) -> None:
+    level = min(level, old)
+    after = carried(level, old, new)
+    assert after <= level and after <= new * (1 + 1e-9)
+    if new >= old and level >= 0:
+        assert after == level, "units are kept where the burst rises"
+    if new < old and level > 0:
+        assert after / new == pytest.approx(level / old), "the share where it falls"
+
+
+def test_a_store_that_begins_to_count_begins_empty() -> None:
+    assert carried(0.0, 0.0, 9.0) == 0.0 and carried(7.0, 0.0, 9.0) == 0.0 and carried(-1.0, 0.0, 9.0) == -1.0
+
+
+def test_a_member_that_is_lowered_while_above_gets_nothing_new_until_the_store_allows_it() -> None:
+    module = Broker(settings(plans=(plan(rate=10.0, burst=10.0),)), 7, 0)
+    module.handle(0, full_list(backend(1), backend(2), kind=ListKind.CACHED))
+    for number in range(1, 9):
+        assert any(isinstance(a, Send) for a in module.handle(MS * number, arrival(number, MS * number)))
+    lowered: tuple[Plan, ...] = (plan(rate=1.0, burst=2.0),)
+    told = module.handle(10 * MS, PlansChanged(lowered))
+    assert [type(a) for a in told] == [LogLine]
+    assert not any(isinstance(a, Refuse) for a in told), "what is in flight is left to end"
+    at = 20 * MS
+    refused = module.handle(at, arrival(20, at))
+    assert [type(a) for a in refused] == [Refuse], "0.4 units are left of 2"
+    for number in range(1, 9):
+        tried = module.attempts[number, 0].tried
+        module.handle(100 * MS, ended(number, next(iter(tried)), elapsed=90 * MS))
+    at = 5_000 * MS
+    assert any(isinstance(a, Send) for a in module.handle(at, arrival(21, at))), "it fills by the new rate"
+
+
+def test_a_member_that_asks_under_another_plan_takes_its_store_along() -> None:
+    small, large = plan(rate=1.0, burst=2.0), plan(rate=100.0, burst=200.0)
+    module = Broker(settings(plans=(small, large)), 7, 0)
+    module.handle(0, full_list(backend(1), backend(2), kind=ListKind.CACHED))
+    module.handle(MS, arrival(1, MS))
+    account = module.quota.accounts[1]
+    assert account.plan == small and account.level == pytest.approx(1.0)
+    module.handle(2 * MS, arrival(2, 2 * MS, plan=1))
+    assert account.plan == large and account.level < 1.2, "no gift: it fills by the new rate"
+
+
+def _words(capsys: pytest.CaptureFixture[str], *words: str) -> tuple[int, str]:
+    status = main(["plans", *words])
+    caught = capsys.readouterr()
+    return status, caught.out + caught.err
+
+
+def test_an_operator_applies_compares_withdraws_and_reads_the_history(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    book, file = str(tmp_path / "plans.json"), tmp_path / "new.toml"
+    file.write_text("[plans.full]\nrate = 5\nburst = 10\n")
+    assert _words(capsys, "history", book) == (0, "no versions: the platform's figures hold\n")
+    assert _words(capsys, "diff", book, str(file)) == (1, "full: named\n")
+    status, told = _words(capsys, "apply", book, str(file), "--from", "+60", "--note", "winter")
+    assert status == 0 and told.startswith("version 1 is in force from ")
+    status, told = _words(capsys, "apply", book, str(file), "--from", "+1")
+    assert status == 2 and "wanted at least 5 s" in told and told.startswith(f"trackspread: {book}: from: ")
+    assert "to come   winter" in _words(capsys, "history", book)[1]
+    assert _words(capsys, "withdraw", book, "1") == (0, "version 1 is withdrawn\n")
+    assert "withdrawn winter" in _words(capsys, "history", book)[1]
+    file.write_text("[plans.full]\nrat = 5\n")
+    status, told = _words(capsys, "diff", book, str(file))
+    assert status == 2 and "unknown field `rat`" in told
+    status, told = _words(capsys, "apply", book, str(file), "--from", "soon")
+    assert status == 2
+
+
+def test_a_running_gateway_takes_up_a_version_at_its_moment(tmp_path: Path) -> None:
+    path = tmp_path / "plans.json"
+    operator = parse(f'[plans]\nbook = "{path}"\n', "own.toml")
+
+    async def body() -> None:
+        async with world(operator) as made:
+            book = made.node.book
+            assert book is not None and book.version == 0
+            now = time.time_ns() // 1_000_000
+            version = Version(1, now + 300, now, "", {"team": Figures(1.0, 2.0)})
+            path.write_bytes(SCHEMA.pack(Book((version,))))
+            await until(lambda: book.version == 1)
+            assert time.time_ns() // 1_000_000 >= version.since
+            assert made.node.module.quota.s.plans[0].burst == 2.0
+            path.write_bytes(b"broken")
+            os.utime(path, ns=(1, 1))
+            await asyncio.sleep(0)
+            assert book.version == 1, "a book that can't be read changes nothing"
+
+    run(body)
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `run` (also without words), `check`, `use` and `try`.
+"""The command line: `run` (also without words), `check`, `use`, `plans` and `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
 """
@@ -61,6 +61,7 @@
     )
     tries.add_argument("--seed", type=int, default=1, help="of clients and nodes (1)")
     words.add_use(commands)
+    words.add_plans(commands)
     return parser
 
 
@@ -88,6 +89,10 @@
         match given.command:
             case "check":
                 _check(given.file, given.config)
+            case "plans":
+                from .commands import plans
+
+                return plans.run(given)
             case "use":
                 from .commands import use
 
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -8,6 +8,27 @@
 Commands = argparse._SubParsersAction  # what `add_subparsers` gives
 
 
+def add_plans(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread plans` and its actions."""
+    own = commands.add_parser("plans", help="the plan book: history, compare, apply, withdraw")
+    group = own.add_subparsers(dest="plans", metavar="ACTION", title="actions", required=True)
+    history = group.add_parser("history", help="every version: from when on, why, and what it changed")
+    diff = group.add_parser("diff", help="what a file would change of what is in force")
+    applies = group.add_parser("apply", help="add a version that is in force from a moment on")
+    withdraws = group.add_parser("withdraw", help="take back a version that is not in force yet")
+    for each in (history, diff, applies, withdraws):
+        each.add_argument("book", metavar="BOOK", type=Path, help="the plan book, as plans.book names it")
+    for each in (diff, applies):
+        each.add_argument("file", metavar="FILE", type=Path, help="TOML: a table [plans.NAME] for each plan")
+        each.add_argument("--config", metavar="JSON", help="the platform's, for the plans that there are")
+    applies.add_argument(
+        "--from", dest="since", metavar="WHEN", required=True,
+        help="+SECONDS, or a moment as 2026-12-05T00:00:00Z",
+    )
+    applies.add_argument("--note", default="", help="why, for the history")
+    withdraws.add_argument("number", metavar="VERSION", type=int)
+
+
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread use` and its actions."""
     own = commands.add_parser("use", help="use records: look, check, export, compare, repair")
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -67,6 +67,12 @@
     when_full: Literal["fold", "drop"] = "fold"  # keep sums in memory, or give up the oldest records
 
 
+class PlanSource(_Table, frozen=True):
+    """Where other figures for the platform's plans come from."""
+
+    book: str = ""  # a plan book, as `trackspread plans apply` writes it; empty: the platform's figures hold
+
+
 class Log(_Table, frozen=True):
     """The log, on standard error."""
 
@@ -83,6 +89,7 @@
     clients: ClientBounds = ClientBounds()
     backends: BackendBounds = BackendBounds()
     use: Use = Use()
+    plans: PlanSource = PlanSource()
     log: Log = Log()
 
     def addresses(self) -> tuple[Address, ...]:
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -14,7 +14,8 @@
 from .fleet import Filter, Fleet
 from .interface import (
     NEVER_RAN, Action, Arrival, AttemptEnded, ClientLeft, Counted, Event, Fail, Group, ListKind, LogLine,
-    Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired, Topology, Watch,
+    Outcome, PeerMessage, Plan, PlansChanged, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired,
+    Topology, Watch,
 )
 from .mail import Kind
 from .model import TARGET, TICK, QueueModel, seven_cases
@@ -68,6 +69,8 @@
                 self.fleet.learn(now, event)
                 if event.kind is ListKind.FAILED:
                     actions.append(SetTimer(SECOND, RETRY_LIST))
+            case PlansChanged(plans):
+                actions.append(self._replan(now, plans))
             case ClientLeft():
                 self.open.pop(event.request, None)
             case TimerFired(token):
@@ -101,6 +104,15 @@
             actions.append(LogLine(f"pressed: in flight {self.out}, limit {self.model.limit}"))
         return actions
 
+    def _replan(self, now: int, plans: tuple[Plan, ...]) -> LogLine:
+        """Commitments are solved anew beside one another, least worth first; what does not fit is told."""
+        self.quota.replan(now, plans)
+        solved = sorted(self.active.values(), key=lambda a: (a.worth, a.customer))
+        for account in solved:
+            self._evaluate(now, account)
+        less = sum(a.cap < self._wanted(now, a)[0] for a in solved)
+        return LogLine(f"plans changed: of {len(solved)} commitments {less} now have less than they ask")
+
     def _evaluate_all(self, now: int) -> None:
         """Evaluate whoever is due, least worth first, so that cuts fall on the cheap before the dear."""
         for account in list(self.active.values()):
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -225,8 +225,16 @@
     total: float
 
 
+@dataclass(frozen=True, slots=True)
+class PlansChanged:
+    """Other figures are in force from now on, for each plan by its index; there are as many as before."""
+
+    plans: tuple[Plan, ...]
+
+
 Event = (
     Topology | Arrival | Begun | AttemptEnded | ClientLeft | TimerFired | Probed | PeerMessage | Counted
+    | PlansChanged
 )
 
 
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -7,9 +7,10 @@
 
 import random
 from collections import deque
+from dataclasses import replace
 from math import ceil
 
-from .interface import Action, AddToCounter, Counted, Outcome, PeerMessage, Settings, Tell
+from .interface import Action, AddToCounter, Counted, Outcome, PeerMessage, Plan, Settings, Tell
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
 from .state import LONG, MEMORY, SECOND, Account, Mean
 
@@ -28,6 +29,11 @@
 POOLED = 0.75  # part of a ceiling that the home hands out; the rest is in even slices for its silence
 
 
+def carried(level: float, old: float, new: float) -> float:
+    """A store's level under another burst; one that begins to count begins empty."""
+    return min(level, level * new / old) if old > 0.0 else min(level, 0.0)
+
+
 class Quota:
     """The companion bucket, limits on open attempts and ceilings, over all gateways: where word of all peers
     is fresh each keeps the store; else one home for each customer does, or the counter."""
@@ -55,6 +61,8 @@
             account = Account(customer, plan, index, customer % n, level, *times, *means)
             account.ceiling = plan.ceiling_slack * POOLED * (self.homes and self.at_home(account))
             self.accounts[customer] = account
+        elif account.index != index:
+            self.carry(now, account, index)
         if spread >= 1 and not account.slices:
             self._slice(account, min(int(spread), n), int(first))
         return account
@@ -71,6 +79,22 @@
         account.part = even if chance >= 1.0 else self.s.largest * (self.rng.random() < chance)
         account.ceiling += plan.ceiling_slack * (1.0 - POOLED if self.homes else 1.0) / account.slices
 
+    def replan(self, now: int, plans: tuple[Plan, ...]) -> None:
+        """Other figures from now on, in every store that is kept here."""
+        self.s = replace(self.s, plans=plans)
+        for account in self.accounts.values():
+            self.carry(now, account, account.index)
+
+    def carry(self, now: int, account: Account, index: int) -> None:
+        """The customer's stores go over to the figures of plan `index`, filled by the old ones until now. A
+        level is kept as a share of a burst that falls, as units of one that rises: never a gift."""
+        self.refill(now, account)
+        old, new = account.plan, self.s.plans[index]
+        account.plan, account.index = new, index
+        account.level = carried(account.level, old.burst, new.burst)
+        account.part = carried(account.part, old.burst, new.burst)
+        account.ceiling = carried(account.ceiling, old.ceiling_burst, new.ceiling_burst)
+
     def share(self, now: int, account: Account) -> float:
         """Part of the quota that counts as here: the whole while word of others' use is fresh, as that is
         taken off when told. The slice of whoever is silent ages back to him."""
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -6,6 +6,7 @@
 import logging
 from collections import Counter
 from itertools import count
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from ..backends.pools import Attempt, Backends
@@ -31,6 +32,7 @@
     LogLine,
     Outcome,
     PeerMessage,
+    PlansChanged,
     Probe,
     Probed,
     Refuse,
@@ -49,6 +51,7 @@
 from ..usage.record import Ending
 
 if TYPE_CHECKING:
+    from .planned import PlanBook
     from .uses import Uses
 
 log = logging.getLogger(__name__)
@@ -102,6 +105,7 @@
             [(each, front) for each in (config.listen, *operator.addresses())], self, spare - most,
             config.memory, max(c.deadline for c in settings.classes), operator.clients,
         )
+        self.book = self._book()
         self.uses = self._uses()
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
         index = None
@@ -116,6 +120,15 @@
             self._handle(Topology(ListKind.CACHED, 0, ()))
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
 
+    def _book(self) -> PlanBook | None:
+        """Where plans may have other figures than the platform's."""
+        if not self.operator.plans.book:
+            return None
+        from .planned import PlanBook  # not needed otherwise: it takes memory
+
+        return PlanBook(Path(self.operator.plans.book), self.config,
+                        lambda plans: self._handle(PlansChanged(plans)))
+
     def _uses(self) -> Uses | None:
         """Where use is recorded; raises `ConfigError`."""
         if not self.operator.use.folder:
@@ -131,6 +144,8 @@
         self.discovery.start()
         if self.uses is not None:
             self.uses.start()
+        if self.book is not None:
+            self.book.start()
         self._teller = self._loop.call_later(self.operator.log.tally_s, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
@@ -154,6 +169,8 @@
         """End in good order: all that was taken is answered first."""
         settings = self.config.settings
         end = self._loop.time() + max(c.deadline for c in settings.classes) / SECOND + TELL_ON
+        if self.book is not None:
+            self.book.stop()
         await self.clients.drain()
         if self._teller is not None:
             self._teller.cancel()
@@ -250,7 +267,8 @@
         if not request.closed:
             request.closed = True
             if self.uses is not None:
-                self.uses.count(request.call, ending, request.attempts)
+                version = self.book.version if self.book is not None else 0
+                self.uses.count(request.call, ending, request.attempts, version)
             self._ids.discard(request.call.id)
         self._forget(number, request)
 
--- a/trackspread/node/uses.py
+++ b/trackspread/node/uses.py
@@ -51,5 +51,5 @@
         self.host = UseHost(Path(use.folder), bounds(use), named(config), now, way(use))
         self.start, self.stop = self.host.start, self.host.stop
 
-    def count(self, call: Call, ending: Ending, attempts: int) -> None:
-        self.host.count(ending, call.cls, call.plan, 0, call.customer, call.units, attempts)
+    def count(self, call: Call, ending: Ending, attempts: int, version: int) -> None:
+        self.host.count(ending, call.cls, call.plan, version, call.customer, call.units, attempts)
