Allowance reserved ahead: a calendar that the queuing model admits, honoured in service

Some members want allowance for a big weekend. Reservations lie in the plan book (schema 2, older books are upgraded): admitted if at every moment of the span all that stand and what is kept for everybody else hold within the aim, as one delay and one shared queue; else refused with what would fit. In service they widen the member's quota and ceiling and take nothing from others until the member asks. trackspread reserve add, cancel, list, fleet.

--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -19,9 +19,9 @@
 from trackspread.decide.interface import ListKind, LogLine, Plan, PlansChanged, Refuse, Send
 from trackspread.decide.quota import carried
 from trackspread.plans.book import (
-    NOTICE_MS, SCHEMA, Book, Figures, PlanError, Uptake, Version, applied, differences, in_force, upcoming,
-    withdrawn,
+    SCHEMA, Book, Figures, Uptake, Version, applied, differences, in_force, upcoming, withdrawn,
 )
+from trackspread.plans.moments import NOTICE_MS, PlanError
 
 from .fakes import run, until, world
 from .helpers import MS, arrival, backend, ended, full_list, plan, settings
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `run` (also without words), `check`, `use`, `plans` and `try`.
+"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
 """
@@ -62,6 +62,7 @@
     tries.add_argument("--seed", type=int, default=1, help="of clients and nodes (1)")
     words.add_use(commands)
     words.add_plans(commands)
+    words.add_reserve(commands)
     return parser
 
 
@@ -93,6 +94,10 @@
                 from .commands import plans
 
                 return plans.run(given)
+            case "reserve":
+                from .commands import reserve
+
+                return reserve.run(given)
             case "use":
                 from .commands import use
 
--- a/trackspread/commands/plans.py
+++ b/trackspread/commands/plans.py
@@ -19,9 +19,8 @@
 
 from ..config import platform
 from ..config.addresses import ConfigError
-from ..plans.book import (
-    SCHEMA, Book, PlanError, Plans, applied, check, differences, in_force, withdrawn,
-)
+from ..plans.book import SCHEMA, Book, Plans, applied, check, differences, in_force, withdrawn
+from ..plans.moments import PlanError
 from ..storage.document import DocumentError
 from ..usage.senders import put
 
@@ -35,22 +34,22 @@
     now = time.time_ns() // 1_000_000
     match given.plans:
         case "history":
-            return _history(_load(given.book), now)
+            return _history(load_book(given.book), now)
         case "diff":
-            return _diff(_load(given.book), _proposal(given.file, _names(given.config)), now)
+            return _diff(load_book(given.book), _proposal(given.file, _names(given.config)), now)
         case "apply":
             plans, names = _proposal(given.file, _names(given.config)), _names(given.config)
-            since = _moment(given.since, now)
-            book = _change(given.book, lambda book: applied(book, plans, since, now, given.note, names))
-            print(f"version {book.versions[-1].number} is in force from {_text(since)} on")
+            since = moment(given.since, now)
+            book = change_book(given.book, lambda book: applied(book, plans, since, now, given.note, names))
+            print(f"version {book.versions[-1].number} is in force from {shown(since)} on")
             return 0
         case _:
-            _change(given.book, lambda book: withdrawn(book, given.number, now))
+            change_book(given.book, lambda book: withdrawn(book, given.number, now))
             print(f"version {given.number} is withdrawn")
             return 0
 
 
-def _load(path: Path) -> Book:
+def load_book(path: Path) -> Book:
     """An empty book where there is none yet."""
     try:
         return SCHEMA.unpack(path.read_bytes(), Book)
@@ -60,13 +59,14 @@
         raise ConfigError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
 
 
-def _change(path: Path, change: Callable[[Book], Book]) -> Book:
+def change_book(path: Path, change: Callable[[Book], Book]) -> Book:
+    """The book as it is afterwards, on the disk; raises `ConfigError`."""
     try:
         path.parent.mkdir(parents=True, exist_ok=True)
         lock = os.open(path.with_name(path.name + ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX)
-            book = change(_load(path))
+            book = change(load_book(path))
             put(path.parent, path.name, SCHEMA.pack(book))
             return book
         finally:
@@ -95,18 +95,18 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-def _moment(text: str, now: int) -> int:
-    """Unix ms; a moment without a zone is UTC."""
+def moment(text: str, now: int, what: str = "--from") -> int:
+    """Unix ms; a moment without a zone is UTC. Raises `ConfigError`."""
     try:
         if text.startswith("+"):
             return now + int(float(text[1:]) * 1000)
-        moment = datetime.fromisoformat(text)
+        found = datetime.fromisoformat(text)
     except ValueError:
-        raise ConfigError(f"--from: found {text!r}, wanted +SECONDS or 2026-12-05T00:00:00Z") from None
-    return int((moment if moment.tzinfo else moment.replace(tzinfo=UTC)).timestamp() * 1000)
+        raise ConfigError(f"{what}: found {text!r}, wanted +SECONDS or 2026-12-05T00:00:00Z") from None
+    return int((found if found.tzinfo else found.replace(tzinfo=UTC)).timestamp() * 1000)
 
 
-def _text(ms: int) -> str:
+def shown(ms: int) -> str:
     return datetime.fromtimestamp(ms / 1000, UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
 
 
@@ -118,7 +118,7 @@
     for version in book.versions:
         state = "withdrawn" if version.withdrawn else "in force" if version is current else \
             "to come" if version.since > now else "past"
-        print(f"{version.number:>4} from {_text(version.since)} {state:<9} {version.note}".rstrip())
+        print(f"{version.number:>4} from {shown(version.since)} {state:<9} {version.note}".rstrip())
         for line in differences(before, version.plans):
             print(f"       {line}")
         before = before if version.withdrawn else version.plans
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -29,6 +29,30 @@
     withdraws.add_argument("number", metavar="VERSION", type=int)
 
 
+def add_reserve(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread reserve` and its actions."""
+    own = commands.add_parser("reserve", help="allowance that members reserve ahead: add, cancel, list")
+    group = own.add_subparsers(dest="reserve", metavar="ACTION", title="actions", required=True)
+    adds = group.add_parser("add", help="reserve for a member; refused with what would fit")
+    cancels = group.add_parser("cancel", help="give one back, from now on")
+    lists = group.add_parser("list", help="all that were made, and the rate that still fits")
+    fleets = group.add_parser("fleet", help="what the fleet is, for the model that admits")
+    for each in (adds, cancels, lists, fleets):
+        each.add_argument("book", metavar="BOOK", type=Path, help="the plan book, as plans.book names it")
+    adds.add_argument("member", metavar="MEMBER", help="16 hexadecimal digits")
+    amount = adds.add_mutually_exclusive_group(required=True)
+    amount.add_argument("--rate", type=float, help="units a second on top of the plan's")
+    amount.add_argument("--units", type=float, help="units over the whole span, held as their mean rate")
+    adds.add_argument("--from", dest="since", metavar="WHEN", required=True, help="as in plans apply")
+    adds.add_argument("--to", dest="until", metavar="WHEN", required=True)
+    adds.add_argument("--note", default="", help="why, for the list")
+    cancels.add_argument("number", metavar="NUMBER", type=int)
+    for name, what in (("delay-ms", "shortest latency of one unit"), ("demand-ms", "queue's time for a unit"),
+                       ("aim-ms", "within which answers are to come")):
+        fleets.add_argument(f"--{name}", type=float, required=True, help=what)
+    fleets.add_argument("--kept", type=float, default=0.0, help="units a second kept for all others (0)")
+
+
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread use` and its actions."""
     own = commands.add_parser("use", help="use records: look, check, export, compare, repair")
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -14,7 +14,7 @@
 from .fleet import Filter, Fleet
 from .interface import (
     NEVER_RAN, Action, Arrival, AttemptEnded, ClientLeft, Counted, Event, Fail, Group, ListKind, LogLine,
-    Outcome, PeerMessage, Plan, PlansChanged, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired,
+    Outcome, PeerMessage, PlansChanged, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired,
     Topology, Watch,
 )
 from .mail import Kind
@@ -69,8 +69,8 @@
                 self.fleet.learn(now, event)
                 if event.kind is ListKind.FAILED:
                     actions.append(SetTimer(SECOND, RETRY_LIST))
-            case PlansChanged(plans):
-                actions.append(self._replan(now, plans))
+            case PlansChanged():
+                actions.append(self._replan(now, event))
             case ClientLeft():
                 self.open.pop(event.request, None)
             case TimerFired(token):
@@ -104,9 +104,9 @@
             actions.append(LogLine(f"pressed: in flight {self.out}, limit {self.model.limit}"))
         return actions
 
-    def _replan(self, now: int, plans: tuple[Plan, ...]) -> LogLine:
+    def _replan(self, now: int, event: PlansChanged) -> LogLine:
         """Commitments are solved anew beside one another, least worth first; what does not fit is told."""
-        self.quota.replan(now, plans)
+        self.quota.replan(now, event)
         solved = sorted(self.active.values(), key=lambda a: (a.worth, a.customer))
         for account in solved:
             self._evaluate(now, account)
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -227,9 +227,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlansChanged:
-    """Other figures are in force from now on, for each plan by its index; there are as many as before."""
+    """Other figures are in force from now on, for each plan by its index; there are as many as before.
+
+    `reserved`: by customer, units a second on top of the plan's, and units on top of its burst."""
 
     plans: tuple[Plan, ...]
+    reserved: tuple[tuple[int, float, float], ...] = ()
 
 
 Event = (
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from math import ceil
 
-from .interface import Action, AddToCounter, Counted, Outcome, PeerMessage, Plan, Settings, Tell
+from .interface import Action, AddToCounter, Counted, Outcome, PeerMessage, Plan, PlansChanged, Settings, Tell
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
 from .state import LONG, MEMORY, SECOND, Account, Mean
 
@@ -41,6 +41,7 @@
     def __init__(self, settings: Settings, seed: int, now: int, rng: random.Random) -> None:
         self.s, self.rng, self.me, self.born = settings, rng, seed & 0xFFFF, now
         self.accounts: dict[int, Account] = {}
+        self.reserved: dict[int, tuple[float, float]] = {}  # by customer, on top of rate and burst
         self.peers: dict[int, tuple[int, int, int]] = {}  # incarnation, when last heard, the age told then
         self.every = 2 * (settings.gateways - 1) * SECOND / max(1.0, settings.messages_per_s)
         self.gossip = settings.may_message and self.every <= FRESH // 4
@@ -52,8 +53,9 @@
 
     def account(self, now: int, customer: int, index: int, spread: int = 0, first: int = 0) -> Account:
         """The customer's account; `spread` is 0 when a peer asks and no request of it came here."""
-        account, plan, n = self.accounts.get(customer), self.s.plans[index], self.s.gateways
+        account, n = self.accounts.get(customer), self.s.gateways
         if account is None:
+            plan = self.figures(customer, index)
             # A restarted home knows no store: half of it errs as little either way.
             level = plan.burst * (0.5 if self.restarted and self.homes else 1.0)
             times = now, now, -EVALUATE_EVERY, -SILENT, -SILENT
@@ -79,17 +81,30 @@
         account.part = even if chance >= 1.0 else self.s.largest * (self.rng.random() < chance)
         account.ceiling += plan.ceiling_slack * (1.0 - POOLED if self.homes else 1.0) / account.slices
 
-    def replan(self, now: int, plans: tuple[Plan, ...]) -> None:
+    def replan(self, now: int, event: PlansChanged) -> None:
         """Other figures from now on, in every store that is kept here."""
-        self.s = replace(self.s, plans=plans)
+        self.s = replace(self.s, plans=event.plans)
+        self.reserved = {customer: (rate, burst) for customer, rate, burst in event.reserved}
         for account in self.accounts.values():
             self.carry(now, account, account.index)
 
+    def figures(self, customer: int, index: int) -> Plan:
+        """The plan's, and what the customer has reserved on top; a ceiling rises with its quota."""
+        plan, (rate, burst) = self.s.plans[index], self.reserved.get(customer, (0.0, 0.0))
+        if not rate:
+            return plan
+        quota, ceiling = plan.rate > 0.0, plan.ceiling_rate > 0.0
+        return replace(
+            plan, rate=plan.rate + rate * quota, burst=plan.burst + burst * quota,
+            ceiling_rate=plan.ceiling_rate + rate * ceiling,
+            ceiling_burst=plan.ceiling_burst + burst * ceiling,
+        )
+
     def carry(self, now: int, account: Account, index: int) -> None:
         """The customer's stores go over to the figures of plan `index`, filled by the old ones until now. A
         level is kept as a share of a burst that falls, as units of one that rises: never a gift."""
         self.refill(now, account)
-        old, new = account.plan, self.s.plans[index]
+        old, new = account.plan, self.figures(account.customer, index)
         account.plan, account.index = new, index
         account.level = carried(account.level, old.burst, new.burst)
         account.part = carried(account.part, old.burst, new.burst)
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -32,7 +32,6 @@
     LogLine,
     Outcome,
     PeerMessage,
-    PlansChanged,
     Probe,
     Probed,
     Refuse,
@@ -126,8 +125,7 @@
             return None
         from .planned import PlanBook  # not needed otherwise: it takes memory
 
-        return PlanBook(Path(self.operator.plans.book), self.config,
-                        lambda plans: self._handle(PlansChanged(plans)))
+        return PlanBook(Path(self.operator.plans.book), self.config, self._handle)
 
     def _uses(self) -> Uses | None:
         """Where use is recorded; raises `ConfigError`."""
--- a/trackspread/node/planned.py
+++ b/trackspread/node/planned.py
@@ -14,8 +14,9 @@
 from pathlib import Path
 
 from ..config.platform import Config
-from ..decide.interface import Plan
+from ..decide.interface import Plan, PlansChanged
 from ..plans.book import SCHEMA, Book, Uptake, Version
+from ..plans.calendar import MEMBERS_BURST_S
 from ..storage.document import DocumentError
 
 log = logging.getLogger(__name__)
@@ -26,11 +27,11 @@
 class PlanBook:
     """`version`: of the figures in force; `changed` is called with new ones, by plan's index."""
 
-    def __init__(self, path: Path, config: Config, changed: Callable[[tuple[Plan, ...]], None]) -> None:
+    def __init__(self, path: Path, config: Config, changed: Callable[[PlansChanged], None]) -> None:
         self.version = 0
         self._path, self._changed = path, changed
         self._names = [name.decode() for name in config.plans]
-        self._own = config.settings.plans
+        self._own = self._plans = config.settings.plans
         self._uptake = Uptake()
         self._seen: tuple[int, int, int] | None = None
         self._told = ""
@@ -47,8 +48,16 @@
         """Once a second, and at the very moment of the next version."""
         self._read()
         now = time.time_ns() // 1_000_000
-        if (due := self._uptake.due(now)) is not None:
+        due, rates = self._uptake.due(now), self._uptake.reservations(now)
+        if due is not None:
             self._take_up(*due)
+        if rates is not None:
+            log.warning("plans: reservations of %d members are in force", len(rates))
+        if due is not None or rates is not None:
+            self._changed(PlansChanged(self._plans, tuple(
+                (customer, rate, MEMBERS_BURST_S * rate)
+                for customer, rate in sorted(self._uptake.reserved.items())
+            )))
         wait = self._uptake.wait(time.time_ns() // 1_000_000)
         pause = LOOK if wait is None else min(LOOK, max(0.0, wait / 1000))
         self._timer = asyncio.get_running_loop().call_later(pause, self._look)
@@ -70,10 +79,10 @@
         self._uptake.read(book)
 
     def _take_up(self, version: Version | None, late: int) -> None:
-        plans = tuple(_with(plan, version, name) for plan, name in zip(self._own, self._names, strict=True))
+        named = zip(self._own, self._names, strict=True)
+        self._plans = tuple(_with(plan, version, name) for plan, name in named)
         self.version = version.number if version is not None else 0
         log.warning("plans: version %d is in force, taken up %d ms after its moment", self.version, late)
-        self._changed(plans)
 
 
 def _with(plan: Plan, version: Version | None, name: str) -> Plan:
--- a/trackspread/plans/book.py
+++ b/trackspread/plans/book.py
@@ -17,10 +17,11 @@
 import msgspec
 
 from ..storage.document import Schema
+from .calendar import Fleet, Reservation, moments, reserved
+from .moments import NOTICE_MS, PlanError
 
-NOTICE_MS = 5_000  # over twice the time between two looks at the book, and clocks that differ by a second
 VERSIONS_MOST = 1_000  # in one book: a change a day for three years
-SCHEMA = Schema("plan-book", 1)
+SCHEMA = Schema("plan-book", 2, {1: lambda body: body | {"fleet": None, "reservations": []}})
 Figure = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
@@ -50,11 +51,11 @@
 
 
 class Book(msgspec.Struct, frozen=True):
-    versions: tuple[Version, ...] = ()
-
+    """`fleet`: what reservations are admitted against; None: none can be."""
 
-class PlanError(ValueError):
-    """A change that can't be taken; the text says what was found and what is wanted."""
+    versions: tuple[Version, ...] = ()
+    fleet: Fleet | None = None
+    reservations: tuple[Reservation, ...] = ()
 
 
 def standing(book: Book) -> list[Version]:
@@ -85,7 +86,9 @@
     if len(book.versions) >= VERSIONS_MOST:
         raise PlanError(f"found {VERSIONS_MOST} versions, wanted a new book")
     number = max([version.number for version in book.versions], default=0) + 1
-    return Book((*book.versions, Version(number, since, now, note, plans)))
+    return msgspec.structs.replace(
+        book, versions=(*book.versions, Version(number, since, now, note, plans))
+    )
 
 
 def withdrawn(book: Book, number: int, now: int) -> Book:
@@ -97,7 +100,8 @@
         raise PlanError(f"version: {number} is in force within {NOTICE_MS / 1000:g} s or already, wanted a "
                         "later one: apply the former figures anew")
     changed = msgspec.structs.replace(version, withdrawn=now)
-    return Book(tuple(changed if each is version else each for each in book.versions))
+    versions = tuple(changed if each is version else each for each in book.versions)
+    return msgspec.structs.replace(book, versions=versions)
 
 
 def check(plans: Plans, names: set[str] | None) -> None:
@@ -140,6 +144,7 @@
     def __init__(self) -> None:
         self.book = Book()
         self.number = 0
+        self.reserved: dict[int, float] = {}
 
     def read(self, book: Book) -> None:
         self.book = book
@@ -154,7 +159,17 @@
         self.number = number
         return version, max(0, now - version.since) if version is not None else 0
 
+    def reservations(self, now: int) -> dict[int, float] | None:
+        """By member, the rate that is reserved from now on; None where nothing changes."""
+        rates = reserved(self.book.reservations, now)
+        if rates == self.reserved:
+            return None
+        self.reserved = rates
+        return rates
+
     def wait(self, now: int) -> int | None:
-        """ms until the next version is in force."""
+        """ms until the next version or reservation begins, or one ends."""
         version = upcoming(self.book, now)
-        return version.since - now if version is not None else None
+        coming = [moment for moment in moments(self.book.reservations) if moment > now]
+        coming += [version.since] if version is not None else []
+        return min(coming) - now if coming else None
