--- a/tests/test_calendar.py
+++ b/tests/test_calendar.py
@@ -17,6 +17,7 @@
 )
 from trackspread.plans.moments import NOTICE_MS, PlanError
 from trackspread.storage.document import Schema
+from trackspread.virtual.booked import MUTANTS, convict, play
 
 from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
 
@@ -155,3 +156,13 @@
     assert words("cancel", book, "1") == (0, "reservation 1 is given back\n")
     assert "given back weekend" in words("list", book)[1]
     assert words("add", book, "x", "--rate", "5", *span)[0] == 2
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_changes_under_load_are_never_a_gift_and_take_nothing_away(seed: int) -> None:
+    assert play(seed) == []
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_store_worked_out_apart_convicts_every_mutant(name: str) -> None:
+    assert convict(name, iter(range(30))) is not None
--- /dev/null
+++ b/trackspread/virtual/booked.py
@@ -0,0 +1,173 @@
+"""Plans and reservations that change under load, held against a store worked out apart, in virtual time.
+
+May know: the module's events, the rule by which stores are carried over. May not know: how the module keeps
+its stores. One gateway, one member that asks for several times its quota: at every request sent on, a
+reference store, in exact fractions, must hold its units; and of what it would have let pass nearly all must
+be sent on.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from fractions import Fraction
+from functools import partial
+from typing import Any
+from unittest.mock import patch
+
+from ..decide import quota
+from ..decide.broker import Broker
+from ..decide.interface import (
+    Arrival, AttemptEnded, Backend, Event, Group, Health, ListKind, Outcome, Plan, PlansChanged, Repeat,
+    RequestClass, Send, SetTimer, Settings, TimerFired, Topology,
+)
+from ..decide.quota import Quota
+from .clock import Clock
+from .patches import held
+
+MILLISECOND, SECOND = 1_000_000, 1_000_000_000
+SPAN = 30 * SECOND  # some changes, each with many times a burst of demand round it
+OWED = 0.99  # of what the reference lets pass: nothing else binds in these worlds
+SLACK = Fraction(1, 10**6)  # units: rounding of the module's floats
+
+
+def _settings(plan: Plan) -> Settings:
+    return Settings(
+        classes=(RequestClass("read", SECOND, 3 * SECOND, 1.0, 0.0, Repeat.SAFE, Group.ALL, 0),),
+        plans=(plan,), zone=0, position=0, gateways=1, report_names=(), max_attempts=3, second_copies=False,
+        may_cancel=True, may_probe=False, may_message=False, retry_advice=True, max_retry_after=SECOND,
+        counter=False, meter_period=0, largest=1.0, messages_per_s=0.0, settled_after=False,
+        ask_discovery=False, ask_within=0, drain_grace=SECOND, fall_window=SECOND, fall_multiple=3.0,
+        start_capacity=0.2, warm_up=20 * SECOND, cross_zone_price=0.0,
+    )
+
+
+class Reference:
+    """One store, exactly."""
+
+    def __init__(self, rate: float, burst: float, now: int) -> None:
+        self.rate, self.burst, self.at = Fraction(rate), Fraction(burst), now
+        self.level = self.burst
+
+    def advance(self, now: int) -> None:
+        self.level = min(self.burst, self.level + self.rate * Fraction(now - self.at, SECOND))
+        self.at = now
+
+    def change(self, now: int, rate: float, burst: float) -> None:
+        self.advance(now)
+        fresh = Fraction(burst)
+        self.level = min(self.level, self.level * fresh / self.burst)
+        self.rate, self.burst = Fraction(rate), fresh
+
+
+def play(seed: int) -> list[str]:
+    """What is wrong; nothing, if every change was carried over as promised."""
+    rng, clock = random.Random(f"booked:{seed}"), Clock()
+    base = Plan("team", rng.uniform(2, 20), rng.uniform(4, 40), 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)
+    module = Broker(_settings(base), seed, clock.now)
+    entries = tuple(Backend(n, 0, 0, 0, Health.READY, 1.0, 0) for n in (1, 2, 3))
+    store, owed = Reference(base.rate, base.burst, clock.now), Reference(base.rate, base.burst, clock.now)
+    wrong, counts = list[str](), [0, 0]  # sent on, owed
+    current, extra = base, (0.0, 0.0)
+
+    def handle(event: Event) -> None:
+        for action in module.handle(clock.now, event):
+            if isinstance(action, SetTimer):
+                clock.after(action.after, partial(handle, TimerFired(action.token)))
+            elif isinstance(action, Send):
+                store.advance(clock.now)
+                store.level -= 1
+                counts[0] += 1
+                if store.level < -SLACK:
+                    wrong.append(f"at {clock.now}: {float(-store.level):.3f} units too many were sent")
+                end = AttemptEnded(
+                    action.request, True, 0, action.backend, 0, Outcome.OK, MILLISECOND, 0, ()
+                )
+                clock.after(MILLISECOND, partial(handle, end))
+
+    def ask(number: int) -> None:
+        owed.advance(clock.now)
+        if owed.level >= 1:
+            owed.level -= 1
+            counts[1] += 1
+        handle(Arrival(number, 0, 0, 77, clock.now + 3 * SECOND, 1.0, 1, 0, 0))
+        pause = rng.expovariate(3 * (current.rate + extra[0]))
+        clock.after(int(pause * SECOND) + 1, partial(ask, number + 1))
+
+    def change() -> None:
+        nonlocal current, extra
+        if rng.random() < 0.5:
+            factor = rng.choice((0.25, 0.5, 2.0, 4.0))
+            rate = min(40.0, max(1.0, current.rate * factor))
+            current = replace(current, rate=rate, burst=max(2.0, rate * rng.uniform(1.0, 3.0)))
+        else:
+            rate = rng.uniform(1, 20)
+            extra = (0.0, 0.0) if extra[0] else (rate, 2 * rate)
+        for each in (store, owed):
+            each.change(clock.now, current.rate + extra[0], current.burst + extra[1])
+        handle(PlansChanged((current,), ((77, *extra),) if extra[0] else ()))
+        clock.after(rng.randint(SECOND, 6 * SECOND), change)
+
+    handle(Topology(ListKind.FULL, 1, entries))
+    clock.after(0, partial(ask, 1))
+    clock.after(3 * SECOND, change)
+    clock.run(clock.now + SPAN)
+    if counts[0] < OWED * counts[1]:
+        wrong.append(f"{counts[0]} requests were sent on, of {counts[1]} that the store would have let pass")
+    return wrong
+
+
+def _formula(mutant: Callable[[float, float, float], float]) -> list[Any]:
+    """Where there was a store before; without one nothing is carried in any mutant."""
+    return [patch.object(quota, "carried", lambda level, old, new: mutant(level, old, new) if old else 0.0)]
+
+
+def _not_refilled_before() -> list[Any]:
+    """What came in until the change is filled by the new rate."""
+    def mutant(self: Quota, now: int, account: Any, index: int) -> None:
+        old, new = account.plan, self.figures(account.customer, index)
+        account.plan, account.index = new, index
+        account.level = quota.carried(account.level, old.burst, new.burst)
+
+    return [patch.object(Quota, "carry", mutant)]
+
+
+def _never_ends() -> list[Any]:
+    """A reservation stays when its time is over."""
+    real = Quota.replan
+
+    def mutant(self: Quota, now: int, event: PlansChanged) -> None:
+        kept = tuple((customer, *extra) for customer, extra in self.reserved.items())
+        real(self, now, PlansChanged(event.plans, event.reserved or kept))
+
+    return [patch.object(Quota, "replan", mutant)]
+
+
+def _reserved_only() -> list[Any]:
+    """A reservation takes the plan's place."""
+    real = Quota.figures
+
+    def mutant(self: Quota, customer: int, index: int) -> Plan:
+        plan, (rate, burst) = real(self, customer, index), self.reserved.get(customer, (0.0, 0.0))
+        return replace(plan, rate=rate, burst=burst) if rate else plan
+
+    return [patch.object(Quota, "figures", mutant)]
+
+
+MUTANTS: dict[str, Callable[[], list[Any]]] = {
+    "given-anew": lambda: _formula(lambda level, old, new: new),
+    "share-both-ways": lambda: _formula(lambda level, old, new: level * new / old),
+    "units-both-ways": lambda: _formula(lambda level, old, new: level),
+    "emptied": lambda: _formula(lambda level, old, new: 0.0),
+    "not-refilled-before": _not_refilled_before,
+    "never-ends": _never_ends,
+    "reserved-only": _reserved_only,
+    "not-taken-up": lambda: [patch.object(Quota, "replan", lambda self, now, event: None)],
+}
+
+
+def convict(name: str, seeds: Iterator[int]) -> int | None:
+    """The first of the seeds that shows the mutant; None if none does."""
+    with held(MUTANTS[name]()):
+        return next((seed for seed in seeds if play(seed)), None)
