--- a/benchmarks/export.py
+++ b/benchmarks/export.py
@@ -26,6 +26,7 @@
 from trackspread.harness.billed import Billed, compare
 from trackspread.harness.fleet import Fleet
 from trackspread.judge.ledger import Answered, Asked
+from trackspread.plans.book import SCHEMA, Book, Figures, Version
 from trackspread.standins.billing_server import BillingServer
 from trackspread.standins.scene import Scene
 from trackspread.storage.calls import Look, perform
@@ -35,7 +36,8 @@
 from trackspread.usage.host import UseHost, export_all
 from trackspread.usage.keeper import Bounds, State
 from trackspread.usage.record import Ending
-from trackspread.usage.senders import Target, sender
+from trackspread.usage.senders import Target, put, sender
+from trackspread.virtual import booked
 from trackspread.virtual.used_mutants import MUTANTS, convict
 from trackspread.virtual.used_schedules import make, play
 
@@ -46,6 +48,8 @@
 PAIR_S_QUICK, PAIR_S = 8.0, 60.0  # of the two gateways side by side
 LAG_RATE, LAG_S = 2_000, 3.0  # records a second, for so long
 RECOVERED = 500_000  # records in the folder that is taken up again
+AHEAD_MS = 2_500  # from a version's being written to its moment: over twice the time between looks
+RESERVED_QUICK, RESERVED = 20, 500  # schedules of changes and reservations
 DRAIN_MOST = 60.0  # s for the last export
 
 
@@ -225,6 +229,34 @@
     return took * 1_000_000 / written, places * SLOT / written
 
 
+def _reservations(seeds: int) -> float:
+    """Of what a member's plan and reservation let pass, what was sent on at worst; in virtual time."""
+    return min(sent / max(1, owed) for _, sent, owed in map(booked.run, range(FROM, FROM + seeds)))
+
+
+async def _skew() -> float:
+    """ms between the first and the last of four gateways to take up a version, by their logs."""
+    with tempfile.TemporaryDirectory(prefix="trackspread-plans-") as place:
+        path = Path(place) / "plans.json"
+        scene = Scene(gateways=4, nodes=4, load=0.5, seed=13)
+        plan = scene.settings(0)["packages"][0]["name"]
+        async with Fleet(scene, own=lambda name: f'[plans]\nbook = "{path}"\n') as fleet:
+            fleet.ask()
+            now = time.time_ns() // 1_000_000
+            version = Version(1, now + AHEAD_MS, now, "", {plan: Figures(10.0, 20.0)})
+            put(path.parent, path.name, SCHEMA.pack(Book((version,))))
+            await asyncio.sleep(AHEAD_MS / 1000 + 0.5)
+            taken = []
+            for gateway in fleet.gateways:
+                lines = gateway.log.read_text().splitlines()
+                line = next(line for line in lines if "version 1 is in" in line)
+                clock, _, ms = line.split()[1].partition(",")
+                hours, minutes, seconds = map(int, clock.split(":"))
+                taken.append(((hours * 60 + minutes) * 60 + seconds) * 1000 + int(ms))
+            await fleet.settle()
+        return float(max(taken) - min(taken))
+
+
 def measure(quick: bool) -> dict[str, float]:
     began = time.monotonic()
     figures: dict[str, float] = {**virtual(SCHEDULES_QUICK if quick else SCHEDULES)}
@@ -239,7 +271,9 @@
         "conflicts": seen["conflict"],
         "cpu_ratio": round(uvloop.run(_cpu_ratio(pair)), 3),
         "commit_lag_ms_p99": round(uvloop.run(_lag()), 1), "recover_s_per_million": round(recover, 2),
-        "bytes_per_record": round(size, 1), "seconds": round(time.monotonic() - began, 1),
+        "bytes_per_record": round(size, 1), "change_skew_ms": uvloop.run(_skew()),
+        "reservation_served_share": round(_reservations(RESERVED_QUICK if quick else RESERVED), 3),
+        "seconds": round(time.monotonic() - began, 1),
     }
 
 
--- a/trackspread/virtual/booked.py
+++ b/trackspread/virtual/booked.py
@@ -63,6 +63,11 @@
 
 def play(seed: int) -> list[str]:
     """What is wrong; nothing, if every change was carried over as promised."""
+    return run(seed)[0]
+
+
+def run(seed: int) -> tuple[list[str], int, int]:
+    """As `play`, with the requests that were sent on, and those that the reference would have let pass."""
     rng, clock = random.Random(f"booked:{seed}"), Clock()
     base = Plan("team", rng.uniform(2, 20), rng.uniform(4, 40), 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)
     module = Broker(_settings(base), seed, clock.now)
@@ -115,7 +120,7 @@
     clock.run(clock.now + SPAN)
     if counts[0] < OWED * counts[1]:
         wrong.append(f"{counts[0]} requests were sent on, of {counts[1]} that the store would have let pass")
-    return wrong
+    return wrong, counts[0], counts[1]
 
 
 def _formula(mutant: Callable[[float, float, float], float]) -> list[Any]:
