--- a/tests/test_use_process.py
+++ b/tests/test_use_process.py
@@ -94,7 +94,7 @@
     await _until(second, State.LIVE)
     await second.stop()
     assert second.keeper.state is State.CLOSED and second.keeper.control.epoch == 2
-    assert second.keeper.control.streams[2].length == 1
+    assert second.keeper.control.streams[2].length == 2, "the record, and the mark of a clean end"
 
 
 def test_a_folder_has_one_owner_and_the_second_waits_without_losing_a_count(tmp_path: Path) -> None:
@@ -237,13 +237,15 @@
         (folder / name).write_bytes(b"?" * 65_536)
     status, told = _words(capsys, "verify", str(folder))
     assert status == 1 and "no control that can be read" in told
-    assert "1 lives are known again, 40 places" in _words(capsys, "repair", str(folder))[1]
+    assert "1 lives are known again, 41 places" in _words(capsys, "repair", str(folder))[1]
+    assert "40 records check" in _words(capsys, "verify", str(folder))[1]
     segment = next(folder.glob("use-*.log"))
     data = bytearray(segment.read_bytes())
     data[HEAD + 3 * SLOT + 9] ^= 1
     segment.write_bytes(data)
     status, told = _words(capsys, "verify", str(folder))
-    assert told.startswith("39 records check") and "1 were torn" in told, "no mark lies behind it"
+    assert status == 1 and "epoch 1: 1 records are damaged, the first at place 4" in told
+    assert "39 records check, 1 are damaged" in told, "the mark of a clean end lies behind it"
     assert _words(capsys, "verify", str(tmp_path / "none")) == (
         2, f"trackspread: {tmp_path / 'none'}: found no folder, wanted a gateway's use.folder\n"
     )
--- a/trackspread/storage/journal.py
+++ b/trackspread/storage/journal.py
@@ -39,7 +39,7 @@
         self.next, self.committed = 1, 0
         self.pending: deque[bytes] = deque()  # payloads behind `committed`, marks too
         self._seed, self._marked = seed_of(head.nonce), 0
-        self._head, self._area = head, area
+        self._head, self._area, self._ended = head, area, False
         self._spare: Area | None = None
         self._dirty: dict[int, Area] = {0: area}  # by index: what the next commit has to sync
 
@@ -74,11 +74,23 @@
         if self.room() < 1 + mark:
             return False
         if mark:
-            self._marked = self.committed
-            self._put(pack_mark(self.committed))
+            self._mark()
         self._put(payload)
         return True
 
+    def ended(self) -> bool:
+        """Whether a last mark says that all records are on the disk; the first time one is written that
+        does, if there are records. To be asked when nothing is pending."""
+        if self._ended or not self.committed or self.room() < 1:
+            return True
+        self._ended = True
+        self._mark()
+        return False
+
+    def _mark(self) -> None:
+        self._marked = self.committed
+        self._put(pack_mark(self.committed))
+
     def _put(self, payload: bytes) -> None:
         if self.next > self._head.last:
             assert self._spare is not None
--- a/trackspread/usage/keeper.py
+++ b/trackspread/usage/keeper.py
@@ -299,6 +299,8 @@
         if due and (commit := journal.commit()) is not None:
             return self._start(commit.call, lambda now, _: self._committed(now, commit), self._doubted)
         if ending and not journal.pending and not self.meter.sums:
+            if not journal.ended():
+                return self._live(now)
             return self._end(now, journal) if self._may("end", now) else None
         if (head := journal.wants()) is not None and self.shelf.room() and self._may("segment", now):
             return self._start(Create(head), self._provided, self._later("segment"))
