--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -200,3 +200,24 @@
     assert life.keeper.state is State.STUCK and life.keeper.folded == 1
     assert {name: bytes(file.cached) for name, file in disk.files.items()} == before
     assert any("a newer program wrote here" in text for text in life.alarms)
+
+
+def test_a_clock_set_back_across_a_month_and_members_past_the_bound_are_told_once(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(meters, "SUMS_MOST", 1)
+    world, disk = World(BOUNDS, 3), Disk(random.Random(1))
+    _live(world, disk)
+    life = world.lives[0]
+    world.wall += 60_000  # into the next month
+    life.count(Ending.REFUSED)
+    world.wall -= 120_000
+    for _ in range(3):
+        life.count(Ending.REFUSED)
+    world.run(30 * SECOND)
+    assert sum("clock was set back" in text for text in life.alarms) == 1
+    assert sum("nobody's" in text for text in life.alarms) == 1
+    kinds = [(row.kind, row.requests) for row in world.memory.rows]
+    assert sum(n for _, n in kinds) == 4 and {kind for kind, _ in kinds} == {Kind.SUM, Kind.LOST}
+    assert len({row.time for row in world.memory.rows}) == 2 and min(row.time for row in world.memory.rows) \
+        >= month_start(world.wall_ms() + 60_000)
--- a/trackspread/usage/control.py
+++ b/trackspread/usage/control.py
@@ -14,7 +14,6 @@
 AREAS = ("control-a", "control-b")
 AREA_SIZE = 65_536  # bytes each: over three times what the streams below take, names of classes included
 STREAMS_MOST = 128  # lives whose records are not all exported; each start adds one
-NAMES_MOST = 16_384  # bytes of names of classes and plans, over all streams
 SCHEMA = Schema("use-control", 1)
 
 
--- a/trackspread/usage/keeper.py
+++ b/trackspread/usage/keeper.py
@@ -27,7 +27,7 @@
 from ..storage.slots import MARK, Head, Scan
 from .control import AREA_SIZE, AREAS, STREAMS_MOST, Control, Names, Part, Stream, newest, pack
 from .exporter import Exporter, Post, Stage
-from .meter import REFUSALS_MS, Meter
+from .meter import REFUSALS_MS, SUMS_MOST, Meter
 from .record import ATTEMPTS_MOST, Ending, Kind, Use
 from .record import pack as pack_use
 from .shelf import Full, Shelf
@@ -97,6 +97,7 @@
         self._full_told = -TOLD_AGAIN
         self._epoch = 0  # the highest that was ever tried
         self._ending = False
+        self._nobodys_told = self._clamped_told = False
 
     # Counting.
 
@@ -177,6 +178,19 @@
         self.alarms += [f"use: {text}" for text in self.exporter.alarms + self.shelf.alarms]
         self.exporter.alarms.clear()
         self.shelf.alarms.clear()
+        self._tell_meter()
+
+    def _tell_meter(self) -> None:
+        """Once each: more is in the records."""
+        meter = self.meter
+        if meter.nobodys and not self._nobodys_told:
+            self._nobodys_told = True
+            self.alarms.append(f"use: sums of more than {SUMS_MOST} members and plans: what is past them is "
+                               "recorded as nobody's")
+        if meter.clamped and not self._clamped_told:
+            self._clamped_told = True
+            self.alarms.append("use: the clock was set back across a month's end: records are booked on the "
+                               "first moment of the month that was begun")
 
     def _start(self, call: Call, then: Then, failed: Failed) -> Call:
         self._out = then, failed
--- a/trackspread/virtual/used.py
+++ b/trackspread/virtual/used.py
@@ -28,7 +28,7 @@
 from ..usage.exporter import Post, Stage
 from ..usage.keeper import OPENED, Bounds, Keeper, State
 from ..usage.record import Ending, Kind, unpack
-from .clock import Clock
+from .clock import START, Clock
 from .disk import Crash, Disk, VirtualFiles
 
 MILLISECOND = 1_000_000
@@ -37,7 +37,8 @@
 PATIENCE = SECOND // 2  # until a post without an answer counts as failed
 NAMES = Names("n0", ("rate-lookup", "charge-post"), ("basic", "full"))
 MEMBERS = 5
-START_MS = 1_793_318_400_000 - 20_000  # 20 s before a month's end
+NOVEMBER_MS = 1_793_491_200_000  # 2026-11-01T00:00:00Z
+START_MS = NOVEMBER_MS - 20_000 - START // MILLISECOND  # on the virtual clock: 20 s before a month's end
 
 
 @dataclass(slots=True)
