--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -21,7 +21,6 @@
 from trackspread.usage.record import NANO, Ending, Kind, Use, nano, unpack
 from trackspread.usage.record import pack as pack_use
 from trackspread.virtual.used import MILLISECOND, SECOND, World
-from trackspread.virtual.used_mutants import MUTANTS, convict
 from trackspread.virtual.used_schedules import ENDS, TROUBLES, make, play
 from trackspread.virtual.disk import Disk
 
@@ -47,11 +46,6 @@
     assert {each.bounds.full for each in made} == {"fold", "drop"}
 
 
-@pytest.mark.parametrize("name", MUTANTS)
-def test_schedules_convict_every_mutant(name: str) -> None:
-    assert convict(name, iter(range(600))) is not None
-
-
 def test_the_same_seed_plays_the_same_lives() -> None:
     first, second = (play(make(12))[1] for _ in range(2))
     assert first.memory.rows == second.memory.rows != [] and first.alarms == second.alarms
--- /dev/null
+++ b/tests/test_used_mutants.py
@@ -0,0 +1,12 @@
+"""Planted faults of the keeper of use records, put to its schedules."""
+
+from __future__ import annotations
+
+import pytest
+
+from trackspread.virtual.used_mutants import MUTANTS, convict
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_schedules_convict_every_mutant(name: str) -> None:
+    assert convict(name, iter(range(600))) is not None
--- a/trackspread/mutation/checks.py
+++ b/trackspread/mutation/checks.py
@@ -55,6 +55,18 @@
     return any(play(make(seed))[0].violations for seed in seeds)
 
 
+def _used(seeds: Iterable[int]) -> bool:
+    from ..virtual.used_schedules import make, play
+
+    return any(play(make(seed))[0] for seed in seeds)
+
+
+def _booked(seeds: Iterable[int]) -> bool:
+    from ..virtual.booked import play
+
+    return any(play(seed) for seed in seeds)
+
+
 def checks(package: str, schedules: int = SCHEDULES) -> tuple[Named, ...]:
     """What may kill a mutant of this package. Of the gateways' schedules as many again are calm ones,
     which alone are held to quotas."""
@@ -70,6 +82,13 @@
             _tests("test_model", "test_broker", "test_limits", "test_scale"),
             Named("schedules", partial(_schedules, (*range(schedules), *calm))),
         )
+    if package in ("storage", "usage"):
+        return (
+            _tests("test_storage", "test_usage"),
+            Named("used", partial(_used, range(4 * schedules))),
+        )
+    if package == "plans":
+        return _tests("test_plans", "test_calendar"), Named("booked", partial(_booked, range(schedules)))
     return {
         "judge": (_tests("test_judge"),),
         "backends": (_tests("test_net_backends"),),
