One home each for a billing target from the operator's file and for a stream's names

The gateway and trackspread use export each read the secret and made the sender, and use repair decoded the names of classes and plans as the gateway does. Both now call the one piece; behaviour is as it was, their tests pass.

--- a/trackspread/commands/use.py
+++ b/trackspread/commands/use.py
@@ -17,13 +17,14 @@
 
 from ..config import operator, platform
 from ..config.addresses import ConfigError
+from ..node.uses import named
 from ..storage.directory import Directory
 from ..storage.document import DocumentError
+from ..usage import senders
 from ..usage.control import AREA_SIZE, AREAS, Names, pack
 from ..usage.host import export_all
 from ..usage.keeper import Keeper
 from ..usage.record import NANO, Ending
-from ..usage.senders import Target, sender
 from ..usage.survey import Received, Survey, rebuilt, reconcile, survey
 
 SHOWN = 40  # differences; the rest is counted
@@ -105,8 +106,7 @@
     if not given.folder.is_dir():
         raise ConfigError(f"{given.folder}: found no folder, wanted a gateway's use.folder")
     try:
-        secret = Path(use.secret).read_bytes().strip() if use.secret else b""
-        way = sender(Target(url, secret, use.ca))
+        way = senders.told(url, use.secret, use.ca)
     except ValueError as error:
         raise ConfigError(f"--to: found {url!r}, {error}") from None
 
@@ -172,9 +172,7 @@
         return 0
     names = Names("", (), ())
     if config:
-        told = platform.load({**os.environ, "ROUTER_CONFIG": config})
-        classes, plans = (tuple(each.decode() for each in named) for named in (told.classes, told.plans))
-        names = Names(told.name, classes, plans)
+        names = named(platform.load({**os.environ, "ROUTER_CONFIG": config}))
     files = Directory(folder)
     try:
         control = rebuilt(files, names, os.urandom(16).hex())
--- a/trackspread/node/uses.py
+++ b/trackspread/node/uses.py
@@ -17,7 +17,7 @@
 from ..usage.host import UseHost
 from ..usage.keeper import Bounds
 from ..usage.record import Ending
-from ..usage.senders import Sender, Target, sender
+from ..usage.senders import Sender, told
 
 MEGABYTE = 1 << 20
 
@@ -33,8 +33,7 @@
     if not use.billing:
         return None
     try:
-        secret = Path(use.secret).read_bytes().strip() if use.secret else b""
-        return sender(Target(use.billing, secret, use.ca))
+        return told(use.billing, use.secret, use.ca)
     except (OSError, ValueError) as error:
         raise ConfigError(f"use.secret, use.ca or use.billing: {error}") from None
 
--- a/trackspread/usage/senders.py
+++ b/trackspread/usage/senders.py
@@ -61,6 +61,11 @@
     return Http(target)
 
 
+def told(url: str, secret: str, ca: str) -> Sender:
+    """As the operator's file has it, `secret` being a file's name; raises `OSError` and `ValueError`."""
+    return sender(Target(url, Path(secret).read_bytes().strip() if secret else b"", ca))
+
+
 class Http:
     """POST of the batch, a connection each: batches are seldom, and none is left half open by a restart."""
 
