Rights of members on a shared counter that may be lost: claims, beats and proofs, in virtual time

Need: installations with hundreds of gateways keep a counter that will be lost, split and replaced; the module had no use of one on sockets, and a bare sum doubles what may be spent as soon as a counter splits.

Change: counter/ decides without I/O. Gateways hold shares of a member by claims on the counter, live by beats in each partition, and prove a raise of a ceiling before it is used; whoever falls silent keeps his even slice. The module takes shares from its host (RightsChanged, WantRights). A stand-in counter without I/O and a world in virtual time with sixteen kinds of fault.

On by no setting yet.

--- /dev/null
+++ b/tests/test_counted.py
@@ -0,0 +1,164 @@
+"""The counter's tier: its rules by themselves, and in virtual time under seeded faults."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+import pytest
+
+from trackspread.counter.allot import allot
+from trackspread.counter.commands import CounterError, Refused, commands, name_of, reply
+from trackspread.counter.desk import terms_of
+from trackspread.counter.terms import (
+    BEAT, KEPT, MILLISECOND, OUT, SECOND, Beat, Call, Claim, Reply, Terms, even, pack_beat, pack_claim,
+    unpack_claim,
+)
+from trackspread.counter.witness import Witness
+from trackspread.decide.interface import Plan
+from trackspread.standins.counter import Cluster, Failure, Shard, slot_of
+from trackspread.virtual.counted import Plant, World
+from trackspread.virtual.counted_schedules import FAULTS, make, play
+
+TERMS = Terms(10.0, 1.0, 0.1, (0, 1, 2))
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_shares_and_ceilings_hold_under_seeded_faults(seed: int) -> None:
+    world = play(make(seed))
+    assert not world.broken, (str(make(seed)), world.broken)
+    assert sum(count.sent for count in world.counts.values()) > 0
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_after_each_fault_members_are_served_again(name: str) -> None:
+    """What was served in a calm second half is most of what one store would have let pass."""
+    world = World(Plant(5, asked=2.0))
+    world.run(4 * SECOND)
+    world.clock.after(0, partial(FAULTS[name], world, random.Random(f"one fault:{name}")))
+    if name == "lossy":
+        world.clock.after(8 * SECOND, partial(FAULTS["calm"], world, random.Random(1)))
+    world.run(16 * SECOND)
+    before = {member: (count.sent, count.inside) for member, count in world.counts.items()}
+    world.run(6 * SECOND)
+    assert not world.broken
+    for member, count in world.counts.items():
+        sent, inside = count.sent - before[member][0], count.inside - before[member][1]
+        assert sent > 0.7 * inside, (hex(member), sent, inside)
+
+
+def test_shares_never_sum_to_more_than_there_is_and_the_least_of_wants_are_met_whole() -> None:
+    shares = allot(7, TERMS, {0: 0.5, 1: 9.0, 2: 9.0, 3: 0.0}, 1.0, 1)
+    assert shares == {0: pytest.approx(0.1), 1: pytest.approx(0.45), 2: pytest.approx(0.45)}
+    assert sum(allot(7, TERMS, dict.fromkeys(range(30), 9.0), 1.0, 1).values()) <= 1.0 + 1e-9
+
+
+def test_where_few_shares_hold_a_request_turns_bring_everybody_to_one() -> None:
+    narrow = Terms(10.0, 1.0, 0.5, (0, 1, 2))
+    served = [set(allot(7, narrow, dict.fromkeys(range(5), 9.0), 1.0, turn)) for turn in range(40)]
+    assert all(len(each) == 2 for each in served) and set.union(*served) == set(range(5))
+
+
+def test_even_slices_sum_to_the_whole_also_where_few_hold_a_request() -> None:
+    for least in (0.01, 0.2, 0.4, 1.0):
+        terms = Terms(10.0, 1.0, least, tuple(range(7)))
+        slices = [even(99, terms, slot) for slot in range(9)]
+        assert sum(slices) == pytest.approx(1.0) and min(s for s in slices if s) >= min(least, 1 / 7)
+
+
+def test_terms_hold_one_request_in_every_store_and_one_place() -> None:
+    plan = Plan("p", 10.0, 20.0, 4, 1.0, 0.0, 1.0, 20.0, 40.0, 0.0)
+    assert terms_of(plan, 2.0, (0,)) == Terms(10.0, 2.0, 0.25, (0,))
+    assert terms_of(Plan("p", 0.0, 0.0, 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0), 2.0, (0,)) is None
+
+
+def _read(witness: Witness, now: int, number: int, late: int = 0, wrote: bool = True) -> None:
+    """A read at `now` that shows gateway 1's beat, which lay `late` ns on its way."""
+    clock = now // MILLISECOND
+    beat = pack_beat(Beat(5, number, clock - late // MILLISECOND))
+    witness.answered(now, now, wrote, Reply(clock, {1: beat}, b"x"))
+    witness.look(now)
+
+
+def test_a_gateway_is_seen_by_beats_that_change_and_from_the_read_before() -> None:
+    witness = Witness(0, 2, 9, SECOND)
+    _read(witness, SECOND, 1)
+    for number in range(2, 6):
+        _read(witness, number * SECOND // 2 + SECOND, number)
+    last = 3 * SECOND + SECOND // 2
+    assert witness.seen[1].since == last - SECOND // 2 and not witness.quiet
+    witness.look(last - SECOND // 2 + KEPT + 1)
+    assert witness.quiet == {1} and not witness.gone
+    witness.look(last - SECOND // 2 + OUT + 1)
+    assert witness.gone == {1}
+
+
+def test_a_beat_that_lay_on_its_way_is_as_old_as_the_counters_clock_says() -> None:
+    witness = Witness(0, 2, 9, 100 * SECOND)
+    for number in range(1, 5):
+        _read(witness, 100 * SECOND + number * BEAT, number)
+    since = witness.seen[1].since
+    _read(witness, 100 * SECOND + 5 * BEAT, 5, late=SECOND * 10)
+    assert witness.seen[1].since == since
+
+
+def test_what_a_healed_half_brings_up_again_is_no_sign_of_life() -> None:
+    witness = Witness(0, 2, 9, 100 * SECOND)
+    for number in range(1, 5):
+        _read(witness, 100 * SECOND + number * BEAT, number)
+    seen = witness.seen[1]
+    _read(witness, 100 * SECOND + 6 * BEAT, 2)
+    assert witness.seen[1] == seen
+
+
+def test_claims_that_are_none_are_passed_over() -> None:
+    whole = pack_claim(Claim(1, 2, 0.5, 3.0, 4))
+    assert unpack_claim(whole) == Claim(1, 2, 0.5, 3.0, 4)
+    assert unpack_claim(whole[:-1]) is None and unpack_claim(b"") is None
+    assert unpack_claim(pack_claim(Claim(1, 2, 2.0, 3.0, 4))) is None
+    assert unpack_claim(pack_claim(Claim(1, 2, 0.5, float("nan"), 4))) is None
+
+
+def test_a_reply_is_read_whole_or_not_at_all() -> None:
+    call = Call(1, 0, 7, b"v")
+    good = [1, [b"0", b"v", b"id", b"t", b"junk", b"x"], 1, [b"12", b"345000"]]
+    assert reply(call, good) == Reply(12_345, {0: b"v"}, b"t")
+    for wrong in ([1, [b"0"], 1, [b"1", b"2"]], [1, None, 1, [b"1", b"2"]], [1, [], 1, [b"x", b"2"]], []):
+        with pytest.raises(CounterError):
+            reply(call, wrong)
+    with pytest.raises(CounterError, match="LOADING"):
+        reply(call, [Refused("LOADING later"), *good[1:]])
+
+
+def test_all_names_of_a_partition_lie_in_one_slot() -> None:
+    names = [name_of("ts", 3, member) for member in (None, 1, 2, -5)]
+    assert len({slot_of(name) for name in names}) == 1 and len(set(names)) == 4
+    # From the cluster specification: the reference value of its CRC16.
+    assert slot_of(b"123456789") == 0x31C3 % 16384
+
+
+def test_the_stand_in_sends_away_what_lies_elsewhere() -> None:
+    cluster = Cluster(2)
+    name = name_of("ts", 0, None)
+    owner = cluster.shards[cluster.owner[slot_of(name)]]
+    other = cluster.shards[1 - owner.number]
+    words = commands(Call(1, 0, None, b"v"), "ts", 0, b"t")[1]
+    assert owner.execute(0, words, 0) == 1
+    assert str(other.execute(0, words, 0)).startswith("MOVED ")
+    cluster.moving[slot_of(name)] = other.number
+    assert owner.execute(0, (b"HGETALL", name), 0) == [b"0", b"v"]
+    assert str(owner.execute(0, (b"HGETALL", name + b"x"), 0)).startswith("ASK ")
+    assert other.execute(0, (b"HGETALL", name + b"x"), 0, asking=True) == []
+
+
+def test_a_promoted_replica_has_lost_the_last_writes_and_names_end() -> None:
+    shard = Shard(0)
+    shard.execute(0, (b"HSET", b"n", b"0", b"old"), 1000)
+    shard.execute(0, (b"PEXPIRE", b"n", b"5000"), 1000)
+    shard.execute(0, (b"PING",), 1400)
+    shard.execute(0, (b"HSET", b"n", b"0", b"new"), 2000)
+    shard.promote(2000, 500)
+    assert shard.execute(0, (b"HGETALL", b"n"), 2000) == [b"0", b"old"]
+    assert shard.execute(0, (b"HGETALL", b"n"), 6001) == []
+    shard.read_only = "READONLY no"
+    assert isinstance(shard.execute(0, (b"HSET", b"n", b"0", b"x"), 2000), Failure)
--- /dev/null
+++ b/trackspread/counter/desk.py
@@ -0,0 +1,86 @@
+"""Between the decision module and the tier: requests and wants in, calls and `RightsChanged` out.
+
+The same object stands in a running gateway and in virtual time; whoever hosts it sends the calls and hands
+the events to the module, in the order given.
+
+May know: the module's vocabulary, the tier. May not know: sockets, the module itself.
+"""
+
+from __future__ import annotations
+
+from ..decide.interface import Plan, RightsChanged, Settings
+from .terms import GUARANTEED, Call, Reply, Right, Terms
+from .tier import Out, Tier
+
+Deed = Call | RightsChanged
+
+
+def terms_of(plan: Plan, largest: float, slots: tuple[int, ...]) -> Terms | None:
+    """A plan's figures for the tier; None where it has no limits. `largest`: units of the largest request.
+
+    The least share holds one request in every store, and one place where open attempts are limited."""
+    needs = [largest / plan.burst] if plan.rate else []
+    if plan.ceiling_rate:
+        needs.append(largest / (plan.ceiling_burst * (1.0 - GUARANTEED)))
+    if plan.open_limit:
+        needs.append(1.0 / plan.open_limit)
+    if not needs:
+        return None
+    rate, burst = (plan.rate, plan.burst) if plan.rate else (plan.ceiling_rate, plan.ceiling_burst)
+    return Terms(rate, burst / rate if rate else 0.0, min(1.0, max(needs)), slots)
+
+
+class Desk:
+    """`before` each request, `wanted` for each `WantRights`, `tick` when `due`; `answered`, `failed`."""
+
+    def __init__(self, settings: Settings, partitions: int, incarnation: int, seed: int, now: int) -> None:
+        self._settings, self._plans = settings, settings.plans
+        self.tier = Tier(settings.position, settings.gateways, partitions, incarnation, seed, now)
+        self._terms: dict[tuple[int, int, int], Terms | None] = {}
+        self._index: dict[int, int] = {}  # by customer: of its plan
+
+    @property
+    def due(self) -> int:
+        return self.tier.due
+
+    def replan(self, plans: tuple[Plan, ...]) -> None:
+        """Other figures: taken up with each customer's next request."""
+        self._plans = plans
+        self._terms.clear()
+
+    def before(self, now: int, customer: int, plan: int, units: float, spread: int, first: int) -> list[Deed]:
+        """To be called, and its deeds done, before the module sees the request."""
+        key = plan, spread, first
+        if key not in self._terms:
+            n = self._settings.gateways
+            named = tuple((first + i) % n for i in range(min(spread, n))) if spread >= 1 else tuple(range(n))
+            self._terms[key] = terms_of(self._plans[plan], self._settings.largest, named)
+        terms = self._terms[key]
+        if terms is None:
+            return []
+        self._index[customer] = plan
+        return self._deeds(self.tier.asked(now, customer, terms, units))
+
+    def wanted(self, now: int, customer: int) -> list[Deed]:
+        return self._deeds(self.tier.short(now, customer))
+
+    def tick(self, now: int) -> list[Deed]:
+        return self._deeds(self.tier.tick(now))
+
+    def answered(self, now: int, number: int, reply: Reply) -> list[Deed]:
+        return self._deeds(self.tier.answered(now, number, reply))
+
+    def failed(self, now: int, number: int) -> list[Deed]:
+        return self._deeds(self.tier.failed(now, number))
+
+    def _deeds(self, out: list[Out]) -> list[Deed]:
+        made: list[Deed] = []
+        for each in out:
+            if not isinstance(each, Right):
+                made.append(each)
+            elif each.member in self._index:
+                plan = self._index[each.member]
+                made.append(RightsChanged(each.member, plan, each.soft, each.hard, each.gift, each.more))
+                if each.member not in self.tier.holdings:
+                    del self._index[each.member]
+        return made
--- /dev/null
+++ b/trackspread/counter/tier.py
@@ -0,0 +1,302 @@
+"""The whole of it at one gateway: events in, calls to the counter and rights for the decision module out.
+
+The rules of this file:
+- Nothing is waited for: whoever asks gets at once what is usable, and more when the counter has answered.
+- One call on a name at a time; a call without an answer within `TIMEOUT` has failed, whatever comes later.
+- Before the first beat after a loss all that is used here is written down (`holding.py`, `word`).
+- Calls have a pace: what failed halves it, what was answered raises it. Beats come before members.
+
+May know: holdings, witnesses. May not know: sockets, the loop, the decision module.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+
+from .holding import SHORT, Holding
+from .terms import (
+    BEAT, EPSILON, FLOOR, GUARANTEED, MOST_MEMBERS, SECOND, TIMEOUT, Call, Reply, Right, Terms, even,
+    pack_beat, partition_of,
+)
+from .witness import Witness
+
+TICK = 50_000_000  # ns between looks: an eighth of a beat
+PACE_LEAST, PACE_MOST = 50.0, 20_000.0  # calls a second, of one gateway
+PACE_START = 1_000.0  # a second, at a start: it doubles within some twenty answers
+PACE_UP = 1.05  # for each answer
+PACE_SAVED = 0.1  # s of the pace that may be saved up, and so come at once
+MOST_OUT = 512  # calls without an answer
+NOTED = 1e-4  # change of a share that the module is told of
+
+Out = Call | Right
+
+
+@dataclass(slots=True)
+class Sent:
+    """A call that is out. `said`: the share it claims."""
+
+    call: Call
+    at: int
+    said: float = 0.0
+    wrote: bool = False
+
+
+@dataclass(slots=True)
+class Part:
+    """One partition. `unwritten`: members whose use is to be written down before the next beat."""
+
+    witness: Witness
+    due: int
+    members: set[int] = field(default_factory=set)
+    unwritten: set[int] = field(default_factory=set)
+    returning: bool = False
+    out: bool = False
+    shown: tuple[object, ...] = ()
+
+
+class Tier:
+    """`asked` before each request, `short` where it found too little, `tick` when `due`, `answered` and
+    `failed` for each call. All give what is to be done, in order."""
+
+    def __init__(self, slot: int, slots: int, partitions: int, incarnation: int, seed: int, now: int) -> None:
+        self.slot, self.slots, self.partitions = slot, slots, partitions
+        self._rng = random.Random(seed)
+        self.parts = [
+            Part(Witness(slot, slots, incarnation, now), now + self._rng.randrange(TICK))
+            for _ in range(partitions)
+        ]
+        self.holdings: dict[int, Holding] = {}
+        self.due = now
+        self.calls: Counter[str] = Counter()  # beats, members, failed
+        self.pace, self._saved, self._paced_at = PACE_START, PACE_START * PACE_SAVED, now
+        self._sent: dict[int, Sent] = {}
+        self._out: set[int] = set()  # members with a call out
+        self._owed: set[int] = set()  # members for whom the module waits
+        self._told: dict[int, tuple[float, float]] = {}
+        self._queue: list[tuple[int, int]] = []  # when due, member; those that moved are passed over
+        self._numbers = 0
+
+    # From the module.
+
+    def asked(self, now: int, member: int, terms: Terms, units: float) -> list[Out]:
+        """A request has come; to be called before the module sees it."""
+        out: list[Out] = self.tick(now) if now >= self.due else []
+        held = self.holdings.get(member)
+        if held is None:
+            if len(self.holdings) >= MOST_MEMBERS:
+                share = even(member, terms, self.slot)
+                return [*out, Right(member, FLOOR * share, GUARANTEED * share, 0.0, False)]
+            held = self._hold(now, member, terms)
+        elif held.terms is not terms and held.terms != terms:
+            held.change(terms)
+        held.ask(now, units)
+        out += self._tell(now, held)
+        return out
+
+    def short(self, now: int, member: int) -> list[Out]:
+        """The module has too little for a request that it holds: one `Right` follows, now or soon."""
+        held = self.holdings.get(member)
+        if held is None:
+            return []
+        held.rate(now)
+        self._owed.add(member)
+        if member not in self._out:
+            due = held.due
+            held.shortly(now)
+            if held.due != due:
+                self._push(held)
+            if not self._speaking(now, self._part(member)) or held.due > now:
+                return self._tell(now, held)
+        return self._members(now)
+
+    def _hold(self, now: int, member: int, terms: Terms) -> Holding:
+        held = self.holdings[member] = Holding(member, terms, self.slot, now)
+        part = self._part(member)
+        part.members.add(member)
+        if part.returning:
+            part.unwritten.add(member)
+        self._push(held)
+        return held
+
+    def _part(self, member: int) -> Part:
+        return self.parts[partition_of(member, self.partitions)]
+
+    # From the clock.
+
+    def tick(self, now: int) -> list[Out]:
+        out: list[Out] = []
+        self.due = now + TICK
+        for number in [n for n, sent in self._sent.items() if now - sent.at >= TIMEOUT]:
+            out += self.failed(now, number)
+        for index, part in enumerate(self.parts):
+            out += self._look(now, part)
+            if now >= part.due and not part.out:
+                out.append(self._beat(now, index, part))
+        return out + self._members(now)
+
+    def _look(self, now: int, part: Part) -> list[Out]:
+        """Who is silent, and what that changes for the members here."""
+        witness = part.witness
+        witness.look(now)
+        shown = witness.own(now), witness.own(now) or witness.even_due(now), witness.quiet, witness.gone
+        if shown == part.shown:
+            return []
+        part.shown = shown
+        out: list[Out] = []
+        for member in part.members:
+            out += self._tell(now, self.holdings[member])
+        return out
+
+    def _beat(self, now: int, index: int, part: Part) -> Call:
+        witness = part.witness
+        part.due = now + BEAT - self._rng.randrange(BEAT // 8)
+        back = witness.trusting and not (part.returning and part.unwritten)
+        value = pack_beat(witness.beat(now)) if back else None
+        part.out = True
+        self.calls["beats"] += 1
+        return self._call(now, index, None, value)
+
+    def _speaking(self, now: int, part: Part) -> bool:
+        """Whether words on members are worth a call."""
+        return part.witness.trusting and (part.witness.own(now) or part.returning)
+
+    def _members(self, now: int) -> list[Out]:
+        """Words that are due, as the pace allows."""
+        self._saved = min(
+            self.pace * PACE_SAVED + 1.0, self._saved + self.pace * (now - self._paced_at) / SECOND
+        )
+        self._paced_at = now
+        out: list[Out] = []
+        while self._queue and self._queue[0][0] <= now and self._saved >= 1.0 and len(self._sent) < MOST_OUT:
+            due, member = heappop(self._queue)
+            held = self.holdings.get(member)
+            if held is None or held.due != due or member in self._out:
+                continue
+            part = self._part(member)
+            if not self._speaking(now, part):
+                held.due = now + BEAT // 2
+                self._push(held)
+                continue
+            self._saved -= 1.0
+            value = held.word(now, part.witness)
+            out += self._tell(now, held)
+            self._out.add(member)
+            self.calls["members"] += 1
+            out.append(self._call(now, self.parts.index(part), member, value, held.said))
+        return out
+
+    def _call(self, now: int, index: int, member: int | None, value: bytes | None, said: float = 0.0) -> Call:
+        self._numbers += 1
+        call = Call(self._numbers, index, member, value)
+        self._sent[call.number] = Sent(call, now, said, value is not None)
+        return call
+
+    def _push(self, held: Holding) -> None:
+        heappush(self._queue, (held.due, held.member))
+        if len(self._queue) > 64 + 4 * len(self.holdings):  # those that moved are in the way
+            self._queue = [(each.due, member) for member, each in self.holdings.items()]
+            heapify(self._queue)
+
+    # From the counter.
+
+    def answered(self, now: int, number: int, reply: Reply) -> list[Out]:
+        sent = self._sent.get(number)
+        if sent is None or now - sent.at >= TIMEOUT:
+            return self.failed(now, number)  # also after this process stood still: what it says is old
+        del self._sent[number]
+        self.pace = min(PACE_MOST, self.pace * PACE_UP)
+        part, member = self.parts[sent.call.partition], sent.call.member
+        if member is None:
+            return self._beaten(now, part, sent, reply)
+        self._out.discard(member)
+        held = self.holdings.get(member)
+        if held is None:
+            return []
+        part.witness.look(now)
+        held.told(now, sent.at, sent.said, reply, part.witness)
+        part.unwritten.discard(member)
+        if held.idle(now) and not sent.said and not held.soft and not held.asked:
+            return self._drop(now, held, part)
+        self._push(held)
+        return self._tell(now, held)
+
+    def _drop(self, now: int, held: Holding, part: Part) -> list[Out]:
+        del self.holdings[held.member]
+        part.members.discard(held.member)
+        self._owed.discard(held.member)
+        out = self._tell(now, held)
+        self._told.pop(held.member, None)
+        return out
+
+    def _beaten(self, now: int, part: Part, sent: Sent, reply: Reply) -> list[Out]:
+        witness, part.out = part.witness, False
+        witness.answered(now, sent.at, sent.wrote, reply)
+        if not sent.wrote and not witness.trusting:
+            # There again. What is used here goes first, if others may have taken this one for dead.
+            witness.trusting = True
+            part.returning = not witness.own(now)
+            part.unwritten = set(part.members) if part.returning else set()
+            for member in part.unwritten:
+                held = self.holdings[member]
+                held.due = now
+                self._push(held)
+            part.due = min(part.due, now + TICK)
+        elif sent.wrote:
+            part.returning = False
+            part.unwritten.clear()
+        elif part.returning and not part.unwritten:
+            part.due = now
+        out = self._look(now, part)
+        return out + self._members(now)
+
+    def failed(self, now: int, number: int) -> list[Out]:
+        """No answer, or one that is none: it may have been carried out all the same."""
+        sent = self._sent.pop(number, None)
+        if sent is None:
+            return []
+        self.calls["failed"] += 1
+        self.pace = max(PACE_LEAST, self.pace / 2)
+        part, member = self.parts[sent.call.partition], sent.call.member
+        if member is None:
+            part.out = False
+            part.witness.failed()
+            part.returning = False
+            return self._look(now, part)
+        self._out.discard(member)
+        held = self.holdings.get(member)
+        if held is None:
+            return []
+        held.proving = False
+        held.due = now + SHORT + self._rng.randrange(SHORT)
+        self._push(held)
+        return self._tell(now, held)
+
+    # To the module.
+
+    def _tell(self, now: int, held: Holding) -> list[Out]:
+        witness = self._part(held.member).witness
+        due = held.due
+        soft, hard = held.usable(now, witness)
+        if held.due != due and held.member in self.holdings:
+            self._push(held)
+        old = self._told.get(held.member, (-1.0, -1.0))
+        owed = held.member in self._owed and held.member not in self._out
+        same = abs(soft - old[0]) < NOTED and abs(hard - old[1]) < NOTED
+        # Less is told at once and to the last bit: the sum over all gateways rests on it.
+        if same and soft >= old[0] - EPSILON and hard >= old[1] - EPSILON and not held.gift and not owed:
+            return []
+        self._told[held.member] = soft, hard
+        gift, held.gift = held.gift, 0.0
+        if owed:
+            self._owed.discard(held.member)
+        more = self._speaking(now, self._part(held.member)) and held.wanting(now)
+        return [Right(held.member, soft, hard, gift, more)]
+
+    def states(self, now: int) -> list[str]:
+        """Of each partition, for people."""
+        for part in self.parts:
+            part.witness.look(now)
+        return [part.witness.state(now) for part in self.parts]
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -14,8 +14,8 @@
 from .fleet import Filter, Fleet
 from .interface import (
     NEVER_RAN, Action, Arrival, AttemptEnded, ClientLeft, Counted, Event, Fail, Group, ListKind, LogLine,
-    Outcome, PeerMessage, PlansChanged, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired,
-    Topology, Watch,
+    Outcome, PeerMessage, PlansChanged, Refuse, Repeat, RightsChanged, Send, SetTimer, Settings, Tell,
+    TimerFired, Topology, WantRights, Watch,
 )
 from .mail import Kind
 from .model import TARGET, TICK, QueueModel, seven_cases
@@ -71,6 +71,9 @@
                     actions.append(SetTimer(SECOND, RETRY_LIST))
             case PlansChanged():
                 actions.append(self._replan(now, event))
+            case RightsChanged():
+                self.quota.entitle(now, event)
+                actions += self._entitled(now, event.customer)
             case ClientLeft():
                 self.open.pop(event.request, None)
             case TimerFired(token):
@@ -192,9 +195,13 @@
         knows = quota.counter and now - account.told_at < FRESH // 4
         if knows or quota.at_home(account):
             may = pays or quota.may(now, account, a.units)
-            if not may or not quota.book(account, a.units, pays):
+            if may and quota.book(account, a.units, pays):
+                return self._admit(now, request, knows)
+            if not account.more or request.asked_at or a.valid_until - now < 4 * TICK:
                 return [self._refusal(a)]
-            return self._admit(now, request, knows)
+            quota.tag, request.asked_at = quota.tag + 1 & 0xFFFFFFFF, now
+            self.held[quota.tag] = self.open[a.request] = request
+            return [WantRights(a.customer)]
         if not (quota.homes or (quota.counter and self.rng.random() < quota.pace)):
             return self._alone(now, request)
         if pays and not plan.ceiling_rate:
@@ -206,6 +213,13 @@
         self.held[tag] = self.open[a.request] = request
         return [action]
 
+    def _entitled(self, now: int, customer: int) -> list[Action]:
+        """What was held for want of rights is decided with those that are kept here now."""
+        tags = [tag for tag, request in self.held.items() if request.account.customer == customer]
+        held = [self.held.pop(tag) for tag in tags]
+        still = [request for request in held if self.open.pop(request.arrival.request, None)]
+        return [action for request in still for action in self._within_quota(now, request)]
+
     def _alone(self, now: int, request: Open) -> list[Action]:
         may = self.quota.alone(now, request.account, request.arrival.units)
         return self._admit(now, request, False) if may else [self._refusal(request.arrival)]
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -119,6 +119,7 @@
     start_capacity: float
     warm_up: int
     cross_zone_price: float
+    rights: bool = False  # the host says how much of each customer's stores is kept here
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,9 +236,24 @@
     reserved: tuple[tuple[int, float, float], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class RightsChanged:
+    """Shares of the customer's stores that are kept here from now on: `soft` of rate and burst of the quota
+    and of the limit on open attempts, `hard` of the ceiling; `gift`, of the quota's burst, comes along once.
+
+    `more`: asking again may pay."""
+
+    customer: int
+    plan: int
+    soft: float
+    hard: float
+    gift: float
+    more: bool
+
+
 Event = (
     Topology | Arrival | Begun | AttemptEnded | ClientLeft | TimerFired | Probed | PeerMessage | Counted
-    | PlansChanged
+    | PlansChanged | RightsChanged
 )
 
 
@@ -312,6 +328,13 @@
     amount: float
 
 
+@dataclass(frozen=True, slots=True)
+class WantRights:
+    """What is kept here does not cover a request; one `RightsChanged` follows soon."""
+
+    customer: int
+
+
 @dataclass(frozen=True, slots=True)
 class Watch:
     """Subscribe to the list, or stop."""
@@ -333,5 +356,5 @@
 
 Action = (
     Send | Refuse | Fail | Cancel | SetTimer | Probe
-    | CloseIdle | Tell | AddToCounter | Watch | Fetch | LogLine
+    | CloseIdle | Tell | AddToCounter | WantRights | Watch | Fetch | LogLine
 )
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -10,7 +10,9 @@
 from dataclasses import replace
 from math import ceil
 
-from .interface import Action, AddToCounter, Counted, Outcome, PeerMessage, Plan, PlansChanged, Settings, Tell
+from .interface import (
+    Action, AddToCounter, Counted, Outcome, PeerMessage, Plan, PlansChanged, RightsChanged, Settings, Tell,
+)
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
 from .state import LONG, MEMORY, SECOND, Account, Mean
 
@@ -44,9 +46,10 @@
         self.reserved: dict[int, tuple[float, float]] = {}  # by customer, on top of rate and burst
         self.peers: dict[int, tuple[int, int, int]] = {}  # incarnation, when last heard, the age told then
         self.every = 2 * (settings.gateways - 1) * SECOND / max(1.0, settings.messages_per_s)
-        self.gossip = settings.may_message and self.every <= FRESH // 4
-        self.homes = settings.may_message and not self.gossip
-        self.counter = settings.counter and not settings.may_message and settings.gateways > 1
+        self.rights, may_message = settings.rights, settings.may_message and not settings.rights
+        self.gossip = may_message and self.every <= FRESH // 4
+        self.homes = may_message and not self.gossip
+        self.counter = settings.counter and not may_message and not self.rights and settings.gateways > 1
         self.granted = [Mean(LONG) for _ in settings.plans]
         self.calls: dict[int, deque[tuple[int, float, bool, float]]] = {}  # ask, amount, fix, owed
         self.tag, self.pace, self.restarted = 0, 1.0, False
@@ -57,7 +60,7 @@
         if account is None:
             plan = self.figures(customer, index)
             # A restarted home knows no store: half of it errs as little either way.
-            level = plan.burst * (0.5 if self.restarted and self.homes else 1.0)
+            level = plan.burst * (0.5 if self.restarted and self.homes else not self.rights)
             times = now, now, -EVALUATE_EVERY, -SILENT, -SILENT
             means = Mean(MEMORY), Mean(MEMORY), Mean(3 * LONG), Mean(LONG)
             account = Account(customer, plan, index, customer % n, level, *times, *means)
@@ -65,7 +68,7 @@
             self.accounts[customer] = account
         elif account.index != index:
             self.carry(now, account, index)
-        if spread >= 1 and not account.slices:
+        if spread >= 1 and not account.slices and not self.rights:
             self._slice(account, min(int(spread), n), int(first))
         return account
 
@@ -81,6 +84,17 @@
         account.part = even if chance >= 1.0 else self.s.largest * (self.rng.random() < chance)
         account.ceiling += plan.ceiling_slack * (1.0 - POOLED if self.homes else 1.0) / account.slices
 
+    def entitle(self, now: int, event: RightsChanged) -> None:
+        """The stores are filled by the old shares until now. A store that is new here has filled since this
+        gateway's start: whatever a former one spent, its rights went with it."""
+        fresh, account = event.customer not in self.accounts, self.account(now, event.customer, event.plan)
+        account.at = self.born if fresh else account.at
+        account.soft, account.hard = (event.soft, event.hard) if fresh else (account.soft, account.hard)
+        self.refill(now, account)
+        plan, account.soft, account.hard, account.more = account.plan, event.soft, event.hard, event.more
+        account.level = min(plan.burst * event.soft, account.level + plan.burst * event.gift)
+        account.ceiling = min(plan.ceiling_burst * event.hard, account.ceiling)
+
     def replan(self, now: int, event: PlansChanged) -> None:
         """Other figures from now on, in every store that is kept here."""
         self.s = replace(self.s, plans=event.plans)
@@ -114,6 +128,8 @@
         """Part of the quota that counts as here: the whole while word of others' use is fresh, as that is
         taken off when told. The slice of whoever is silent ages back to him."""
         slices = max(1, account.slices)
+        if self.rights:
+            return account.soft
         if self.at_home(account) and not self.gossip:
             return 1.0
         told = [self.peers.get(p, (0, self.born - FRESH, 0))[1] for p in account.peers] or [account.told_at]
@@ -121,22 +137,25 @@
         return (1.0 + fresh * (slices - 1)) / slices
 
     def at_home(self, account: Account) -> bool:
-        return account.home == self.s.position if self.homes else self.gossip or account.slices == 1
+        near = self.gossip or self.rights or account.slices == 1
+        return account.home == self.s.position if self.homes else near
 
     def refill(self, now: int, account: Account) -> None:
         dt, account.at = (now - account.at) / SECOND, now
-        plan, share = account.plan, self.share(now, account) if self.gossip else 1.0
+        plan, share = account.plan, self.share(now, account) if self.gossip or self.rights else 1.0
         even = 1.0 / account.slices if account.slices else 0.0
         if dt:
             account.level = min(plan.burst * share, account.level + plan.rate * share * dt)
         account.part = min(max(plan.burst * even, self.s.largest), account.part + plan.rate * even * dt)
         even = (1.0 - POOLED) * even + POOLED * self.at_home(account) if self.homes else even
+        even = account.hard if self.rights else even
         account.ceiling = min(plan.ceiling_burst * even, account.ceiling + plan.ceiling_rate * even * dt)
 
     def may(self, now: int, account: Account, units: float) -> bool:
         """The ceiling's slice, and open attempts: others' count while word is new, else an even slice."""
         limit, told = account.plan.open_limit, now - account.open_at < FRESH // 4
         most = ceil(limit / (1 if told else max(1, account.slices)))
+        most = int(limit * account.soft + 1e-6) if self.rights else most
         few = not limit or account.open + told * account.others < most
         return few and (not account.plan.ceiling_rate or account.ceiling >= units)
 
@@ -153,6 +172,8 @@
     def alone(self, now: int, account: Account, units: float) -> bool:
         """Without the store's word: by the even slice, else by chance, as home, counter or meter lately said
         of this customer, or else of its plan. That ages away, and even slices are left."""
+        if self.rights:
+            return self.may(now, account, units) and self.book(account, units, False)
         usual, even = self.granted[account.index].blend(now, 0.0, 0.1), account.part >= units
         # Seen here more than its even slice, beyond the one request that says nothing, a customer is busy.
         seen, one = account.seen.rate(now) * account.seen.value, units * SECOND / LONG
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -78,6 +78,9 @@
     given: dict[int, tuple[float, int]] = field(default_factory=dict)  # at home: granted, not told as taken
     others: int = 0  # open attempts elsewhere, as told
     owed: float = 0.0  # to be added to the counter with the next call
+    soft: float = 0.0  # shares of quota and ceiling kept here, as the host says
+    hard: float = 0.0
+    more: bool = False  # whether asking the host for more may pay
 
 
 @dataclass(slots=True)
--- a/trackspread/simulator/wire.py
+++ b/trackspread/simulator/wire.py
@@ -41,6 +41,7 @@
     Tell,
     TimerFired,
     Topology,
+    WantRights,
     Watch,
 )
 
@@ -236,6 +237,8 @@
             return _U16.pack(1110)
         case AddToCounter(name, lifetime, amount):
             return _ADD.pack(1120, name, lifetime, amount)
+        case WantRights():
+            raise ValueError("rights come from a running gateway's host, which the simulator has none of")
 
 
 def encode(groups: Iterator[tuple[int, list[bytes]]]) -> bytes:
--- a/trackspread/virtual/booked.py
+++ b/trackspread/virtual/booked.py
@@ -19,12 +19,13 @@
 from ..decide import quota
 from ..decide.broker import Broker
 from ..decide.interface import (
-    Arrival, AttemptEnded, Backend, Event, Group, Health, ListKind, Outcome, Plan, PlansChanged, Repeat,
-    RequestClass, Send, SetTimer, Settings, TimerFired, Topology,
+    Arrival, AttemptEnded, Backend, Event, Health, ListKind, Outcome, Plan, PlansChanged, Send, SetTimer,
+    TimerFired, Topology,
 )
 from ..decide.quota import Quota
 from .clock import Clock
 from .patches import held
+from .plain import plain_settings
 
 MILLISECOND, SECOND = 1_000_000, 1_000_000_000
 SPAN = 30 * SECOND  # some changes, each with many times a burst of demand round it
@@ -32,17 +33,6 @@
 SLACK = Fraction(1, 10**6)  # units: rounding of the module's floats
 
 
-def _settings(plan: Plan) -> Settings:
-    return Settings(
-        classes=(RequestClass("read", SECOND, 3 * SECOND, 1.0, 0.0, Repeat.SAFE, Group.ALL, 0),),
-        plans=(plan,), zone=0, position=0, gateways=1, report_names=(), max_attempts=3, second_copies=False,
-        may_cancel=True, may_probe=False, may_message=False, retry_advice=True, max_retry_after=SECOND,
-        counter=False, meter_period=0, largest=1.0, messages_per_s=0.0, settled_after=False,
-        ask_discovery=False, ask_within=0, drain_grace=SECOND, fall_window=SECOND, fall_multiple=3.0,
-        start_capacity=0.2, warm_up=20 * SECOND, cross_zone_price=0.0,
-    )
-
-
 class Reference:
     """One store, exactly."""
 
@@ -70,7 +60,7 @@
     """As `play`, with the requests that were sent on, and those that the reference would have let pass."""
     rng, clock = random.Random(f"booked:{seed}"), Clock()
     base = Plan("team", rng.uniform(2, 20), rng.uniform(4, 40), 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)
-    module = Broker(_settings(base), seed, clock.now)
+    module = Broker(plain_settings(base), seed, clock.now)
     entries = tuple(Backend(n, 0, 0, 0, Health.READY, 1.0, 0) for n in (1, 2, 3))
     store, owed = Reference(base.rate, base.burst, clock.now), Reference(base.rate, base.burst, clock.now)
     wrong, counts = list[str](), [0, 0]  # sent on, owed
--- /dev/null
+++ b/trackspread/virtual/counted_schedules.py
@@ -0,0 +1,196 @@
+"""Seeded schedules for the counter's tier: it is cut, split, promoted, replaced, evicted from, slow, while
+gateways die, stop and members move their traffic. What goes wrong and when hangs on the seed alone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from ..counter.terms import MILLISECOND, SECOND
+from .clock import START
+from .counted import TOLD_MS, Plant, World
+
+SPAN = 24 * SECOND  # of a schedule: trouble of up to 8 s, and time to be back, many times any burst
+LARGE = 100  # every so many schedules one has a hundred gateways
+Fault = Callable[[World, random.Random], None]
+
+
+@dataclass(frozen=True, slots=True)
+class CountedSchedule:
+    """A world and the faults in it, by time (ns from the start) and name."""
+
+    plant: Plant
+    faults: tuple[tuple[int, str], ...]
+
+    def __str__(self) -> str:
+        told = ", ".join(f"{name} at {at / SECOND:.2f} s" for at, name in self.faults)
+        p = self.plant
+        return f"seed {p.seed}: {p.gateways} gateways, {p.members} members, spread {p.spread}; {told}"
+
+
+def _away(rng: random.Random) -> int:
+    return rng.randint(200 * MILLISECOND, 8 * SECOND)
+
+
+def _now_ms(world: World) -> int:
+    return TOLD_MS + (world.clock.now - START) // MILLISECOND
+
+
+def _some(world: World, rng: random.Random) -> set[int]:
+    return set(rng.sample(range(world.plant.gateways), rng.randint(1, world.plant.gateways)))
+
+
+def cut(world: World, rng: random.Random) -> None:
+    """Some gateways, or all, reach no counter; or their calls arrive and no answer comes back."""
+    behind = _some(world, rng)
+    world.cuts_asks = rng.random() < 0.5
+    world.cut |= behind
+    world.clock.after(_away(rng), partial(world.cut.difference_update, behind))
+
+
+def split(world: World, rng: random.Random) -> None:
+    """A lagging replica is promoted beside the old server, and each half of the gateways finds one."""
+    for shard in world.shards:
+        shard.split(_some(world, rng), _now_ms(world), rng.randint(0, 2000))
+        world.clock.after(_away(rng), partial(shard.heal, rng.randint(0, 1)))
+
+
+def split_and_cross(world: World, rng: random.Random) -> None:
+    """While it is split gateways change sides, and members go where they were not."""
+    split(world, rng)
+    shard = world.shards[0]
+    for _ in range(3):
+        def change(number: int = rng.randrange(world.plant.gateways), side: int = rng.randint(0, 1)) -> None:
+            if len(shard.states) > 1:
+                shard.sides[number] = side
+
+        world.clock.after(rng.randint(0, 4 * SECOND), change)
+    world.clock.after(rng.randint(0, 4 * SECOND), partial(move, world, rng))
+
+
+def promote(world: World, rng: random.Random) -> None:
+    """The last writes are lost; the new server's clock is another."""
+    for shard in world.shards:
+        shard.promote(_now_ms(world), rng.randint(0, 3000), rng.randint(-3000, 3000))
+
+
+def replace(world: World, rng: random.Random) -> None:
+    for shard in world.shards:
+        shard.replace(rng.randint(-3000, 3000))
+
+
+def cut_and_replace(world: World, rng: random.Random) -> None:
+    behind = set(range(world.plant.gateways))
+    world.cut |= behind
+    wait = _away(rng)
+    world.clock.after(wait, partial(replace, world, rng))
+    world.clock.after(wait + rng.randint(0, SECOND), partial(world.cut.difference_update, behind))
+
+
+def evict(world: World, rng: random.Random) -> None:
+    """Members' names go, again and again, while the beats stay."""
+    for number in range(6):
+        for shard in world.shards:
+            world.clock.after(number * 700 * MILLISECOND, partial(shard.evict, rng, 0.7, False))
+
+
+def evict_beats(world: World, rng: random.Random) -> None:
+    for shard in world.shards:
+        shard.evict(rng, 1.0, True)
+
+
+def slow(world: World, rng: random.Random) -> None:
+    """Answers take up to twice a call's time, and calls lie in queues before they are carried out."""
+    world.slow, world.apply_late = rng.choice(((500, 0), (0, 500), (200, 200), (0, 3000)))
+    world.slow, world.apply_late = world.slow * MILLISECOND, world.apply_late * MILLISECOND
+
+    def over() -> None:
+        world.slow = world.apply_late = 0
+
+    world.clock.after(_away(rng), over)
+
+
+def lossy(world: World, rng: random.Random) -> None:
+    world.lost_asks, world.lost_answers = rng.uniform(0.0, 0.3), rng.uniform(0.0, 0.3)
+
+
+def calm(world: World, rng: random.Random) -> None:
+    world.lost_asks = world.lost_answers = 0.0
+
+
+def errors(world: World, rng: random.Random) -> None:
+    """It answers, with errors: to everything, or to what writes."""
+    text = rng.choice(("LOADING Redis is loading the dataset in memory", "CLUSTERDOWN The cluster is down",
+                       "TRYAGAIN Multiple keys request during rehashing of slot"))
+    for shard in world.shards:
+        if rng.random() < 0.5:
+            shard.error = text
+        else:
+            shard.read_only = rng.choice(("OOM command not allowed when used memory > 'maxmemory'.",
+                                          "READONLY You can't write against a read only replica."))
+
+    def over() -> None:
+        for shard in world.shards:
+            shard.error = shard.read_only = ""
+
+    world.clock.after(_away(rng), over)
+
+
+def kill(world: World, rng: random.Random) -> None:
+    number = rng.randrange(world.plant.gateways)
+    world.kill(number)
+    world.clock.after(rng.randint(MILLISECOND, 8 * SECOND), partial(world.revive, number))
+
+
+def kill_many(world: World, rng: random.Random) -> None:
+    for number in _some(world, rng):
+        world.kill(number)
+        world.clock.after(rng.randint(MILLISECOND, 4 * SECOND), partial(world.revive, number))
+
+
+def pause(world: World, rng: random.Random) -> None:
+    world.pause(rng.randrange(world.plant.gateways), _away(rng))
+
+
+def move(world: World, rng: random.Random) -> None:
+    """All of a member's traffic goes to one gateway."""
+    for weights in world.weights:
+        top = rng.randrange(len(weights))
+        weights[:] = [20.0 if i == top else 0.05 for i in range(len(weights))]
+
+
+FAULTS: dict[str, Fault] = {
+    each.__name__: each
+    for each in (cut, split, split_and_cross, promote, replace, cut_and_replace, evict, evict_beats, slow,
+                 lossy, calm, errors, kill, kill_many, pause, move)
+}
+
+
+def make(seed: int) -> CountedSchedule:
+    """The schedule of a seed."""
+    rng = random.Random(f"counted schedule:{seed}")
+    large = seed % LARGE == LARGE - 1
+    gateways = 100 if large else rng.randint(1, 8)
+    # Ceilings bind: over what is asked, or far below it; some hold a request or two only.
+    rate, burst = rng.choice(((10.0, 10.0), (6.0, 12.0), (30.0, 15.0), (4.0, 3.0), (50.0, 60.0)))
+    over = rng.choice((0.5, 1.0, 2.0)) if burst > 3.0 else rng.choice((1.0, 2.0))
+    plant = Plant(
+        seed, gateways, 2 if large else rng.randint(1, 3), rng.choice((1, 1, 2)), rng.choice((1, 2, 4)),
+        rate, burst, over, rng.randint(1, gateways), rng.uniform(0.5, 6.0),
+    )
+    names = rng.choices(list(FAULTS), k=rng.randint(2, 6))
+    faults = tuple(sorted((rng.randint(SECOND, SPAN - 8 * SECOND), name) for name in names))
+    return CountedSchedule(plant, faults)
+
+
+def play(schedule: CountedSchedule) -> World:
+    """`broken` of what comes back is empty where invariant and account held at every step."""
+    world = World(schedule.plant)
+    for number, (at, name) in enumerate(schedule.faults):
+        rng = random.Random(f"counted fault:{schedule.plant.seed}:{number}")
+        world.clock.at(START + at, partial(FAULTS[name], world, rng))
+    world.run(SPAN)
+    return world
