--- /dev/null
+++ b/benchmarks/counter.py
@@ -0,0 +1,165 @@
+"""The shared counter: what its loss, split and replacement cost members, and what it costs a gateway.
+
+Shares, excess and recovery are measured on four gateway processes and the stand-in counter; CPU and calls on
+one gateway in closed loop with 20 busy members, beside one that hears peers; schedules in virtual time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import multiprocessing
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+
+from trackspread.commands.quota import ask
+from trackspread.config.addresses import ConfigError
+from trackspread.harness import counted
+from trackspread.harness.fleet import Fleet
+from trackspread.standins.counter import Shard
+from trackspread.standins.counter_server import CounterServer
+from trackspread.standins.scene import Scene
+from trackspread.virtual.counted_mutants import MUTANTS, convict
+from trackspread.virtual.counted_schedules import calm_world, make, play
+
+from .cost import Work, gateway, spawn
+
+# Demand under the nodes' capacity, so that limits alone refuse; a third of the members ask beyond quotas.
+SCENE = Scene(gateways=4, nodes=9, customers=60, load=0.5, greedy=0.3, seed=11)
+WARM, TROUBLE, AFTER = 8.0, 9.0, 4.0  # s: stores fill; longer than any burst; what comes back
+TROUBLES = ("none", "cut", "cut_half", "split", "replace", "slow", "silent", "kill")
+RECOVERED_MOST = 20.0  # s that the counter's return is watched for
+SCHEDULES_QUICK, SCHEDULES, CHUNK, MUTANT_SEEDS = 120, 10_000, 10, 200
+BUSY, QUOTA = 20, 2000.0  # members, and units a second of each: more than a gateway carries
+
+
+async def _trouble(name: str, folder: Path) -> dict[str, float]:
+    async with counted.counted(SCENE, more=lambda n: f'status = "{folder / n}"') as (fleet, server):
+        fleet.ask()
+        await asyncio.sleep(WARM)
+        mark = len(fleet.ledger.entries)
+        await getattr(counted, name)(fleet, server, TROUBLE)
+        recovery = await _recovery(fleet, folder) if name == "cut" else 0.0
+        await asyncio.sleep(max(0.0, AFTER - recovery))
+        await fleet.settle()
+        verdict = fleet.verdict()
+        ceiling, quota = counted.excess(fleet)
+        inside = counted.inside(fleet, mark)
+    return {"ceiling": ceiling, "quota": quota, "inside": inside, "recovery": recovery,
+            "violations": len(verdict.violations) if verdict.state == "broken" else 0,
+            "void": verdict.state == "void"}
+
+
+async def _recovery(fleet: Fleet, folder: Path) -> float:
+    """Seconds from the counter's return until every gateway keeps whole quotas again."""
+    began, members = time.monotonic(), [c.number for c in fleet.clients.crowd.customers[:12]]
+    while time.monotonic() - began < RECOVERED_MOST:
+        told = []
+        for name in (g.name for g in fleet.gateways):
+            for member in members:
+                try:
+                    told.append(json.loads(await asyncio.to_thread(ask, str(folder / name), member)))
+                except ConfigError:
+                    told.append({"held": True, "soft": 0.0})
+        if all(each["soft"] > 0.999 for each in told if each["held"]):
+            return time.monotonic() - began
+        await asyncio.sleep(0.02)
+    return RECOVERED_MOST
+
+
+def _run(name: str) -> tuple[str, dict[str, float]]:
+    with tempfile.TemporaryDirectory() as folder:
+        return name, uvloop.run(_trouble(name, Path(folder)))
+
+
+async def _cost(span: float) -> tuple[float, float]:
+    """CPU of the counter over word between peers, and calls a request."""
+    work = Work("busy", 9, BUSY)
+    server = CounterServer([Shard(0)], 2)
+    await server.start()
+    process, nodes = await spawn("nodes", "9")
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            costs: dict[bool, list[float]] = {True: [], False: []}
+            calls = requests = 0.0
+            for on in (False, True, True, False):
+                own = f'[counter]\nservers = ["{server.named(0)[0]}"]\n' if on else ""
+                looks, began = server.shards[0].looks, time.monotonic()
+                cost, rate = await gateway(work, nodes, Path(folder), span, own, QUOTA, 2)
+                if on:
+                    calls += (server.shards[0].looks - looks) / (time.monotonic() - began)
+                    requests += rate
+                costs[on].append(cost)
+        finally:
+            process.kill()
+            await process.wait()
+            server.close()
+    print(f"CPU ms a request: with the counter {costs[True]}, with peers {costs[False]}", file=sys.stderr)
+    return sum(costs[True]) / sum(costs[False]), calls / requests
+
+
+def _schedules(seeds: range) -> list[str]:
+    broken = []
+    for seed in seeds:
+        schedule = make(seed)
+        broken += [f"--seed {seed}: {schedule}: {text}" for text in play(schedule).broken[:1]]
+        broken += [f"calm, --seed {seed}: {text}" for text in calm_world(seed)[:1]]
+    return broken
+
+
+def _convict(name: str) -> tuple[str, int | None]:
+    return name, convict(name, range(MUTANT_SEEDS))
+
+
+def measure(quick: bool) -> dict[str, float]:
+    count, violations = SCHEDULES_QUICK if quick else SCHEDULES, 0
+    with multiprocessing.get_context("spawn").Pool(len(TROUBLES)) as pool:
+        runs = dict(pool.imap_unordered(_run, TROUBLES))
+        for name, run in sorted(runs.items()):
+            print(f"{name}: {run}", file=sys.stderr, flush=True)
+            violations += int(run["violations"])
+        ratio, calls = uvloop.run(_cost(2.0 if quick else 8.0))
+        chunks = [range(s, s + CHUNK) for s in range(10**6, 10**6 + count, CHUNK)]
+        for done, broken in enumerate(pool.imap_unordered(_schedules, chunks), 1):
+            violations += len(broken)
+            for text in broken:
+                print(f"BROKEN, {text}", file=sys.stderr)
+            if done % 25 == 0:
+                print(f"{done * CHUNK} of {count} schedules", file=sys.stderr, flush=True)
+        caught = 0
+        for name, seed in [] if quick else pool.imap_unordered(_convict, MUTANTS):
+            caught += seed is not None
+            print(f"mutant {name}: {'NOT CONVICTED' if seed is None else f'by seed {seed}'}", file=sys.stderr)
+    troubled = [run for name, run in runs.items() if name not in ("none", "kill")]
+    figures = {
+        "ceiling_excess_share": max(run["ceiling"] for run in runs.values()),
+        "quota_excess_share": max(run["quota"] for run in runs.values()),
+        "served_share": min(run["inside"] for run in troubled) / runs["none"]["inside"],
+        "served_share_kill": runs["kill"]["inside"] / runs["none"]["inside"],
+        "calls_per_request": calls, "cpu_ratio": ratio, "recovery_s": runs["cut"]["recovery"],
+        "schedules": count, "violations": violations, "void_runs": sum(run["void"] for run in runs.values()),
+    }
+    return {name: round(value, 3) for name, value in figures.items()} | (
+        {} if quick else {"mutants": len(MUTANTS), "mutants_caught": caught})
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--quick", action="store_true", help="under 50 s")
+    parser.add_argument("--seed", type=int, help="replay one schedule of virtual time and its calm world")
+    given = parser.parse_args()
+    if given.seed is not None:
+        found = _schedules(range(given.seed, given.seed + 1))
+        print("\n".join(found) or f"{make(given.seed)}: held")
+        return bool(found)
+    print(json.dumps(measure(given.quick)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `try`.
+"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
 """
@@ -63,6 +63,7 @@
     words.add_use(commands)
     words.add_plans(commands)
     words.add_reserve(commands)
+    words.add_quota(commands)
     return parser
 
 
@@ -98,6 +99,10 @@
                 from .commands import reserve
 
                 return reserve.run(given)
+            case "quota":
+                from .commands import quota
+
+                return quota.run(given)
             case "use":
                 from .commands import use
 
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -53,6 +53,14 @@
     fleets.add_argument("--kept", type=float, default=0.0, help="units a second kept for all others (0)")
 
 
+def add_quota(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread quota`."""
+    own = commands.add_parser("quota", help="what a running gateway holds of a member's limits, and why")
+    own.add_argument("member", metavar="MEMBER", help="16 hexadecimal digits")
+    own.add_argument("--socket", metavar="PATH", required=True, help="as counter.status names it")
+    own.add_argument("--json", action="store_true", help="the answer as it came")
+
+
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread use` and its actions."""
     own = commands.add_parser("use", help="use records: look, check, export, compare, repair")
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -9,6 +9,7 @@
 import difflib
 import re
 import tomllib
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -73,6 +74,21 @@
     book: str = ""  # a plan book, as `trackspread plans apply` writes it; empty: the platform's figures hold
 
 
+class Counter(_Table, frozen=True):
+    """A counter that all gateways share: it says how much of each member's limits is kept here."""
+
+    servers: tuple[str, ...] = ()  # host:port; empty: no counter, gateways tell one another
+    cluster: bool = False  # whether they are a cluster, of which any may be named, or plain ones side by side
+    partitions: Annotated[int, msgspec.Meta(ge=1, le=256)] = 8  # members are spread over; the same everywhere
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,32}$")] = "ts"  # of all names
+    user: str = ""  # of the counter's access list; empty: its default one
+    password: str = ""  # file with the password, read anew for each connection; empty: none
+    tls: bool = False
+    ca: str = ""  # file with the certificates that a server's is checked against; empty: the system's
+    certificate: str = ""  # file with this gateway's own certificate and key; empty: none is shown
+    status: str = ""  # a Unix socket that answers `trackspread quota`; empty: none
+
+
 class Log(_Table, frozen=True):
     """The log, on standard error."""
 
@@ -90,6 +106,7 @@
     backends: BackendBounds = BackendBounds()
     use: Use = Use()
     plans: PlanSource = PlanSource()
+    counter: Counter = Counter()
     log: Log = Log()
 
     def addresses(self) -> tuple[Address, ...]:
@@ -126,6 +143,7 @@
     except msgspec.ValidationError as error:
         raise ConfigError(f"{name}: {_explain(str(error), raw)}") from None
     _check_use(made.use, name)
+    _check_counter(made.counter, name)
     seen: set[Address] = set()
     for number, listener in enumerate(made.listeners):
         key = f"listeners[{number}].address"
@@ -150,6 +168,26 @@
                           "https://HOST:PORT/PATH or file:///FOLDER")
 
 
+def _check_counter(counter: Counter, name: str) -> None:
+    for number, server in enumerate(counter.servers):
+        key = f"counter.servers[{number}]"
+        try:
+            host, port = address(server, key)
+            ip_address(host)
+        except ValueError:
+            raise ConfigError(f"{name}: {key}: found {server!r}, wanted an address and a port, as "
+                              "127.0.0.1:6379: names are not looked up") from None
+        if not port:
+            raise ConfigError(f"{name}: {key}: found port 0, wanted 1 to 65535")
+    if len(set(counter.servers)) < len(counter.servers):
+        raise ConfigError(f"{name}: counter.servers: found one twice, wanted once each")
+    for key in ("ca", "certificate"):
+        if getattr(counter, key) and not counter.tls:
+            raise ConfigError(f"{name}: counter.{key}: found a file, wanted none or counter.tls = true")
+    if counter.user and not counter.password:
+        raise ConfigError(f"{name}: counter.password: found nothing, wanted a file: counter.user is set")
+
+
 def _plain(error: Exception) -> str:
     return (error.strerror if isinstance(error, OSError) else None) or "not UTF-8 text"
 
--- a/trackspread/counter/desk.py
+++ b/trackspread/counter/desk.py
@@ -10,7 +10,7 @@
 
 from ..decide.interface import Plan, RightsChanged, Settings
 from .terms import GUARANTEED, Call, Reply, Right, Terms
-from .tier import Out, Tier
+from .tier import Kept, Out, Tier
 
 Deed = Call | RightsChanged
 
@@ -27,15 +27,18 @@
     if not needs:
         return None
     rate, burst = (plan.rate, plan.burst) if plan.rate else (plan.ceiling_rate, plan.ceiling_burst)
-    return Terms(rate, burst / rate if rate else 0.0, min(1.0, max(needs)), slots)
+    return Terms(rate, burst, min(1.0, max(needs)), slots, plan.open_limit > 0)
 
 
 class Desk:
     """`before` each request, `wanted` for each `WantRights`, `tick` when `due`; `answered`, `failed`."""
 
-    def __init__(self, settings: Settings, partitions: int, incarnation: int, seed: int, now: int) -> None:
+    def __init__(
+        self, settings: Settings, partitions: int, incarnation: int, seed: int, now: int, store: Kept
+    ) -> None:
+        """`store`: the module's `Quota.kept`, which is asked whenever a word goes out."""
         self._settings, self._plans = settings, settings.plans
-        self.tier = Tier(settings.position, settings.gateways, partitions, incarnation, seed, now)
+        self.tier = Tier(settings.position, settings.gateways, partitions, incarnation, seed, now, store)
         self._terms: dict[tuple[int, int, int], Terms | None] = {}
         self._index: dict[int, int] = {}  # by customer: of its plan
 
@@ -80,7 +83,9 @@
                 made.append(each)
             elif each.member in self._index:
                 plan = self._index[each.member]
-                made.append(RightsChanged(each.member, plan, each.soft, each.hard, each.gift, each.more))
+                made.append(RightsChanged(
+                    each.member, plan, each.soft, each.hard, each.places, each.taken, each.level, each.more
+                ))
                 if each.member not in self.tier.holdings:
                     del self._index[each.member]
         return made
--- a/trackspread/counter/holding.py
+++ b/trackspread/counter/holding.py
@@ -5,7 +5,9 @@
   who claim at once the later sees both. No transaction is needed.
 - Lowered here first, told afterwards; raised only after the answer. A call whose answer was lost changes
   nothing here, whatever it did there.
-- A raise counts for a quota at once, for a ceiling only when it is proven: every other gateway has shown two
+- A quota is soft: each keeps the whole store less the even slices of who is silent, and takes off what others
+  say that they spent. Until told, one may spend what another has: a part of the burst (`TOLD`), never twice.
+- A ceiling is hard: its raise counts only when it is proven: every other gateway has shown two
   beats since, or has been silent until it can hold its even slice alone, and a further look shows that all
   claims still fit. By then whoever held something that the counter has lost has written it anew.
 - What others said is not forgotten because the counter forgot it: a claim that is gone, or that went back to
@@ -18,23 +20,36 @@
 
 from __future__ import annotations
 
+from collections import deque
+from dataclasses import dataclass
 from math import exp
 
 from .allot import allot, desired
 from .terms import (
-    EPSILON, FIRST, FLOOR, GUARANTEED, IDLE, KEPT, OUT, PROVE, RENEW, SECOND, TURN_MS, Claim, Reply, Terms,
-    even, pack_claim, unpack_claim,
+    EPSILON, FIRST, FLOOR, GUARANTEED, IDLE, KEPT, OUT, PROVE, RENEW, SECOND, TOLD, TURN_MS, Claim, Reply,
+    Terms, even, pack_claim, unpack_claim,
 )
 from .witness import Witness
 
-MEMORY = 2 * SECOND  # ns, time constant of what is asked for here: steady over a renewal, followed within two
+MEMORY = 6 * SECOND // 10  # ns, time constant of what is asked for here: followed within two renewals
 SHORT = RENEW // 4  # ns between words while something is wanted that is not had
 CHANGE = 0.05  # of a share by which what is fair must differ before anything moves
+STEPS_MOST = 6  # raises of a ceiling's share that wait for their proof; more are one
+WRITTEN = 1e-6  # of a share: claims are written as floats of four bytes
 WANT_LEAST = 0.01  # units a second below which nothing is asked for any more
 
 
+@dataclass(slots=True)
+class Step:
+    """A raise that is not proven: up to `share`, claimed `at`, with the beats seen until then."""
+
+    share: float
+    at: int
+    marks: dict[int, int]
+
+
 class Holding:
-    """`soft` and `hard`: shares that were claimed and may be used, of a quota and of a ceiling's pool."""
+    """`soft` and `hard`: shares of a ceiling's pool that were claimed, and of these what may be used."""
 
     def __init__(self, member: int, terms: Terms, slot: int, now: int) -> None:
         self.member, self.slot = member, slot
@@ -44,14 +59,15 @@
         self._heard: dict[int, int] = {}  # when each was last read as it is
         self._number = 0
         self.want, self.asked, self.asked_at, self.last = 0.0, 0.0, now, now
-        self.raised_at = now
-        self.marks: dict[int, int] = {}
-        self.lowered = 0  # ms of the counter's clock
+        self._steps: deque[Step] = deque()  # raises that are not proven, the oldest first
         self.clock, self.read_at = 0, -RENEW
         self.due = now  # when the next word is due
-        self.proving = False  # whether the call that is out may prove the raise
-        self.gift = 0.0  # of the quota's burst, not handed over yet
-        self.short = False  # asked for more since the last word
+        self.proving = 0.0  # the share that the call that is out may prove
+        self.known = False  # whether a word of this holding was answered
+        self.taken = 0.0  # units that others spent, not handed over yet
+        self.level: float | None = None  # what they know of the quota's store, not handed over yet
+        self.spent, self._base = 0.0, -1.0  # units spent here; the module's own count of them
+        self._since = 0.0  # units asked for since the last word
 
     def change(self, terms: Terms) -> None:
         """Other figures from now on. The share stays: it is one of whatever the figures are."""
@@ -62,13 +78,16 @@
     # What is asked for.
 
     def ask(self, now: int, units: float) -> None:
-        self.asked, self.last = self.asked + units, now
+        self.asked, self.last, self._since = self.asked + units, now, self._since + units
+        if self._since >= self.terms.burst * TOLD and self.known:
+            self.due = min(self.due, self.read_at + SHORT)
 
     def rate(self, now: int) -> float:
         """Units a second asked for here; a first request stands for one second of it."""
         span = now - self.asked_at
         if span >= SECOND // 10 or not self.want:
-            fresh = self.asked * SECOND / max(span, SECOND)
+            fresh = self.asked * SECOND / (span if self.want else max(span, SECOND))
+            fresh = min(fresh, self.terms.rate)  # more would say no more, and be remembered for longer
             left = exp(-span / MEMORY) if self.want else 0.0
             self.want = self.want * left + fresh * (1.0 - left)
             self.asked, self.asked_at = 0.0, now
@@ -97,7 +116,7 @@
         total = 0.0
         for slot, claim in self.others.items():
             known = witness.seen.get(slot)
-            dead = known is not None and claim.incarnation == known.former != 0
+            dead = known is not None and claim.incarnation < known.beat.incarnation
             if slot not in witness.quiet and not dead:
                 total += claim.share
         return total
@@ -119,47 +138,66 @@
 
     def _lower(self, name: str, share: float) -> None:
         setattr(self, name, share)
+        self.hard = min(self.hard, self.soft)
+        while self._steps and self._steps[-1].share > self.soft + EPSILON:
+            last = self._steps.pop()
+            if not self._steps or self._steps[-1].share < self.soft - EPSILON:
+                self._steps.append(Step(self.soft, last.at, last.marks))
+                break
         self.due = min(self.due, self.read_at)  # to be told at once
-        self.lowered = max(self.lowered, self.clock)
 
-    def usable(self, now: int, witness: Witness) -> tuple[float, float]:
-        """Shares of quota and ceiling that may be spent from now on, until anything changes."""
-        if witness.own(now) and (now - self.read_at <= KEPT or not self.soft):
+    def usable(self, now: int, witness: Witness) -> tuple[float, float, float]:
+        """Shares of quota, ceiling and open attempts that may be used from now on, until anything changes."""
+        own = witness.own(now) and (now - self.read_at <= KEPT or not self.soft)
+        if own:
             self.fit(witness)
-            soft, hard = self.soft, self.hard
+            places, hard = self.soft, self.hard
         elif witness.even_due(now):
-            soft = hard = self.even
+            places = hard = self.even
         else:  # also where its own word on this member is too old: what vanished may be another's by now
-            soft, hard = min(self.soft, self.even), min(self.hard, self.even)
-        hard = GUARANTEED * self.even + (1.0 - GUARANTEED) * hard
-        return max(soft, FLOOR * self.even), hard
+            places, hard = min(self.soft, self.even), min(self.hard, self.even)
+        if own and self.known:
+            soft = 1.0 - sum(share for slot, share in self._evens.items() if slot in witness.quiet)
+        else:
+            soft = self.even * (FLOOR if own else 1.0)
+        return max(0.0, soft), GUARANTEED * self.even + (1.0 - GUARANTEED) * hard, places
 
     # Words with the counter.
 
-    def word(self, now: int, witness: Witness) -> bytes:
-        """What to write now; it counts once it was answered."""
-        self.due, self.short = now + RENEW, False
+    def word(self, now: int, witness: Witness, sent: float, level: float) -> bytes:
+        """What to write now; it counts once it was answered. `sent`: units of the quota that the module has
+        spent here, counted from whenever; `level`: in its store."""
+        self.due, self._since = now + RENEW, 0.0
+        if self._base >= 0.0:
+            # A count that went back was begun anew, after the module had forgotten the member.
+            self.spent += sent - self._base if sent >= self._base else sent
+        self._base = sent
         want = 0.0 if self.idle(now) else self.rate(now)
         if not witness.own(now):
             # Back from a loss: what is used now is written down before anybody hears that this one lives.
             held = self.even if witness.even_due(now) else min(self.hard, self.even)
             self.soft = self.hard = self.said = held
-            self.proving = False
+            self._steps.clear()
         else:
             self.fit(witness)
             self._aim(now, witness, want)
-            self.proving = (
-                self.hard < self.soft - EPSILON and now - self.raised_at >= PROVE
-                and witness.beaten(self.marks)
-            )
+        ripe = [step.share for step in self._steps
+                if now - step.at >= PROVE and witness.beaten(step.marks)]
+        self.proving = max(ripe, default=0.0)
         self._number = max(self._number + 1, now)  # by the clock: a member that comes again goes on
-        return pack_claim(Claim(witness.incarnation, self._number, self.said, want, self.lowered))
+        if not self.known:
+            level = self.terms.burst  # nothing is known of it here
+        clock = witness.clock(now)
+        return pack_claim(Claim(
+            witness.incarnation, self._number, self.said, want, self.spent, level, clock if self.known else 0
+        ))
 
     def _aim(self, now: int, witness: Witness, want: float) -> None:
         budget = max(0.0, 1.0 - self.reserved(witness))
         seen = {slot: claim for slot, claim in self.others.items() if slot not in witness.quiet}
         wants = {slot: claim.want for slot, claim in seen.items()}
-        fair = allot(self.member, self.terms, {**wants, self.slot: want}, budget, self.clock // TURN_MS)
+        turn = self.clock // TURN_MS
+        fair = allot(self.member, self.terms, self._evens, {**wants, self.slot: want}, budget, turn)
         mine, room = fair.get(self.slot, 0.0), self.free(witness)
         unmet = any(claim.share < fair.get(slot, 0.0) * (1.0 - CHANGE) for slot, claim in seen.items())
         if not want:
@@ -168,25 +206,28 @@
         if mine < held * (1.0 - CHANGE) and (unmet or not want):
             self.said = mine
             self._lower("soft", mine)
-            self.hard = min(self.hard, mine)
             self.due = now + RENEW
         elif mine > held * (1.0 + CHANGE):
             first = not self.others and not held
             self.said = max(held, min(mine, room * FIRST if first and room > mine else room))
-            if first:
+            if first and mine:
                 self.said = max(self.said, min(room, max(self.terms.least, FIRST * room)))
         else:
             self.said = held
-        if 0.0 < self.said < self.terms.least - EPSILON and self.terms.least <= 1.0:
-            self.said = held if held >= self.terms.least else 0.0  # it would not hold a request
+        least = self.terms.least - WRITTEN
+        if 0.0 < self.said < least:
+            self.said = held if held >= least else 0.0  # it would not hold a request
+        if self.said < self.soft:
+            self._lower("soft", self.said)
+            self.due = now + RENEW
 
     def told(self, now: int, sent: int, said: float, reply: Reply, witness: Witness) -> None:
         """The answer to a word that claimed `said`, sent at `sent`."""
         claims = {slot: claim for slot, data in reply.fields.items()
                   if slot != self.slot and (claim := unpack_claim(data)) is not None}
-        known = bool(claims) or self.slot in reply.fields
-        age = self._free_for(reply, claims) if known else 0
-        first = not claims and not self.lowered and not self.soft
+        if not self.known:
+            self.known, self.level = True, self._told_level(now, reply, witness, claims)
+            self.due = min(self.due, now + SHORT)
         self._merge(sent, claims, witness)
         self.clock, self.read_at = reply.clock, sent
         if not witness.own(now):
@@ -196,44 +237,55 @@
         if said > before + EPSILON:
             self.soft = max(before, min(said, room))
             if self.soft > before + EPSILON:
-                self.raised_at, self.marks = now, witness.marks()
-                fill, sound = self.terms.fill_s, witness.state(now) == "sound"
-                full = sound and now - witness.token_since > fill * SECOND
-                idle = 1.0 if first else min(1.0, age / 1000 / max(fill, 1e-3))
-                self.gift += (self.soft - before) * idle * full
-        elif self.proving and said <= room + EPSILON:
-            self.hard = max(self.hard, min(self.soft, said))
-        elif said > room + EPSILON and self.soft > self.hard:
+                if len(self._steps) >= STEPS_MOST:
+                    self._steps.pop()
+                self._steps.append(Step(self.soft, now, witness.marks()))
+        if min(self.soft, self.proving) <= room + EPSILON:
+            self.hard = max(self.hard, min(self.soft, self.proving))
+            while self._steps and self._steps[0].share <= self.hard + EPSILON:
+                self._steps.popleft()
+        if said > room + EPSILON and self.soft > self.hard:
             # More is claimed than there is: who has not proven his part gives way.
             self._lower("soft", max(self.hard, min(self.soft, room)))
         if self.soft < said - EPSILON:
             self.said, self.due = self.soft, now + SHORT
-        self.proving = False
+        self.proving = 0.0
         if self.wanting(now):
             self.due = min(self.due, now + SHORT)
 
+    def _told_level(
+        self, now: int, reply: Reply, witness: Witness, claims: dict[int, Claim]
+    ) -> float:
+        """The quota's store by the word of those who knew it, filled since; where nobody did, what it filled
+        by since this counter is known."""
+        own = reply.fields.get(self.slot)
+        words = [*claims.values(), *([mine] if own is not None and (mine := unpack_claim(own)) else [])]
+        rate, burst = self.terms.rate, self.terms.burst
+        levels = [claim.level + rate * max(0, reply.clock - claim.clock) / 1000
+                  for claim in words if claim.clock]
+        levels = levels or [rate * (now - witness.token_since) / SECOND]
+        return max(-burst, min(burst, *levels))
+
     def _merge(self, sent: int, claims: dict[int, Claim], witness: Witness) -> None:
         for slot, claim in claims.items():
-            known = self.others.get(slot)
-            if known is not None and slot in witness.seen:
-                older = claim.incarnation == known.incarnation and claim.number < known.number
-                if older or claim.incarnation == witness.seen[slot].former != 0:
-                    continue
+            known, seen = self.others.get(slot), witness.seen.get(slot)
+            if seen is not None and claim.incarnation < seen.beat.incarnation:
+                continue
+            if known is not None and claim.incarnation < known.incarnation and slot not in witness.gone:
+                continue
+            if known is not None and claim.incarnation == known.incarnation:
+                if claim.number < known.number:
+                    continue  # what a lagging replica or a healed half brings up again
+                # A count that went back was begun anew, after that gateway had given the member up.
+                grown = claim.spent - known.spent
+                self.taken += grown if grown >= 0.0 else claim.spent
+            elif self._heard or self.level is None:
+                self.taken += claim.spent  # begun since the last word; the level told covers what was before
             self.others[slot], self._heard[slot] = claim, sent
         for slot in [slot for slot, at in self._heard.items() if sent - at > OUT]:
             del self.others[slot], self._heard[slot]
 
-    def _free_for(self, reply: Reply, claims: dict[int, Claim]) -> int:
-        """ms for which what is free now has been so."""
-        last = max([self.lowered, *(claim.lowered for claim in claims.values())])
-        return max(0, reply.clock - last) if last else reply.clock
-
     def wanting(self, now: int) -> bool:
         """Whether more would be taken than is held."""
-        return self.soft < desired(self.terms, self.want) * (1.0 - CHANGE) or self.hard < self.soft - EPSILON
-
-    def shortly(self, now: int) -> None:
-        """A request found too little: the next word is due now, unless one has just been had."""
-        self.short = True
-        if now - self.read_at >= SHORT:
-            self.due = min(self.due, now)
+        needed = desired(self.terms, self.want, self.even)
+        return self.soft < needed * (1.0 - CHANGE) or self.hard < self.soft - EPSILON
--- /dev/null
+++ b/trackspread/counter/host.py
@@ -0,0 +1,109 @@
+"""The desk on sockets: its calls to servers, its ticks from the loop, its events to the module.
+
+May know: desk, routes, links. Decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from ..decide.interface import RightsChanged
+from .commands import Command, CounterError, Refused, commands, reply
+from .desk import Deed, Desk
+from .link import Access, Link
+from .routes import Routes, Server
+from .terms import SECOND, Call
+
+REFRESH = 0.5  # s at least between looks at a cluster's map
+LINKS_MOST = 128  # servers that are spoken to: a cluster that names more is not followed further
+
+
+class CounterHost:
+    """`events` takes what the module is to be told."""
+
+    def __init__(
+        self, desk: Desk, routes: Routes, access: Access, prefix: str, slot: int, now: Callable[[], int],
+        events: Callable[[RightsChanged], None],
+    ) -> None:
+        self.desk, self.routes = desk, routes
+        self._access, self._prefix, self._slot, self._now, self._events = access, prefix, slot, now, events
+        self._links: dict[Server, Link] = {}
+        self._token = secrets.token_hex(8).encode()  # for a counter that has none yet
+        self._timer: asyncio.TimerHandle | None = None
+        self._asked_at = -REFRESH
+
+    def start(self) -> None:
+        for server in self.routes.servers:
+            self._link(server)
+        self._tick()
+
+    async def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        for link in self._links.values():
+            await link.close()
+
+    def do(self, deeds: list[Deed]) -> None:
+        for deed in deeds:
+            if isinstance(deed, Call):
+                server = self.routes.server(deed.partition)
+                self._send(deed, server, commands(deed, self._prefix, self._slot, self._token), 0)
+            else:
+                self._events(deed)
+
+    def _tick(self) -> None:
+        self.do(self.desk.tick(self._now()))
+        loop = asyncio.get_running_loop()
+        if self.routes.stale and loop.time() - self._asked_at >= REFRESH:
+            self._asked_at = loop.time()
+            ready = [link for link in self._links.values() if link.ready]
+            if ready:
+                ready[0].send([(b"CLUSTER", b"SLOTS")], self._mapped)
+        wait = max(0.0, (self.desk.due - self._now()) / SECOND)
+        self._timer = loop.call_later(wait, self._tick)
+
+    def _mapped(self, replies: list[Any] | None) -> None:
+        if replies is not None and not isinstance(replies[0], Refused):
+            self.routes.learn(replies[0])
+
+    def _link(self, server: Server) -> Link | None:
+        link = self._links.get(server)
+        if link is None and len(self._links) < LINKS_MOST:
+            link = self._links[server] = Link(server, self._access, partial(self.routes.lost, server))
+            link.start()
+        return link
+
+    def _send(self, call: Call, server: Server, words: list[Command], tries: int) -> None:
+        link = self._link(server)
+        if link is None:
+            asyncio.get_running_loop().call_soon(self._done, call, server, words, tries, None)
+            return
+        link.send(words, partial(self._done, call, server, words, tries))
+
+    def _done(
+        self, call: Call, server: Server, words: list[Command], tries: int, replies: list[Any] | None
+    ) -> None:
+        if replies is None:
+            self.do(self.desk.failed(self._now(), call.number))
+            return
+        if words and words[0] == (b"ASKING",):
+            replies = replies[1::2]
+            words = words[1::2]
+        refused = next((each for each in replies if isinstance(each, Refused)), None)
+        if refused is not None and tries < 2:
+            further = self.routes.redirected(call.partition, refused, server)
+            if further is not None:
+                to, asking = further
+                again = [each for word in words for each in ((b"ASKING",), word)] if asking else words
+                self._send(call, to, again, tries + 1)
+                return
+        try:
+            told = reply(call, replies)
+        except CounterError:
+            self.do(self.desk.failed(self._now(), call.number))
+        else:
+            self.do(self.desk.answered(self._now(), call.number, told))
--- /dev/null
+++ b/trackspread/counter/report.py
@@ -0,0 +1,83 @@
+"""What an operator is told of one member at one gateway. Plain values; decides nothing."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..decide.state import Account
+from .terms import SECOND, partition_of
+from .tier import Tier
+
+SOURCES = {
+    "sound": "the counter",
+    "doubted": "the counter, as last heard",
+    "split": "the counter, less the even slices of gateways that are not seen",
+    "lost": "this gateway's even slice",
+    "rebuilding": "the counter, being written anew",
+}
+
+
+class Other(msgspec.Struct, frozen=True):
+    """Another gateway's claim, as last read."""
+
+    gateway: int
+    share: float
+    want: float
+    seen_s: float  # since it was known to live; negative: never seen
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Shares are of the whole; levels and rates are in units and units a second."""
+
+    member: str
+    partition: int
+    state: str
+    source: str
+    replaced: int
+    held: bool
+    soft: float = 0.0
+    hard: float = 0.0
+    claimed: float = 0.0
+    proven: float = 0.0
+    even: float = 0.0
+    want: float = 0.0
+    plan: str = ""
+    level: float = 0.0
+    burst: float = 0.0
+    rate: float = 0.0
+    ceiling: float = 0.0
+    ceiling_burst: float = 0.0
+    open: int = 0
+    open_most: int = 0
+    cap: int = 0
+    refused_for: str = ""
+    others: tuple[Other, ...] = ()
+
+
+def report(now: int, tier: Tier, member: int, account: Account | None) -> Report:
+    """`account`: the module's, filled until now; None where no request of the member came here."""
+    partition = partition_of(member, tier.partitions)
+    witness = tier.parts[partition].witness
+    witness.look(now)
+    state, held = witness.state(now), tier.holdings.get(member)
+    made = Report(f"{member & (1 << 64) - 1:016x}", partition, state, SOURCES[state], witness.replaced,
+                  held is not None)
+    if held is not None:
+        others = tuple(
+            Other(slot, claim.share, claim.want,
+                  witness.age(now, slot) / SECOND if slot in witness.seen else -1.0)
+            for slot, claim in sorted(held.others.items())
+        )
+        made = msgspec.structs.replace(
+            made, claimed=held.soft, proven=held.hard, even=held.even, want=held.want, others=others
+        )
+    if account is not None:
+        plan = account.plan
+        made = msgspec.structs.replace(
+            made, soft=account.soft, hard=account.hard, plan=plan.name, level=account.level,
+            burst=plan.burst * account.soft, rate=plan.rate * account.soft, ceiling=account.ceiling,
+            ceiling_burst=plan.ceiling_burst * account.hard, open=account.open,
+            open_most=int(plan.open_limit * account.places + 1e-6), cap=account.cap,
+            refused_for=account.refused_for,
+        )
+    return made
--- a/trackspread/counter/terms.py
+++ b/trackspread/counter/terms.py
@@ -25,6 +25,7 @@
 IDLE = 5 * SECOND  # ns without a request after which a right is given back
 GUARANTEED = 0.5  # part of a ceiling that is never pooled: each gateway's at once, whatever the counter says
 FLOOR = 0.25  # part of an even slice of a quota that is usable before any word: a quota is soft
+TOLD = 0.25  # part of a quota's burst that may be asked for here before others are told
 HEADROOM = 2.0  # a claim over what is asked for: bursts pass without a call
 FIRST = 0.5  # part of what is free that a first claim takes: it leaves some for who comes next
 TURN_MS = 2_000  # ms, of the counter's clock, after which those who can't all hold a right change places
@@ -35,27 +36,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """One member: `rate`, units a second, of its quota or else its ceiling; `fill_s`, s in which its store
-    fills; `least`, the share that holds one request; `slots`, gateways that its requests come to."""
+    """One member: `rate`, units a second, and `burst` of its quota, or else of its ceiling; `least`, the
+    share that holds one request; `slots`, gateways that its requests come to; `places`, whether open attempts
+    are limited, of which nothing is guaranteed."""
 
     rate: float
-    fill_s: float
+    burst: float
     least: float
     slots: tuple[int, ...]
+    places: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """What a gateway says of a member: the share it holds, what it is asked for, and when it last let go.
+    """What a gateway says of a member: the share of its ceiling that it holds, what it is asked for, and what
+    it knows of the quota's one store.
 
+    `incarnation`: ms of its machine's clock when it started, so that of two lives the later is known.
     `number` grows with each word, also over a holding that was given up. `share`: of rate and burst. `want`:
-    units a second. `lowered`: ms of the counter's clock."""
+    units a second. `spent`: units of the quota, since this holding began. `level`: units in the store, as
+    known at `clock`, ms of the counter's."""
 
     incarnation: int
     number: int
     share: float
     want: float
-    lowered: int
+    spent: float
+    level: float
+    clock: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,11 +76,12 @@
     clock: int
 
 
-_CLAIM, _BEAT = struct.Struct("<IQffQ"), struct.Struct("<IQQ")
+_CLAIM, _BEAT = struct.Struct("<QQffdfQ"), struct.Struct("<QQQ")
 
 
 def pack_claim(claim: Claim) -> bytes:
-    return _CLAIM.pack(claim.incarnation, claim.number, claim.share, claim.want, claim.lowered)
+    return _CLAIM.pack(claim.incarnation, claim.number, claim.share, claim.want, claim.spent, claim.level,
+                       claim.clock)
 
 
 def unpack_claim(data: bytes) -> Claim | None:
@@ -80,8 +89,8 @@
     if len(data) != _CLAIM.size:
         return None
     claim = Claim(*_CLAIM.unpack(data))
-    sound = isfinite(claim.want) and claim.want >= 0.0 and 0.0 <= claim.share <= 1.0 + 1e-6
-    return claim if sound else None
+    sound = isfinite(claim.want) and isfinite(claim.level) and isfinite(claim.spent) and claim.spent >= 0.0
+    return claim if sound and claim.want >= 0.0 and 0.0 <= claim.share <= 1.0 + 1e-6 else None
 
 
 def pack_beat(beat: Beat) -> bytes:
@@ -114,13 +123,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Right:
-    """From now on: `soft` of a quota, `hard` of a ceiling; `gift`, of the quota's burst, comes along once.
-    `more`: a raise is under way, so that it may pay to hold a request a moment."""
+    """From now on: `soft` of a quota's rate and burst, `hard` of a ceiling's, `places` of the limit on open
+    attempts. `taken`: units of the quota that others spent, to be taken off once. `level`: what others know
+    of the quota's store, in place of what is known here; None where that stands. `more`: the first word is on
+    its way, so that it pays to hold a request a moment."""
 
     member: int
     soft: float
     hard: float
-    gift: float
+    places: float
+    taken: float
+    level: float | None
     more: bool
 
 
--- a/trackspread/counter/tier.py
+++ b/trackspread/counter/tier.py
@@ -13,6 +13,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 
@@ -32,6 +33,7 @@
 NOTED = 1e-4  # change of a share that the module is told of
 
 Out = Call | Right
+Kept = Callable[[int], tuple[float, float]]  # of a member: units spent here, and in the quota's store
 
 
 @dataclass(slots=True)
@@ -61,7 +63,10 @@
     """`asked` before each request, `short` where it found too little, `tick` when `due`, `answered` and
     `failed` for each call. All give what is to be done, in order."""
 
-    def __init__(self, slot: int, slots: int, partitions: int, incarnation: int, seed: int, now: int) -> None:
+    def __init__(
+        self, slot: int, slots: int, partitions: int, incarnation: int, seed: int, now: int, store: Kept
+    ) -> None:
+        self._store = store
         self.slot, self.slots, self.partitions = slot, slots, partitions
         self._rng = random.Random(seed)
         self.parts = [
@@ -75,7 +80,7 @@
         self._sent: dict[int, Sent] = {}
         self._out: set[int] = set()  # members with a call out
         self._owed: set[int] = set()  # members for whom the module waits
-        self._told: dict[int, tuple[float, float]] = {}
+        self._told: dict[int, tuple[float, float, float]] = {}
         self._queue: list[tuple[int, int]] = []  # when due, member; those that moved are passed over
         self._numbers = 0
 
@@ -88,29 +93,25 @@
         if held is None:
             if len(self.holdings) >= MOST_MEMBERS:
                 share = even(member, terms, self.slot)
-                return [*out, Right(member, FLOOR * share, GUARANTEED * share, 0.0, False)]
+                return [*out, Right(member, FLOOR * share, GUARANTEED * share, 0.0, 0.0, None, False)]
             held = self._hold(now, member, terms)
         elif held.terms is not terms and held.terms != terms:
             held.change(terms)
+        due = held.due
         held.ask(now, units)
+        if held.due != due:
+            self._push(held)
         out += self._tell(now, held)
-        return out
+        return out + (self._members(now) if held.due <= now else [])
 
     def short(self, now: int, member: int) -> list[Out]:
-        """The module has too little for a request that it holds: one `Right` follows, now or soon."""
+        """The module has too little for a request that it holds: one `Right` follows, now or with the answer
+        to the first word on the member."""
         held = self.holdings.get(member)
         if held is None:
             return []
-        held.rate(now)
         self._owed.add(member)
-        if member not in self._out:
-            due = held.due
-            held.shortly(now)
-            if held.due != due:
-                self._push(held)
-            if not self._speaking(now, self._part(member)) or held.due > now:
-                return self._tell(now, held)
-        return self._members(now)
+        return self._members(now) + self._tell(now, held)
 
     def _hold(self, now: int, member: int, terms: Terms) -> Holding:
         held = self.holdings[member] = Holding(member, terms, self.slot, now)
@@ -181,7 +182,7 @@
                 self._push(held)
                 continue
             self._saved -= 1.0
-            value = held.word(now, part.witness)
+            value = held.word(now, part.witness, *self._store(member))
             out += self._tell(now, held)
             self._out.add(member)
             self.calls["members"] += 1
@@ -269,7 +270,7 @@
         held = self.holdings.get(member)
         if held is None:
             return []
-        held.proving = False
+        held.proving = 0.0
         held.due = now + SHORT + self._rng.randrange(SHORT)
         self._push(held)
         return self._tell(now, held)
@@ -279,21 +280,22 @@
     def _tell(self, now: int, held: Holding) -> list[Out]:
         witness = self._part(held.member).witness
         due = held.due
-        soft, hard = held.usable(now, witness)
+        soft, hard, places = held.usable(now, witness)
         if held.due != due and held.member in self.holdings:
             self._push(held)
-        old = self._told.get(held.member, (-1.0, -1.0))
-        owed = held.member in self._owed and held.member not in self._out
-        same = abs(soft - old[0]) < NOTED and abs(hard - old[1]) < NOTED
+        old = self._told.get(held.member, (-1.0, -1.0, -1.0))
+        more = not held.known and self._speaking(now, self._part(held.member))
+        owed = held.member in self._owed and not more
+        fresh = soft, hard, places
         # Less is told at once and to the last bit: the sum over all gateways rests on it.
-        if same and soft >= old[0] - EPSILON and hard >= old[1] - EPSILON and not held.gift and not owed:
+        same = all(was - EPSILON <= is_now < was + NOTED for was, is_now in zip(old, fresh, strict=True))
+        if same and not held.taken and held.level is None and not owed:
             return []
-        self._told[held.member] = soft, hard
-        gift, held.gift = held.gift, 0.0
+        self._told[held.member] = fresh
+        taken, level, held.taken, held.level = held.taken, held.level, 0.0, None
         if owed:
             self._owed.discard(held.member)
-        more = self._speaking(now, self._part(held.member)) and held.wanting(now)
-        return [Right(held.member, soft, hard, gift, more)]
+        return [Right(held.member, *fresh, taken, level, more)]
 
     def states(self, now: int) -> list[str]:
         """Of each partition, for people."""
--- a/trackspread/counter/witness.py
+++ b/trackspread/counter/witness.py
@@ -29,7 +29,6 @@
     beat: Beat
     since: int
     changes: int = 0
-    former: int = 0  # incarnation of the life before
 
 
 class Witness:
@@ -46,17 +45,21 @@
         self.token, self.token_since = b"", now
         self.replaced = 0  # times that another counter was found in its place
         self.trusting = False  # whether beats may be written: the counter's clock is read first
-        self._clock, self._clock_at = 0, now  # the counter's, in ms, and when it was told
+        self._clock, self._clock_at = 0, now  # the counter's, in ms, and when it was told: not before
         self.quiet: frozenset[int] = frozenset()  # not seen for `KEPT`, at the last look
         self.gone: frozenset[int] = frozenset()  # nor for `OUT`
         self.back: dict[int, int] = {}  # who is seen again, and since when: for `OUT`
         self._raw: dict[int, bytes] = {}  # the fields last read: most have not changed
         self._look_at = now  # until then nobody falls silent, nor is anybody back for long enough
 
+    def clock(self, now: int) -> int:
+        """The counter's, in ms, as far as is known."""
+        return self._clock + (now - self._clock_at) // MILLISECOND
+
     def beat(self, now: int) -> Beat:
         """The next sign of life; to be written now."""
         self.number, self.sent = self.number + 1, now
-        return Beat(self.incarnation, self.number, self._clock + (now - self._clock_at) // MILLISECOND)
+        return Beat(self.incarnation, self.number, self.clock(now))
 
     def failed(self) -> None:
         self.trusting = False
@@ -85,14 +88,13 @@
                 # It may have been written at any time, and come back with a heal: only changes are signs.
                 self.seen[slot], self._look_at = Seen(beat, self.first_read), now
                 continue
-            another, former = beat.incarnation != known.beat.incarnation, known.former
-            # What a lagging replica or a healed half brings up again says nothing new.
-            old = beat.incarnation == former if another else beat.number <= known.beat.number
-            if not old:
+            # What a lagging replica or a healed half brings up again, also of a former life, says nothing
+            # new; but where nobody lived for long, a life whose clock was set back is believed.
+            newer = (beat.incarnation, beat.number) > (known.beat.incarnation, known.beat.number)
+            if newer or (slot in self.gone and beat.incarnation != known.beat.incarnation):
                 written = sent - max(0, reply.clock - beat.clock) * MILLISECOND
                 since = max(known.since, min(self.read, written))
-                former = known.beat.incarnation if another else former
-                self.seen[slot] = Seen(beat, since, known.changes + 1, former)
+                self.seen[slot] = Seen(beat, since, known.changes + 1)
                 self._look_at = now if slot in self.quiet else self._look_at
         self.read = sent
 
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -184,6 +184,7 @@
             self._evaluate(now, account)
         self.quota.refill(now, account)
         if account.open >= account.cap or self._over_limit(now, density):
+            account.refused_for = "cap" if account.open >= account.cap else "pressure"
             return [self._refusal(a)]
         return self._within_quota(now, Open(a, account))
 
@@ -198,6 +199,7 @@
             if may and quota.book(account, a.units, pays):
                 return self._admit(now, request, knows)
             if not account.more or request.asked_at or a.valid_until - now < 4 * TICK:
+                account.refused_for = quota.lacking(now, account, a.units)
                 return [self._refusal(a)]
             quota.tag, request.asked_at = quota.tag + 1 & 0xFFFFFFFF, now
             self.held[quota.tag] = self.open[a.request] = request
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -238,16 +238,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RightsChanged:
-    """Shares of the customer's stores that are kept here from now on: `soft` of rate and burst of the quota
-    and of the limit on open attempts, `hard` of the ceiling; `gift`, of the quota's burst, comes along once.
+    """Shares of the customer's stores that are kept here from now on: `soft` of the quota, `hard` of the
+    ceiling, `places` of the limit on open attempts.
 
-    `more`: asking again may pay."""
+    `taken`: units that others spent of the quota, taken off once. `level`: of the quota's store as others
+    know it, in place of that here; None: that stands. `more`: word on it is coming: it pays to wait."""
 
     customer: int
     plan: int
     soft: float
     hard: float
-    gift: float
+    places: float
+    taken: float
+    level: float | None
     more: bool
 
 
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -92,9 +92,18 @@
         account.soft, account.hard = (event.soft, event.hard) if fresh else (account.soft, account.hard)
         self.refill(now, account)
         plan, account.soft, account.hard, account.more = account.plan, event.soft, event.hard, event.more
-        account.level = min(plan.burst * event.soft, account.level + plan.burst * event.gift)
+        account.places, level = event.places, account.level if event.level is None else event.level
+        # What others took came out of what found the store full here: it was not full for all of the time.
+        taken = event.taken - min(event.taken, account.over)
+        account.over *= not event.taken
+        account.level = max(-plan.burst, min(plan.burst * event.soft, level) - taken)
         account.ceiling = min(plan.ceiling_burst * event.hard, account.ceiling)
 
+    def kept(self, customer: int) -> tuple[float, float]:
+        """Units of the quota spent here so far, and in its store: what others are to be told."""
+        account = self.accounts.get(customer)
+        return (account.sent / 4, account.level) if account is not None else (0.0, 0.0)
+
     def replan(self, now: int, event: PlansChanged) -> None:
         """Other figures from now on, in every store that is kept here."""
         self.s = replace(self.s, plans=event.plans)
@@ -144,6 +153,9 @@
         dt, account.at = (now - account.at) / SECOND, now
         plan, share = account.plan, self.share(now, account) if self.gossip or self.rights else 1.0
         even = 1.0 / account.slices if account.slices else 0.0
+        if dt and self.rights:
+            full = account.level + plan.rate * share * dt - plan.burst * share
+            account.over = min(plan.rate, account.over + max(0.0, full))  # of a second: words come sooner
         if dt:
             account.level = min(plan.burst * share, account.level + plan.rate * share * dt)
         account.part = min(max(plan.burst * even, self.s.largest), account.part + plan.rate * even * dt)
@@ -155,10 +167,16 @@
         """The ceiling's slice, and open attempts: others' count while word is new, else an even slice."""
         limit, told = account.plan.open_limit, now - account.open_at < FRESH // 4
         most = ceil(limit / (1 if told else max(1, account.slices)))
-        most = int(limit * account.soft + 1e-6) if self.rights else most
+        most = int(limit * account.places + 1e-6) if self.rights else most
         few = not limit or account.open + told * account.others < most
         return few and (not account.plan.ceiling_rate or account.ceiling >= units)
 
+    def lacking(self, now: int, account: Account, units: float) -> str:
+        """Which limit does not let these units through here, for people."""
+        if account.plan.ceiling_rate and account.ceiling < units:
+            return "ceiling"
+        return "quota" if self.may(now, account, units) else "open limit"
+
     def book(self, account: Account, units: float, pays: bool) -> bool:
         within = not account.plan.rate or account.level >= units
         if not (within or pays) or (account.plan.ceiling_rate and account.ceiling < units):
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -80,7 +80,10 @@
     owed: float = 0.0  # to be added to the counter with the next call
     soft: float = 0.0  # shares of quota and ceiling kept here, as the host says
     hard: float = 0.0
+    places: float = 0.0
+    over: float = 0.0  # units of the quota that came to a full store since others' use was last told
     more: bool = False  # whether asking the host for more may pay
+    refused_for: str = ""  # which limit turned its last refused request away, where the host asks
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/trackspread/node/counted.py
@@ -0,0 +1,118 @@
+"""The gateway's side of the counter: settings to a host, requests to the desk, and what operators ask.
+
+May know: calls, configuration, the module's stores to show them. Decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import ssl
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+import msgspec
+
+from ..call import Call
+from ..config.addresses import ConfigError, address
+from ..config.operator import Counter
+from ..config.platform import Config
+from ..counter.desk import Desk
+from ..counter.host import CounterHost
+from ..counter.link import Access
+from ..counter.report import Report, report
+from ..counter.routes import Routes
+from ..decide.broker import Broker
+from ..decide.interface import Event
+
+log = logging.getLogger(__name__)
+
+LINE_MOST = 256  # bytes of a question
+ASKED_MOST = 5.0  # s that whoever asks may take
+
+
+def access(counter: Counter) -> Access:
+    """Raises `ConfigError`."""
+    context = None
+    try:
+        if counter.tls:
+            context = ssl.create_default_context(cafile=counter.ca or None)
+            if counter.certificate:
+                context.load_cert_chain(counter.certificate)
+        if counter.password:
+            with open(counter.password, "rb"):
+                pass
+    except (OSError, ssl.SSLError) as error:
+        raise ConfigError(f"counter.ca, counter.certificate or counter.password: {error}") from None
+    return Access(counter.user, counter.password, context)
+
+
+class Counted:
+    """What the gateway holds while a counter is shared."""
+
+    def __init__(
+        self, config: Config, counter: Counter, now: Callable[[], int], module: Broker,
+        handle: Callable[[Event], None],
+    ) -> None:
+        self._counter, self._now, self._module, self._settings = counter, now, module, config.settings
+        self._server: asyncio.Server | None = None
+        seed = config.seed ^ int.from_bytes(os.urandom(8))  # a name may start twice from one configuration
+        self.desk = Desk(
+            config.settings, counter.partitions, time.time_ns() // 1_000_000, seed, now(), module.quota.kept
+        )
+        routes = Routes(
+            [address(server, "counter.servers") for server in counter.servers], counter.cluster,
+            counter.prefix, counter.partitions,
+        )
+        slot = config.settings.position
+        self.host = CounterHost(self.desk, routes, access(counter), counter.prefix, slot, now, handle)
+
+    async def start(self) -> None:
+        self.host.start()
+        if path := self._counter.status:
+            with suppress(FileNotFoundError):
+                os.unlink(path)
+            self._server = await asyncio.start_unix_server(self._asked, path, limit=LINE_MOST)
+            os.chmod(path, 0o600)
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            with suppress(FileNotFoundError):
+                os.unlink(self._counter.status)
+        await self.host.close()
+
+    def before(self, call: Call) -> None:
+        self.host.do(self.desk.before(
+            self._now(), call.customer, call.plan, call.units, call.spread, call.first
+        ))
+
+    def wanted(self, customer: int) -> None:
+        self.host.do(self.desk.wanted(self._now(), customer))
+
+    # For operators.
+
+    def report(self, customer: int) -> Report:
+        now = self._now()
+        account = self._module.quota.accounts.get(customer)
+        if account is not None:
+            self._module.quota.refill(now, account)
+        return report(now, self.desk.tier, customer, account)
+
+    async def _asked(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One line with a member in hexadecimal digits; one line of JSON."""
+        try:
+            async with asyncio.timeout(ASKED_MOST):
+                line = (await reader.readline()).strip()
+                try:
+                    answer = msgspec.json.encode(self.report(int(line, 16)))
+                except ValueError:
+                    answer = b'{"error":"wanted a member, 16 hexadecimal digits"}'
+                writer.write(answer + b"\n")
+                await writer.drain()
+        except (OSError, TimeoutError, ValueError):
+            log.info("a question about a quota was not heard to its end")
+        finally:
+            writer.close()
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections import Counter
+from dataclasses import replace
 from itertools import count
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -32,6 +33,7 @@
     LogLine,
     Outcome,
     PeerMessage,
+    PlansChanged,
     Probe,
     Probed,
     Refuse,
@@ -40,6 +42,7 @@
     Tell,
     TimerFired,
     Topology,
+    WantRights,
     Watch,
 )
 from ..fronts.connections import Clients, Slot
@@ -50,6 +53,7 @@
 from ..usage.record import Ending
 
 if TYPE_CHECKING:
+    from .counted import Counted
     from .planned import PlanBook
     from .uses import Uses
 
@@ -81,6 +85,8 @@
     """One running gateway."""
 
     def __init__(self, config: Config, operator: Operator = DEFAULTS) -> None:
+        if operator.counter.servers:
+            config = replace(config, settings=replace(config.settings, rights=True))
         self.config, self.operator = config, operator
         self._loop = asyncio.get_running_loop()
         self.now = monotonic_unix_ns()
@@ -106,6 +112,7 @@
         )
         self.book = self._book()
         self.uses = self._uses()
+        self.counted = self._counted()
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
         index = None
         if config.known is not None:
@@ -125,7 +132,7 @@
             return None
         from .planned import PlanBook  # not needed otherwise: it takes memory
 
-        return PlanBook(Path(self.operator.plans.book), self.config, self._handle)
+        return PlanBook(Path(self.operator.plans.book), self.config, self._replanned)
 
     def _uses(self) -> Uses | None:
         """Where use is recorded; raises `ConfigError`."""
@@ -135,6 +142,19 @@
 
         return Uses(self.config, self.operator.use, self.now)
 
+    def _counted(self) -> Counted | None:
+        """Where a shared counter says what is kept here; raises `ConfigError`."""
+        if not self.operator.counter.servers:
+            return None
+        from .counted import Counted  # not needed otherwise: it takes memory
+
+        return Counted(self.config, self.operator.counter, self.now, self.module, self._handle)
+
+    def _replanned(self, event: PlansChanged) -> None:
+        if self.counted is not None:
+            self.counted.desk.replan(event.plans)
+        self._handle(event)
+
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
         if self.config.peer_listen is not None and self.config.settings.may_message:
@@ -144,6 +164,8 @@
             self.uses.start()
         if self.book is not None:
             self.book.start()
+        if self.counted is not None:
+            await self.counted.start()
         self._teller = self._loop.call_later(self.operator.log.tally_s, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
@@ -174,11 +196,13 @@
             self._teller.cancel()
         await self.discovery.close()
         self.backends.close()
-        if settings.may_message and settings.gateways > 1:
+        if settings.may_message and settings.gateways > 1 and not settings.rights:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
             await asyncio.sleep(max(0.0, end - self._loop.time()))
         self.peers.close()
+        if self.counted is not None:
+            await self.counted.close()
         if self.uses is not None:
             await self.uses.stop()
 
@@ -229,6 +253,8 @@
         self._ids.add(call.id)
         slot.request = number
         self._requests[number] = request
+        if self.counted is not None:
+            self.counted.before(call)
         self._handle(
             Arrival(number, call.cls, call.plan, call.customer, valid_until, call.units, call.spread,
                     call.first, call.options),
@@ -354,6 +380,8 @@
                 request = self._requests.get(number)
                 if request is not None and (attempt := request.out.get(index)) is not None:
                     self._loop.call_soon(self._cancel, attempt)
+            case WantRights(customer) if self.counted is not None:
+                self.counted.wanted(customer)
             case CloseIdle(backend):
                 self.backends.close_idle(backend)
             case LogLine(text):
--- a/trackspread/standins/counter.py
+++ b/trackspread/standins/counter.py
@@ -66,7 +66,7 @@
         self.read_only = ""  # the same for those that write
         self.password = b""
         self.run = 1
-        self.calls = 0
+        self.calls = self.looks = 0  # commands, and TIME alone: one ends each call of a gateway
         self._snapshots: deque[tuple[int, State]] = deque(maxlen=KEPT)
 
     # What goes wrong.
@@ -104,6 +104,7 @@
     def execute(self, gateway: int, words: tuple[bytes, ...], now: int, asking: bool = False) -> Any:
         """One command; `now` in ms. Replies: int, bytes, None, Simple, Failure, list, dict."""
         self.calls += 1
+        self.looks += words[0] == b"TIME"
         if not self._snapshots or now - self._snapshots[-1][0] >= SNAPSHOT_MS:
             self._snapshots.append((now, self.states[0].copy()))
         name = words[0].upper()
--- a/trackspread/virtual/counted.py
+++ b/trackspread/virtual/counted.py
@@ -149,9 +149,11 @@
             plant.plan(), position=number, gateways=plant.gateways, may_message=False, rights=True,
         )
         seed = self.rng.getrandbits(32)
+        module = Broker(settings, seed, now)
+        life = (now - START) // MILLISECOND + 1
+        desk = Desk(settings, plant.partitions, life, seed, now, module.quota.kept)
         made = Gateway(
-            number, 1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART), now,
-            Desk(settings, plant.partitions, seed, seed, now), Broker(settings, seed, now),
+            number, 1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART), now, desk, module,
         )
         entries = tuple(Backend(n, 0, 0, 0, Health.READY, 1.0, 0) for n in (1, 2, 3))
         self._handle(made, Topology(ListKind.FULL, 1, entries))
--- /dev/null
+++ b/trackspread/virtual/counted_mutants.py
@@ -0,0 +1,197 @@
+"""The counter's tier with one fault each, for the invariant, the account and calm worlds to convict.
+
+Each breaks one rule that stands at the top of a file of `counter/`, by a patch that is taken back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+from unittest.mock import patch
+
+from ..counter import holding, tier, witness
+from ..counter.holding import Holding
+from ..counter.terms import KEPT, SECOND, Claim, Reply
+from ..counter.tier import Part, Tier
+from ..counter.witness import Witness
+from . import counted_schedules as schedules
+from .patches import held
+
+
+def _proof_not_awaited() -> list[Any]:
+    """A raise of a ceiling counts with the answer that shows room."""
+    real = Holding.told
+
+    def mutant(self: Holding, *words: Any) -> None:
+        real(self, *words)
+        self.hard = max(self.hard, self.soft)
+
+    return [patch.object(Holding, "told", mutant)]
+
+
+def _proof_without_beats() -> list[Any]:
+    return [patch.object(Witness, "beaten", lambda self, marks: True)]
+
+
+def _proof_without_time() -> list[Any]:
+    return [patch.object(holding, "PROVE", 0)]
+
+
+def _fresh_counter_trusted() -> list[Any]:
+    """What the counter has lost is forgotten here too."""
+    real = Holding._merge
+
+    def mutant(self: Holding, sent: int, claims: dict[int, Claim], seen: Witness) -> None:
+        real(self, sent, claims, seen)
+        self.others = {slot: claim for slot, claim in self.others.items() if slot in claims}
+        self._heard = {slot: at for slot, at in self._heard.items() if slot in claims}
+
+    return [patch.object(Holding, "_merge", mutant), patch.object(holding, "PROVE", 0)]
+
+
+def _silent_forgotten() -> list[Any]:
+    """Even slices of those who fell silent are handed out."""
+    return [patch.object(Holding, "reserved", lambda self, seen: 0.0)]
+
+
+def _not_fitted() -> list[Any]:
+    return [patch.object(Holding, "fit", lambda self, seen: None)]
+
+
+def _even_at_once() -> list[Any]:
+    """Up to the even slice as soon as the counter is lost."""
+    return [patch.object(Witness, "even_due", lambda self, now: True)]
+
+
+def _beats_after_a_failure() -> list[Any]:
+    return [patch.object(Witness, "failed", lambda self: None)]
+
+
+def _beat_before_writing_back() -> list[Any]:
+    real = Tier._beat
+
+    def mutant(self: Tier, now: int, index: int, part: Part) -> Any:
+        part.unwritten.clear()
+        return real(self, now, index, part)
+
+    return [patch.object(Tier, "_beat", mutant)]
+
+
+def _alive_by_the_last_look() -> list[Any]:
+    """A beat counts from when it was seen, not from when it can have been written."""
+    real = Witness.answered
+
+    def mutant(self: Witness, now: int, sent: int, wrote: bool, reply: Reply) -> None:
+        before = {slot: seen.changes for slot, seen in self.seen.items()}
+        real(self, now, sent, wrote, reply)
+        for slot, seen in self.seen.items():
+            if seen.changes > before.get(slot, seen.changes):
+                seen.since = now
+
+    return [patch.object(Witness, "answered", mutant)]
+
+
+def _old_claims_believed() -> list[Any]:
+    """A claim that a lagging replica brings up again replaces the newer one."""
+    real = Holding._merge
+
+    def mutant(self: Holding, sent: int, claims: dict[int, Claim], seen: Witness) -> None:
+        for slot in claims:
+            self.others.pop(slot, None)
+        real(self, sent, claims, seen)
+
+    return [patch.object(Holding, "_merge", mutant), patch.object(holding, "PROVE", 0)]
+
+
+def _raised_before_the_answer() -> list[Any]:
+    real = Holding.word
+
+    def mutant(self: Holding, *words: Any) -> bytes:
+        made = real(self, *words)
+        self.hard = self.soft = max(self.hard, self.said)
+        return made
+
+    return [patch.object(Holding, "word", mutant)]
+
+
+def _kept_without_word() -> list[Any]:
+    return [patch.object(Witness, "own", lambda self, now: self.acked != witness.NEVER)]
+
+
+def _out_too_short() -> list[Any]:
+    return [patch.object(witness, "OUT", KEPT // 2)]
+
+
+def _return_not_noticed() -> list[Any]:
+    """Who is seen again counts at once as if it had never been away."""
+    real = Witness.look
+
+    def mutant(self: Witness, now: int) -> None:
+        real(self, now)
+        self.back = {}
+
+    return [patch.object(Witness, "look", mutant)]
+
+
+def _floor_of_the_whole() -> list[Any]:
+    """All of a ceiling lies in even slices beside the pool."""
+    return [patch.object(holding, "GUARANTEED", 1.5)]
+
+
+def _late_answers_taken() -> list[Any]:
+    """An answer to a call that had failed still counts."""
+    real = Tier.answered
+
+    def mutant(self: Tier, now: int, number: int, reply: Reply) -> Any:
+        sent = self._sent.get(number)
+        if sent is not None:
+            sent.at = max(sent.at, now - 8 * SECOND + 1)
+        return real(self, now, number, reply)
+
+    return [patch.object(Tier, "answered", mutant), patch.object(tier, "TIMEOUT", 8 * SECOND)]
+
+
+def _use_not_taken_off() -> list[Any]:
+    """What others spent of a quota stays in the store here."""
+    real = Holding._merge
+
+    def mutant(self: Holding, *words: Any) -> None:
+        real(self, *words)
+        self.taken = 0.0
+
+    return [patch.object(Holding, "_merge", mutant)]
+
+
+def _full_at_first() -> list[Any]:
+    """A member that comes to a gateway for the first time has its whole burst there."""
+    return [patch.object(Holding, "_told_level", lambda self, *words: self.terms.burst)]
+
+
+def _release_stuck() -> list[Any]:
+    """What is not asked for any more is never given back."""
+    real = Holding._aim
+
+    def mutant(self: Holding, now: int, seen: Witness, want: float) -> None:
+        real(self, now, seen, want if want >= 1.0 else max(1.0, self.terms.rate))
+
+    return [patch.object(Holding, "_aim", mutant)]
+
+
+MUTANTS: dict[str, Callable[[], list[Any]]] = {
+    each.__name__.strip("_").replace("_", "-"): each
+    for each in (
+        _proof_not_awaited, _proof_without_beats, _proof_without_time, _fresh_counter_trusted,
+        _silent_forgotten, _not_fitted, _even_at_once, _beats_after_a_failure, _beat_before_writing_back,
+        _alive_by_the_last_look, _old_claims_believed, _raised_before_the_answer, _kept_without_word,
+        _out_too_short, _return_not_noticed, _floor_of_the_whole, _late_answers_taken, _use_not_taken_off,
+        _full_at_first, _release_stuck,
+    )
+}
+
+
+def convict(name: str, seeds: Iterable[int]) -> int | None:
+    """The first of the seeds that has a schedule or a calm world that shows the mutant; None if none has."""
+    with held(MUTANTS[name]()):
+        return next((seed for seed in seeds if schedules.calm_world(seed) or schedules.play_seed(seed)), None)
+
+
--- a/trackspread/virtual/counted_schedules.py
+++ b/trackspread/virtual/counted_schedules.py
@@ -14,6 +14,11 @@
 from .counted import TOLD_MS, Plant, World
 
 SPAN = 24 * SECOND  # of a schedule: trouble of up to 8 s, and time to be back, many times any burst
+CALM = 8 * SECOND  # of a calm world, before members move and again from when they are to be followed
+FOLLOWED = 4 * SECOND  # from a move: demand is told, others let go, two raises are proven, stores fill
+# Each may spend a quarter of the burst before it tells, within a fifth of a second; then it is taken off.
+BEYOND = 0.1
+SERVED = 0.85  # the rest is what was told too late to be refilled
 LARGE = 100  # every so many schedules one has a hundred gateways
 Fault = Callable[[World, random.Random], None]
 
@@ -194,3 +199,33 @@
         world.clock.at(START + at, partial(FAULTS[name], world, rng))
     world.run(SPAN)
     return world
+
+
+def play_seed(seed: int) -> list[str]:
+    return play(make(seed)).broken
+
+
+def calm_world(seed: int) -> list[str]:
+    """No faults: what is due is served, quotas are kept to within what is told late, and a member that moves
+    is followed."""
+    rng = random.Random(f"calm counted:{seed}")
+    rate, burst = rng.choice(((10.0, 10.0), (30.0, 15.0), (50.0, 60.0)))
+    gateways = rng.randint(2, 6)
+    plant = Plant(seed, gateways, 2, 1, 2, rate, burst, 2.0, rng.randint(2, gateways), rng.choice((0.7, 4.0)))
+    world = World(plant)
+    world.run(CALM)
+    move(world, rng)
+    world.run(FOLLOWED)
+    before = {member: (c.sent, c.inside, c.beyond) for member, c in world.counts.items()}
+    world.run(CALM)
+    wrong = list(world.broken)
+    for member, count in world.counts.items():
+        sent, inside, beyond = (
+            now - was for now, was in
+            zip((count.sent, count.inside, count.beyond), before[member], strict=True)
+        )
+        if beyond > BEYOND * sent + 1:
+            wrong.append(f"{member:x}: {beyond} of {sent} sent on beyond the quota")
+        if sent < SERVED * inside - 1:
+            wrong.append(f"{member:x}: {sent} sent on of {inside} that one store would have let pass")
+    return wrong
