--- a/trackspread/counter/holding.py
+++ b/trackspread/counter/holding.py
@@ -74,6 +74,7 @@
         self.terms = terms
         self.even = even(self.member, terms, self.slot)
         self._evens = {each: even(self.member, terms, each) for each in terms.slots}
+        self._parts = dict(self._evens)  # of a quota, for when others are not heard: by their last wants
 
     # What is asked for.
 
@@ -156,10 +157,10 @@
             places = hard = self.even
         else:  # also where its own word on this member is too old: what vanished may be another's by now
             places, hard = min(self.soft, self.even), min(self.hard, self.even)
-        if own and self.known:
-            soft = 1.0 - sum(share for slot, share in self._evens.items() if slot in witness.quiet)
+        if own and witness.trusting and self.known:
+            soft = 1.0 - sum(part for slot, part in self._parts.items() if slot in witness.quiet)
         else:
-            soft = self.even * (FLOOR if own else 1.0)
+            soft = self._parts.get(self.slot, 0.0) if self.known else FLOOR * self.even
         return max(0.0, soft), GUARANTEED * self.even + (1.0 - GUARANTEED) * hard, places
 
     # Words with the counter.
@@ -232,6 +233,7 @@
         self.clock, self.read_at = reply.clock, sent
         if not witness.own(now):
             return
+        self._share_out(witness)
         room = self.free(witness)
         before = self.soft
         if said > before + EPSILON:
@@ -253,6 +255,19 @@
         if self.wanting(now):
             self.due = min(self.due, now + SHORT)
 
+    def _share_out(self, witness: Witness) -> None:
+        """What each would have of the quota if nobody heard of anybody from now on: a part even, which those
+        have too who are new, and the rest as it is asked for. All know nearly the same wants."""
+        if witness.quiet or not witness.trusting:
+            return
+        wants = {slot: claim.want for slot, claim in self.others.items()} | {self.slot: self.want}
+        total = sum(wants.values())
+        if total:
+            self._parts = {
+                slot: FLOOR * self._evens.get(slot, 0.0) + (1.0 - FLOOR) * wants.get(slot, 0.0) / total
+                for slot in self._evens.keys() | wants.keys()
+            }
+
     def _told_level(
         self, now: int, reply: Reply, witness: Witness, claims: dict[int, Claim]
     ) -> float:
--- a/trackspread/counter/tier.py
+++ b/trackspread/counter/tier.py
@@ -142,7 +142,8 @@
         """Who is silent, and what that changes for the members here."""
         witness = part.witness
         witness.look(now)
-        shown = witness.own(now), witness.own(now) or witness.even_due(now), witness.quiet, witness.gone
+        own, quiet, gone = witness.own(now), witness.quiet, witness.gone
+        shown = own, own or witness.even_due(now), quiet, gone, witness.trusting
         if shown == part.shown:
             return []
         part.shown = shown
@@ -176,7 +177,8 @@
             held = self.holdings.get(member)
             if held is None or held.due != due or member in self._out:
                 continue
-            part = self._part(member)
+            index = partition_of(member, self.partitions)
+            part = self.parts[index]
             if not self._speaking(now, part):
                 held.due = now + BEAT // 2
                 self._push(held)
@@ -186,7 +188,7 @@
             out += self._tell(now, held)
             self._out.add(member)
             self.calls["members"] += 1
-            out.append(self._call(now, self.parts.index(part), member, value, held.said))
+            out.append(self._call(now, index, member, value, held.said))
         return out
 
     def _call(self, now: int, index: int, member: int | None, value: bytes | None, said: float = 0.0) -> Call:
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -96,7 +96,7 @@
         # What others took came out of what found the store full here: it was not full for all of the time.
         taken = event.taken - min(event.taken, account.over)
         account.over *= not event.taken
-        account.level = max(-plan.burst, min(plan.burst * event.soft, level) - taken)
+        account.level = max(-plan.burst, min(plan.burst, level) - taken)
         account.ceiling = min(plan.ceiling_burst * event.hard, account.ceiling)
 
     def kept(self, customer: int) -> tuple[float, float]:
@@ -153,11 +153,13 @@
         dt, account.at = (now - account.at) / SECOND, now
         plan, share = account.plan, self.share(now, account) if self.gossip or self.rights else 1.0
         even = 1.0 / account.slices if account.slices else 0.0
+        most = plan.burst * share
         if dt and self.rights:
-            full = account.level + plan.rate * share * dt - plan.burst * share
-            account.over = min(plan.rate, account.over + max(0.0, full))  # of a second: words come sooner
+            most = max(most, account.level)  # a share that falls takes no units along: what is filled stays
+            over = account.level + plan.rate * share * dt - most
+            account.over = min(plan.rate, account.over + max(0.0, over))  # of a second: words come sooner
         if dt:
-            account.level = min(plan.burst * share, account.level + plan.rate * share * dt)
+            account.level = min(most, account.level + plan.rate * share * dt)
         account.part = min(max(plan.burst * even, self.s.largest), account.part + plan.rate * even * dt)
         even = (1.0 - POOLED) * even + POOLED * self.at_home(account) if self.homes else even
         even = account.hard if self.rights else even
--- a/trackspread/mutation/checks.py
+++ b/trackspread/mutation/checks.py
@@ -67,6 +67,12 @@
     return any(play(seed) for seed in seeds)
 
 
+def _counted(seeds: Iterable[int]) -> bool:
+    from ..virtual.counted_schedules import calm_world, play_seed
+
+    return any(calm_world(seed) or play_seed(seed) for seed in seeds)
+
+
 def checks(package: str, schedules: int = SCHEDULES) -> tuple[Named, ...]:
     """What may kill a mutant of this package. Of the gateways' schedules as many again are calm ones,
     which alone are held to quotas."""
@@ -87,6 +93,8 @@
             _tests("test_storage", "test_usage"),
             Named("used", partial(_used, range(4 * schedules))),
         )
+    if package == "counter":
+        return _tests("test_counted"), Named("counted", partial(_counted, range(schedules)))
     if package == "plans":
         return _tests("test_plans", "test_calendar"), Named("booked", partial(_booked, range(schedules)))
     return {
--- a/trackspread/virtual/counted_schedules.py
+++ b/trackspread/virtual/counted_schedules.py
@@ -19,6 +19,7 @@
 # Each may spend a quarter of the burst before it tells, within a fifth of a second; then it is taken off.
 BEYOND = 0.1
 SERVED = 0.85  # the rest is what was told too late to be refilled
+HELD = 6 * SECOND  # until one gateway holds all of a member whose traffic it has
 LARGE = 100  # every so many schedules one has a hundred gateways
 Fault = Callable[[World, random.Random], None]
 
@@ -229,3 +230,53 @@
         if sent < SERVED * inside - 1:
             wrong.append(f"{member:x}: {sent} sent on of {inside} that one store would have let pass")
     return wrong
+
+
+def tight_world(seed: int) -> list[str]:
+    """All of a member lies at one gateway when something goes wrong there, and its traffic moves away at that
+    moment: what one lets go too late, or another takes too soon, is over the limit at once."""
+    rng = random.Random(f"tight counted:{seed}")
+    gateways = rng.randint(2, 4)
+    rate, burst = rng.choice(((30.0, 15.0), (50.0, 60.0)))
+    plant = Plant(seed, gateways, 1, 1, 1, rate, burst, rng.choice((0.5, 1.0, 2.0)), gateways, 6.0)
+    world = World(plant)
+    move(world, rng)
+    world.run(HELD)
+    top = (world.first[0] + max(range(gateways), key=lambda way: world.weights[0][way])) % gateways
+    shard, now = world.shards[0], _now_ms(world)
+    fault = rng.choice(("cut", "deaf", "split", "others", "promote", "replace", "evict", "restart", "cross",
+                        "late"))
+    if fault in ("cut", "deaf"):
+        world.cuts_asks = fault == "cut"
+        world.cut = {top}
+    elif fault in ("split", "cross"):
+        shard.split({top}, now, rng.randint(0, 1500))
+        if fault == "cross":
+            other = rng.choice([g for g in range(gateways) if g != top])
+            world.clock.after(rng.randint(0, 5 * SECOND), partial(shard.sides.__setitem__, other, 1))
+    elif fault == "others":
+        world.cut = set(range(gateways)) - {top}
+    elif fault == "promote":
+        shard.promote(now, rng.randint(500, 3500))
+    elif fault == "replace":
+        shard.replace()
+    elif fault == "evict":
+        for number in range(12):
+            world.clock.after(number * 300 * MILLISECOND, partial(shard.evict, rng, 1.0, False))
+    elif fault == "late":
+        world.apply_late = rng.randint(1, 4) * SECOND
+        world.cut = {top}
+        world.cuts_asks = False
+    else:
+        world.kill(top)
+        world.clock.after(rng.randint(MILLISECOND, SECOND), partial(world.revive, top))
+    if rng.random() < 0.7:
+        weights = world.weights[0]
+        weights[:] = [0.05 if (world.first[0] + way) % gateways == top else 10.0 for way in range(gateways)]
+    world.run(rng.randint(2, 7) * SECOND)
+    world.cut.clear()
+    world.apply_late = 0
+    if len(shard.states) > 1:
+        shard.heal(rng.randint(0, 1))
+    world.run(5 * SECOND)
+    return [f"tight, {fault}: {text}" for text in world.broken]
