A replaced counter is known by a fresh token; faults round the counter cost no request

Need: a gateway gave a new counter the same token as the old one, so that a replacement which it found first passed unnoticed (the test on processes failed by chance); a fault in a tick would have ended all further ticks; the status path would have removed a file of somebody's; peers' word was still taken in beside the counter.

Change: another token with each beat, ticks go on, requests are decided by what is kept, only sockets are removed, no socket for peers.

--- a/trackspread/counter/host.py
+++ b/trackspread/counter/host.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import secrets
 from collections.abc import Callable
 from functools import partial
@@ -18,7 +19,10 @@
 from .routes import Routes, Server
 from .terms import SECOND, Call
 
+log = logging.getLogger(__name__)
+
 REFRESH = 0.5  # s at least between looks at a cluster's map
+LEAST = 0.001  # s between ticks, whatever went wrong
 LINKS_MOST = 128  # servers that are spoken to: a cluster that names more is not followed further
 
 
@@ -32,7 +36,6 @@
         self.desk, self.routes = desk, routes
         self._access, self._prefix, self._slot, self._now, self._events = access, prefix, slot, now, events
         self._links: dict[Server, Link] = {}
-        self._token = secrets.token_hex(8).encode()  # for a counter that has none yet
         self._timer: asyncio.TimerHandle | None = None
         self._asked_at = -REFRESH
 
@@ -51,19 +54,24 @@
         for deed in deeds:
             if isinstance(deed, Call):
                 server = self.routes.server(deed.partition)
-                self._send(deed, server, commands(deed, self._prefix, self._slot, self._token), 0)
+                # For a counter that has none yet: another each time, or a new one would look like the old.
+                token = secrets.token_hex(8).encode() if deed.member is None else b""
+                self._send(deed, server, commands(deed, self._prefix, self._slot, token), 0)
             else:
                 self._events(deed)
 
     def _tick(self) -> None:
-        self.do(self.desk.tick(self._now()))
         loop = asyncio.get_running_loop()
+        try:
+            self.do(self.desk.tick(self._now()))
+        except Exception:  # the next one must come all the same, or rights would outlive their time
+            log.exception("fault in a tick")
         if self.routes.stale and loop.time() - self._asked_at >= REFRESH:
             self._asked_at = loop.time()
             ready = [link for link in self._links.values() if link.ready]
             if ready:
                 ready[0].send([(b"CLUSTER", b"SLOTS")], self._mapped)
-        wait = max(0.0, (self.desk.due - self._now()) / SECOND)
+        wait = max(LEAST, (self.desk.due - self._now()) / SECOND)
         self._timer = loop.call_later(wait, self._tick)
 
     def _mapped(self, replies: list[Any] | None) -> None:
--- a/trackspread/node/counted.py
+++ b/trackspread/node/counted.py
@@ -9,6 +9,7 @@
 import logging
 import os
 import ssl
+import stat
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -49,6 +50,16 @@
     return Access(counter.user, counter.password, context)
 
 
+def _clear(path: str) -> None:
+    """A socket that a former life left; raises `ConfigError` where something else lies there."""
+    try:
+        if not stat.S_ISSOCK(os.stat(path).st_mode):
+            raise ConfigError(f"counter.status: found {path!r}, which is no socket, wanted a path of its own")
+        os.unlink(path)
+    except FileNotFoundError:
+        pass
+
+
 class Counted:
     """What the gateway holds while a counter is shared."""
 
@@ -72,8 +83,7 @@
     async def start(self) -> None:
         self.host.start()
         if path := self._counter.status:
-            with suppress(FileNotFoundError):
-                os.unlink(path)
+            _clear(path)
             self._server = await asyncio.start_unix_server(self._asked, path, limit=LINE_MOST)
             os.chmod(path, 0o600)
 
@@ -85,9 +95,13 @@
         await self.host.close()
 
     def before(self, call: Call) -> None:
-        self.host.do(self.desk.before(
-            self._now(), call.customer, call.plan, call.units, call.spread, call.first
-        ))
+        """A fault here must not cost the request: it is decided by what is kept."""
+        try:
+            self.host.do(self.desk.before(
+                self._now(), call.customer, call.plan, call.units, call.spread, call.first
+            ))
+        except Exception:
+            log.exception("fault before a request")
 
     def wanted(self, customer: int) -> None:
         self.host.do(self.desk.wanted(self._now(), customer))
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -157,7 +157,9 @@
 
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
-        if self.config.peer_listen is not None and self.config.settings.may_message:
+        settings = self.config.settings
+        # With a counter no word is taken from peers either: two sources would each hand out the whole.
+        if self.config.peer_listen is not None and settings.may_message and not settings.rights:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.discovery.start()
         if self.uses is not None:
