--- a/trackspread/counter/holding.py
+++ b/trackspread/counter/holding.py
@@ -5,11 +5,11 @@
   who claim at once the later sees both. No transaction is needed.
 - Lowered here first, told afterwards; raised only after the answer. A call whose answer was lost changes
   nothing here, whatever it did there.
-- A quota is soft: each keeps the whole store less the even slices of who is silent, and takes off what others
-  say that they spent. Until told, one may spend what another has: a part of the burst (`TOLD`), never twice.
-- A ceiling is hard: its raise counts only when it is proven: every other gateway has shown two
-  beats since, or has been silent until it can hold its even slice alone, and a further look shows that all
-  claims still fit. By then whoever held something that the counter has lost has written it anew.
+- A quota is soft: each keeps the whole store less the parts of who is silent, and takes off what others say
+  that they spent. Until told, one may spend what another has: a part of the burst (`TOLD`), never twice.
+- A ceiling is hard: its raise counts only when it is proven: every other gateway has shown two beats since,
+  or has been silent until it can hold its even slice alone, and a further look shows that all claims still
+  fit. By then whoever held something that the counter has lost has written it anew.
 - What others said is not forgotten because the counter forgot it: a claim that is gone, or that went back to
   an older one, counts as it was for `OUT`. Who lets go says so; nobody's field just ends.
 - Where others fall silent, their even slices are theirs: all who are seen come down alike until it fits.
@@ -49,12 +49,12 @@
 
 
 class Holding:
-    """`soft` and `hard`: shares of a ceiling's pool that were claimed, and of these what may be used."""
+    """`claimed` and `proven`: shares of a ceiling's pool that were claimed, and of these what may be used."""
 
     def __init__(self, member: int, terms: Terms, slot: int, now: int) -> None:
         self.member, self.slot = member, slot
         self.change(terms)
-        self.soft = self.hard = self.said = 0.0
+        self.claimed = self.proven = self.said = 0.0
         self.others: dict[int, Claim] = {}
         self._heard: dict[int, int] = {}  # when each was last read as it is
         self._number = 0
@@ -113,7 +113,7 @@
             total += max(0.0, self._evens.get(slot, 0.0) - (claim.share if claim is not None else 0.0))
         return total
 
-    def claimed(self, witness: Witness) -> float:
+    def others_hold(self, witness: Witness) -> float:
         """By others who are seen, whether or not the member's requests usually come there."""
         total = 0.0
         for slot, claim in self.others.items():
@@ -125,39 +125,39 @@
 
     def free(self, witness: Witness) -> float:
         """What this gateway may hold in all."""
-        return max(0.0, 1.0 - self.claimed(witness) - self.reserved(witness))
+        return max(0.0, 1.0 - self.others_hold(witness) - self.reserved(witness))
 
     def fit(self, witness: Witness) -> None:
         """Come down so that even slices of the silent have room; all who are seen do so alike."""
         kept = sum(share for slot, share in self._evens.items() if slot in witness.quiet)
         if not kept:
             return
-        others = self.claimed(witness)
-        for name in ("hard", "soft"):
+        others = self.others_hold(witness)
+        for name in ("proven", "claimed"):
             mine = getattr(self, name)
             if mine and mine + others > 1.0 - kept + EPSILON:
                 self._lower(name, mine * max(0.0, 1.0 - kept) / (mine + others))
 
     def _lower(self, name: str, share: float) -> None:
         setattr(self, name, share)
-        self.hard = min(self.hard, self.soft)
-        while self._steps and self._steps[-1].share > self.soft + EPSILON:
+        self.proven = min(self.proven, self.claimed)
+        while self._steps and self._steps[-1].share > self.claimed + EPSILON:
             last = self._steps.pop()
-            if not self._steps or self._steps[-1].share < self.soft - EPSILON:
-                self._steps.append(Step(self.soft, last.at, last.marks))
+            if not self._steps or self._steps[-1].share < self.claimed - EPSILON:
+                self._steps.append(Step(self.claimed, last.at, last.marks))
                 break
         self.due = min(self.due, self.read_at)  # to be told at once
 
     def usable(self, now: int, witness: Witness) -> tuple[float, float, float]:
         """Shares of quota, ceiling and open attempts that may be used from now on, until anything changes."""
-        own = witness.own(now) and (now - self.read_at <= KEPT or not self.soft)
+        own = witness.own(now) and (now - self.read_at <= KEPT or not self.claimed)
         if own:
             self.fit(witness)
-            places, hard = self.soft, self.hard
+            places, hard = self.claimed, self.proven
         elif witness.even_due(now):
             places = hard = self.even
         else:  # also where its own word on this member is too old: what vanished may be another's by now
-            places, hard = min(self.soft, self.even), min(self.hard, self.even)
+            places, hard = min(self.claimed, self.even), min(self.proven, self.even)
         if own and witness.trusting and self.known:
             soft = 1.0 - sum(part for slot, part in self._parts.items() if slot in witness.quiet)
         else:
@@ -177,8 +177,8 @@
         want = 0.0 if self.idle(now) else self.rate(now)
         if not witness.own(now):
             # Back from a loss: what is used now is written down before anybody hears that this one lives.
-            held = self.even if witness.even_due(now) else min(self.hard, self.even)
-            self.soft = self.hard = self.said = held
+            held = self.even if witness.even_due(now) else min(self.proven, self.even)
+            self.claimed = self.proven = self.said = held
             self._steps.clear()
         else:
             self.fit(witness)
@@ -204,10 +204,10 @@
         unmet = any(claim.share < fair.get(slot, 0.0) * (1.0 - CHANGE) for slot, claim in seen.items())
         if not want:
             mine = 0.0
-        held = self.soft
+        held = self.claimed
         if mine < held * (1.0 - CHANGE) and (unmet or not want):
             self.said = mine
-            self._lower("soft", mine)
+            self._lower("claimed", mine)
             self.due = now + RENEW
         elif mine > held * (1.0 + CHANGE):
             first = not self.others and not held
@@ -219,8 +219,8 @@
         least = self.terms.least - WRITTEN
         if 0.0 < self.said < least:
             self.said = held if held >= least else 0.0  # it would not hold a request
-        if self.said < self.soft:
-            self._lower("soft", self.said)
+        if self.said < self.claimed:
+            self._lower("claimed", self.said)
             self.due = now + RENEW
 
     def told(self, now: int, sent: int, said: float, reply: Reply, witness: Witness) -> None:
@@ -241,22 +241,22 @@
             return
         self._share_out(witness)
         room = self.free(witness)
-        before = self.soft
+        before = self.claimed
         if said > before + EPSILON:
-            self.soft = max(before, min(said, room))
-            if self.soft > before + EPSILON:
+            self.claimed = max(before, min(said, room))
+            if self.claimed > before + EPSILON:
                 if len(self._steps) >= STEPS_MOST:
                     self._steps.pop()
-                self._steps.append(Step(self.soft, now, witness.marks()))
-        if min(self.soft, self.proving) <= room + EPSILON:
-            self.hard = max(self.hard, min(self.soft, self.proving))
-            while self._steps and self._steps[0].share <= self.hard + EPSILON:
+                self._steps.append(Step(self.claimed, now, witness.marks()))
+        if min(self.claimed, self.proving) <= room + EPSILON:
+            self.proven = max(self.proven, min(self.claimed, self.proving))
+            while self._steps and self._steps[0].share <= self.proven + EPSILON:
                 self._steps.popleft()
-        if said > room + EPSILON and self.soft > self.hard:
+        if said > room + EPSILON and self.claimed > self.proven:
             # More is claimed than there is: who has not proven his part gives way.
-            self._lower("soft", max(self.hard, min(self.soft, room)))
-        if self.soft < said - EPSILON:
-            self.said, self.due = self.soft, now + SHORT
+            self._lower("claimed", max(self.proven, min(self.claimed, room)))
+        if self.claimed < said - EPSILON:
+            self.said, self.due = self.claimed, now + SHORT
         self.proving = 0.0
         if self.wanting(now):
             self.due = min(self.due, now + SHORT)
@@ -309,4 +309,4 @@
     def wanting(self, now: int) -> bool:
         """Whether more would be taken than is held."""
         needed = desired(self.terms, self.want, self.even)
-        return self.soft < needed * (1.0 - CHANGE) or self.hard < self.soft - EPSILON
+        return self.claimed < needed * (1.0 - CHANGE) or self.proven < self.claimed - EPSILON
--- a/trackspread/counter/report.py
+++ b/trackspread/counter/report.py
@@ -69,7 +69,7 @@
             for slot, claim in sorted(held.others.items())
         )
         made = msgspec.structs.replace(
-            made, claimed=held.soft, proven=held.hard, even=held.even, want=held.want, others=others
+            made, claimed=held.claimed, proven=held.proven, even=held.even, want=held.want, others=others
         )
     if account is not None:
         plan = account.plan
--- a/trackspread/counter/tier.py
+++ b/trackspread/counter/tier.py
@@ -221,7 +221,7 @@
         part.witness.look(now)
         held.told(now, sent.at, sent.said, reply, part.witness)
         part.unwritten.discard(member)
-        if held.idle(now) and not sent.said and not held.soft and not held.asked:
+        if held.idle(now) and not sent.said and not held.claimed and not held.asked:
             return self._drop(now, held, part)
         self._push(held)
         return self._tell(now, held)
--- a/trackspread/virtual/counted_mutants.py
+++ b/trackspread/virtual/counted_mutants.py
@@ -24,7 +24,7 @@
 
     def mutant(self: Holding, *words: Any) -> None:
         real(self, *words)
-        self.hard = max(self.hard, self.soft)
+        self.proven = max(self.proven, self.claimed)
 
     return [patch.object(Holding, "told", mutant)]
 
@@ -104,7 +104,7 @@
 
     def mutant(self: Holding, *words: Any) -> bytes:
         made = real(self, *words)
-        self.hard = self.soft = max(self.hard, self.said)
+        self.proven = self.claimed = max(self.proven, self.said)
         return made
 
     return [patch.object(Holding, "word", mutant)]
