Reading again: messages off where the counter is on, in one place; dead and doubled pieces out

Need: three places asked whether a counter stood beside messages, where the one that turns it on can turn them off; a holding kept two flags for one fact and reckoned its even slice twice; a first claim was set in two steps that came to one; a constant and a method of the world had no caller.

Change: the gateway's settings say so once; the rest is taken out or said once. Behaviour as before.

--- a/trackspread/counter/holding.py
+++ b/trackspread/counter/holding.py
@@ -58,7 +58,6 @@
         self.others: dict[int, Claim] = {}
         self._heard: dict[int, int] = {}  # when each was last read as it is
         self._number = 0
-        self._written = False  # whether a word of this holding is on the counter, as far as is known
         self.want, self.asked, self.asked_at, self.last = 0.0, 0.0, now, now
         self._steps: deque[Step] = deque()  # raises that are not proven, the oldest first
         self.clock, self.read_at = 0, -RENEW
@@ -73,8 +72,8 @@
     def change(self, terms: Terms) -> None:
         """Other figures from now on. The share stays: it is one of whatever the figures are."""
         self.terms = terms
-        self.even = even(self.member, terms, self.slot)
         self._evens = {each: even(self.member, terms, each) for each in terms.slots}
+        self.even = self._evens.get(self.slot, 0.0)
         self._parts = dict(self._evens)  # of a quota, for when others are not heard: by their last wants
 
     # What is asked for.
@@ -210,10 +209,10 @@
             self._lower("claimed", mine)
             self.due = now + RENEW
         elif mine > held * (1.0 + CHANGE):
-            first = not self.others and not held
-            self.said = max(held, min(mine, room * FIRST if first and room > mine else room))
-            if first and mine:
-                self.said = max(self.said, min(room, max(self.terms.least, FIRST * room)))
+            if not self.others and not held and room > mine:  # the first leaves some for who comes next
+                self.said = min(room, max(self.terms.least, FIRST * room))
+            else:
+                self.said = max(held, min(mine, room))
         else:
             self.said = held
         least = self.terms.least - WRITTEN
@@ -230,11 +229,10 @@
         if not self.known:
             self.known, self.level = True, self._told_level(now, reply, witness, claims)
             self.due = min(self.due, now + SHORT)
-        if reply.fresh and self._written:
+        elif reply.fresh:
             # The name lost what was written: so may others' claims be lost, and proofs begin anew.
             self._steps = deque(Step(step.share, now, witness.marks()) for step in self._steps)
             self.proving, self.due = 0.0, min(self.due, now + SHORT)
-        self._written = True
         self._merge(sent, claims, witness)
         self.clock, self.read_at = reply.clock, sent
         if not witness.own(now):
--- a/trackspread/counter/tier.py
+++ b/trackspread/counter/tier.py
@@ -280,13 +280,12 @@
     # To the module.
 
     def _tell(self, now: int, held: Holding) -> list[Out]:
-        witness = self._part(held.member).witness
-        due = held.due
-        soft, hard, places = held.usable(now, witness)
+        part, due = self._part(held.member), held.due
+        soft, hard, places = held.usable(now, part.witness)
         if held.due != due and held.member in self.holdings:
             self._push(held)
         old = self._told.get(held.member, (-1.0, -1.0, -1.0))
-        more = not held.known and self._speaking(now, self._part(held.member))
+        more = not held.known and self._speaking(now, part)
         owed = held.member in self._owed and not more
         fresh = soft, hard, places
         # Less is told at once and to the last bit: the sum over all gateways rests on it.
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -119,7 +119,7 @@
     start_capacity: float
     warm_up: int
     cross_zone_price: float
-    rights: bool = False  # the host says how much of each customer's stores is kept here
+    rights: bool = False  # the host says how much of each customer's stores is kept here; then no messages
 
 
 @dataclass(frozen=True, slots=True)
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -46,10 +46,11 @@
         self.reserved: dict[int, tuple[float, float]] = {}  # by customer, on top of rate and burst
         self.peers: dict[int, tuple[int, int, int]] = {}  # incarnation, when last heard, the age told then
         self.every = 2 * (settings.gateways - 1) * SECOND / max(1.0, settings.messages_per_s)
-        self.rights, may_message = settings.rights, settings.may_message and not settings.rights
-        self.gossip = may_message and self.every <= FRESH // 4
-        self.homes = may_message and not self.gossip
-        self.counter = settings.counter and not may_message and not self.rights and settings.gateways > 1
+        self.rights = settings.rights
+        self.gossip = settings.may_message and self.every <= FRESH // 4
+        self.homes = settings.may_message and not self.gossip
+        told = settings.may_message or self.rights
+        self.counter = settings.counter and not told and settings.gateways > 1
         self.granted = [Mean(LONG) for _ in settings.plans]
         self.calls: dict[int, deque[tuple[int, float, bool, float]]] = {}  # ask, amount, fix, owed
         self.tag, self.pace, self.restarted = 0, 1.0, False
@@ -88,13 +89,13 @@
         """The stores are filled by the old shares until now. A store that is new here has filled since this
         gateway's start: whatever a former one spent, its rights went with it."""
         fresh, account = event.customer not in self.accounts, self.account(now, event.customer, event.plan)
-        account.at = self.born if fresh else account.at
-        account.soft, account.hard = (event.soft, event.hard) if fresh else (account.soft, account.hard)
+        if fresh:
+            account.at, account.soft, account.hard = self.born, event.soft, event.hard
         self.refill(now, account)
         plan, account.soft, account.hard, account.more = account.plan, event.soft, event.hard, event.more
         account.places, level = event.places, account.level if event.level is None else event.level
         # What others took came out of what found the store full here: it was not full for all of the time.
-        taken = event.taken - min(event.taken, account.over)
+        taken = max(0.0, event.taken - account.over)
         account.over *= not event.taken
         account.level = max(-plan.burst, min(plan.burst, level) - taken)
         account.ceiling = min(plan.ceiling_burst * event.hard, account.ceiling)
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -86,7 +86,8 @@
 
     def __init__(self, config: Config, operator: Operator = DEFAULTS) -> None:
         if operator.counter.servers:
-            config = replace(config, settings=replace(config.settings, rights=True))
+            # No word from peers beside it: two sources would each hand out the whole.
+            config = replace(config, settings=replace(config.settings, rights=True, may_message=False))
         self.config, self.operator = config, operator
         self._loop = asyncio.get_running_loop()
         self.now = monotonic_unix_ns()
@@ -157,9 +158,7 @@
 
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
-        settings = self.config.settings
-        # With a counter no word is taken from peers either: two sources would each hand out the whole.
-        if self.config.peer_listen is not None and settings.may_message and not settings.rights:
+        if self.config.peer_listen is not None and self.config.settings.may_message:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.discovery.start()
         if self.uses is not None:
@@ -198,7 +197,7 @@
             self._teller.cancel()
         await self.discovery.close()
         self.backends.close()
-        if settings.may_message and settings.gateways > 1 and not settings.rights:
+        if settings.may_message and settings.gateways > 1:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
             await asyncio.sleep(max(0.0, end - self._loop.time()))
--- a/trackspread/virtual/counted.py
+++ b/trackspread/virtual/counted.py
@@ -16,13 +16,13 @@
 
 from ..counter.commands import CounterError, Refused, commands, reply
 from ..counter.desk import Deed, Desk
-from ..counter.terms import MILLISECOND, SECOND, Call, partition_of
+from ..counter.terms import MILLISECOND, SECOND, Call
 from ..decide.broker import Broker
 from ..decide.interface import (
     Action, Arrival, AttemptEnded, Backend, Event, Health, ListKind, Outcome, Plan, RightsChanged, Send,
     SetTimer, TimerFired, Topology, WantRights,
 )
-from ..standins.counter import Failure, Shard, slot_of
+from ..standins.counter import Failure, Shard
 from .clock import START, Clock
 from .plain import plain_settings
 
@@ -30,7 +30,6 @@
 CLOCK_PART = 0.01  # by which a gateway's clock runs fast or slow at most here: two differ by the stated 2%
 TOLD_MS = 1_700_000_000_000  # ms: the counter's clock at the start
 ANSWER = 5 * MILLISECOND  # ns from sending a request on to its answer
-FRESH_WATCH = 2 * SECOND  # ns of an attempt that is still open when its gateway dies
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,7 +315,3 @@
 
     def run(self, span: int) -> None:
         self.clock.run(self.clock.now + span)
-
-    def places(self) -> dict[int, int]:
-        """Hash slot of each member's partition, for people who replay a schedule."""
-        return {m: slot_of(b"{ts.%d}" % partition_of(m, self.plant.partitions)) for m in self.members}
