Calls to discovery are spread over turns: every gateway of a large fleet has its list

Logged at each gateway: 40 calls within 50 ms at the start, all given up after 2.0 s, then up to 78 calls a second, each turned away at once or given up after 2.0 s. Discovery goes on with calls whose callers left, so it never recovers. Ruled out: an outage (the five got changes all along), lost lines, the wait for a connection. At fault: lists/agent.py, whose first call came at once and whose back-off stopped at 2 s however many gateways there are.

Now lists/turns.py, without I/O, spreads first calls and repeats over 0.2 s for each gateway, at most 9 s, where that is longer than a call's patience; small fleets call as before.

--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,52 @@
+"""When gateways call discovery: a line that serves one call after the other, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Iterator
+
+import pytest
+
+from trackspread.lists.turns import FIRST, PATIENCE, SPREAD_MOST, TURN, Turns
+
+
+def listed(gateways: int, turn: float, seed: int, spread: bool, end: float = 30.0) -> list[float]:
+    """When each gateway had its list: calls wait in line, also those that their callers gave up."""
+    rng, line, had = random.Random(seed), 0.0, []
+    calls = [Turns(gateways if spread else 1, rng) for _ in range(gateways)]
+    due = [(turns.first(), number) for number, turns in enumerate(calls)]
+    heapq.heapify(due)
+    while due and due[0][0] < end:
+        now, number = heapq.heappop(due)
+        line = max(line, now) + turn
+        if line - now <= PATIENCE:
+            had.append(line)
+        else:
+            heapq.heappush(due, (now + PATIENCE + calls[number].again(), number))
+    return had
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_all_of_a_large_fleet_that_starts_together_have_their_list(seed: int) -> None:
+    """Seen with 40 gateways: calls that all came at once timed out, came again, and most never had one."""
+    assert len(listed(40, TURN, seed, spread=True)) == 40
+    assert len(listed(40, TURN, seed, spread=False)) < 20
+
+
+def waits(gateways: int, n: int) -> Iterator[float]:
+    turns = Turns(gateways, random.Random(1))
+    return (turns.again() for _ in range(n))
+
+
+def test_where_gateways_are_few_nobody_waits_for_a_turn() -> None:
+    turns = Turns(4, random.Random(1))
+    assert turns.first() == 0.0
+    assert turns.again() <= FIRST
+    assert max(turns.again() for _ in range(20)) > 1.0
+    turns.answered()
+    assert turns.again() <= FIRST
+
+
+def test_nobody_waits_so_long_that_it_is_taken_as_told() -> None:
+    assert max(waits(10_000, 500)) <= SPREAD_MOST
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -15,12 +15,12 @@
 from ..config.addresses import Address, ConfigError, address
 from ..decide.interface import Backend, Health, ListKind, Topology
 from .seam import ListError, Update, backend_id
+from .turns import Turns
 
 log = logging.getLogger(__name__)
 
 SILENCE = 5.0  # s without a byte: an idle watch brings an empty line every 2 s, so two were missed
 CONNECT = 1.0  # s for the agent, which is on this machine
-BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a good line resets it
 LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
 LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
 MILLISECOND = 1_000_000
@@ -64,13 +64,12 @@
 
     def __init__(
         self, agent: Address, zones: tuple[str, ...], kinds: tuple[str, ...], index: int | None,
-        told: Callable[[Update], None],
+        told: Callable[[Update], None], gateways: int = 1,
     ) -> None:
-        self._agent = agent
+        self._agent, self._turns = agent, Turns(gateways, random.Random())
         self._zones, self._kinds = zones, kinds
         self._index = index
         self._told = told
-        self._backoff = BACKOFF_FIRST
         self._closed = False
         self._leaving: dict[int, int] = {}  # backends told to drain or be gone, and when each had started
         self._task: asyncio.Task[None] | None = None
@@ -83,7 +82,8 @@
         if agent == self._agent or self._closed:
             return
         log.info("discovery moves to %s:%d", *agent)
-        self._agent, self._backoff = agent, BACKOFF_FIRST
+        self._agent = agent
+        self._turns.answered()
         if self._task is not None:
             self._task.cancel()
             self.start()
@@ -97,6 +97,8 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         host, port = self._agent
+        if self._index is not None:
+            await asyncio.sleep(self._turns.first())
         while True:
             watch = _Watch(f"{host}:{port}", self._index, self._line)
             try:
@@ -107,9 +109,7 @@
                 log.warning("discovery: %s", error or type(error).__name__)
             finally:
                 watch.close()
-            # Jitter, or gateways whose agents broke together would come back together.
-            await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
-            self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
+            await asyncio.sleep(self._turns.again())
 
     def _behind(self, update: Update) -> Update:
         """A whole list that is older than what is known, as of an agent that lags behind the one before it:
@@ -135,7 +135,8 @@
                 self._leaving[entry.id] = entry.booted
         while len(self._leaving) > LEAVING_MOST:
             del self._leaving[next(iter(self._leaving))]
-        self._index, self._backoff = update.topology.version, BACKOFF_FIRST
+        self._index = update.topology.version
+        self._turns.answered()
 
 
 class _Watch(asyncio.Protocol):
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -125,7 +125,9 @@
                 log.warning("known list passed over: %s", error)
         if index is None:
             self._handle(Topology(ListKind.CACHED, 0, ()))
-        self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
+        self.discovery = Discovery(
+            config.discovery, config.zones, config.kinds, index, self._listed, settings.gateways
+        )
 
     def _book(self) -> PlanBook | None:
         """Where plans may have other figures than the platform's."""
