The model's number in flight spans as long as the latencies that it is fitted to

Counted in the log: where few answers come, latencies are remembered for up to 10 s, the number in flight for 1 s; fewer in flight with the same late answers fit a larger demand, whose limit is lower still. At fault: QueueModel.fit.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -96,3 +96,21 @@
             model.fit(now + tick * TICK, 2, [])
     assert model.risen
     assert model.limit is not None
+
+
+def test_few_late_answers_do_not_read_as_a_demand_that_grows_the_less_is_sent() -> None:
+    """Latencies of few answers are remembered for seconds: the number in flight must be too, or each cut of
+    what is sent would lower the limit further while the same answers are looked at."""
+    model = QueueModel(settings())
+    for i in range(40):
+        model.latency[0].add(i * 50 * MS, 100 * MS)
+    model.fit(2 * SECOND, 1, [])
+    for i in range(120):
+        if i % 10 == 0:
+            model.latency[0].add(2 * SECOND + i * TICK, 600 * MS)
+        model.fit(2 * SECOND + i * TICK, 10, [])
+    before = model.limit
+    for i in range(20):  # two seconds with 2 in flight and no answer at all
+        model.fit(14 * SECOND + i * TICK, 2, [])
+    assert before is not None and model.limit is not None
+    assert model.limit >= 0.7 * before
--- a/trackspread/decide/model.py
+++ b/trackspread/decide/model.py
@@ -44,8 +44,7 @@
 
     def fit(self, now: int, out: int, outstanding: list[tuple[int, int]]) -> None:
         """Refit; outstanding attempts older than the mean count as answers that late, to see jams in time."""
-        self.in_flight.add(now, out)
-        total = weight = delay = room = 0.0
+        total = weight = delay = room = span = 0.0
         for cls, latency in enumerate(self.latency):
             latency.memory = int(min(LONG, max(MEMORY, SAMPLES * SECOND / max(1e-3, latency.rate(now)))))
             if latency.weight < 0.5:
@@ -58,6 +57,11 @@
                 self.shortest[cls] = min(grown, latency.value) if grown else latency.value
             total, weight, delay = total + mean * w, weight + w, delay + (self.shortest[cls] or mean) * w
             room += w * self.room(cls)
+            span += w * latency.memory
+        # Over as long as the latencies: where few come, they outlast a number in flight that fell since, and
+        # at that number would read as a demand that grows the less this gateway sends.
+        self.in_flight.memory = int(span / weight) if weight else MEMORY
+        self.in_flight.add(now, out)
         self.risen, self.limit, n = False, None, ceil(self.in_flight.value)
         if weight:
             self.mean, self.delay = total / weight, min(delay / weight, total / weight)
