A home's store of a ceiling starts with what a predecessor must have left

Seen: 26% of the tries of the first 5 s were refused with half of the quota unused. Logged each denial at homes: 317 of 602 of the first 4 s were ceilings with quota left. A store began with its part of the slack alone, one unit and a half, as a restarted gateway cannot know that it is one. At fault: Quota.account.

Whoever kept it before granted inside the quota alone, so a burst and the quota's rate at most; where the ceiling's rate at a home is no less, all but a burst of it was left.

--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -65,7 +65,8 @@
             times = now, now, -EVALUATE_EVERY, -SILENT, -SILENT
             means = Mean(MEMORY), Mean(MEMORY), Mean(3 * LONG), Mean(LONG)
             account = Account(customer, plan, index, customer % n, level, *times, *means)
-            account.ceiling = plan.ceiling_slack * POOLED * (self.homes and self.at_home(account))
+            if self.homes and self.at_home(account):
+                account.ceiling = plan.ceiling_slack * POOLED + self._spared(plan)
             self.accounts[customer] = account
         elif account.index != index:
             self.carry(now, account, index)
@@ -73,6 +74,13 @@
             self._slice(account, min(int(spread), n), int(first))
         return account
 
+    def _spared(self, plan: Plan) -> float:
+        """Of a ceiling's part at a home, what a predecessor that ran until just now surely left: it passed on
+        a burst of the quota and then the quota's rate at most, as all that it grants is inside the quota."""
+        pooled, pays = plan.ceiling_rate * POOLED, plan.over_worth > plan.over_cost
+        within = plan.rate > 0.0 and not pays and pooled >= plan.rate
+        return max(0.0, plan.ceiling_burst * POOLED - plan.burst) * within
+
     def _slice(self, account: Account, n: int, first: int) -> None:
         """Even slices, started so that all together have no more than the whole, on average. A ceiling's
         starts with its part of the slack alone: a restarted gateway cannot know that it is one."""
