A limit on what is in flight leaves room for chance where gateways are many

Counted by cause at each: what 40 gateways have in flight varies by its root from moment to moment, and each refuses in its high moments what the others' low ones leave room for. At fault: Broker._over_limit, which holds the number of one moment to a limit on the mean.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -449,3 +449,12 @@
     g.handle(600 * SECOND, ended(1, 1))
     g.handle(611 * SECOND, TimerFired(EVERY_TICK))
     assert 1 not in g.quota.accounts
+
+
+@pytest.mark.parametrize(("gateways", "most"), [(2, 3), (40, 7)])
+def test_chance_alone_does_not_press_one_of_many_gateways(gateways: int, most: int) -> None:
+    """Seen with 40: a limit of 4 refused whoever came while 3 were in flight, often by chance."""
+    g = gateway(gateways=gateways, may_message=False)
+    g.model.limit = 4
+    sent = [bool(sends(g.handle(SECOND, arrival(i, SECOND, customer=i)))) for i in range(1, 20)]
+    assert sent == [True] * most + [False] * (19 - most)
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from math import ceil
+from math import ceil, sqrt
 
 from .fleet import Filter, Fleet
 from .interface import (
@@ -31,6 +31,8 @@
 SILENCE = 0.05  # part of the attempts unanswered of late from which an attempt gets a time-out
 RETRY_SHARE = 0.1  # further attempts for each first one: keeps a failing fleet from being doubled
 RETRY_BURST = 10.0  # further attempts that may be saved up
+FEW = 4  # gateways up to which what one has in flight tells what the fleet has
+CHANCE = 2.0  # roots of a limit by which chance seldom takes the number in flight over its mean
 LOST = 4.0  # mean latencies by which an open attempt is overtaken before it counts as lost
 METER_SPAN = 0.5  # of a quota, around all used: the meter's word goes from surely room to surely none
 ADVICE = SECOND // 5  # wait told to a refused client: longer left room unused, and floods do not heed it
@@ -265,8 +267,13 @@
 
     def _over_limit(self, now: int, density: float) -> bool:
         """Under pressure the model's limit on all in flight holds too; the least worth meets it first."""
-        limit, out = self.model.limit, self.out - self.lost
-        if limit is None or out < CHEAPEST * limit:
+        limit, out = self.model.limit, float(self.out - self.lost)
+        if limit is None:
+            return False
+        # What one of many gateways has in flight varies by its root from one moment to the next, and all of
+        # them together far less: without room for that, chance would refuse what the fleet has room for.
+        out -= max(0.0, 1.0 - FEW / self.s.gateways) * CHANCE * sqrt(limit)
+        if out < CHEAPEST * limit:
             return False
         total = sum(m.rate(now) for m in self.arrivals.values())
         below = sum(m.rate(now) for m in self.arrivals.values() if m.value < density)
--- a/trackspread/lists/turns.py
+++ b/trackspread/lists/turns.py
@@ -12,9 +12,9 @@
 
 FIRST, MOST = 0.05, 2.0  # s between calls where gateways are few; doubles from the first to the most
 TURN = 0.2  # s that discovery may need for one gateway's call, its slowest: 40 of them in 8 s
-PATIENCE = 2.0  # s after which a call is given up: so long a line of all gateways' turns does no harm
+PATIENCE = 2.0  # s after which a call is given up: a line of all gateways' turns that long does no harm
 SPREAD_MOST = 9.0  # s over which calls are spread at most: who does not ask within 10 s is taken as told
-UNASKED = 0.7  # s over which first calls are spread: under a drain's grace, as who has not asked counts as told
+UNASKED = 0.7  # s over which first calls are spread: under a drain's grace: not to have asked is to be told
 LIVED = 2 * PATIENCE  # s after which a watch that ends had been answered: its end is no failed call
 
 
