--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -184,8 +184,8 @@
         return few and (not account.plan.ceiling_rate or account.ceiling >= units)
 
     def known_spent(self, account: Account, units: float) -> bool:
-        """Whether the home's last word, and what filled its store since, fall short of these units: others can
-        only have taken more. Not to ask then spares a home whose customer asks more than it can hear."""
+        """Whether the home's last word, and what filled its store since, fall short of these units: others
+        can only have taken more. Not to ask then spares a home whose customer asks more than it can hear."""
         told = self.homes and account.told_at > self.born
         return told and account.level + QUARTER / 2 < units
 
