Planted faults of processes start again and are checked to; tests that time nothing side by side

Need: benchmarks.rules ended in an error: the planted fault _written_late (harness/mutant.py) patched Pools.learn with two arguments where it takes three since lists tell what is old; and the tests took three minutes on one of eight cores, which leaves no room for tests of many processes. Change: the fault follows the form of Pools.learn; a test starts every planted fault of processes and waits until it has sent a request on, so that none passes for caught by not starting.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,16 @@
 # Two commands do everything, set-up included: `make try` and `make test`.
 PYTHON ?= python3
 READY = .venv/.ready
+# Files of tests at once, of those that start no processes of the program.
+SIDE_BY_SIDE ?= 6
 
 .PHONY: try test bench mutants clean
 try: $(READY)
 	.venv/bin/python -m trackspread try $(ARGS)
 
 test: $(READY)
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q -n $(SIDE_BY_SIDE) --dist loadfile -m "not processes"
+	.venv/bin/python -m pytest -q -m processes
 
 bench: $(READY)
 	.venv/bin/python -m benchmarks.rules --quick
--- a/benchmarks/rules.py
+++ b/benchmarks/rules.py
@@ -31,11 +31,6 @@
     "socket-written-late": "rolling-deploy", "effects-forgotten": "rude-nodes",
     "group-forgotten": "rude-nodes", "refuses-after-run": "rude-nodes",
 }
-# What only virtual time convicts: the pool's own grace holds back a drain that the decisions ignore, and the
-# rest need a crowd or a cold node that the scenarios do not bring, or are faults of the virtual host.
-VIRTUAL_ONLY = {"drains-ignored", "whole-ceiling-each", "cold-flooded", "window-forgotten"}
-VIRTUAL_ONLY |= {"answers-lost", "answers-twice", "answers-late", "answers-swapped", "sent-after-answer"}
-
 Played = tuple[str, str, Verdict, float, float]
 
 
@@ -79,8 +74,7 @@
 def measure(quick: bool, seed: int) -> dict[str, float]:
     """All of it; progress goes to standard error."""
     began = time.monotonic()
-    every = [name for name in (*MUTANTS, *mutant.ON_SOCKETS) if name not in VIRTUAL_ONLY]
-    sockets = list(ON_SOCKETS_QUICK) if quick else every
+    sockets = ON_SOCKETS_QUICK if quick else mutant.PROCESSES
     jobs = [(name, "", seed) for name in SCENARIOS]
     jobs += [(WHERE.get(name, "calm"), name, seed) for name in sockets]
     violations = void = caught = 0
--- a/tests/test_counter_process.py
+++ b/tests/test_counter_process.py
@@ -33,6 +33,8 @@
 from trackspread.standins.scene import Scene
 from trackspread.virtual.plain import plain_settings
 
+pytestmark = pytest.mark.processes
+
 CLOCK = Clock()
 MOST = 30.0  # s: only a hang reaches it
 PLAN = Plan("team", 10.0, 10.0, 0, 1.0, 0.0, 1.0, 20.0, 20.0, 0.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,10 +13,12 @@
 
 from trackspread.harness import mutant
 from trackspread.harness.fleet import Fleet
-from trackspread.judge.ledger import Ended, Killed
+from trackspread.judge.ledger import Attempted, Ended, Killed
 from trackspread.judge.verdict import Verdict
 from trackspread.standins.scene import Scene
 
+pytestmark = pytest.mark.processes
+
 SMALL = Scene(gateways=2, nodes=3, load=0.6, seed=7)
 TRIES = 4  # of a run whose stand-ins lagged: such a run has no verdict
 MOST = 60.0  # s: only a hang reaches it
@@ -54,6 +56,20 @@
         return fleet.verdict(), pids
 
 
+@pytest.mark.parametrize("planted", mutant.PROCESSES)
+def test_a_gateway_with_a_planted_fault_starts_and_takes_up_its_list(planted: str) -> None:
+    """One that does not would pass for caught."""
+
+    async def start() -> bool:
+        async with Fleet(SMALL.changed(gateways=1, nodes=3), mutant.command(planted)) as fleet:
+            fleet.ask()
+            while not any(isinstance(entry, Attempted) for entry in fleet.ledger.entries):
+                await asyncio.sleep(0.01)
+            return fleet.gateways[0].running
+
+    assert uvloop.run(asyncio.wait_for(start(), MOST))
+
+
 def test_rules_hold_while_a_gateway_is_killed_peers_are_parted_and_a_node_replaced() -> None:
     for _ in range(TRIES):
         verdict, pids = uvloop.run(asyncio.wait_for(kill_and_part(), MOST))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -29,6 +29,8 @@
 from .test_control import CHECK, STATS, asked, figures, status
 from .test_net_process import COMMAND
 
+pytestmark = pytest.mark.processes
+
 # Steps.
 
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -35,6 +35,8 @@
     until,
 )
 
+pytestmark = pytest.mark.processes
+
 COMMAND = (sys.executable, "-m", "trackspread")
 
 
--- a/tests/test_try.py
+++ b/tests/test_try.py
@@ -20,6 +20,8 @@
 from trackspread.judge.ledger import Answered, Asked, Attempted, ClassRule, Cut, Entry, PlanRule, World
 from trackspread.standins.scene import Scene
 
+pytestmark = pytest.mark.processes
+
 ROOT = Path(__file__).parent.parent
 S = 1_000_000_000
 COMMAND = (sys.executable, "-m", "trackspread", "try", "--seconds", "4", "--kill", "n1@1", "--kill", "s-2@1")
--- a/tests/test_use_process.py
+++ b/tests/test_use_process.py
@@ -27,6 +27,8 @@
 from trackspread.usage.record import DAY_MS, NANO, Ending
 from trackspread.usage.senders import Drop, SendError, Target, sender
 
+pytestmark = pytest.mark.processes
+
 MOST = 60.0  # s: only a hang reaches it
 SECRET = b"of the tests"
 
--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -59,9 +59,9 @@
     """A drained backend gets what was decided before, however late."""
     real = Pools.learn
 
-    def mutant(self: Pools, backend: int, address: Any) -> None:
+    def mutant(self: Pools, backend: int, address: Any, old: bool = False) -> None:
         if address is not None:
-            real(self, backend, address)
+            real(self, backend, address, old)
 
     return [patch.object(Pools, "learn", mutant), *MUTANTS["drains-ignored"].patches()]
 
@@ -86,6 +86,12 @@
     "socket-crashes": ("crash", _crashes),
 }
 
+# What only virtual time convicts: the pool's own grace holds back a drain that the decisions ignore, and the
+# rest need a crowd or a cold node that the scenarios do not bring, or are faults of the virtual host.
+VIRTUAL_ONLY = {"drains-ignored", "whole-ceiling-each", "cold-flooded", "window-forgotten"}
+VIRTUAL_ONLY |= {"answers-lost", "answers-twice", "answers-late", "answers-swapped", "sent-after-answer"}
+PROCESSES = tuple(name for name in (*MUTANTS, *ON_SOCKETS) if name not in VIRTUAL_ONLY)
+
 
 def rule(name: str) -> Rule:
     """What the mutant breaks."""
--- a/trackspread/logs.py
+++ b/trackspread/logs.py
@@ -17,6 +17,10 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.begin()
+
+    def begin(self) -> None:
+        """A span of its own for whatever comes next."""
         self._since, self._lines = float("-inf"), 0
 
     def filter(self, record: logging.LogRecord) -> bool:
