Faults between processes as data: cuts by direction and kind, halts, slow peers, crash loops

Need: the operators' main concern is how many processes behave together when some fail; the rig could cut datagrams between gateways and kill one, nothing more, and nothing of it could be written down. Change: standins/faults.py has faults as data (cuts of any directions, of datagrams or connections; delay, jitter, loss, doubles, a rate; SIGSTOP once or in a duty cycle; restarts and crash loops), drawn from a seed, saved and read back; harness/player.py plays them; the ledger says when each began and ended.

--- /dev/null
+++ b/benchmarks/parted.py
@@ -0,0 +1,139 @@
+"""How a fleet of processes fares while some of them are parted, stopped, slow or killed, and until when.
+
+Each play is one schedule of faults on a fleet under load, decided from its ledger; one in which the rig
+itself lagged is void and played again. For each: rules broken, refusals with room before, during and after
+the trouble, units beyond quotas (of all, and of the member that went furthest), and the time until the share
+of refusals with room was back where the calm play of the same size has it. `--keep FOLDER` keeps schedule and
+ledger of each play that broke a rule; `--replay FILE` plays a schedule that was kept.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import multiprocessing
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from trackspread.harness.faulted import Played, play
+from trackspread.standins import faults
+from trackspread.standins.faults import Schedule
+
+LEAD, SPAN, TAIL = 8.0, 10.0, 10.0  # s before (a fleet that has just started refuses a lot), of and after it
+QUICK = 5.0  # s of trouble in a quick run
+SIDE_BY_SIDE = 3  # plays at once: with more, fleets of twelve take the cores from the rig
+TRIES = 4  # of a play that was void
+AGAIN = 1000  # between the seeds of these
+
+
+def _names(count: int) -> list[str]:
+    return [f"n{number}" for number in range(count)]
+
+
+def shapes(count: int, span: float) -> dict[str, tuple[faults.Fault, ...]]:
+    """The troubles of the table, for so many gateways."""
+    names, half = _names(count), count // 2
+    return {
+        "calm": (faults.Calm(LEAD, span),),
+        "halves": (faults.Cut(LEAD, span, faults.parted(names[:half], names[half:])),),
+        "one way": (faults.Cut(LEAD, span, faults.one_way(names[:half], names[half:])),),
+        "ring": (faults.Cut(LEAD, span, faults.ring(names)),),
+        "one stopped 5 s": (faults.Halt(LEAD, 5.0, (1,)),),
+        "one in a duty cycle": (faults.Duty(LEAD, span, (1,), 0.3, 0.3),),
+        "one killed in a loop": (faults.Loop(LEAD, span, 1, 0.3),),
+        "all by SIGTERM": (faults.Restart(LEAD, 0.5, tuple(range(count)), False),),
+    }
+
+
+def _play(job: tuple[Schedule, str]) -> Played:
+    schedule, keep = job
+    gc.disable()  # a collection over the ledger would be a lag
+    for number in range(TRIES):
+        again = msgspec.structs.replace(schedule, seed=schedule.seed + AGAIN * number)
+        played = uvloop.run(play(again, keep=Path(keep) if keep else None))
+        if played.state != "void":
+            break
+    return played
+
+
+def _say(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+def _line(played: Played, calm: float) -> str:
+    f = played
+    return (f"| {f.gateways} | {f.name} | {f.seed} | {f.state} | {f.tries} | {f.late_by_halt} | "
+            f"{f.with_room[0]:.1%}, {f.with_room[1]:.1%}, {f.with_room[2]:.1%} | {f.beyond:.2%} | "
+            f"{f.beyond_worst:.0%} | {f.right_again(calm):.0f} |")
+
+
+def table(
+    sizes: tuple[int, ...], span: float, seeds: tuple[int, ...], keep: str, side: int
+) -> dict[str, Any]:
+    """Plays all; one line each on standard error."""
+    jobs = [(Schedule(name, seed, count, LEAD + span + TAIL, made), keep)
+            for count in sizes for seed in seeds for name, made in shapes(count, span).items()]
+    _say("| gateways | trouble | seed | rules | tries | late by a halt | refused with room before, during, "
+         "after | beyond quotas | worst member | right again after, s |")
+    _say("| --- " * 10 + "|")
+    calm: dict[tuple[int, int], float] = {}
+    found: list[Played] = []
+    with multiprocessing.get_context("spawn").Pool(side, maxtasksperchild=1) as pool:
+        for played in pool.imap(_play, jobs):
+            if played.name == "calm":
+                calm[played.gateways, played.seed % AGAIN] = played.with_room[1]
+            found.append(played)
+            if played.state == "void":
+                _say(f"  the rig lagged by {played.lag_ms:.0f} ms")
+            _say(_line(played, calm[played.gateways, played.seed % AGAIN]))
+            for text in played.broken[:3]:
+                _say(f"  {text}")
+    last: dict[str, Any] = {"plays": len(found), "void": sum(p.state == "void" for p in found),
+                            "violations": sum(len(p.broken) for p in found)}
+    for count in sizes:
+        for name in shapes(count, span):
+            same = [p for p in found if (p.gateways, p.name) == (count, name)]
+            key = f"{name.replace(' ', '_')}_{count}"
+            last[f"with_room_{key}"] = round(sum(p.with_room[1] for p in same) / len(same), 4)
+            last[f"beyond_{key}"] = round(sum(p.beyond for p in same) / len(same), 4)
+            last[f"right_again_s_{key}"] = max(p.right_again(calm[count, p.seed % AGAIN]) for p in same)
+    return last
+
+
+def replay(path: Path) -> int:
+    """One kept schedule; its violations line by line."""
+    played = _play((faults.load(path), ""))
+    for text in played.broken:
+        print(text)
+    print(json.dumps({"state": played.state, "violations": len(played.broken)}))
+    return 1 if played.broken else 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--quick", action="store_true", help="under 110 s: six gateways, one seed")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=2, help="how many (2)")
+    parser.add_argument("--keep", default="", metavar="FOLDER")
+    parser.add_argument("--replay", type=Path, metavar="FILE")
+    parser.add_argument("--side", type=int, default=SIDE_BY_SIDE, help="plays at once (3)")
+    given = parser.parse_args()
+    if given.replay is not None:
+        return replay(given.replay)
+    began = time.monotonic()
+    seeds = tuple(range(given.seed, given.seed + (1 if given.quick else given.seeds)))
+    sizes, span = ((6,), QUICK) if given.quick else ((6, 12), SPAN)
+    figures = table(sizes, span, seeds, given.keep, given.side)
+    figures["seconds"] = round(time.monotonic() - began, 1)
+    print(json.dumps(figures))
+    return 0 if not figures["violations"] and not figures["void"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trackspread/harness/faulted.py
@@ -0,0 +1,134 @@
+"""One play: a fleet under load while a schedule of faults is played on it, and what its ledger says of it.
+
+What broke a rule is kept whole where a folder is named: the schedule, to be played again, the ledger and each
+gateway's log. May know: fleets, schedules, ledgers. May not know: what gateways decide, or why.
+"""
+
+from __future__ import annotations
+
+import shutil
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from ..judge.judge import Case, Use
+from ..judge.ledger import Asked, Entry, Faulted
+from ..standins.faults import Schedule
+from ..standins.rating import SECOND
+from ..standins.scene import Scene
+from .fleet import Fleet
+from .player import Player
+
+NODES = 3  # to a gateway
+LOAD = 0.35  # of what the nodes can do
+MEMBER_LEAST = 10.0  # units sent on from which a member's own share beyond its quota says something
+SPAN = 1  # s of the windows by which it is told when all is right again
+AGAIN_TIMES, AGAIN_MORE = 1.5, 0.03  # of the calm share of refusals with room, and more, that still are right
+SETTLED = 2  # windows in a row that have to be
+
+
+class Played(msgspec.Struct, frozen=True):
+    """Figures of one play. Of three: before, during and after the trouble. Shares are of all tries."""
+
+    name: str
+    seed: int
+    gateways: int
+    state: str  # the judge's
+    broken: tuple[str, ...]
+    tries: int
+    late_by_halt: int  # answers that came, or would have come, too late but for a halt of their gateway
+    with_room: tuple[float, float, float]
+    beyond: float  # of the units sent on
+    beyond_worst: float  # of the member whose share is largest
+    lag_ms: float  # the rig's worst
+    windows: tuple[float, ...]  # shares of refusals with room from the trouble's end on, each over `SPAN`
+
+    def right_again(self, calm: float) -> float:
+        """s from the trouble's end until that share stays where it is when all is calm; as long as was
+        looked at where it never does."""
+        right = [share <= calm * AGAIN_TIMES + AGAIN_MORE for share in self.windows]
+        for at in range(len(right)):
+            if all(right[at : at + SETTLED]):
+                return float(at * SPAN)
+        return float(len(right) * SPAN)
+
+
+async def play(
+    schedule: Schedule, keep: Path | None = None, command: tuple[str, ...] = ("-m", "trackspread", "run"),
+) -> Played:
+    """Once, from a fleet that has just started to its end in good order."""
+    scene = Scene(gateways=schedule.gateways, nodes=NODES * schedule.gateways, load=LOAD, greedy=0.2,
+                  warm=6 * SECOND, seed=schedule.seed)
+    async with Fleet(scene, command) as fleet:
+        fleet.ask()
+        await Player(fleet, schedule).play()
+        await fleet.settle()
+        verdict = fleet.verdict()
+        if keep is not None and verdict.state == "broken":
+            _keep(fleet, schedule, keep / f"{schedule.name.replace(' ', '-')}-{schedule.seed}")
+        entries = fleet.ledger.entries
+        case = Case(scene.world(), entries)
+        use = Use(case)
+        shares = [use.over[member] / units for member, units in use.sent.items() if units >= MEMBER_LEAST]
+        return Played(
+            schedule.name, schedule.seed, schedule.gateways, verdict.state,
+            tuple(f"{v.rule}: {v.text}" for v in verdict.violations), verdict.figures.tries,
+            _late_by_halt(case), *_rooms(entries, use), verdict.figures.beyond_share,
+            max(shares, default=0.0), verdict.figures.lag / 1e6, _windows(entries, use),
+        )
+
+
+def _keep(fleet: Fleet, schedule: Schedule, folder: Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    schedule.save(folder / "schedule.json")
+    fleet.ledger.save(folder / "ledger.jsonl", fleet.scene.world())
+    for gateway in fleet.gateways:
+        shutil.copy(gateway.log, folder)
+
+
+def _trouble(entries: Sequence[Entry]) -> tuple[int, int]:
+    """When it in fact began and ended."""
+    on = [entry.at for entry in entries if isinstance(entry, Faulted)]
+    return min(on), max(on)
+
+
+def _rooms(entries: Sequence[Entry], use: Use) -> tuple[tuple[float, float, float]]:
+    """Refusals with room, as a share of the tries of the same time."""
+    begun, ended = _trouble(entries)
+    asked, refused = [0, 0, 0], [0, 0, 0]
+    for entry in entries:
+        if isinstance(entry, Asked) and not entry.again:
+            asked[(entry.at >= begun) + (entry.at > ended)] += 1
+    for at, room in use.refused_at:
+        refused[(at >= begun) + (at > ended)] += room
+    made = [r / a if a else 0.0 for r, a in zip(refused, asked, strict=True)]
+    return ((made[0], made[1], made[2]),)
+
+
+def _windows(entries: Sequence[Entry], use: Use) -> tuple[float, ...]:
+    """From the trouble's end to the last request."""
+    _, ended = _trouble(entries)
+    asked: dict[int, int] = {}
+    refused: dict[int, int] = {}
+    for entry in entries:
+        if isinstance(entry, Asked) and entry.at > ended:
+            window = (entry.at - ended) // (SPAN * SECOND)
+            asked[window] = asked.get(window, 0) + 1
+    for at, room in use.refused_at:
+        if at > ended and room:
+            window = (at - ended) // (SPAN * SECOND)
+            refused[window] = refused.get(window, 0) + 1
+    whole = max(asked, default=0)  # the last one is none
+    return tuple(refused.get(n, 0) / asked[n] if asked.get(n) else 0.0 for n in range(whole))
+
+
+def _late_by_halt(case: Case) -> int:
+    """Requests that a halt alone excuses."""
+    late = 0
+    for request, asked in case.asked.items():
+        plain = asked.at + asked.wait + case.world.tolerance
+        got = case.answers.get(request, [])
+        ended = got[0].at if got else case.left[request].at if request in case.left else None
+        late += ended is not None and ended > plain and case.due(asked) > plain
+    return late
--- a/trackspread/harness/scenarios.py
+++ b/trackspread/harness/scenarios.py
@@ -104,7 +104,7 @@
     names = list(fleet.nodes)
     for number in range(fleet.scene.gateways):
         for name in names:
-            path = fleet.wire.between(f"n{number}", name)
+            path = fleet.wire.between(f"n{number}", name, "tcp")
             path.delay, path.jitter = 0.005, 0.01
     far = rng.choice(names)
     fleet.wire.part([f"n{n}" for n in range(fleet.scene.gateways)], [far])
--- a/trackspread/judge/ledger.py
+++ b/trackspread/judge/ledger.py
@@ -129,6 +129,26 @@
     gateway: str
 
 
+class Halted(_Entry, frozen=True):
+    """A gateway's process was stopped (SIGSTOP) and had taken no step more when this was written."""
+
+    gateway: str
+
+
+class Resumed(_Entry, frozen=True):
+    """It is about to go on (SIGCONT)."""
+
+    gateway: str
+
+
+class Faulted(_Entry, frozen=True):
+    """A fault of the schedule began, or ended; `fault` is its place there."""
+
+    fault: int
+    on: bool
+    text: str = ""
+
+
 class Ended(_Entry, frozen=True):
     """A gateway's process has ended."""
 
@@ -145,7 +165,7 @@
 
 Entry = (
     Asked | Answered | Cut | Left | Stray | Attempted | Garbled | Told | Booted | Fell
-    | Started | Stopping | Killed | Ended | Lagged
+    | Started | Stopping | Killed | Halted | Resumed | Faulted | Ended | Lagged
 )
 
 
