A request that crosses a connection's end and finds no gateway is told as that, not as cut

Ruled out: idle and mute times, the bound on connections, an abort (the process lived 1.7 s longer). Change: the ledger tells it apart; the judge excuses it where the request was never sent on, and only there. Measured: both are in the judge's ledgers, and a test plays it on sockets.

--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -55,6 +55,8 @@
         [asked(cls="pay"), attempted(MS, turned_away=True, value=""), attempted(2 * MS), answered(9 * MS)],
     "keyed one sent again in its pod":
         [asked(cls="send"), attempted(MS), attempted(S, backend="b1"), answered(2 * S, backend="b1")],
+    "crossed the end of a connection at rest, with no gateway left to take it":
+        [asked(), Cut(MS, "r", unreached=True)],
     "late by as long as its gateway stood still":
         [asked(), Halted(S, "n0"), Resumed(4 * S, "n0"), attempted(MS), answered(4 * S + S // 2)],
     "held when its gateway was killed": [asked(), attempted(MS), Killed(2 * MS, "n0"), Cut(3 * MS, "r")],
@@ -75,6 +77,8 @@
 BROKEN: dict[str, tuple[str, list[Entry]]] = {
     "never answered": ("answers", [asked(), attempted(MS)]),
     "connection ended": ("answers", [asked(), Cut(MS, "r")]),
+    "sent on, though it is said to have crossed an end":
+        ("answers", [asked(), attempted(MS), Cut(2 * MS, "r", unreached=True)]),
     "answered twice": ("answers", [asked(), answered(MS, "refused"), answered(2 * MS, "failed")]),
     "answered late": ("answers", [asked(), answered(3 * S, "failed")]),
     "hung up on after its time": ("answers", [asked(), Left(3 * S, "r")]),
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import cast
+
 import pytest
+import uvloop
 
 from trackspread.config.addresses import Address
-from trackspread.judge.ledger import Ledger
+from trackspread.judge.judge import judge
+from trackspread.judge.ledger import Answered, Cut, Ledger
 from trackspread.simulator.wire import parse_settings
 from trackspread.config.platform import flatten
 from trackspread.standins.agent import Agent, BackendList, Listed
+from trackspread.standins.clients import Clients
 from trackspread.standins.loopback import NAMED, Ports, own_address
 from trackspread.standins.rating import SECOND, NodeSpec, Pod, RatingNode, work_of
 from trackspread.standins.scene import MILLISECOND, Scene
@@ -129,3 +135,47 @@
     given = [ports.tcp() for _ in range(50)] + [ports.udp() for _ in range(50)]
     assert {host for host, _ in given} == {own_address(NAMED)} and own_address(NAMED) != own_address()
     assert len(set(given[:50])) == 50 == len(set(given[50:]))
+
+
+def test_a_request_that_crosses_the_end_of_a_connection_at_rest_and_finds_no_gateway_is_told_so() -> None:
+    """As when all gateways get SIGTERM at once: no gateway has read it, and none is there to take it."""
+    scene, ledger, ports = Scene(gateways=1, nodes=3, seed=2), Ledger(), Ports()
+    address = ports.tcp()
+
+    class Gateway(asyncio.Protocol):
+        """Serves one request, and then closes between requests without a look at what comes."""
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            self.transport = cast(asyncio.Transport, transport)
+
+        def data_received(self, data: bytes) -> None:
+            self.transport.write(b"$1\r\nv\r\n")
+            self.transport.pause_reading()
+
+    async def test() -> None:
+        loop, made = asyncio.get_running_loop(), list[Gateway]()
+
+        def accept() -> Gateway:
+            made.append(Gateway())
+            return made[-1]
+
+        server = await loop.create_server(accept, *address)
+        clients = Clients(scene, scene.crowd(), ledger, [address])
+
+        async def ended(count: int) -> None:
+            while sum(isinstance(e, Answered | Cut) for e in ledger.entries) < count:
+                await asyncio.sleep(0.005)
+
+        clients._begin(clients.crowd.want(), 3)
+        await ended(1)
+        server.close()
+        clients._begin(clients.crowd.want(), 3)
+        await asyncio.sleep(0)
+        made[0].transport.abort()
+        await ended(2)
+
+    uvloop.run(asyncio.wait_for(test(), 20.0))
+    cut = ledger.entries[-1]
+    assert isinstance(cut, Cut) and cut.unreached
+    assert judge(scene.world(), ledger.entries).broken() <= {"answers"}  # the first was made by no backend
+    assert not any("ended the connection" in v.text for v in judge(scene.world(), ledger.entries).violations)
--- a/trackspread/judge/judge.py
+++ b/trackspread/judge/judge.py
@@ -96,7 +96,10 @@
         due, got = case.due(asked), case.answers.get(request, [])
         if not got:
             if request in case.cuts:
-                cut = case.cuts[request].at
+                cut, crossed = case.cuts[request].at, case.cuts[request].unreached
+                # Closed between requests, as a gateway may; read it was not, or it would have been sent on.
+                if crossed and request not in case.attempts:
+                    continue
                 if not case.excused(asked, cut + slack):
                     yield Violation(cut, "answers", f"{request}: {asked.gateway} ended the connection")
             elif request not in case.left:
--- a/trackspread/judge/ledger.py
+++ b/trackspread/judge/ledger.py
@@ -46,9 +46,11 @@
 
 
 class Cut(_Entry, frozen=True):
-    """A connection ended with no whole answer to this request."""
+    """A connection ended with no whole answer to this request. `unreached`: it crossed the end of a
+    connection that was at rest, and no gateway was there to take it when it was to be written once more."""
 
     request: str
+    unreached: bool = False
 
 
 class Left(_Entry, frozen=True):
--- a/trackspread/standins/clients.py
+++ b/trackspread/standins/clients.py
@@ -84,7 +84,8 @@
                 elsewhere = replace(want, gateway=self.crowd.entry(want.customer, want.gateway))
                 await self._fresh(elsewhere, request, connects - 1, again)
             elif again:
-                self.ledger.write(Cut(time.monotonic_ns(), request))
+                self.kinds["unreached"] += 1
+                self.ledger.write(Cut(time.monotonic_ns(), request, unreached=True))
             else:
                 self.kinds["unreached"] += 1
             return
