--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,286 @@
+"""The view of the fleet: how fast it settles on processes, what it costs, and whether faults in it are told.
+
+One fleet of 24 gateways goes through a crash, a join, five crashes at once, halves parted for ten seconds, and
+ten seconds in which a tenth of all datagrams is lost and a fifth of the gateways stand still for 30% of their
+time; each is decided from the records. Planted faults run on smaller fleets side by side, and in virtual time.
+`--seed N` replays one schedule in virtual time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import multiprocessing
+import sys
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import uvloop
+
+from trackspread.harness import mutant, viewed
+from trackspread.harness.fleet import Fleet
+from trackspread.harness.player import Player
+from trackspread.membership.terms import SECOND
+from trackspread.standins import faults
+from trackspread.standins.faults import Cut, Duty, Fault, Rough, Schedule, draw
+from trackspread.standins.scene import Scene
+from trackspread.virtual.membered import Broken, World
+from trackspread.virtual.membered_mutants import MUTANTS, convict
+from trackspread.virtual.membered_schedules import make
+from trackspread.virtual.membered_schedules import play as play_virtual
+
+PROCESSES, MORE = 24, 40  # gateways of a quick run, and of a full one
+SMALL = 5  # gateways with a planted fault
+SCHEDULES_QUICK, SCHEDULES = 600, 10_000
+MIXED = 30  # schedules of mixed faults on processes, in a full run
+CHUNK = 20
+TRIES = 3  # of a run whose rig lagged
+QUICK_ON_PROCESSES = ("view-grows-first", "view-life-ignored", "view-number-reused", "view-dead-kept")
+ON_PROCESSES = (
+    *QUICK_ON_PROCESSES, "view-never-cleared", "view-given-twice", "view-parent-wrong", "view-given-up",
+)
+CALM = 4.0  # s over which CPU is measured
+
+
+def _say(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+async def _settled(fleet: Fleet, what: str) -> float:
+    took = await viewed.until_settled(fleet, 15.0)
+    _say(f"{what}: {'not settled within 15 s' if took is None else f'{took:.2f} s'}")
+    return 15.0 if took is None else took
+
+
+async def _faulty(fleet: Fleet, seconds: float, *made: Fault) -> None:
+    await Player(fleet, Schedule("bench", 1, len(fleet.gateways), seconds, made)).play()
+
+
+async def _idle(count: int, view: str | None) -> float:
+    """CPU of a gateway over a span in which nobody asks, as a share of a core."""
+    async with Fleet(Scene(gateways=count, nodes=3, load=0.1, seed=1), viewed=view) as fleet:
+        if view is not None:
+            await viewed.until_settled(fleet, 15.0)
+        await asyncio.sleep(1.0)
+        before = sum(gateway.used() for gateway in fleet.gateways)
+        await asyncio.sleep(CALM)
+        return (sum(gateway.used() for gateway in fleet.gateways) - before) / count / CALM
+
+
+def _dead(fleet: Fleet, since: int) -> int:
+    """Members that run and were taken for dead by somebody."""
+    said = {b.about["who"][0] for b in fleet.beliefs()  # type: ignore[index]
+            if b.at > since and b.kind == "member" and b.about["state"] == "DEAD"}
+    return len(said)
+
+
+async def _large(count: int) -> dict[str, float]:
+    """All of it on one fleet, under some load."""
+    names = [f"n{n}" for n in range(count)]
+    async with Fleet(Scene(gateways=count, nodes=6, load=0.2, seed=2), viewed="") as fleet:
+        made = {"settle_s_start": await _settled(fleet, f"{count} started")}
+        fleet.ask()
+        await fleet.end([count - 1])
+        made["detect_s_worst"] = await _settled(fleet, "one killed")
+        await fleet.end([1])  # a seed, and now and then the coordinator
+        made["settle_s_seed"] = await _settled(fleet, "a seed killed")
+        await fleet.begin([1, count - 1])
+        made["settle_s_join"] = await _settled(fleet, "two joined")
+        five = list(range(count // 2, count // 2 + 5))
+        await fleet.end(five)
+        made["settle_s_crash"] = await _settled(fleet, "five killed")
+        await fleet.begin(five)
+        await _settled(fleet, "five joined")
+        await _faulty(fleet, 10.0, Cut(0.0, 10.0, faults.parted(names[: count // 2], names[count // 2 :])))
+        made["settle_s_heal"] = await _settled(fleet, "halves healed")
+        since = time.monotonic_ns()
+        slow = tuple(range(3, count, 5))
+        await _faulty(fleet, 10.0, Rough(0.0, 10.0, faults.among(names), ("udp",), loss=0.1),
+                      Duty(0.0, 10.0, slow, 0.3, 0.3))
+        made["false_dead"] = _dead(fleet, since)
+        await fleet.settle()
+        amiss, most = viewed.amiss(fleet)
+        verdict = fleet.verdict()
+        for each in amiss[:3]:
+            _say(f"AMISS: {each.rule}: {each.text}")
+        for violation in verdict.violations[:3]:
+            _say(f"BROKEN: {violation.rule}: {violation.text}")
+        made["views_in_conflict"] = sum(each.rule == "view" for each in amiss)
+        made["rights_over_whole"] = round(max(0.0, most - 1.0), 6)
+        made["violations"] = len(amiss) + (len(verdict.violations) if verdict.state == "broken" else 0)
+        made["lag_ms"] = round(verdict.figures.lag / 1e6, 1)
+        return made
+
+
+async def _small(planted: str, seed: int) -> str:
+    """What a fleet with this fault does wrong; nothing if nothing is told. Without one: nothing may be."""
+    command = mutant.command(planted) if planted else ("-m", "trackspread", "run")
+    names = [f"n{n}" for n in range(SMALL)]
+    async with Fleet(Scene(gateways=SMALL, nodes=3, load=0.1, seed=seed), command, viewed="") as fleet:
+        steps: list[tuple[str, float, Callable[[], Awaitable[None]]]] = [
+            ("start", 6.0, lambda: asyncio.sleep(0.0)),
+            ("a join", 3.0, lambda: fleet.restart([4], 0.2)),
+            ("a crash", 6.0, lambda: fleet.end([4])),
+            ("halves", 6.0, lambda: _faulty(fleet, 5.0, Cut(0.0, 5.0, faults.parted(names[:2], names[2:])))),
+            ("a cut one", 6.0, lambda: _faulty(fleet, 3.0, Cut(0.0, 3.0, faults.parted(names[:3], names[3:])))),
+        ]
+        found = ""
+        for what, most, step in steps:
+            await step()
+            if await viewed.until_settled(fleet, most) is None:
+                found = f"not settled {most:.0f} s after {what}"
+            amiss, _ = viewed.amiss(fleet)
+            if amiss:
+                found = amiss[0].text
+            if found:
+                return found
+        return ""
+
+
+def _mixed(seed: int) -> tuple[int, str]:
+    """One schedule on twelve processes: what broke."""
+    gc.disable()
+
+    async def once(played: int) -> str | None:
+        async with Fleet(Scene(gateways=12, nodes=6, load=0.15, seed=played), viewed="") as fleet:
+            await viewed.until_settled(fleet, 15.0)
+            fleet.ask()
+            await Player(fleet, draw(played, 12, 14.0, 1.0, 1.0)).play()
+            took = await viewed.until_settled(fleet, 8.0)
+            await fleet.settle()
+            verdict, (amiss, _) = fleet.verdict(), viewed.amiss(fleet)
+            if verdict.state == "void":
+                return None
+            broken = [f"{v.rule}: {v.text}" for v in verdict.violations] + [a.text for a in amiss]
+            return "; ".join([*broken[:3], *(["not settled within 8 s"] if took is None else [])])
+
+    for number in range(TRIES):
+        found = uvloop.run(once(seed + 1000 * number))
+        if found is not None:
+            return seed, found
+    return seed, "void"
+
+
+def _on_processes(job: tuple[str, int]) -> tuple[str, str]:
+    gc.disable()
+    return job[0], uvloop.run(_small(*job))
+
+
+def _schedules(seeds: range) -> list[tuple[int, str, int]]:
+    """What broke, and the ns that each took to settle."""
+    made: list[tuple[int, str, int]] = []
+    for seed in seeds:
+        try:
+            made.append((seed, "", play_virtual(make(seed))[1]))
+        except Broken as broken:
+            made.append((seed, str(broken), 0))
+    return made
+
+
+def _convict(name: str) -> tuple[str, int | None]:
+    return name, convict(name, range(1, 60))
+
+
+def _chunks(first: int, count: int) -> Iterator[range]:
+    for start in range(first, first + count, CHUNK):
+        yield range(start, min(start + CHUNK, first + count))
+
+
+def bytes_a_second(count: int) -> float:
+    """Of one member in a calm fleet of so many, in virtual time."""
+    world = World(1, count, settings={"most": 2 * count})
+    for process in list(world.processes.values()):
+        world.start(process)
+    world.until_settled(60 * SECOND, every=SECOND)
+    world.step(world.true + 5 * SECOND)  # what is still told of the start
+    world.bytes = dict.fromkeys(world.processes, 0)
+    world.step(world.true + 10 * SECOND)
+    return sum(world.bytes.values()) / count / 10.0
+
+
+def measure(quick: bool, first: int) -> dict[str, Any]:
+    """All of it; progress goes to standard error."""
+    began = time.monotonic()
+    figures: dict[str, Any] = {"processes": PROCESSES if quick else MORE}
+    gc.disable()
+    off, on = uvloop.run(_idle(6, None)), uvloop.run(_idle(PROCESSES, ""))
+    figures["cpu_share"] = round(max(0.0, on - off), 4)
+    figures |= uvloop.run(_large(int(figures["processes"])))
+    gc.enable()
+    _say(f"the large fleet is done after {time.monotonic() - began:.0f} s")
+    names = QUICK_ON_PROCESSES if quick else ON_PROCESSES
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(4 if quick else 3, maxtasksperchild=1) as pool:
+        jobs = [("", 1), *((name, 1) for name in names)]
+        told = dict(pool.imap_unordered(_on_processes, jobs))
+        for name, text in told.items():
+            _say(f"{name or 'no fault'} on processes: {text or 'nothing amiss'}")
+        violations = bool(told.pop(""))
+        caught = sum(bool(text) for text in told.values())
+        if not quick:
+            void = 0
+            for seed, text in pool.imap_unordered(_mixed, range(1, MIXED + 1)):
+                _say(f"mixed {seed} on processes: {text or 'kept'}")
+                violations += bool(text) and text != "void"
+                void += text == "void"
+            figures["mixed"], figures["mixed_void"] = MIXED, void
+    _say(f"processes are done after {time.monotonic() - began:.0f} s")
+    count, settled = SCHEDULES_QUICK if quick else SCHEDULES, list[int]()
+    with context.Pool() as pool:
+        convicted = pool.imap_unordered(_convict, MUTANTS)
+        sizes = pool.map_async(bytes_a_second, [24, 200 if quick else 1000])
+        for made in pool.imap_unordered(_schedules, _chunks(1_000_000 + first * count, count)):
+            for seed, text, took in made:
+                if text:
+                    violations += 1
+                    _say(f"BROKEN, replay with --seed {seed}: {text}")
+                else:
+                    settled.append(took)
+        for name, seed_or_none in convicted:
+            caught += seed_or_none is not None
+            _say(f"{name} in virtual time: "
+                 + ("NOT TOLD" if seed_or_none is None else f"told by seed {seed_or_none}"))
+        small, large = sizes.get()
+    settled.sort()
+    figures |= {
+        "schedules": count, "settle_s_median": settled[len(settled) // 2] / 1e9,
+        "settle_s_most": settled[-1] / 1e9, "bytes_per_s_member_24": round(small),
+        f"bytes_per_s_member_{200 if quick else 1000}": round(large), "bytes_ratio": round(large / small, 3),
+        "mutants": len(names) + len(MUTANTS), "mutants_caught": caught,
+        "violations": figures["violations"] + violations, "seconds": round(time.monotonic() - began, 1),
+    }
+    return figures
+
+
+def replay(seed: int) -> int:
+    """One schedule in virtual time, alone."""
+    schedule = make(seed)
+    print(schedule)
+    try:
+        took = play_virtual(schedule)[1]
+    except Broken as broken:
+        print(broken)
+        return 1
+    print(json.dumps({"violations": 0, "settle_s": took / 1e9}))
+    return 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--quick", action="store_true", help="under 110 s on eight cores")
+    parser.add_argument("--seed", type=int, help="replay one schedule in virtual time")
+    parser.add_argument("--first", type=int, default=1, help="begins the seeds of the schedules")
+    given = parser.parse_args()
+    if given.seed is not None:
+        return replay(given.seed)
+    figures = measure(given.quick, given.first)
+    print(json.dumps(figures))
+    kept = not figures["violations"] and figures["mutants_caught"] == figures["mutants"]
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -13,6 +13,7 @@
 from ..judge.verdict import Rule
 from ..node import serve
 from ..node.gateway import Gateway
+from ..virtual import membered_mutants
 from ..virtual.mutants import MUTANTS
 from ..virtual.patches import held
 
@@ -103,7 +104,12 @@
     return "-m", "trackspread.harness.mutant", name
 
 
+def _patches(name: str) -> list[Any]:
+    if name in ON_SOCKETS:
+        return ON_SOCKETS[name][1]()
+    return MUTANTS[name].patches() if name in MUTANTS else membered_mutants.MUTANTS[name]()
+
+
 if __name__ == "__main__":
-    chosen = sys.argv[1]
-    with held((ON_SOCKETS[chosen][1] if chosen in ON_SOCKETS else MUTANTS[chosen].patches)()):
+    with held(_patches(sys.argv[1])):
         serve.run(sys.argv[-1])
