One check of literal addresses, one way to read members' bytes and to grant; what nothing reads is gone

Change: an address and a port are checked by one function for counter and fleet; letters and tables are opened by one; the coordinator grants itself and others alike. A key is hashed once rather than with each datagram, a digest of who is live is made anew only where that changed. Gone: a second reader of records, a field of pings, a hook of the host, two questions that nobody asked, a warning written twice.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -199,7 +199,7 @@
     for process in list(world.processes.values()):
         world.start(process)
     world.until_settled(60 * SECOND, every=SECOND)
-    while any(p.core is not None and len(p.core.rumours) for p in world.running()):
+    while any(p.core is not None and len(p.core.rumours) for p in world.processes.values()):
         world.step(world.true + SECOND)  # until nothing is told of the start any more
     world.bytes = dict.fromkeys(world.processes, 0)
     world.step(world.true + 10 * SECOND)
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -188,17 +188,22 @@
                           "https://HOST:PORT/PATH or file:///FOLDER")
 
 
+def _literal(name: str, key: str, text: str, example: str) -> Address:
+    """Raises `ConfigError` unless it is an address and a port."""
+    try:
+        host, port = address(text, key)
+        ip_address(host)
+    except ValueError:
+        raise ConfigError(f"{name}: {key}: found {text!r}, wanted an address and a port, as {example}: names "
+                          "are not looked up") from None
+    if not port:
+        raise ConfigError(f"{name}: {key}: found port 0, wanted 1 to 65535")
+    return host, port
+
+
 def _check_counter(counter: Counter, name: str) -> None:
     for number, server in enumerate(counter.servers):
-        key = f"counter.servers[{number}]"
-        try:
-            host, port = address(server, key)
-            ip_address(host)
-        except ValueError:
-            raise ConfigError(f"{name}: {key}: found {server!r}, wanted an address and a port, as "
-                              "127.0.0.1:6379: names are not looked up") from None
-        if not port:
-            raise ConfigError(f"{name}: {key}: found port 0, wanted 1 to 65535")
+        _literal(name, f"counter.servers[{number}]", server, "127.0.0.1:6379")
     if len(set(counter.servers)) < len(counter.servers):
         raise ConfigError(f"{name}: counter.servers: found one twice, wanted once each")
     for key in ("ca", "certificate"):
@@ -225,14 +230,7 @@
     keys = [("listen", fleet.listen), *([("advertise", fleet.advertise)] if fleet.advertise else []),
             *((f"seeds[{number}]", seed) for number, seed in enumerate(fleet.seeds))]
     for key, text in keys:
-        try:
-            host, port = address(text, key)
-            ip_address(host)
-        except ValueError:
-            raise ConfigError(f"{name}: fleet.{key}: found {text!r}, wanted an address and a port, as "
-                              "127.0.0.1:7400: names are not looked up") from None
-        if not port:
-            raise ConfigError(f"{name}: fleet.{key}: found port 0, wanted 1 to 65535")
+        host, _ = _literal(name, f"fleet.{key}", text, "127.0.0.1:7400")
         if ip_address(host).is_unspecified and (key != "listen" or not fleet.advertise):
             raise ConfigError(f"{name}: fleet.{key}: found {text!r}, wanted an address that others can reach")
     if len(set(fleet.seeds)) < len(fleet.seeds):
--- a/trackspread/harness/faulted.py
+++ b/trackspread/harness/faulted.py
@@ -74,7 +74,7 @@
         return Played(
             schedule.name, schedule.seed, schedule.gateways, verdict.state,
             tuple(f"{v.rule}: {v.text}" for v in verdict.violations), verdict.figures.tries,
-            _late_by_halt(case), *_rooms(entries, use), verdict.figures.beyond_share,
+            _late_by_halt(case), _rooms(entries, use), verdict.figures.beyond_share,
             max(shares, default=0.0), verdict.figures.lag / 1e6, _windows(entries, use),
         )
 
@@ -93,7 +93,7 @@
     return min(on), max(on)
 
 
-def _rooms(entries: Sequence[Entry], use: Use) -> tuple[tuple[float, float, float]]:
+def _rooms(entries: Sequence[Entry], use: Use) -> tuple[float, float, float]:
     """Refusals with room, as a share of the tries of the same time."""
     begun, ended = _trouble(entries)
     asked, refused = [0, 0, 0], [0, 0, 0]
@@ -102,8 +102,8 @@
             asked[(entry.at >= begun) + (entry.at > ended)] += 1
     for at, room in use.refused_at:
         refused[(at >= begun) + (at > ended)] += room
-    made = [r / a if a else 0.0 for r, a in zip(refused, asked, strict=True)]
-    return ((made[0], made[1], made[2]),)
+    before, during, after = (r / a if a else 0.0 for r, a in zip(refused, asked, strict=True))
+    return before, during, after
 
 
 def _windows(entries: Sequence[Entry], use: Use) -> tuple[float, ...]:
--- a/trackspread/judge/beliefs.py
+++ b/trackspread/judge/beliefs.py
@@ -133,8 +133,6 @@
     return found, most / WHOLE
 
 
-
-
 def settled_at(beliefs: Sequence[Belief], running: Sequence[Who], since: int) -> int | None:
     """ns after `since` from which all that run hold one view of just them, and none has changed since; None
     for never."""
--- a/trackspread/membership/coordinating.py
+++ b/trackspread/membership/coordinating.py
@@ -39,9 +39,6 @@
         self._began = self._issued_at = now
         self._asked: dict[Who, int] = {}
 
-    def number(self) -> Number:
-        return self.view.number if self.view is not None else NO_NUMBER
-
     def heard_of(self, number: Number) -> None:
         """A predecessor's view that somebody holds: what is issued next follows it."""
         if self.view is None:
--- a/trackspread/membership/host.py
+++ b/trackspread/membership/host.py
@@ -43,17 +43,17 @@
 
 
 class Host:
-    """One member that runs. `told` hears of all that came to be, after the core has taken it in."""
+    """One member that runs."""
 
     def __init__(
         self, settings: Settings, listen: Address, wire: Wire, seed: int, now: Callable[[], int],
-        told: Callable[[Told], None] = lambda told: None, record: Path | None = None,
+        record: Path | None = None,
     ) -> None:
         """Raises `OSError` where the record can't be written."""
         self.settings, self.wire, self.now = settings, wire, now
         self.core = Member(settings, now(), seed)
         self.counts: Counter[str] = Counter()  # datagrams and bytes, sent and received; exchanges
-        self._listen, self._hear = listen, told
+        self._listen = listen
         self._record = Recorder(record, *settings.who) if record is not None else None
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -137,7 +137,6 @@
             of_note.log(level, "fleet: %s%s", told.kind, _plain(told))
         elif told.kind == "member":
             log.info("fleet: member%s", _plain(told))
-        self._hear(told)
 
     # Tables over connections.
 
--- a/trackspread/membership/member.py
+++ b/trackspread/membership/member.py
@@ -21,8 +21,8 @@
 from .rumours import Rumours
 from .slowness import Slowness
 from .terms import (
-    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Exchange, Fresh, Grant, Help, Leader, Letter, Nack,
-    Number, Ping, Renew, Report, Rumour, Say, Settings, State, Table, Told, View, Vote, Who,
+    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Fresh, Grant, Help, Leader, Letter,
+    Nack, Number, Ping, Renew, Report, Rumour, Say, Settings, State, Table, Told, View, Vote, Who,
 )
 
 TICK = 50 * MS  # ns between two calls of `tick`
@@ -168,9 +168,9 @@
         self.rumours.add(word)
 
     def _ping(self, word: Rumour, seq: int) -> None:
-        suspected = word.life if word.state in (State.SUSPECT, State.DEAD) else -1
         # Whoever is suspected hears of it by this very ping, and can clear itself at once.
-        self._say(word.address, Ping(seq, word.who, suspected), (word,) if suspected >= 0 else ())
+        suspected = word.state in (State.SUSPECT, State.DEAD)
+        self._say(word.address, Ping(seq, word.who), (word,) if suspected else ())
 
     # Words on members.
 
@@ -312,8 +312,7 @@
             case Renew():
                 self._asked(now, who, body, source)
             case Grant():
-                if self.holding.take(now, body.stamp, body.epoch, body.serial, body.part):
-                    self._granted(now)
+                self._take(now, body)
                 if body.number > self.number():
                     self._out.append(Exchange(source))
             case Fresh():
@@ -400,30 +399,34 @@
             return
         body = Renew(now, epoch, self.holding.serial, held, self.number())
         if self.leader.who == self.who:
-            self._own_part(now, body)
+            if (grant := self._grant(now, self.who, body)) is not None:
+                self._take(now, grant)
         else:
             self._say((self.leader.host, self.leader.port), body)
 
-    def _own_part(self, now: int, body: Renew) -> None:
-        if self.coordinating is not None and self.owns(now) and self.coordinating.epoch == body.epoch:
-            serial, part = self.coordinating.asked(now, self.who, body)
-            if self.holding.take(now, body.stamp, body.epoch, serial, part):
-                self._granted(now)
+    def _coordinates(self, now: int, epoch: Epoch) -> bool:
+        return self.coordinating is not None and self.coordinating.epoch == epoch and self.owns(now)
 
-    def _granted(self, now: int) -> None:
+    def _grant(self, now: int, who: Who, body: Renew) -> Grant | None:
+        """What this member, as the coordinator that is asked, grants; nothing where it is not."""
+        if self.coordinating is None or not self._coordinates(now, body.epoch):
+            return None
+        serial, part = self.coordinating.asked(now, who, body)
+        return Grant(body.stamp, body.epoch, serial, part, self.number())
+
+    def _take(self, now: int, grant: Grant) -> None:
         holding = self.holding
+        if not holding.take(now, grant.stamp, grant.epoch, grant.serial, grant.part):
+            return
         self._told("part", part=holding.granted, lasts=max(0, holding.until - now), epoch=holding.epoch,
                    serial=holding.serial)
 
     def _asked(self, now: int, who: Who, body: Renew, source: Address) -> None:
-        coordinating = self.coordinating
-        if coordinating is None or coordinating.epoch != body.epoch or not self.owns(now):
-            return
         if not self.people.holds(who):
-            self._out.append(Exchange(source))  # it is not known here: it, or word of it, is new
-            return
-        serial, part = coordinating.asked(now, who, body)
-        self._say(source, Grant(body.stamp, body.epoch, serial, part, self.number()))
+            if self._coordinates(now, body.epoch):
+                self._out.append(Exchange(source))  # it is not known here: it, or word of it, is new
+        elif (grant := self._grant(now, who, body)) is not None:
+            self._say(source, grant)
 
     def _adopt(self, now: int, view: View) -> None:
         if view.number > self.number():
--- a/trackspread/membership/parts.py
+++ b/trackspread/membership/parts.py
@@ -69,10 +69,6 @@
         given.grants[self._serial] = made, now + ENDED
         return self._serial, made
 
-    def holds(self, now: int, who: Who) -> int:
-        given = self._given.get(who)
-        return given.most(now) if given is not None else 0
-
     def released(self, who: Who) -> None:
         """It has given up what it held, and asks for nothing more."""
         self._given.pop(who, None)
--- a/trackspread/membership/people.py
+++ b/trackspread/membership/people.py
@@ -52,7 +52,6 @@
         if word.name == self.me.name:
             return self._of_me(word)
         held = self.by_name.get(word.name)
-        self._digest = None
         if held is None:
             if len(self.by_name) >= 2 * self._most and not self._make_room():
                 self.left_out += 1
@@ -67,6 +66,7 @@
             if word.rank == held.rumour.rank and word.state == State.SUSPECT:
                 return self._one_more(held, teller)
             return False
+        self._digest = None
         if word.state == State.SUSPECT:
             held.suspected_by.add(teller)
         return True
--- a/trackspread/membership/record.py
+++ b/trackspread/membership/record.py
@@ -45,17 +45,11 @@
         self._left -= len(line)
         try:
             os.write(self._file, line)
+            why = "it is full"
         except OSError as error:
-            self._left = 0
-            log.warning("the view's record ends here: %s", error.strerror)
+            self._left, why = 0, str(error.strerror)
         if self._left <= 0:
-            log.warning("the view's record is full or can't be written, it ends here")
+            log.warning("the view's record ends here: %s", why)
 
     def close(self) -> None:
         os.close(self._file)
-
-
-def read(path: Path) -> list[Line]:
-    """Whole lines of all processes that wrote there; raises `msgspec.DecodeError` on anything else."""
-    decoder = msgspec.json.Decoder(Line)
-    return [decoder.decode(line) for line in path.read_bytes().split(b"\n") if line]
--- a/trackspread/membership/terms.py
+++ b/trackspread/membership/terms.py
@@ -74,11 +74,10 @@
 
 
 class Ping(Body, frozen=True):
-    """Are you there? `suspected`: life under which the one asked is suspected here, -1 for not."""
+    """Are you there? Whoever is suspected has the word that says so beside it."""
 
     seq: int
     to: Who
-    suspected: int = -1
 
 
 class Ack(Body, frozen=True):
--- a/trackspread/membership/wire.py
+++ b/trackspread/membership/wire.py
@@ -10,6 +10,7 @@
 import hashlib
 from collections import Counter
 from hmac import compare_digest
+from typing import TypeVar
 
 import msgspec
 
@@ -21,6 +22,8 @@
 TABLE_EACH, TABLE_LEAST = 512, 4 << 10  # bytes of a table for each member and beside them, at most
 NAME_MOST = 64  # characters of a member's or a fleet's name
 
+Read = TypeVar("Read", Letter, Table)
+
 _encode = msgspec.msgpack.Encoder().encode
 _letter = msgspec.msgpack.Decoder(Letter)
 _table = msgspec.msgpack.Decoder(Table)
@@ -31,14 +34,15 @@
     Without keys the digest only tells what was spoilt on its way."""
 
     def __init__(self, current: bytes = b"", previous: bytes = b"") -> None:
-        self._all = [current, previous] if previous else [current]
+        used = [current, previous] if previous else [current]
+        self._all = [hashlib.sha256(key).digest() for key in used]  # blake2b takes 64 bytes
 
     def sign(self, payload: bytes) -> bytes:
         return self._digest(self._all[0], payload)
 
     @staticmethod
     def _digest(key: bytes, payload: bytes) -> bytes:
-        return hashlib.blake2b(payload, digest_size=DIGEST, key=hashlib.sha256(key).digest()).digest()
+        return hashlib.blake2b(payload, digest_size=DIGEST, key=key).digest()
 
     def fits(self, digest: bytes, payload: bytes) -> bool:
         return any(compare_digest(digest, self._digest(key, payload)) for key in self._all)
@@ -64,15 +68,7 @@
         return made
 
     def unpack(self, data: bytes) -> Letter | None:
-        payload = self._opened(data)
-        if payload is None:
-            return None
-        try:
-            letter = _letter.decode(payload)
-        except (msgspec.DecodeError, RecursionError):
-            self.dropped["spoilt"] += 1
-            return None
-        return letter if self._ours(letter.fleet) else None
+        return self._read(data, _letter)
 
     def pack_table(self, table: Table) -> bytes:
         """With its length before it."""
@@ -80,15 +76,21 @@
         return len(made).to_bytes(4) + made
 
     def unpack_table(self, data: bytes) -> Table | None:
+        return self._read(data, _table)
+
+    def _read(self, data: bytes, decoder: msgspec.msgpack.Decoder[Read]) -> Read | None:
         payload = self._opened(data)
         if payload is None:
             return None
         try:
-            table = _table.decode(payload)
+            made = decoder.decode(payload)
         except (msgspec.DecodeError, RecursionError):
             self.dropped["spoilt"] += 1
             return None
-        return table if self._ours(table.fleet) else None
+        if made.fleet != self.fleet:
+            self.dropped["another fleet"] += 1
+            return None
+        return made
 
     def _sealed(self, payload: bytes) -> bytes:
         return MARK + self.keys.sign(payload) + payload
@@ -103,8 +105,3 @@
             self.dropped["digest"] += 1
             return None
         return payload
-
-    def _ours(self, fleet: str) -> bool:
-        if fleet != self.fleet:
-            self.dropped["another fleet"] += 1
-        return fleet == self.fleet
--- a/trackspread/virtual/membered.py
+++ b/trackspread/virtual/membered.py
@@ -259,14 +259,13 @@
         if len(leading) > 1:
             raise Broken(f"{self.true / 1e9:.3f} s: {leading} lead together")
 
-    def running(self) -> list[Process]:
-        return [p for p in self.processes.values() if p.core is not None]
+    def running(self) -> list[str]:
+        return [name for name, process in self.processes.items() if process.core is not None]
 
     def settled(self, among: Iterable[str] | None = None) -> str:
         """Whether all that run (or those named) know one another alone, hold one view of just them, and
         together the whole: nothing, or what is amiss."""
-        running = {name for name, process in self.processes.items() if process.core is not None}
-        names = set(among) if among is not None else running
+        names = set(among) if among is not None else set(self.running())
         cores = {name: core for name in names if (core := self.processes[name].core) is not None}
         if len(cores) < len(names):
             return "not all run"
--- a/trackspread/virtual/membered_schedules.py
+++ b/trackspread/virtual/membered_schedules.py
@@ -19,6 +19,7 @@
 
 SETTLED = 8 * SECOND  # ns from the last fault's end: a term, an election, the longest look for those gone
 LEAD = 6.0  # s for a fleet to start and settle before anything goes wrong
+SPAN, TAIL = 12.0, 3.0  # s that follow, and the calm end of them
 LARGE = 40  # every so many schedules one is of 40 gateways or more
 
 
@@ -44,7 +45,7 @@
     rng = random.Random(f"membered:{seed}")
     gateways = rng.randint(40, 60) if seed % LARGE == LARGE - 1 else rng.randint(least, most)
     seeds = rng.choice([n for n in (1, 2, 3, 3, 3, 5) if n <= gateways])
-    faults = draw(seed, gateways, LEAD + 12.0, LEAD, 3.0)
+    faults = draw(seed, gateways, LEAD + SPAN, LEAD, TAIL)
     busy = {n for f in faults.faults for n in _chosen(f)}
     # Whoever goes for good is no seed: a majority of these has to come back, as the pages say.
     free = [n for n in range(seeds, gateways) if n not in busy]
@@ -143,7 +144,7 @@
     for process in list(world.processes.values()):
         world.at(world.rng.randint(0, 500 * MS), partial(world.start, process))
     Player(world, schedule).arrange()
-    end = _ns(schedule.faults.seconds - 3.0) + _ns(AWAY)
+    end = _ns(schedule.faults.seconds - TAIL) + _ns(AWAY)
     while world.true < end:
         world.step(world.true + 20 * MS)
         world.rights()
