An old process that ends in good order before the new one's yes is seen is no crash

Cause: harness/upgraded.py (upgrade) watched the old process until it saw the new one's door say yes. With a view the old one has often ended by then; and the SIGTERM that the rig sends after the yes met it once as it was leaving, its loop and with it its handlers gone. Change: upgrade itself waits for the old process and tells any status other than 0 and the signal's own; it told none before.

--- a/trackspread/harness/upgraded.py
+++ b/trackspread/harness/upgraded.py
@@ -11,10 +11,11 @@
 import os
 import signal
 import socket
+import time
 from pathlib import Path
 from typing import Any
 
-from ..judge.ledger import Ledger
+from ..judge.ledger import Ended, Ledger
 from ..standins.loopback import Address, Ports
 from .process import READY_LOOK, READY_MOST, GatewayProcess
 
@@ -74,6 +75,7 @@
         """A new process takes over; returns the seconds until its yes. The old one is told to end then."""
         loop, old, watch = asyncio.get_running_loop(), self._process, self._watch
         assert old is not None and watch is not None
+        watch.cancel()  # its end in good order is not the gateway's, and may come before the yes is seen here
         self.door, began = self._ports.tcp(), loop.time()
         self.write_config()
         fresh = await self._spawn()
@@ -88,13 +90,14 @@
                     raise RuntimeError(f"{self.name}: the new process ended; its log: {self.tail()}")
                 await asyncio.sleep(READY_LOOK)
         took = loop.time() - began
-        watch.cancel()  # its end is not the gateway's
         self._process, self._watch = fresh, loop.create_task(self._ended(fresh))
         if old.returncode is None:
             old.send_signal(signal.SIGTERM)
         self.older.append(old)
         async with asyncio.timeout(READY_MOST):
-            await old.wait()
+            status = await old.wait()
+        if status not in (0, -signal.SIGTERM):  # it may come when its handlers are gone
+            self._ledger.write(Ended(time.monotonic_ns(), self.name, status))
         return took
 
     async def kill(self) -> None:
