--- a/benchmarks/convict.py
+++ b/benchmarks/convict.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from benchmarks.common import say
 from trackspread.mutation.checks import SCHEDULES
 from trackspread.mutation.equivalent import load
 from trackspread.mutation.generate import Mutant, sample
@@ -62,10 +63,6 @@
         return explore(start, 40, job[1])
 
 
-def _say(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
-
-
 def measure(packages: list[str], count: int, seed: int, quick: bool) -> dict[str, object]:
     """The model checker beside the mutants."""
     states = STATES_QUICK if quick else STATES
@@ -75,7 +72,7 @@
         found = explored.get()
     for each in found:
         told = f"WRONG: {each.wrong}: {' / '.join(each.trace)}" if each.wrong else "nothing wrong"
-        _say(f"smallest world of planning: {each.states} states, whole to depth {each.depth}; {told}")
+        say(f"smallest world of planning: {each.states} states, whole to depth {each.depth}; {told}")
     return {
         **figures, "model_states": sum(each.states for each in found),
         "model_depth": min(each.depth for each in found),
@@ -96,7 +93,7 @@
     one_each = {module.split(".")[1]: module for module in sorted(m.module for m in left)}
     require_sound(one_each.values(), schedules)
     todo: list[Mutant] = [m for m in left if m.key not in before]
-    _say(f"{len(drawn)} mutants, {len(moot)} of them equivalent, {len(results)} known; made after "
+    say(f"{len(drawn)} mutants, {len(moot)} of them equivalent, {len(results)} known; made after "
          f"{time.monotonic() - began:.0f} s")
     KEPT.parent.mkdir(exist_ok=True)
     with KEPT.open("a") as file:
@@ -106,14 +103,14 @@
             file.write(json.dumps({"digest": digest, "result": msgspec.to_builtins(result)}) + "\n")
             file.flush()
             if len(results) % 50 == 0:
-                _say(f"{len(results)} of {len(left)} after {time.monotonic() - began:.0f} s")
+                say(f"{len(results)} of {len(left)} after {time.monotonic() - began:.0f} s")
     for each in sorted(results, key=lambda r: (r.module, r.line)):
         if each.fate == "survived":
-            _say(f"SURVIVED {each.module}:{each.line} {each.operator}\n  - {each.before}\n  + {each.after}")
+            say(f"SURVIVED {each.module}:{each.line} {each.operator}\n  - {each.before}\n  + {each.after}")
     by_module = Counter((r.module, r.fate) for r in results)
     for module in sorted({r.module for r in results}):
         killed, all_of = by_module[module, "killed"], sum(n for (m, _), n in by_module.items() if m == module)
-        _say(f"{module}: {killed} of {all_of} killed")
+        say(f"{module}: {killed} of {all_of} killed")
     killed = sum(r.fate == "killed" for r in results)
     return {
         "mutants_sampled": len(drawn), "put": len(results), "killed": killed,
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -15,11 +15,12 @@
 import multiprocessing
 import sys
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import uvloop
 
+from benchmarks.common import chunks, say
 from trackspread.harness import mutant, viewed
 from trackspread.harness.fleet import Fleet
 from trackspread.harness.player import Player
@@ -36,7 +37,6 @@
 SMALL = 5  # gateways with a planted fault
 SCHEDULES_QUICK, SCHEDULES = 600, 10_000
 MIXED = 30  # schedules of mixed faults on processes, in a full run
-CHUNK = 20
 TRIES = 3  # of a run whose rig lagged
 QUICK_ON_PROCESSES = ("view-grows-first", "view-life-ignored", "view-number-reused", "view-given-up")
 ON_PROCESSES = (
@@ -45,13 +45,9 @@
 CALM = 4.0  # s over which CPU is measured
 
 
-def _say(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
-
-
 async def _settled(fleet: Fleet, what: str) -> float:
     took = await viewed.until_settled(fleet, 15.0)
-    _say(f"{what}: {'not settled within 15 s' if took is None else f'{took:.2f} s'}")
+    say(f"{what}: {'not settled within 15 s' if took is None else f'{took:.2f} s'}")
     return 15.0 if took is None else took
 
 
@@ -109,9 +105,9 @@
         amiss, most = viewed.amiss(fleet)
         verdict = fleet.verdict()
         for each in amiss[:3]:
-            _say(f"AMISS: {each.rule}: {each.text}")
+            say(f"AMISS: {each.rule}: {each.text}")
         for violation in verdict.violations[:3]:
-            _say(f"BROKEN: {violation.rule}: {violation.text}")
+            say(f"BROKEN: {violation.rule}: {violation.text}")
         made["views_in_conflict"] = sum(each.rule == "view" for each in amiss)
         made["rights_over_whole"] = round(max(0.0, most - 1.0), 6)
         made["violations"] = len(amiss) + (len(verdict.violations) if verdict.state == "broken" else 0)
@@ -188,11 +184,6 @@
     return name, convict(name, range(1, 60))
 
 
-def _chunks(first: int, count: int) -> Iterator[range]:
-    for start in range(first, first + count, CHUNK):
-        yield range(start, min(start + CHUNK, first + count))
-
-
 def bytes_a_second(count: int) -> float:
     """Of one member in a calm fleet of so many, in virtual time."""
     world = World(1, count, settings={"most": 2 * count})
@@ -215,38 +206,38 @@
     figures["cpu_share"] = round(max(0.0, on - off), 4)
     figures |= uvloop.run(_large(int(figures["processes"])))
     gc.enable()
-    _say(f"the large fleet is done after {time.monotonic() - began:.0f} s")
+    say(f"the large fleet is done after {time.monotonic() - began:.0f} s")
     names = QUICK_ON_PROCESSES if quick else ON_PROCESSES
     context = multiprocessing.get_context("spawn")
     with context.Pool(4 if quick else 3, maxtasksperchild=1) as pool:
         jobs = [("", 1), *((name, 1) for name in names)]
         told = dict(pool.imap_unordered(_on_processes, jobs))
         for name, text in told.items():
-            _say(f"{name or 'no fault'} on processes: {text or 'nothing amiss'}")
+            say(f"{name or 'no fault'} on processes: {text or 'nothing amiss'}")
         violations = int(bool(told.pop("")))
         caught = sum(bool(text) for text in told.values())
         if not quick:
             void = 0
             for seed, text in pool.imap_unordered(_mixed, range(1, MIXED + 1)):
-                _say(f"mixed {seed} on processes: {text or 'kept'}")
+                say(f"mixed {seed} on processes: {text or 'kept'}")
                 violations += bool(text) and text != "void"
                 void += text == "void"
             figures["mixed"], figures["mixed_void"] = MIXED, void
-    _say(f"processes are done after {time.monotonic() - began:.0f} s")
+    say(f"processes are done after {time.monotonic() - began:.0f} s")
     count, settled = SCHEDULES_QUICK if quick else SCHEDULES, list[int]()
     with context.Pool() as pool:
         convicted = pool.imap_unordered(_convict, MUTANTS)
         sizes = pool.map_async(bytes_a_second, [24, 200 if quick else 1000])
-        for made in pool.imap_unordered(_schedules, _chunks(1_000_000 + first * count, count)):
+        for made in pool.imap_unordered(_schedules, chunks(1_000_000 + first * count, count)):
             for seed, text, took in made:
                 if text:
                     violations += 1
-                    _say(f"BROKEN, replay with --seed {seed}: {text}")
+                    say(f"BROKEN, replay with --seed {seed}: {text}")
                 else:
                     settled.append(took)
         for name, seed_or_none in convicted:
             caught += seed_or_none is not None
-            _say(f"{name} in virtual time: "
+            say(f"{name} in virtual time: "
                  + ("NOT TOLD" if seed_or_none is None else f"told by seed {seed_or_none}"))
         small, large = sizes.get()
     settled.sort()
--- a/benchmarks/parted.py
+++ b/benchmarks/parted.py
@@ -21,6 +21,7 @@
 import msgspec
 import uvloop
 
+from benchmarks.common import say
 from trackspread.harness.faulted import Played, play
 from trackspread.standins import faults
 from trackspread.standins.faults import Schedule
@@ -62,10 +63,6 @@
     return played
 
 
-def _say(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
-
-
 def _line(played: Played, calm: float) -> str:
     f = played
     return (f"| {f.gateways} | {f.name} | {f.seed} | {f.state} | {f.tries} | {f.late_by_halt} | "
@@ -80,9 +77,9 @@
     chosen = [name for name in shapes(2, span) if name in ("calm", *only) or not only]
     jobs = [(Schedule(name, seed, count, LEAD + span + TAIL, shapes(count, span)[name]), keep)
             for count in sizes for seed in seeds for name in chosen]
-    _say("| gateways | trouble | seed | rules | tries | late by a halt | refused with room before, during, "
+    say("| gateways | trouble | seed | rules | tries | late by a halt | refused with room before, during, "
          "after | beyond quotas | worst member | right again after, s |")
-    _say("| --- " * 10 + "|")
+    say("| --- " * 10 + "|")
     calm: dict[tuple[int, int], float] = {}
     found: list[Played] = []
     with multiprocessing.get_context("spawn").Pool(side, maxtasksperchild=1) as pool:
@@ -91,10 +88,10 @@
                 calm[played.gateways, played.seed % AGAIN] = played.with_room[1]
             found.append(played)
             if played.state == "void":
-                _say(f"  the rig lagged by {played.lag_ms:.0f} ms")
-            _say(_line(played, calm[played.gateways, played.seed % AGAIN]))
+                say(f"  the rig lagged by {played.lag_ms:.0f} ms")
+            say(_line(played, calm[played.gateways, played.seed % AGAIN]))
             for text in played.broken[:3]:
-                _say(f"  {text}")
+                say(f"  {text}")
     last: dict[str, Any] = {"plays": len(found), "void": sum(p.state == "void" for p in found),
                             "violations": sum(len(p.broken) for p in found)}
     for count in sizes:
--- a/benchmarks/rules.py
+++ b/benchmarks/rules.py
@@ -13,10 +13,10 @@
 import os
 import sys
 import time
-from collections.abc import Iterator
 
 import uvloop
 
+from benchmarks.common import CHUNK, chunks, say
 from trackspread.harness import mutant
 from trackspread.harness.scenarios import SCENARIOS, run
 from trackspread.judge.verdict import Verdict
@@ -25,7 +25,6 @@
 
 SCHEDULES_QUICK, SCHEDULES = 2000, 12000
 TRIES = 3  # of a scenario whose stand-ins lagged
-CHUNK = 20  # schedules that a worker takes at once
 ON_SOCKETS_QUICK = ("effects-forgotten", "socket-answers-lost", "socket-written-late")
 WHERE = {  # the scenario that brings a mutant to its fault, where that is not the calm one
     "socket-written-late": "rolling-deploy", "effects-forgotten": "rude-nodes",
@@ -62,15 +61,6 @@
     return name, convict(name, iter(range(0, 10**6, CALM if MUTANTS[name].rule == "quotas" else 1)))
 
 
-def _say(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
-
-
-def _chunks(first: int, count: int) -> Iterator[range]:
-    for start in range(first, first + count, CHUNK):
-        yield range(start, min(start + CHUNK, first + count))
-
-
 def measure(quick: bool, seed: int) -> dict[str, float]:
     """All of it; progress goes to standard error."""
     began = time.monotonic()
@@ -85,29 +75,29 @@
             told = ", ".join(f"{v.rule}: {v.text}" for v in verdict.violations[:2])
             if planted:
                 caught += (convicted := mutant.rule(planted) in verdict.broken())
-                _say(f"mutant {planted} in {name}: {'convicted' if convicted else 'NOT CONVICTED'} ({told})")
+                say(f"mutant {planted} in {name}: {'convicted' if convicted else 'NOT CONVICTED'} ({told})")
                 continue
             violations += len(verdict.violations) if verdict.state != "void" else 0
             void += verdict.state == "void"
             f = verdict.figures
             figures[f"beyond_{name}"] = round(f.beyond_share, 4)
-            _say(f"{name}: {verdict.state}; {f.tries} tries, {f.served} served, {f.refused} refused "
+            say(f"{name}: {verdict.state}; {f.tries} tries, {f.served} served, {f.refused} refused "
                  f"({f.refused_with_room} with room), {f.failed} failed; {f.beyond_share:.1%} beyond quotas; "
                  f"{cpu_ms:.2f} ms CPU a try, {memory:.0f} MB; lag {f.lag / 1e6:.0f} ms {told}")
-    _say(f"scenarios done after {time.monotonic() - began:.0f} s")
+    say(f"scenarios done after {time.monotonic() - began:.0f} s")
     count = SCHEDULES_QUICK if quick else SCHEDULES
     with multiprocessing.get_context("spawn").Pool() as pool:
         mutants = pool.imap_unordered(_convict, MUTANTS)
         first = 1_000_000 + seed * count
-        for done, broken in enumerate(pool.imap_unordered(_schedules, _chunks(first, count)), 1):
+        for done, broken in enumerate(pool.imap_unordered(_schedules, chunks(first, count)), 1):
             for each, text in broken:
                 violations += 1
-                _say(f"BROKEN, replay with --seed {each}: {text}")
+                say(f"BROKEN, replay with --seed {each}: {text}")
             if done % 25 == 0:
-                _say(f"{done * CHUNK} of {count} schedules after {time.monotonic() - began:.0f} s")
+                say(f"{done * CHUNK} of {count} schedules after {time.monotonic() - began:.0f} s")
         for name, convicted_by in mutants:
             caught += convicted_by is not None
-            _say(f"mutant {name} in virtual time: "
+            say(f"mutant {name} in virtual time: "
                  + ("NOT CONVICTED" if convicted_by is None else f"convicted by seed {convicted_by}"))
     return {
         "scenarios": len(SCENARIOS), "void": void, "schedules": count, "violations": violations,
