Use of a silence is paid for by that silence's refill alone, by one rule for peers and homes

Seen, reading the change again: refill left over from one silence (Account.over) was never given up where all tell all, so that use in a later, shorter silence was not taken off at all; a test of two silences shows it (quota.py, heard: no bound on it, while _settle had one). And the rule stood twice. Change: Quota._used_elsewhere is the one rule; the credit is at most what the silence itself let in.

--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -86,6 +86,15 @@
     assert pair.account.level == pytest.approx(before - 3.0, abs=0.01)
 
 
+def test_refill_left_over_from_one_silence_pays_for_no_use_in_another(pair: Pair) -> None:
+    pair.pass_by(20.0, False)
+    pair.pass_by(6.0, True)
+    pair.pass_by(2.0, False, 6.0)
+    before = pair.account.level
+    pair.word()
+    assert pair.account.level <= before - 3.5, "two seconds' refill is two units"
+
+
 class Home:
     """A home of a customer where gateways are many, and one that asks it."""
 
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -51,7 +51,7 @@
         self.accounts: dict[int, Account] = {}
         self.reserved: dict[int, tuple[float, float]] = {}  # by customer, on top of rate and burst
         self.peers: dict[int, tuple[int, int, int]] = {}  # incarnation, when last heard, the age told then
-        self.back: dict[int, int] = {}  # when a peer was last heard again after a silence
+        self.back: dict[int, tuple[int, int]] = {}  # when a peer was last heard again, after how long, ns
         self.every = 2 * (settings.gateways - 1) * SECOND / max(1.0, settings.messages_per_s)
         self.rights = settings.rights
         self.gossip = settings.may_message and self.every <= FRESH // 4
@@ -311,6 +311,18 @@
         word = self._tell(now, event.sender, account, kind, account.level, draw.tag)
         return 0, None, [word] * (draw.kind == Kind.ASK)
 
+    @staticmethod
+    def _used_elsewhere(account: Account, units: float, silence: int) -> None:
+        """Taken off the store here, also below nothing, or two gateways would both spend the same refill.
+        What was used in a `silence` of so many ns (0: heard all along) comes off that time's refill first, as
+        far as that never was in the store here; what both sides spent beyond it is spent: to save it up
+        serves nobody."""
+        floor = -account.plan.burst
+        if silence:
+            less, floor = min(units, account.over, account.plan.rate * silence / SECOND), 0.0
+            account.over, units = account.over - less, units - less
+        account.level = min(account.level, max(floor, account.level - units))
+
     def _settle(self, now: int, account: Account, sender: int, taken: int) -> None:
         """Grants whose answer was lost count once its asker tells of what it took; what it took beyond all
         grants, alone, is taken off the store; and a grant that nobody took for long goes back into it."""
@@ -320,12 +332,8 @@
         rest = max(0.0, given - used)
         if rest and now - at > FRESH:
             account.level, rest = min(account.plan.burst, account.level + rest), 0.0
-        beyond, floor, asked = max(0.0, used - given), -account.plan.burst, account.asked.get(sender, now)
-        if now - asked > SILENT:  # less may be chance where messages get lost
-            # It was not heard, and went on alone. Meanwhile the store here was full for a while, perhaps.
-            less, floor = min(beyond, account.over, account.plan.rate * (now - asked) / SECOND), 0.0
-            account.over, beyond = account.over - less, beyond - less
-        account.level = min(account.level, max(floor, account.level - beyond))
+        silence = now - account.asked.get(sender, now)  # a short one may be chance where messages get lost
+        self._used_elsewhere(account, max(0.0, used - given), silence * (silence > SILENT))
         account.asked[sender] = now
         account.heard[sender], account.given[sender] = taken, (rest, at)
 
@@ -399,7 +407,8 @@
         if known and 0 < last_word[2] - word[1] <= OVERTAKEN:
             return  # newer word came before it: its totals are older than those that are known
         if known and now - last_word[1] > FRESH:
-            self.back[event.sender] = now
+            self.back[event.sender] = now, now - last_word[1]
+        back, silence = self.back.get(event.sender, (0, 0))
         self.peers[event.sender] = word[0], now, word[1]
         if not known:  # restarted: it counts from nothing, for each customer whenever first told
             for each in self.accounts.values():
@@ -415,12 +424,5 @@
             grown = 0x8000 if last is None else (sent - last) & 0xFFFF
             # A total that went back was begun anew, after the peer had forgotten the account.
             used = used if grown >= 0x8000 else grown / 4
-            floor = -account.plan.burst
-            if now - self.back.get(event.sender, -SILENT) < RETURNING:
-                # Used out of refill that was left to those not heard: it never was in the store here. What
-                # both sides of a silence spent beyond it is spent: to save it up now serves nobody.
-                less, floor = min(used, account.over), 0.0
-                account.over, used = account.over - less, used - less
-            # Below nothing too, or two gateways would both spend the same refill.
-            account.level = min(account.level, max(floor, account.level - used))
+            self._used_elsewhere(account, used, silence * (now - back < RETURNING))
             account.heard[event.sender] = sent
