Parts outlast short cuts; after a coordinator's death only the dead ones' parts wait

Need: a part of what all share ended 2 s after its holder lost the coordinator, so the smaller side of any cut would refuse everything once limits follow the view, while a longer term alone would have made a fleet that starts at once, and every join after a coordinator's death, wait for grants that nobody remembers. Change: parts last `fleet.keep_s` (10 s). A new coordinator counts as out what members that ask it do not say they hold, instead of granting nobody more than it holds; all in a view get the whole less what others may hold, evenly. A part is acted on only in touch with a seed that was granted its own no later; once all seeds say that they started anew, the rest has ended 2 s later. A process that hands over or is fenced off gives its part back by word (Release).

--- a/trackspread/membership/coordinating.py
+++ b/trackspread/membership/coordinating.py
@@ -6,6 +6,7 @@
 - A member is in the view that is live and asks for its part: one that the coordinator can't hear, or that
   can't hear it, holds nothing whoever else reaches it.
 - A view names its parent: the newest that the coordinator knows of, its own or a predecessor's.
+- All in a view are granted the same: the whole, less what others may still hold, by their number.
 
 | a member is | and | in the next view |
 | --- | --- | --- |
@@ -19,20 +20,22 @@
 
 from __future__ import annotations
 
-from .parts import TERM, Parts
+from .parts import SPAN, Parts
 from .terms import MS, NO_NUMBER, WHOLE, Epoch, Number, Renew, View, Who
 
 FIRST = 600 * MS  # ns from being elected until the first view: members ask anew within it
 GAP = 150 * MS  # ns between views: what happens together makes one
-LAPSE = int(1.2 * TERM)  # ns without a question after which a member is left out: what it held has ended
+LAPSE = int(1.2 * SPAN)  # ns without a question after which a member is left out
 
 
 class Coordinating:
     """The coordinator under one epoch, for as long as it owns."""
 
-    def __init__(self, now: int, epoch: Epoch, known: View | None) -> None:
-        """`known`: the newest view that is known here, the predecessors' last at best."""
-        self.epoch, self.parts = epoch, Parts(now, epoch)
+    def __init__(self, now: int, epoch: Epoch, known: View | None, seeds: int, keep: int) -> None:
+        """`known`: the newest view that is known here, the predecessors' last at best. `seeds`: how many
+        there are; `keep`: ns that a silent member keeps its part for."""
+        self.epoch, self.parts, self.keep = epoch, Parts(now, epoch, keep), keep
+        self._seeds, self._fresh = seeds, set[int]()
         self.view: View | None = None
         self._known = known
         self._parent: Number = known.number if known is not None else NO_NUMBER
@@ -66,11 +69,19 @@
         self.view = View((*self.epoch, count + 1), parent, members)
         return self.view
 
-    def asked(self, now: int, who: Who, renew: Renew) -> tuple[int, int]:
-        """Serial and part for a member that asks."""
+    def asked(self, now: int, who: Who, seat: int, renew: Renew) -> tuple[int, int]:
+        """Serial and part for a member that asks; `seat`: which seed it is, -1 for none."""
         self._asked[who] = now
         self.heard_of(renew.number)
-        wanted = WHOLE // len(self.view.members) if self.view is not None and who in self.view.members else 0
+        if seat >= 0 and renew.fresh and seat not in self._fresh:
+            self._fresh.add(seat)
+            if len(self._fresh) == self._seeds:
+                self.parts.begin(now)
         if self.view is None:
             wanted = renew.part  # what it holds it may go on with
+        elif who in self.view.members:
+            members = self.view.members
+            wanted = (WHOLE - self.parts.elsewhere(now, members)) // len(members)
+        else:
+            wanted = 0
         return self.parts.grant(now, who, wanted, renew.serial, renew.part)
--- a/trackspread/membership/host.py
+++ b/trackspread/membership/host.py
@@ -83,8 +83,8 @@
         """In good order; `leave` False: another process goes on under this name."""
         if self._timer is not None:
             self._timer.cancel()
-        if leave and self._transport is not None:
-            self._do(self.core.leave(self.now()))
+        if self._transport is not None:
+            self._do(self.core.leave(self.now()) if leave else self.core.make_way())
         if self._transport is not None:
             self._transport.close()
             self._transport = None
--- a/trackspread/membership/member.py
+++ b/trackspread/membership/member.py
@@ -2,8 +2,7 @@
 
 The host calls `start` once, `tick` every `TICK`, `received` for each datagram that was whole and of this
 fleet, `table` and `merge` for each exchange over a connection, and does what each returns in order. All that
-is kept is bounded by the settings' `most`. May know: words, its own clock. May not know: sockets, bytes,
-files.
+is kept is bounded by the settings' `most`. May know: words, its clock. May not know: sockets, bytes, files.
 """
 
 from __future__ import annotations
@@ -14,23 +13,23 @@
 from msgspec import structs
 
 from ..planning.election import Election, Word
+from .asking import RENEW, Asking
 from .coordinating import Coordinating
-from .parts import TERM, Holding
+from .parts import SPAN
 from .people import People, Person
 from .probing import HELPERS, Probing
 from .rumours import Rumours
 from .slowness import Slowness
 from .terms import (
     MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Fresh, Grant, Help, Leader, Letter,
-    Nack, Number, Ping, Renew, Report, Rumour, Say, Settings, State, Table, Told, View, Vote, Who,
+    Nack, Number, Ping, Release, Renew, Report, Rumour, Say, Settings, State, Table, Told, View, Vote, Who,
 )
 
 TICK = 50 * MS  # ns between two calls of `tick`
 SUSPECT_LEAST, SUSPECT_MOST = 3, 9  # periods to clear itself for whom enough suspect, and for whom one does
 CONFIRMED = 3  # others that suspect the same, from which the time is the least
 LOOK_AT = 6.0  # members, on average, that look at a suspect at once when they hear of it
-RENEW = TERM // 5  # ns between questions for one's part
-UNLED = 2 * TERM  # ns after the end of the last grant from which a slow seed would lead rather than nobody
+UNLED = 3 * SPAN  # ns after the last grant from which a slow seed would lead rather than nobody
 SEEK = 500 * MS  # ns between exchanges with seeds while nobody else is known
 REACH = 1 * SECOND  # ns between looks for those that are gone, or seeds that are not known
 DIFFER = 700 * MS  # ns between exchanges with those that know another fleet
@@ -52,7 +51,8 @@
         self.rumours = Rumours()
         self.probing = Probing(settings.period, self.rng)
         self.slowness = Slowness()
-        self.holding = Holding()
+        self.asking = Asking(now)
+        self.holding = self.asking.holding
         self.view: View | None = None
         self.leader: Leader | None = None
         self.coordinating: Coordinating | None = None
@@ -60,7 +60,7 @@
         self.election = Election(self.seat, len(settings.seeds), now, self.rng) if self.seat >= 0 else None
         if self.election is not None:
             self.election.newer(settings.born * MS // ROUND)
-        self.renew_at = self._seek_at = self._reach_at = self._differ_at = now
+        self._touch_at = self._seek_at = self._reach_at = self._differ_at = now
         self._entropy_at = now + ENTROPY
         self._helping: dict[int, tuple[int, Address, int]] = {}  # our number: theirs, whose, until when
         self._out: list[Action] = []
@@ -151,6 +151,20 @@
             self.gone = True
         return self._done()
 
+    def make_way(self) -> list[Action]:
+        """Another process goes on under this name: the fleet is told nothing but that the part is free."""
+        if not self.gone:
+            self._release()
+            self.gone = True
+        return self._done()
+
+    def _release(self) -> None:
+        """Said twice: where both get lost, others wait for the part's end."""
+        self.holding.drop()
+        if self.leader is not None and self.leader.who != self.who:
+            for _ in range(2):
+                self._say((self.leader.host, self.leader.port), Release(self.leader.epoch))
+
     def _done(self) -> list[Action]:
         out, self._out = self._out, []
         return out
@@ -228,7 +242,7 @@
             self._say(source, Ping(self.probing.number(), (self.people.me.name, born)), (self.people.me,))
 
     def _give_up(self, word: Rumour) -> None:
-        self.holding.drop()
+        self._release()
         self.coordinating = None
         self.gone = self.fenced = True
         self._told("fenced", by=word.who, at=word.address)
@@ -295,11 +309,11 @@
         match body:
             case Ping():
                 if body.to == self.who:
-                    self._say(source, Ack(body.seq))
+                    self._say(source, Ack(body.seq, self.holding.first))
                 elif body.to[0] == self.people.me.name:
                     self._say(source, Nack(body.seq), (self.people.me,))  # a former process is meant
             case Ack():
-                self._acked(now, body.seq)
+                self._acked(now, body)
             case Nack():
                 self.probing.nacked(body.seq)
             case Help():
@@ -315,6 +329,9 @@
                 self._take(now, body)
                 if body.number > self.number():
                     self._out.append(Exchange(source))
+            case Release():
+                if self.coordinating is not None and self._coordinates(now, body.epoch):
+                    self.coordinating.parts.released(who)
             case Fresh():
                 if body.view is not None:
                     self._adopt(now, body.view)
@@ -324,10 +341,13 @@
                 if body.of == self.who:
                     self.slowness.reported(now, who[0], body.slow)
 
-    def _acked(self, now: int, seq: int) -> None:
+    def _acked(self, now: int, ack: Ack) -> None:
+        seq = ack.seq
         if seq in self._helping:
             theirs, whose, _ = self._helping.pop(seq)
             self._say(whose, Ack(theirs))
+        elif self.asking.touched(seq, ack.first):
+            self._held(now)
         elif (over := self.probing.acked(now, seq)) is not None:
             held = self.people.by_name.get(over[0][0])
             if held is not None:
@@ -357,7 +377,7 @@
         if election is None:
             return
         # Who is slow leaves it to others to lead, unless nobody does.
-        if not self.people.me.slow or now - self.holding.until > UNLED:
+        if not self.people.me.slow or now - self.asking.led_at > UNLED:
             self._votes(now, election.tick(now))
         if not election.owns(now):
             if self.coordinating is not None:
@@ -366,13 +386,13 @@
             return
         epoch = (election.epoch, self.seat)
         if self.coordinating is None or self.coordinating.epoch != epoch:
-            self.coordinating = Coordinating(now, epoch, self.view)
+            seeds, keep = len(self.settings.seeds), self.settings.keep
+            self.coordinating = Coordinating(now, epoch, self.view, seeds, keep)
             self._leader(now, Leader(epoch, self.who, *self.settings.address))
             self._told("leads", epoch=epoch)
             for person in self.people.here():
                 self._say(person.rumour.address, Fresh(self.number(), None))
-        view = self.coordinating.tick(now, self.people.live())
-        if view is not None:
+        if (view := self.coordinating.tick(now, self.people.live())) is not None:
             self._told("issued", number=view.number, parent=view.parent, members=view.members)
             self._adopt(now, view)
             for name, born in view.members:
@@ -387,23 +407,40 @@
             if self.election is not None:
                 self.election.newer(leader.epoch[0])
             self._told("leader", epoch=leader.epoch, who=leader.who)
-            self.renew_at = now
+            self.asking.at = now
 
     def _renew(self, now: int) -> None:
         """Ask for the part anew; the coordinator asks itself."""
-        if now < self.renew_at or self.leader is None or self.people.me.state == State.LEFT:
+        self._touch(now)
+        if self.leader is None or self.people.me.state == State.LEFT:
             return
-        self.renew_at = now + RENEW
-        epoch, held = self.leader.epoch, self.holding.part(now)
-        if not self.holding.ask(now, epoch):
+        body = self.asking.due(now, self.leader.epoch, self.number())
+        if body is None:
             return
-        body = Renew(now, epoch, self.holding.serial, held, self.number())
         if self.leader.who == self.who:
             if (grant := self._grant(now, self.who, body)) is not None:
                 self._take(now, grant)
         else:
             self._say((self.leader.host, self.leader.port), body)
 
+    def _touch(self, now: int) -> None:
+        """While the coordinator does not answer: whether some seed of the view is there, oneself perhaps."""
+        if now < self._touch_at or not self.asking.unled(now):
+            return
+        self._touch_at = now + RENEW
+        if self.seat >= 0:
+            self.holding.touched(now)
+            self._held(now)
+        for word in [p.rumour for p in self.people.here() if p.rumour.address in self.settings.seeds]:
+            seq = self.probing.number()
+            self.asking.touch(now, seq)
+            self._ping(word, seq)
+
+    def _held(self, now: int) -> None:
+        holding = self.holding
+        self._told("part", part=holding.granted, lasts=max(0, holding.until - now), epoch=holding.epoch,
+                   serial=holding.serial)
+
     def _coordinates(self, now: int, epoch: Epoch) -> bool:
         return self.coordinating is not None and self.coordinating.epoch == epoch and self.owns(now)
 
@@ -411,15 +448,15 @@
         """What this member, as the coordinator that is asked, grants; nothing where it is not."""
         if self.coordinating is None or not self._coordinates(now, body.epoch):
             return None
-        serial, part = self.coordinating.asked(now, who, body)
-        return Grant(body.stamp, body.epoch, serial, part, self.number())
+        address = self.settings.address if who == self.who else self.people.by_name[who[0]].rumour.address
+        seeds = self.settings.seeds
+        seat = seeds.index(address) if address in seeds else -1
+        serial, part = self.coordinating.asked(now, who, seat, body)
+        return Grant(body.stamp, body.epoch, serial, part, self.number(), self.coordinating.keep)
 
     def _take(self, now: int, grant: Grant) -> None:
-        holding = self.holding
-        if not holding.take(now, grant.stamp, grant.epoch, grant.serial, grant.part):
-            return
-        self._told("part", part=holding.granted, lasts=max(0, holding.until - now), epoch=holding.epoch,
-                   serial=holding.serial)
+        if self.asking.take(now, grant):
+            self._held(now)
 
     def _asked(self, now: int, who: Who, body: Renew, source: Address) -> None:
         if not self.people.holds(who):
@@ -431,14 +468,14 @@
     def _adopt(self, now: int, view: View) -> None:
         if view.number > self.number():
             self.view = view
+            self.asking.at = min(self.asking.at, now + int(self.rng.random() * TICK))
             self._told("view", number=view.number, parent=view.parent, members=view.members)
 
     # Finding others.
 
     def _seek(self, now: int) -> None:
         self._seek_at = now + SEEK
-        others = [seed for seed in self.settings.seeds if seed != self.settings.address]
-        if others:
+        if others := [seed for seed in self.settings.seeds if seed != self.settings.address]:
             self._out.append(Exchange(self.rng.choice(others)))
 
     def _reach(self, now: int) -> None:
@@ -448,8 +485,7 @@
             self._seek(now)
         if now >= self._reach_at:
             self._reach_at = now + int(REACH * self.rng.uniform(0.7, 1.3))
-            gone = [p for p in people.by_name.values() if p.rumour.state == State.DEAD]
-            if gone:
+            if gone := [p for p in people.by_name.values() if p.rumour.state == State.DEAD]:
                 self._ping(self.rng.choice(gone).rumour, self.probing.number())
             known = {p.rumour.address for p in people.here()} | {self.settings.address}
             unknown = [seed for seed in self.settings.seeds if seed not in known]
--- a/trackspread/membership/parts.py
+++ b/trackspread/membership/parts.py
@@ -7,8 +7,13 @@
 - A member counts a grant from before it asked for it, shorter by the drift; here it counts from when it was
   given, longer by it. So whoever shrinks does so at once, and whoever grows waits until that is proven, or
   until the other's grant has surely ended.
-- A coordinator that is new knows nothing of what its predecessors granted. Until all of that has surely ended
-  a member is granted what it says it holds, at most: what all hold together was inside the whole before.
+- A coordinator that is new knows nothing of what its predecessors granted but that all of it together was
+  inside the whole. What members that ask it say they hold is known from then on; the rest of the whole may be
+  out with others until all of that has surely ended, and is nobody's here until then.
+
+And on the member's: it acts on its part only as long as it lasts, and while it is in touch with a seed that
+knows of it (`TOUCH`). A fleet whose seeds have all started anew has therefore surely lost what was granted
+before within that time, and begins without waiting for the end of grants that nobody can remember.
 
 May know: members, the parts they ask for, times handed in. May not know: views, messages, why a part is
 wanted.
@@ -20,9 +25,18 @@
 
 from .terms import DRIFT, SECOND, WHOLE, Epoch, Who
 
-TERM = 2 * SECOND  # ns that a part is granted for; a member asks five times in it
-ENDED = int(TERM * (1.0 + 2 * DRIFT))  # from when it was given until it has surely ended
-HELD = int(TERM * (1.0 - DRIFT))  # for its holder, from when it asked
+SPAN = 2 * SECOND  # ns in which a member asks five times
+TOUCH = int(SPAN * (1.0 - DRIFT))  # ns without word from a seed that knows it, after which a part is nothing
+
+
+def ended(lasts: int) -> int:
+    """ns from when a grant was given until it has surely ended."""
+    return int(lasts * (1.0 + 2 * DRIFT))
+
+
+def held(lasts: int) -> int:
+    """ns for its holder, from when it asked."""
+    return int(lasts * (1.0 - DRIFT))
 
 
 @dataclass(slots=True)
@@ -38,20 +52,34 @@
 
 
 class Parts:
-    """The book of one coordinator, under one epoch."""
+    """The book of one coordinator, under one epoch. `keep`: ns that a grant lasts."""
 
-    def __init__(self, now: int, epoch: Epoch) -> None:
-        self.epoch, self._serial = epoch, 0
-        self._unknown_until = now + ENDED
+    def __init__(self, now: int, epoch: Epoch, keep: int) -> None:
+        self.epoch, self._serial, self._keep = epoch, 0, keep
+        self._unknown, self._unknown_until = WHOLE, now + ended(keep)
+        self._told: set[Who] = set()  # those whose former part is known, while not all surely has ended
         self._given: dict[Who, Given] = {}
 
+    def unknown(self, now: int) -> int:
+        """What predecessors may have granted to members that have not asked here."""
+        if self._unknown and now >= self._unknown_until:
+            self._unknown = 0
+            self._told.clear()
+        return self._unknown
+
+    def begin(self, now: int) -> None:
+        """All seeds are known to have started anew: what was granted before ends with the last touch."""
+        self._unknown_until = min(self._unknown_until, now + ended(SPAN))
+
     def out(self, now: int) -> int:
-        """All that anybody may hold, as far as is known here."""
+        """All that those may hold that have asked here."""
         return sum(given.most(now) for given in self._given.values())
 
-    def settled(self, now: int) -> bool:
-        """Whether all that anybody may hold is known here."""
-        return now >= self._unknown_until
+    def elsewhere(self, now: int, members: tuple[Who, ...]) -> int:
+        """What others than these may hold. What is not known counts once all of these have asked."""
+        known = set(members)
+        out = sum(given.most(now) for who, given in self._given.items() if who not in known)
+        return out + (self.unknown(now) if known <= self._told else 0)
 
     def grant(self, now: int, who: Who, wanted: int, serial: int, part: int) -> tuple[int, int]:
         """Serial and part for a member that says it holds `part` by grant `serial`; 0: of a predecessor."""
@@ -59,14 +87,16 @@
         if given is None:
             given = self._given[who] = Given()
             if not serial and part:
-                given.grants[0] = part, now + ENDED
+                given.grants[0] = part, now + ended(self._keep)
+        if self.unknown(now) and who not in self._told:
+            self._told.add(who)
+            self._unknown -= min(self._unknown, part)
         for old in [s for s in given.grants if s < serial]:
             del given.grants[old]
-        own = given.most(now)
-        allowed = WHOLE - (self.out(now) - own) if self.settled(now) else own
+        allowed = WHOLE - self._unknown - (self.out(now) - given.most(now))
         made = max(0, min(wanted, allowed))
         self._serial += 1
-        given.grants[self._serial] = made, now + ENDED
+        given.grants[self._serial] = made, now + ended(self._keep)
         return self._serial, made
 
     def released(self, who: Who) -> None:
@@ -83,14 +113,29 @@
     """A member's side: its part, until when, and by which grant."""
 
     def __init__(self) -> None:
-        self.epoch: Epoch = (0, -1)
+        self.first: Epoch | None = None  # of the coordinator that first granted anything
+        self.epoch: Epoch = (0, -1)  # of the newest that was asked
+        self.granted_by: Epoch = (0, -1)
         self.serial = self.granted = 0
-        self.until = 0
+        self.granted_until = self._touched_until = 0
+
+    @property
+    def until(self) -> int:
+        return min(self.granted_until, self._touched_until)
 
     def part(self, now: int) -> int:
         """What may be acted on at this instant."""
         return self.granted if now < self.until else 0
 
+    def touched(self, stamp: int) -> None:
+        """A seed that knows of this member has answered what it was asked at `stamp`."""
+        self._touched_until = max(self._touched_until, stamp + TOUCH)
+
+    def known_to(self, first: Epoch | None) -> bool:
+        """Whether a seed that was first granted a part by the coordinator of `first` has been there since
+        this one was granted its own: a fleet whose seeds all started anew begins without it."""
+        return first is not None and first <= self.granted_by
+
     def ask(self, now: int, epoch: Epoch) -> bool:
         """A coordinator is about to be asked: no grant of an older one is taken any more. False where it is
         itself an older one."""
@@ -101,13 +146,15 @@
             self.epoch, self.serial = epoch, 0
         return True
 
-    def take(self, now: int, stamp: int, epoch: Epoch, serial: int, part: int) -> bool:
+    def take(self, now: int, stamp: int, epoch: Epoch, serial: int, part: int, lasts: int) -> bool:
         """A grant that came, late or twice as may be; whether it counts."""
         if epoch != self.epoch or serial <= self.serial or stamp > now:
             return False
-        self.serial, self.granted, self.until = serial, part, stamp + HELD
+        self.serial, self.granted, self.granted_until = serial, part, stamp + held(lasts)
+        self.granted_by, self.first = epoch, self.first or epoch
+        self.touched(stamp)
         return True
 
     def drop(self) -> None:
         """Given up: left, or fenced off."""
-        self.granted = self.until = 0
+        self.granted = self.granted_until = 0
--- a/trackspread/membership/terms.py
+++ b/trackspread/membership/terms.py
@@ -81,7 +81,10 @@
 
 
 class Ack(Body, frozen=True):
+    """`first`: of the coordinator that first granted its sender a part."""
+
     seq: int
+    first: Epoch | None = None
 
 
 class Nack(Body, frozen=True):
@@ -111,23 +114,32 @@
 
 class Renew(Body, frozen=True):
     """A member asks the coordinator for its part anew. `stamp`: its own clock, to come back; `part`: what it
-    holds, `serial`: by which grant of this epoch, 0 for a former one's; `number`: the newest view it has."""
+    holds, `serial`: by which grant of this epoch, 0 for a former one's; `number`: the newest view it has;
+    `fresh`: no coordinator of another epoch has ever granted it one."""
 
     stamp: int
     epoch: Epoch
     serial: int
     part: int
     number: Number
+    fresh: bool = False
 
 
 class Grant(Body, frozen=True):
-    """The coordinator's answer: a part for `TERM` from `stamp` on, and the newest view's number."""
+    """The coordinator's answer: a part for so many ns from `stamp` on, and the newest view's number."""
 
     stamp: int
     epoch: Epoch
     serial: int
     part: int
     number: Number
+    lasts: int
+
+
+class Release(Body, frozen=True):
+    """A process that ends, or is fenced off, holds nothing any more; another goes on under its name."""
+
+    epoch: Epoch
 
 
 class Fresh(Body, frozen=True):
@@ -144,7 +156,7 @@
     slow: bool
 
 
-Bodies = Ping | Ack | Nack | Help | Vote | Renew | Grant | Fresh | Report
+Bodies = Ping | Ack | Nack | Help | Vote | Renew | Grant | Release | Fresh | Report
 
 
 class Leader(msgspec.Struct, frozen=True, array_like=True):
@@ -221,6 +233,7 @@
     version: str = ""
     period: int = 300 * MS  # between two probes of one member
     most: int = 64  # members at most; more are not taken into the table
+    keep: int = 10 * SECOND  # that a silent member keeps its part for; the same in all of the fleet
 
     @property
     def who(self) -> Who:
--- a/trackspread/node/membered.py
+++ b/trackspread/node/membered.py
@@ -17,7 +17,7 @@
 from ..config.operator import Fleet
 from ..membership.host import DESCRIPTORS, Host, born_now
 from ..membership.report import Report, report
-from ..membership.terms import MS, Settings
+from ..membership.terms import MS, SECOND, Settings
 from ..membership.wire import NAME_MOST, Keys, Wire
 
 AGAIN = 0.05  # s between tries for an address that another process still holds
@@ -77,7 +77,7 @@
         fleet, listen = self._fleet, address(self._fleet.listen, "fleet.listen")
         reached = address(fleet.advertise, "fleet.advertise") if fleet.advertise else listen
         settings = Settings(fleet.name, self._name, born_now(), reached, fleet.seed_addresses(), _version(),
-                            int(fleet.period_ms * MS), fleet.most)
+                            int(fleet.period_ms * MS), fleet.most, int(fleet.keep_s * SECOND))
         host = Host(
             settings, listen, Wire(fleet.name, self._keys, fleet.most), int.from_bytes(os.urandom(8)),
             self._now, record=Path(fleet.record) if fleet.record else None,
--- a/trackspread/virtual/membered.py
+++ b/trackspread/virtual/membered.py
@@ -23,6 +23,7 @@
 WALL = 1_790_000_000_000  # ms of wall clock at the beginning of every world
 RTT = (200_000, 2 * MS)  # ns that a way takes, from and to
 CONNECT = 250 * MS  # ns after which a connection over a cut way is given up
+KEEP = 2 * SECOND  # that a silent member keeps its part for, unless the settings say otherwise
 LATE_MOST = 5 * MS  # ns by which a tick comes late on a machine that is busy with others
 
 
@@ -64,7 +65,7 @@
         settings: dict[str, object] | None = None,
     ) -> None:
         self.rng, self.clock, self.weather = random.Random(f"members:{seed}"), Clock(), Weather()
-        self._settings = settings or {}
+        self._settings = {"keep": KEEP, **(settings or {})}
         self._seeds = tuple((f"10.0.0.{n}", 7000) for n in range(seeds))
         self.processes: dict[str, Process] = {}
         self._by_address: dict[Address, Process] = {}
--- a/trackspread/virtual/membered_schedules.py
+++ b/trackspread/virtual/membered_schedules.py
@@ -15,7 +15,7 @@
 
 from ..membership.terms import MS, SECOND
 from ..standins.faults import AWAY, Calm, Cut, Duty, Fault, Halt, Loop, Restart, Rough, Schedule, draw
-from .membered import Broken, Process, World
+from .membered import KEEP, Broken, Process, World
 
 SETTLED = 8 * SECOND  # ns from the last fault's end: a term, an election, the longest look for those gone
 LEAD = 6.0  # s for a fleet to start and settle before anything goes wrong
@@ -34,11 +34,13 @@
     faults: Schedule
     joins: tuple[tuple[float, int], ...] = ()
     goes: tuple[tuple[float, int, bool], ...] = ()
+    keep: int = KEEP  # ns that a silent member keeps its part for
 
     def __str__(self) -> str:
         told = ", ".join(f"{type(f).__name__} at {f.at:.2f} s for {f.span:.2f} s" for f in self.faults.faults)
         return (f"seed {self.seed}: {self.faults.gateways} gateways, {self.seeds} seeds, clocks off by "
-                f"{self.drift:.1%}; {told}; joins {self.joins}, goes {self.goes}")
+                f"{self.drift:.1%}, parts kept for {self.keep / SECOND:.0f} s; {told}; "
+                f"joins {self.joins}, goes {self.goes}")
 
 
 def make(seed: int, least: int = 2, most: int = 12) -> MemberedSchedule:
@@ -53,7 +55,7 @@
     goes = tuple((rng.uniform(LEAD, LEAD + 9.0), n, rng.random() < 0.5) for n in free[: rng.randint(0, 2)])
     joins = tuple((rng.uniform(LEAD, LEAD + 9.0), gateways + n) for n in range(rng.choice([0, 0, 1, 3])))
     drift = rng.choice([0.0, 0.01])
-    return MemberedSchedule(seed, seeds, drift, faults, joins, goes)
+    return MemberedSchedule(seed, seeds, drift, faults, joins, goes, rng.choice([KEEP, KEEP, 3 * KEEP]))
 
 
 def _chosen(fault: Fault) -> tuple[int, ...]:
@@ -140,7 +142,8 @@
 
 def play(schedule: MemberedSchedule) -> tuple[World, int]:
     """Raises `Broken`; the world at its end, and the ns that it took to settle."""
-    world = World(schedule.seed, schedule.faults.gateways, schedule.seeds, schedule.drift)
+    world = World(schedule.seed, schedule.faults.gateways, schedule.seeds, schedule.drift,
+                  {"keep": schedule.keep})
     for process in list(world.processes.values()):
         world.at(world.rng.randint(0, 500 * MS), partial(world.start, process))
     Player(world, schedule).arrange()
@@ -149,7 +152,7 @@
         world.step(world.true + 20 * MS)
         world.rights()
         world.leaders()
-    return world, world.until_settled(SETTLED)
+    return world, world.until_settled(SETTLED + schedule.keep - KEEP)
 
 
 def first_broken(seeds: Iterator[int] | None = None, most: int = 400) -> int | None:
