A customer's store changes hands with its home: askers tell the next home what the last one had

Cause: refused with room 8 to 13% for ten seconds after halves of twelve healed, by member and second from the ledger beside each home's denials: a home that comes to be (or comes back) knew nothing of the store, began with half a burst or with nothing, and took off what its askers had used under the other home a second time; and a half of a fleet just over the bound of the regimes went over to telling all of all, and back, with debts below nothing (levels of -11.8 seen). Change: asks carry the last home's word of the store and its number, while that is under 5 s old. A home puts each other home's store into its own once, and forgets what it heard of that asker before; its own counts only if it kept one meanwhile. Requests let through alone come off the last word. Regimes change back at a quarter of the bound.

--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,191 @@
+"""The module's limits follow the fleet as its host sees it: slots, sets, homes, stores that change hands."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from trackspread.decide.broker import Broker
+from trackspread.decide.interface import Arrival, FleetChanged, PeerMessage, Plan, Refuse, Tell
+from trackspread.decide.mail import Draw, Kind, pack_draw, pack_totals, unpack_draw
+from trackspread.decide.quota import RETURNING, SILENT, Quota, home_of
+from trackspread.decide.state import SECOND
+from trackspread.membership.slots import WHOLE, seat
+from trackspread.virtual.plain import plain_settings
+
+PLAN = Plan("team", 2.0, 12.0, 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)
+CAPPED = replace(PLAN, ceiling_rate=6.0, ceiling_burst=24.0, ceiling_slack=6.0)
+START = 100 * SECOND
+MANY = 10**15  # ns: never
+
+
+def quota(gateways: int, messages: float, plan: Plan = PLAN) -> Quota:
+    settings = plain_settings(plan, gateways=gateways, may_message=True, messages_per_s=messages)
+    return Quota(settings, 1, START, random.Random(1))
+
+
+def view(count: int, me: int = 0, gone: tuple[int, ...] = (), **changes: object) -> FleetChanged:
+    """Gateways of places 0 to `count`, numbered by them from 10 on, but for those that are gone."""
+    here = [n for n in range(count) if n not in gone]
+    others = tuple(10 + n for n in here if n != me)
+    made = FleetChanged(
+        10 + me, others, tuple(10 + n for n in here), tuple(seat((n, count)) for n in range(count)),
+        seat((me, count)), tuple(seat((n - 10, count)) for n in others), MANY, MANY,
+    )
+    return replace(made, **changes)  # type: ignore[arg-type]
+
+
+def words(made: Quota, now: int, *senders: int) -> None:
+    for sender in senders:
+        made.heard(now, PeerMessage(sender, pack_totals(1, (now - START) * 10 // SECOND, [])))
+
+
+def test_a_members_set_has_its_whole_limits_where_its_traffic_comes() -> None:
+    made = quota(6, 1000.0)
+    made.joined(START, view(6))
+    words(made, START, *range(11, 16))
+    one, all_ = made.account(START, 1, 0, 2, 0), made.account(START, 2, 0, 6, 0)
+    assert (made.even(START, one), made.even(START, all_)) == pytest.approx((0.5, 1 / 6), abs=0.01)
+    assert made.share(START, one) == made.share(START, all_) == 1.0
+    # Half of all fall silent, the set of one member among them: what is here is what is left for it.
+    late = START + SILENT
+    words(made, late, 11, 12)
+    assert made.share(late, one) == 1.0 and made.share(late, all_) == pytest.approx(0.5, abs=0.01)
+
+
+def test_without_slots_nothing_that_all_share_is_acted_on_and_a_stopped_process_looks_at_its_clock() -> None:
+    broker = Broker(plain_settings(PLAN, gateways=3, may_message=True, messages_per_s=1000.0), 1, START)
+    broker.handle(START, view(3, slots=0, until=0, ends=0))
+
+    def asks(now: int, number: int) -> list[object]:
+        arrival = Arrival(number, 0, 0, 7, now + SECOND, 1.0, 3, 0, 0)
+        return [a for a in broker.handle(now, arrival) if isinstance(a, Refuse)]
+
+    assert asks(START, 1) and broker.quota.accounts[7].refused_for == "fleet"
+    broker.handle(START, view(3, until=START + 2 * SECOND, ends=START + 30 * SECOND))
+    assert broker.quota.may(START, broker.quota.accounts[7], 1.0)
+    assert not broker.quota.may(START + 2 * SECOND, broker.quota.accounts[7], 1.0)
+    assert asks(START + 2 * SECOND, 2) and broker.quota.accounts[7].refused_for == "fleet"
+
+
+def test_slots_that_others_may_have_had_come_back_with_an_empty_ceiling() -> None:
+    made = quota(3, 1000.0, CAPPED)
+    made.joined(START, view(3, until=START + SECOND, ends=START + 30 * SECOND))
+    account = made.account(START, 7, 0, 3, 0)
+    made.refill(START + SECOND - 1, account)
+    held = account.ceiling
+    assert held > 0.0
+    made.joined(START + 29 * SECOND, view(3, until=START + 40 * SECOND, ends=START + 60 * SECOND))
+    assert account.ceiling >= held, "in time: as it was"
+    made.joined(START + 70 * SECOND, view(3))
+    assert account.ceiling == 0.0
+
+
+def test_a_gateway_that_joins_or_goes_moves_few_homes_and_a_slow_one_has_none() -> None:
+    made = quota(12, 10.0)
+    made.joined(START, view(12))
+    assert made.homes and not made.gossip
+    accounts = [made.account(START, n, 0, 12, 0) for n in range(600)]
+    before = [made.home(a) for a in accounts]
+    assert set(before) == set(range(10, 22))
+    made.joined(START, view(12, gone=(5,)))
+    moved = [(was, made.home(a)) for was, a in zip(before, accounts, strict=True) if made.home(a) != was]
+    assert {was for was, _ in moved} == {15} and len({home for _, home in moved}) > 5
+    slow = view(12, homes=tuple(n for n in range(10, 22) if n != 13))
+    made.joined(START, slow)
+    assert 13 not in {made.home(a) for a in accounts}
+    assert all(home_of(a.customer, slow.homes) == made.home(a) for a in accounts)
+
+
+def test_halves_of_a_fleet_with_homes_keep_them() -> None:
+    made = quota(12, 80.0)
+    made.joined(START, view(12))
+    assert made.homes
+    made.joined(START, view(12, gone=tuple(range(6, 12))))
+    assert made.homes, "else both halves would tell otherwise than they hear, once healed"
+    made.joined(START, view(12, gone=tuple(range(3, 12))))
+    assert made.gossip
+    made.joined(START, view(12))
+    assert made.homes
+
+
+def draw(now: int, made: Quota, **changes: object) -> PeerMessage:
+    plain = Draw(Kind.ASK, 7, 0, 1.0, 1, (now - START) * 10 // SECOND, 0, 0, 2)
+    sender = changes.pop("sender", 11)
+    return PeerMessage(sender, pack_draw(plain._replace(**changes)))  # type: ignore[arg-type]
+
+
+def homed(me_is_home: bool = True) -> tuple[Quota, int]:
+    """A quota of twelve that is, or is not, the home of customer 7, and its place."""
+    for me in range(12):
+        made = quota(12, 10.0)
+        made.joined(START, view(12, me))
+        if (home_of(7, tuple(range(10, 22))) == 10 + me) is me_is_home:
+            return made, me
+    raise AssertionError
+
+
+def test_a_new_home_takes_over_the_store_of_the_former_one_once() -> None:
+    made, me = homed()
+    made.joined(START, view(12, me, homes=tuple(n for n in range(10, 22) if n != 10 + me)))
+    account = made.account(START, 7, 0)
+    assert not made.at_home(account)
+    made.joined(START, view(12, me))
+    for sender, level in ((11, 5.0), (12, 5.0)):
+        asked = draw(START, made, sender=sender, level=level, teller=99)
+        _, _, (answer,) = made.drawn(START, asked)
+        assert isinstance(answer, Tell)
+    assert account.level == pytest.approx(5.0 - 2.0), "what two were granted, and not twice what one home had"
+    assert isinstance(answer, Tell)
+    told = unpack_draw(answer.data)
+    assert told is not None and told.kind == Kind.GRANT
+    # Another home's store, of another side of a cut, is another one.
+    made.drawn(START, draw(START, made, sender=13, level=4.0, teller=98))
+    assert account.level == pytest.approx(3.0 + 4.0 - 1.0)
+
+
+def test_an_asker_tells_its_set_and_what_the_home_told_it_only_while_that_is_fresh() -> None:
+    made = homed(False)[0]
+    account = made.account(START, 7, 0, 2, 3)
+    home = made.home(account)
+    grant = Draw(Kind.GRANT, 7, 0, 6.5, 1, 0)
+    made.drawn(START, PeerMessage(home, pack_draw(grant)))
+    for age, teller in ((SECOND, home), (10 * SECOND, 0)):
+        _, action = made.ask(START + age, account, 1.0, Kind.ASK)
+        assert isinstance(action, Tell)
+        told = unpack_draw(action.data)
+        assert told is not None and (told.first, told.spread, told.teller) == (3, 2, teller)
+
+
+def test_what_the_silent_did_not_use_is_there_once_all_have_told() -> None:
+    made = quota(2, 1000.0)
+    made.joined(START, view(2))
+    account = made.account(START, 7, 0, 2, 0)
+    now = START
+    words(made, now, 11)
+    made.refill(now, account)
+    assert made.book(account, account.level, False)
+    now += 10 * SECOND
+    for at in range(START + SECOND, now, SECOND // 4):
+        made.refill(at, account)
+        if account.level >= 1.0:
+            made.book(account, 1.0, False)
+    assert account.absent > 6.0
+    words(made, now, 11)  # it is back, and has used nothing
+    for at in range(now, now + RETURNING + 1, SECOND // 2):
+        words(made, at, 11)
+        made.refill(at, account)
+    assert account.absent == 0.0 and account.level > 9.0
+
+
+def test_the_ways_to_say_nothing_are_bounded() -> None:
+    assert unpack_draw(pack_draw(Draw(Kind.ASK, 7, 0, 1.0, 1, 0, 0, 70_000, 99_999, 1e9, 5))) is not None
+    assert unpack_draw(b"\1" * 21) is None
+    made = quota(3, 1000.0)
+    made.joined(START, view(3, theirs=(0, 0), others=(11, 12)))
+    assert WHOLE.bit_count() == sum(seat((n, 3)).bit_count() for n in range(3))
+    for sender in range(2000):
+        words(made, START, 10_000 + sender)
+    assert len(made.peers) <= 512
--- a/trackspread/decide/carried.py
+++ b/trackspread/decide/carried.py
@@ -17,7 +17,7 @@
 
 Plain = dict[str, Any]
 VERSION = 3  # of the portrait: raised with every change of what it holds: old and new program may differ
-_NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed"})  # follow from settings and customer
+_NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed", "keeps", "taking", "tellers"})
 _SERVER = ("slow", "pause", "fails", "suspended", "tokens", "tokens_at")  # the rest is the list's
 
 
--- a/trackspread/decide/mail.py
+++ b/trackspread/decide/mail.py
@@ -9,7 +9,7 @@
 
 MESSAGE = 256  # bytes that a peer message may hold
 _HEADER, _TOTAL, _DRAW = struct.Struct("<HH"), struct.Struct("<QHB"), struct.Struct("<BQBHIHH")
-_SET = struct.Struct("<HH")  # behind a draw, where the sender knows the customer's set
+_SET = struct.Struct("<HHHI")  # behind a draw where homes may move: the customer's set, what a home told
 TOTALS = (MESSAGE - _HEADER.size) // _TOTAL.size  # customers in one message of totals
 
 
@@ -29,7 +29,8 @@
 
     `taken`: quarter units, modulo 2^16, that the asking gateway has sent on for the customer since its start:
     a running total, so that a lost message costs nothing once the next one comes. `spread`: gateways in a row
-    from number `first` that the customer's requests come by; 0: not told."""
+    from number `first` that the customer's requests come by; 0: not told. `level`: of the store, by the last
+    word of home `teller`; 0: not told of late."""
 
     kind: int
     customer: int
@@ -40,6 +41,8 @@
     taken: int = 0
     first: int = 0
     spread: int = 0
+    level: float = 0.0
+    teller: int = 0
 
 
 def _u16(value: float) -> int:
@@ -50,7 +53,9 @@
     """Units travel in quarters; what does not fit is held at the bound."""
     units, age, taken = _u16(4 * draw.units), _u16(draw.age), draw.taken & 0xFFFF
     made = _DRAW.pack(draw.kind, draw.customer, draw.plan, units, draw.tag, age, taken)
-    return made + _SET.pack(draw.first & 0xFFFF, min(0xFFFF, draw.spread)) if draw.spread else made
+    if not draw.spread:
+        return made
+    return made + _SET.pack(draw.first & 0xFFFF, min(0xFFFF, draw.spread), _u16(4 * draw.level), draw.teller)
 
 
 def is_draw(data: bytes) -> bool:
@@ -63,9 +68,10 @@
     if not is_draw(data):
         return None
     kind, customer, plan, quarters, tag, age, taken = _DRAW.unpack_from(data)
-    first, spread = _SET.unpack_from(data, _DRAW.size) if len(data) > _DRAW.size else (0, 0)
-    known = kind in tuple(Kind)
-    return Draw(kind, customer, plan, quarters / 4, tag, age, taken, first, spread) if known else None
+    first, spread, level, teller = (
+        _SET.unpack_from(data, _DRAW.size) if len(data) > _DRAW.size else (0, 0, 0, 0))
+    made = Draw(kind, customer, plan, quarters / 4, tag, age, taken, first, spread, level / 4, teller)
+    return made if kind in tuple(Kind) else None
 
 
 def pack_totals(incarnation: int, age: int, totals: Iterable[tuple[int, int, int]]) -> bytes:
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -39,6 +39,7 @@
 GIVEN = 0.75  # part of the rest that one ask gets: others may ask too
 LACK_MESSAGES = 0.25  # part of the messages that a gateway takes in that asks and what they bring may be
 POOLED = 0.75  # part of a ceiling that the home hands out; the rest is in even slices for its silence
+TAKEN_OVER = 5 * SECOND  # for which a home's word of a store is good for the next one: askers move in that
 PEERS_MOST = 512  # peers whose last word is kept; the longest silent make room
 
 
@@ -105,7 +106,7 @@
             self.views, self.moved = self.views + 1, self.moved or (old is not None and bool(old.slots))
             self.s = replace(self.s, gateways=1 + len(event.others), position=event.me, may_message=True)
             # Halves of a fleet that parts go on as they were used to, and are as much at one once healed.
-            self._regime(1.0 if self.gossip or old is None else 0.5)
+            self._regime(1.0 if self.gossip or old is None else 0.25)
 
     def slots(self, now: int) -> int:
         """That may be acted on here by the view, at this instant."""
@@ -138,6 +139,12 @@
     def home(self, account: Account) -> int:
         if self.view is not None and account.homed != self.views:
             account.home, account.homed = home_of(account.customer, self.view.homes), self.views
+            keeps = account.home == self.view.me
+            if keeps and not account.keeps:
+                # What was kept here before is of another time; askers tell what the former home had.
+                account.taking, account.over, account.absent, account.tellers = True, 0.0, 0.0, {}
+                account.heard, account.asked, account.given = {}, {}, {}
+            account.keeps = keeps
         return account.home
 
     def account(self, now: int, customer: int, index: int, spread: int = 0, first: int = 0) -> Account:
@@ -394,6 +401,8 @@
             return False
         account.part -= units * even
         account.ceiling -= units
+        if self.view is not None:  # by what was told, if the next home is to hear of it
+            account.level = max(0.0, account.level - units)
         return True
 
     def answered(self, now: int, account: Account, level: float, granted: bool) -> None:
@@ -413,7 +422,9 @@
         age = (now - self.born) * 10 // SECOND
         draw = Draw(kind, account.customer, account.index, units, tag, age, account.sent)
         if self.view is not None:  # whoever keeps slots has to know which of them are the customer's
-            draw = draw._replace(first=account.first, spread=account.spread)
+            teller = account.teller * (now - account.told_at < TAKEN_OVER)
+            draw = draw._replace(first=account.first, spread=account.spread, level=max(0.0, account.level),
+                                 teller=teller)
         return Tell(to, pack_draw(draw))
 
     def _drawn_on(self, now: int, draw: Draw) -> Account:
@@ -423,6 +434,17 @@
             account.first, account.spread = draw.first % seats, min(draw.spread, seats)
         return account
 
+    def _take_over(self, now: int, account: Account, sender: int, draw: Draw) -> None:
+        """The asker comes from another home, whose store goes into the one here, once: each kept what was its
+        side's, and what its askers used was taken off there."""
+        account.heard.pop(sender, None)
+        account.asked.pop(sender, None)
+        account.given.pop(sender, None)
+        if now - account.tellers.get(draw.teller, now - TAKEN_OVER) >= TAKEN_OVER:
+            here, most = account.level * (not account.taking), account.plan.burst * self.share(now, account)
+            account.level, account.absent = min(most, here + draw.level), 0.0
+        account.tellers[draw.teller] = now
+
     def drawn(self, now: int, event: PeerMessage) -> Word:
         """Word with a home, either way: the number of the ask it answers, the answer, what to send."""
         if (draw := unpack_draw(event.data)) is None or draw.plan >= len(self.s.plans):
@@ -432,12 +454,15 @@
             if mine := self.accounts.get(draw.customer):
                 self.refill(now, mine)
                 self.answered(now, mine, draw.units, draw.kind == Kind.GRANT)
+                mine.teller = event.sender
             return draw.tag, draw.kind == Kind.GRANT, []
         account = self._drawn_on(now, draw)
         if not self.at_home(account):
             return 0, None, []
         self.refill(now, account)
-        account.last = now
+        if draw.teller not in (0, self.s.position):
+            self._take_over(now, account, event.sender, draw)
+        account.taking, account.last = False, now
         pays = account.plan.over_worth > account.plan.over_cost
         if not pays and draw.kind == Kind.ASK:
             self._settle(now, account, event.sender, draw.taken)
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -98,6 +98,10 @@
     more: bool = False  # whether asking the host for more may pay
     first: int = 0  # the customer's set: so many gateways in a row from this one of the settings' list on
     spread: int = 0  # 0: not told yet
+    keeps: bool = False  # whether this gateway is the home, as of `homed`
+    taking: bool = False  # it has become so, and nobody has told yet what the former home had
+    teller: int = 0  # the home that last told of the store
+    tellers: dict[int, int] = field(default_factory=dict)  # at home: others whose stores came here, and when
     homed: int = -1  # by which of the views taken in so far its home was found
     refused_for: str = ""  # which limit turned its last refused request away, where the host asks
 
