--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,12 +14,14 @@
     Arrival,
     AttemptEnded,
     Backend,
+    FleetChanged,
     LogLine,
     Outcome,
     Send,
     SetTimer,
     Topology,
 )
+from trackspread.membership.slots import WHOLE, seat, to_bytes
 from trackspread.simulator import wire
 
 ROOT = Path(__file__).parent.parent
@@ -95,6 +97,13 @@
     return struct.pack("<HQBIQQfffB", 1020, request, 0, 0, 9, 10**9, 1.0, 2.0, 0.0, 0)
 
 
+def fleet(slots: int, until: int = 10**12) -> bytes:
+    """A view of two places: this gateway, 70, has these slots, 71 those of the second place."""
+    head = struct.pack("<HIQQHHH", wire.FLEET, 70, until, 10**12, 2, 1, 2)
+    masks = [slots.to_bytes(128, "little"), struct.pack("<3I", 71, 70, 71), to_bytes(seat((1, 2)))]
+    return head + b"".join(masks)
+
+
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
     command = [sys.executable, "-m", "trackspread.simulator.host"]
     return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, check=False, timeout=60)
@@ -155,6 +164,27 @@
     assert struct.pack("<HQ", 1000, 5) in third[1]
 
 
+def test_a_view_comes_as_a_record_of_this_projects_own() -> None:
+    _, events = wire.decode(struct.pack("<Q", 8) + select(3) + fleet(WHOLE))
+    seats = seat((0, 2)), seat((1, 2))
+    assert events == [
+        (3, FleetChanged(70, (71,), (70, 71), seats, WHOLE, (seats[1],), 10**12, 10**12))]
+    with pytest.raises(wire.WireError, match="impossible count in fleet"):
+        wire.decode(struct.pack("<Q", 8) + select(3) + struct.pack("<HIQQHHH", wire.FLEET, 1, 0, 0, 2, 1, 0))
+    with pytest.raises(wire.WireError, match="runs past the end"):
+        wire.decode(struct.pack("<Q", 8) + select(3) + fleet(WHOLE)[:-1])
+
+
+def test_without_slots_of_the_view_what_all_share_is_refused_and_with_them_it_is_served() -> None:
+    done = run(frame(select(3), up(), listed(1, 2), fleet(0), inbound(4)) + frame(select(3), fleet(WHOLE))
+               + frame(select(3), inbound(5)) + frame(select(3), fleet(WHOLE, until=1), inbound(6)))
+    assert done.returncode == 0
+    first, _, third, fourth = replies(done.stdout)
+    assert struct.pack("<HQ", 1010, 4) in first[1]
+    assert struct.pack("<HQ", 1000, 5) in third[1]
+    assert struct.pack("<HQ", 1010, 6) in fourth[1], "their time is over"
+
+
 def test_restart_in_one_batch_forgets_everything() -> None:
     down = struct.pack("<H", 1090)
     done = run(frame(select(0), up(), listed(1)) + frame(select(0), down, up(), listed(), inbound(1)))
--- a/trackspread/simulator/wire.py
+++ b/trackspread/simulator/wire.py
@@ -23,6 +23,7 @@
     Event,
     Fail,
     Fetch,
+    FleetChanged,
     Group,
     Health,
     ListKind,
@@ -44,8 +45,10 @@
     WantRights,
     Watch,
 )
+from ..membership.slots import SLOTS, from_bytes, seat
 
 SELECT, UP, DOWN = 1110, 1000, 1090
+FLEET = 1900  # far from the kit's own codes
 FOR, DIE, EVERY_PEER = 1130, 1090, 0xFFFF
 
 
@@ -103,7 +106,7 @@
 _ENTRY, _FRAME, _UP = _layout("IBBHBfQ"), _layout("Q"), _layout("QI")
 _TOPOLOGY, _ARRIVAL, _BEGUN = _layout("BQI"), _layout("QBIQQfffB"), _layout("QQHI")
 _ENDED, _U64, _PROBED = _layout("QBHIHHQHB"), _layout("Q"), _layout("HIQB")
-_MAIL, _COUNTED = _layout("IH"), _layout("QHQf")
+_MAIL, _COUNTED, _FLEET = _layout("IH"), _layout("QHQf"), _layout("IQQHHH")
 
 
 def _outcome(number: int, reader: _Reader) -> Outcome:
@@ -163,6 +166,29 @@
     return Counted(elapsed, _outcome(how, reader), name, total)
 
 
+_NUMBERS_MOST = 4096  # gateways that one view may name
+
+
+def _slots(reader: _Reader) -> int:
+    return from_bytes(reader.raw(SLOTS // 8, "fleet"))
+
+
+def _numbers(reader: _Reader, count: int) -> tuple[int, ...]:
+    return struct.unpack(f"<{count}I", reader.raw(4 * count, "fleet"))
+
+
+def _fleet(reader: _Reader) -> FleetChanged:
+    """This project's own: the kit's platform has no view to tell of. Counts and times, the slots of this
+    gateway, the others' numbers, those of possible homes, and the slots of each of the others."""
+    me, until, ends, places, others, homes = reader.take(_FLEET, "fleet")
+    if not homes or max(places, others, homes) > _NUMBERS_MOST:
+        raise WireError(f"impossible count in fleet at byte {reader.base + reader.at}")
+    slots, numbers, may_keep = _slots(reader), _numbers(reader, others), _numbers(reader, homes)
+    theirs = tuple(_slots(reader) for _ in range(others))
+    seats = tuple(seat((n, max(1, places))) for n in range(max(1, places)))
+    return FleetChanged(me, numbers, may_keep, seats, slots, theirs, until, ends)
+
+
 _DECODERS: dict[int, Callable[[_Reader], Event | Up | Down]] = {
     UP: _up,
     DOWN: lambda reader: Down(),
@@ -175,6 +201,7 @@
     1070: _probed,
     1080: _mail,
     1100: _counted,
+    FLEET: _fleet,
 }
 
 
