--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 READY = .venv/.ready
 # Files of tests at once, of those that start no processes of the program.
 SIDE_BY_SIDE ?= 6
+# Of those that start processes: with more, a fleet lags, and its runs are played again.
+FLEETS ?= 2
 
 .PHONY: try test bench mutants clean
 try: $(READY)
@@ -10,7 +12,7 @@
 
 test: $(READY)
 	.venv/bin/python -m pytest -q -n $(SIDE_BY_SIDE) --dist loadfile -m "not processes"
-	.venv/bin/python -m pytest -q -m processes
+	.venv/bin/python -m pytest -q -n $(FLEETS) --dist loadfile -m processes
 
 bench: $(READY)
 	.venv/bin/python -m benchmarks.rules --quick
