trackspread fleet forget: an operator's signed word; a sole or lonely seed that is slow leads all the same

Need: a gateway lost for good kept its slots for keep_s whatever operators know. Change: Forget goes signed to all seeds; who coordinates frees the slots of a member that is not here, refuses for one that is, and answers; nobody else does. A member that is alone is not slow; a sole seed leads also while it is.

--- a/tests/test_following_process.py
+++ b/tests/test_following_process.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -109,6 +110,34 @@
     play(work, "keep_s = 60")
 
 
+def test_an_operators_word_frees_the_slots_of_one_that_is_gone_and_of_none_that_runs() -> None:
+    async def forget(fleet: Fleet, name: str) -> tuple[int | None, str]:
+        own = fleet.folder / "operators.toml"
+        text = fleet.table("n0")
+        for each, at in fleet.members.items():  # operators are beside the wire, which knows gateways alone
+            text = text.replace("{}:{}".format(*fleet.reached[each]), "{}:{}".format(*at))
+        own.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "trackspread", "fleet", "forget", name, "--file", str(own),
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        out, _ = await process.communicate()
+        return process.returncode, out.decode()
+
+    async def work(fleet: Fleet) -> None:
+        await fleet.end([5])
+        assert await viewed.until_settled(fleet, 6.0) is not None
+        status, out = await forget(fleet, "n1")
+        assert status == 1 and "n1 is in the fleet" in out
+        now = held(fleet, fleet.beliefs()[-1].at)
+        before = sum(count for name, count in now.items() if name != "n5")
+        status, out = await forget(fleet, "n5")
+        assert status == 0 and "171 of 1024 slots are free" in out, out
+        await asyncio.sleep(1.5)
+        assert (before, sum(held(fleet, fleet.beliefs()[-1].at).values())) == (SLOTS - 171, SLOTS)
+
+    play(work, "keep_s = 600")
+
+
 def test_a_stopped_gateway_that_wakes_acts_on_nothing_that_is_others_by_then() -> None:
     async def work(fleet: Fleet) -> None:
         await Player(fleet, Schedule("test", 1, 6, 8.0, (Halt(0.5, 6.0, (2, 5)),))).play()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -22,7 +22,7 @@
 from trackspread.membership.slots import SLOTS, WHOLE, assign, from_bytes, lowest, seat, text, to_bytes
 from trackspread.membership.slowness import Slowness
 from trackspread.membership.terms import (
-    MS, SECOND, Ack, Epoch, Fresh, Letter, Ping, Rumour, State, Table, View, Who,
+    MS, SECOND, Ack, Epoch, Forget, Forgotten, Fresh, Letter, Ping, Rumour, Say, State, Table, View, Who,
 )
 from trackspread.membership.wire import DATAGRAM, Keys, Wire
 from trackspread.node.membered import keys
@@ -404,6 +404,31 @@
     assert world.rights() == WHOLE ^ dead, "the dead one's slots are kept"
 
 
+def test_one_that_an_operator_calls_gone_has_its_slots_used_at_once_and_one_that_runs_keeps_its() -> None:
+    world = World(1, 5, settings={"keep": 60 * SECOND})
+    for process in list(world.processes.values()):
+        world.start(process)
+    world.until_settled(6 * SECOND)
+    leads = next(p.core for p in world.processes.values() if p.core and p.core.owns(p.now(world.clock.now)))
+    name = next(n for n in ("n3", "n4"))
+
+    def word(name: str) -> list[object]:
+        told = letter(fleet="fleet", name="", born=0, body=Forget(name))
+        said = leads.received(world.clock.now, told, ("10.9.9.9", 1))
+        return [action.letter.body for action in said if isinstance(action, Say)]
+
+    assert word(name) == [Forgotten(name, True, 0)]
+    world.kill(world.processes[name])
+    world.step(world.true + 5 * SECOND)
+    assert world.rights() == WHOLE ^ seat((int(name[1:]), 5))
+    assert word(name) == [Forgotten(name, False, seat((int(name[1:]), 5)).bit_count())]
+    assert word("nobody") == [Forgotten("nobody", False, 0)]
+    assert world.until_settled(2 * SECOND) < 2 * SECOND
+    other = next(p.core for p in world.processes.values() if p.core and p.core is not leads)
+    told = letter(fleet="fleet", name="", born=0, body=Forget(name))
+    assert other.received(world.clock.now, told, ("10.9.9.9", 1)) == [], "only the coordinator answers"
+
+
 def test_in_three_pieces_without_a_majority_of_seeds_no_view_is_made() -> None:
     world = settled(9)
     pieces = [[f"n{n}" for n in range(9) if n % 3 == p] for p in range(3)]
@@ -439,7 +464,7 @@
     WORLDS[1](3)
 
 
-@pytest.mark.parametrize("seed", range(2000, 2030))
+@pytest.mark.parametrize("seed", [*range(2000, 2030), 7_002_994, 7_009_131])
 def test_rights_and_views_hold_through_mixed_faults_and_all_settles_after_them(seed: int) -> None:
     play(make(seed))
 
--- a/trackspread/commands/fleet.py
+++ b/trackspread/commands/fleet.py
@@ -7,19 +7,63 @@
 
 import argparse
 import http.client
+import socket
 import time
 from collections.abc import Sequence
+from pathlib import Path
 
 import msgspec
 
+from ..config import operator
 from ..config.addresses import ConfigError, address
 from ..membership.report import Report
+from ..membership.slots import SLOTS
+from ..membership.terms import Forget, Forgotten, Letter
+from ..membership.wire import DATAGRAM, Wire
+from ..node.membered import keys
 
 PATIENCE = 3.0  # s for one answer
 AGAIN = 0.2  # s between questions while waiting
 
 
 def run(given: argparse.Namespace) -> int:
+    """Exit status; raises `ConfigError`."""
+    return forget(given.name, Path(given.file)) if given.fleet == "forget" else view(given)
+
+
+def forget(name: str, file: Path) -> int:
+    """Has a member that is gone for good forgotten: all seeds are told, the one that coordinates answers."""
+    fleet = operator.load(file).fleet
+    if not fleet.name:
+        raise ConfigError(f"{file}: fleet.name: found nothing, wanted a gateway's that keeps a view")
+    wire = Wire(fleet.name, keys(fleet), fleet.most)
+    word = wire.pack(Letter(fleet.name, "", 0, Forget(name), 0))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as line:
+        line.settimeout(AGAIN)
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            for seed in fleet.seed_addresses():
+                line.sendto(word, seed)
+            try:
+                letter = wire.unpack(line.recv(DATAGRAM))
+            except OSError:  # nobody yet, or nobody at one of the addresses
+                continue
+            if letter is not None and isinstance(letter.body, Forgotten) and letter.body.name == name:
+                return _forgotten(letter.body)
+    raise ConfigError(f"{file}: fleet.seeds: no coordinator answered within {PATIENCE:.0f} s; wanted a "
+                      "majority of them up, and the fleet's key")
+
+
+def _forgotten(answer: Forgotten) -> int:
+    if answer.runs:
+        print(f"{answer.name} is in the fleet, nothing is forgotten: end it, or wait until it is DEAD")
+        return 1
+    freed = f"{answer.slots} of {SLOTS} slots are free" if answer.slots else "it held nothing known of"
+    print(f"{answer.name} is forgotten: {freed}")
+    return 0
+
+
+def view(given: argparse.Namespace) -> int:
     """Exit status; raises `ConfigError`."""
     end = time.monotonic() + given.wait
     while True:
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -74,6 +74,15 @@
     views.add_argument("--json", action="store_true", help="the answers as they came, a line each")
     views.add_argument("--wait", type=float, default=0.0, metavar="S",
                        help="ask again for up to S seconds until the exit status is 0")
+    goes = group.add_parser(
+        "forget", help="a gateway is gone for good: what it kept of all that is shared is free at once",
+        description="Say so only of one that is surely down: a gateway that is merely cut off would act on "
+        "the same slots as those that have them next. Exit status: 0 where it is forgotten, 1 where it is in "
+        "the fleet, 2 where no coordinator answers.",
+    )
+    goes.add_argument("name", metavar="NAME", help="the gateway's, as `fleet view` shows it")
+    goes.add_argument("--file", metavar="FILE", required=True,
+                      help="the operator's file of any gateway of the fleet: its seeds and its key are used")
 
 
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
--- a/trackspread/membership/host.py
+++ b/trackspread/membership/host.py
@@ -29,7 +29,7 @@
 OWN_MOST, SERVED_MOST = 4, 16  # exchanges under way that were begun here, and by others
 DESCRIPTORS = OWN_MOST + SERVED_MOST + 4  # of these, both sockets, the record, and one to spare
 CHANGING = {"member", "part", "slow", "well", "left", "fenced", "renamed"}  # what the program may act on
-NOTED = {"view", "fenced", "leads", "leads no more", "slow", "well", "renamed", "left"}
+NOTED = {"view", "fenced", "leads", "leads no more", "slow", "well", "renamed", "left", "forgot"}
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -222,6 +222,8 @@
         case "view":
             names = ", ".join(name for name, _ in cast(tuple[tuple[str, int], ...], about["members"]))
             return f" {about['number']}: {names}"
+        case "forgot":
+            return f" {about['name']}, by an operator's word: slots {about['slots'] or 'none'} are free"
         case "fenced":
             return f" off: a newer process under this name is at {about['at']}, this one takes no part now"
     return ""
--- a/trackspread/membership/member.py
+++ b/trackspread/membership/member.py
@@ -23,9 +23,9 @@
 from .slots import from_bytes, text, to_bytes
 from .slowness import Slowness
 from .terms import (
-    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Fresh, Grant, Heard, Help, Leader,
-    Letter, Nack, Number, Ping, Release, Renew, Report, Rumour, Say, Settings, State, Table, Told, View, Vote,
-    Who, Words,
+    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Forget, Forgotten, Fresh, Grant,
+    Heard, Help, Leader, Letter, Nack, Number, Ping, Release, Renew, Report, Rumour, Say, Settings, State,
+    Table, Told, View, Vote, Who, Words,
 )
 
 TICK = 50 * MS  # ns between two calls of `tick`
@@ -46,10 +46,8 @@
 
     def __init__(self, settings: Settings, now: int, seed: int) -> None:
         self.settings, self.rng = settings, random.Random(seed)
-        host, port = settings.address
-        self.people = People(
-            Rumour(settings.name, settings.born, 0, State.ALIVE, host, port, settings.version), settings.most
-        )
+        me = Rumour(settings.name, settings.born, 0, State.ALIVE, *settings.address, settings.version)
+        self.people = People(me, settings.most)
         self.rumours = Rumours()
         self.probing = Probing(settings.period, self.rng)
         self.slowness = Slowness()
@@ -74,7 +72,7 @@
         return self.people.me.who
 
     def number(self) -> Number:
-        return self.view.number if self.view is not None else NO_NUMBER
+        return self.view.number if self.view else NO_NUMBER
 
     def part(self, now: int) -> int:
         """The slots of all that is shared that this member may act on at this instant."""
@@ -86,7 +84,7 @@
     # What the host calls.
 
     def start(self, now: int) -> list[Action]:
-        self._tell(self.people.me)
+        self.rumours.add(self.people.me)
         self._told("started", who=self.who, address=self.settings.address)
         self._seek(now)
         return self._done()
@@ -104,6 +102,9 @@
         """A datagram of this fleet; `source`: where it came from."""
         if self.gone or letter.who == self.who:
             return []
+        if isinstance(letter.body, Forget):
+            self._forget(now, letter.body.name, source)
+            return self._done()
         if letter.name == self.people.me.name:
             self._namesake(now, letter.born, source)
             return self._done()
@@ -138,7 +139,7 @@
         """In good order: told to as many as hear of it at once, and the part is given up."""
         if not self.gone:
             self.people.me = structs.replace(self.people.me, state=State.LEFT)
-            self._tell(self.people.me)
+            self.rumours.add(self.people.me)
             self.holding.drop()
             some = self.people.here()
             self.rng.shuffle(some)
@@ -167,8 +168,8 @@
 
     def words(self, names: Iterable[str], data: bytes) -> list[Action]:
         """To those of these that are here, in one letter that is the same for all."""
-        body = Words(data, to_bytes(self.holding.granted))
-        letter = Letter(self.settings.fleet, *self.who, body, self.people.digest())
+        letter = Letter(self.settings.fleet, *self.who, Words(data, to_bytes(self.holding.granted)),
+                        self.people.digest())
         held = (self.people.by_name.get(name) for name in names)
         return [Say(each.rumour.address, letter) for each in held if each is not None and each.here]
 
@@ -185,9 +186,6 @@
     def _told(self, kind: str, **about: object) -> None:
         self._out.append(Told(kind, about))
 
-    def _tell(self, word: Rumour) -> None:
-        self.rumours.add(word)
-
     def _ping(self, word: Rumour, seq: int) -> None:
         # Whoever is suspected hears of it by this very ping, and can clear itself at once.
         suspected = word.state in (State.SUSPECT, State.DEAD)
@@ -204,18 +202,19 @@
                 self._fence(now)
             return
         if word.name == people.me.name:
-            self._tell(people.me)
+            self.rumours.add(people.me)
             self.probing.worse()
             self._told("cleared", life=people.me.life)
             return
         held = people.by_name[word.name]
-        self._tell(word)
+        self.rumours.add(word)
         if was is None or was.rank != word.rank:
             if was is None or (was.state, was.born, was.slow) != (word.state, word.born, word.slow):
                 self._told("member", who=word.who, state=State(word.state).name, life=word.life,
                            slow=word.slow, by=teller)
-            if word.state == State.SUSPECT and self.rng.random() < LOOK_AT / max(1, people.count()):
-                self._look_at(now, held)
+            looks = word.state == State.SUSPECT and self.rng.random() < LOOK_AT / max(1, people.count())
+            if looks and (probe := self.probing.extra(now, held.rumour.who)) is not None:
+                self._ping(held.rumour, probe.seq)
         if not held.here:
             self.slowness.forget(word.name)
         if self.coordinating is None:
@@ -225,11 +224,6 @@
         if was is not None and was.born < word.born and was.address == word.address:
             self.coordinating.parts.released(was.who)  # an address is one process's: the former one is gone
 
-    def _look_at(self, now: int, person: Person) -> None:
-        probe = self.probing.extra(now, person.rumour.who)
-        if probe is not None:
-            self._ping(person.rumour, probe.seq)
-
     def _fence(self, now: int) -> None:
         """A newer process under this name. One at this very address can only be a former self whose clock was
         ahead; else this one is the older of two, and gives up what it holds."""
@@ -239,7 +233,7 @@
         if word.address == self.settings.address or word.state >= State.DEAD:
             self.people.me = structs.replace(self.people.me, born=word.born + 1, life=0)
             self.holding.drop()
-            self._tell(self.people.me)
+            self.rumours.add(self.people.me)
             self._told("renamed", who=self.who)
         else:
             self._give_up(word)
@@ -303,7 +297,7 @@
         slow = self.slowness.slow(now, self.people.count(), self.probing.health)
         if slow != me.slow:
             self.people.me = structs.replace(me, life=me.life + 1, slow=slow)
-            self._tell(self.people.me)
+            self.rumours.add(self.people.me)
             self._told("slow" if slow else "well")
 
     def _grace(self, person: Person) -> int:
@@ -374,8 +368,9 @@
             self._say(to, vote)
 
     def _lead(self, now: int) -> None:
-        # Who is slow leaves it to others to lead, unless nobody does.
-        if not self.people.me.slow or now - self.asking.led_at > UNLED:
+        # Who is slow leaves it to others to lead, unless nobody can or does.
+        alone = len(self.settings.seeds) == 1
+        if alone or not self.people.me.slow or now - self.asking.led_at > UNLED:
             self._votes(self.seat.tick(now))
         if not self.seat.owns(now) or self.seat.election is None:
             if self.coordinating is not None:
@@ -384,8 +379,8 @@
             return
         epoch = (self.seat.election.epoch, self.seat.number)
         if self.coordinating is None or self.coordinating.epoch != epoch:
-            seeds, keep = len(self.settings.seeds), self.settings.keep
-            self.coordinating = Coordinating(now, epoch, self.view, seeds, keep)
+            settings = self.settings
+            self.coordinating = Coordinating(now, epoch, self.view, len(settings.seeds), settings.keep)
             self._leader(now, Leader(epoch, self.who, *self.settings.address))
             self._told("leads", epoch=epoch)
             for person in self.people.here():
@@ -434,9 +429,8 @@
             self._ping(word, seq)
 
     def _held(self, now: int) -> None:
-        holding = self.holding
-        self._told("part", part=text(holding.granted), lasts=max(0, holding.until - now), epoch=holding.epoch,
-                   serial=holding.serial)
+        part, lasts = text(self.holding.granted), max(0, self.holding.until - now)
+        self._told("part", part=part, lasts=lasts, epoch=self.holding.epoch, serial=self.holding.serial)
 
     def _coordinates(self, now: int, epoch: Epoch) -> bool:
         return self.coordinating is not None and self.coordinating.epoch == epoch and self.owns(now)
@@ -445,12 +439,11 @@
         """What this member, as the coordinator that is asked, grants; nothing where it is not."""
         if self.coordinating is None or not self._coordinates(now, body.epoch):
             return None
-        address = self.settings.address if who == self.who else self.people.by_name[who[0]].rumour.address
-        seeds = self.settings.seeds
+        word = self.people.me if who == self.who else self.people.by_name[who[0]].rumour
+        address, seeds = word.address, self.settings.seeds
         seat = seeds.index(address) if address in seeds else -1
         serial, part = self.coordinating.asked(now, who, seat, body)
-        keep = self.coordinating.keep
-        return Grant(body.stamp, body.epoch, serial, to_bytes(part), self.number(), keep)
+        return Grant(body.stamp, body.epoch, serial, to_bytes(part), self.number(), self.coordinating.keep)
 
     def _take(self, now: int, grant: Grant) -> None:
         if self.asking.take(now, grant):
@@ -469,6 +462,15 @@
             self.asking.at = min(self.asking.at, now + int(self.rng.random() * TICK))
             self._told("view", number=view.number, parent=view.parent, members=view.members)
 
+    def _forget(self, now: int, name: str, source: Address) -> None:
+        """Only the coordinator answers: who asks has asked all seeds."""
+        if self.coordinating is None or not self.owns(now):
+            return
+        runs = name in {self.people.me.name, *(p.rumour.name for p in self.people.here())}
+        slots = 0 if runs else self.coordinating.parts.forgotten(now, name)
+        self._told("spared" if runs else "forgot", name=name, slots=text(slots))
+        self._say(source, Forgotten(name, runs, slots.bit_count()))
+
     # Finding others.
 
     def _seek(self, now: int) -> None:
--- a/trackspread/membership/parts.py
+++ b/trackspread/membership/parts.py
@@ -109,6 +109,13 @@
         """It holds nothing any more, and asks for nothing."""
         self._given.pop(who, None)
 
+    def forgotten(self, now: int, name: str) -> int:
+        """No process of this name holds anything, says an operator; what that frees."""
+        slots = 0
+        for who in [w for w in self._given if w[0] == name]:
+            slots |= self._given.pop(who).most(now)
+        return slots
+
     def forget(self, now: int) -> None:
         """Members of which nothing is left."""
         for who in [w for w, given in self._given.items() if not given.most(now) and not given.grants]:
--- a/trackspread/membership/slowness.py
+++ b/trackspread/membership/slowness.py
@@ -62,6 +62,7 @@
             found = len(self._reports) >= wanted or health > RIGHT
         else:
             found = (members > LEAST and len(self._reports) >= wanted) or health >= UNWELL
+        found = found and members > 1  # nobody waits for one that is alone, none could say it is well
         if found != self._is and now - self._since >= SETTLED:
             self._is, self._since = found, now
         return self._is
--- a/trackspread/membership/terms.py
+++ b/trackspread/membership/terms.py
@@ -157,6 +157,21 @@
     slow: bool
 
 
+class Forget(Body, frozen=True):
+    """An operator's word, signed like all else: the member of this name is gone for good."""
+
+    name: str
+
+
+class Forgotten(Body, frozen=True):
+    """The coordinator's answer. `runs`: it is here, and nothing is forgotten; else the slots that are free
+    again."""
+
+    name: str
+    runs: bool
+    slots: int
+
+
 class Words(Body, frozen=True):
     """What the program has to tell another gateway; what it means is not known here. `part`: the slots that
     its sender holds."""
@@ -165,7 +180,9 @@
     part: bytes
 
 
-Bodies = Ping | Ack | Nack | Help | Vote | Renew | Grant | Release | Fresh | Report | Words
+Bodies = (
+    Ping | Ack | Nack | Help | Vote | Renew | Grant | Release | Fresh | Report | Words | Forget | Forgotten
+)
 
 
 class Leader(msgspec.Struct, frozen=True, array_like=True):
