The view's record carries the places' slots: the simulator's wire imports nothing above it

Cause: a fresh clone's make test failed in test_layers: simulator/wire.py imported membership/slots.py, which is above it; only that file's own tests had been run after the record was added. Change: the record holds the slots of each place, as FleetChanged does.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -100,7 +100,8 @@
 def fleet(slots: int, until: int = 10**12) -> bytes:
     """A view of two places: this gateway, 70, has these slots, 71 those of the second place."""
     head = struct.pack("<HIQQHHH", wire.FLEET, 70, until, 10**12, 2, 1, 2)
-    masks = [slots.to_bytes(128, "little"), struct.pack("<3I", 71, 70, 71), to_bytes(seat((1, 2)))]
+    places = [to_bytes(seat((n, 2))) for n in range(2)]
+    masks = [slots.to_bytes(128, "little"), struct.pack("<3I", 71, 70, 71), places[1], *places]
     return head + b"".join(masks)
 
 
--- a/trackspread/simulator/wire.py
+++ b/trackspread/simulator/wire.py
@@ -45,10 +45,9 @@
     WantRights,
     Watch,
 )
-from ..membership.slots import SLOTS, from_bytes, seat
 
 SELECT, UP, DOWN = 1110, 1000, 1090
-FLEET = 1900  # far from the kit's own codes
+FLEET, SLOTS_BYTES = 1900, 128  # a code far from the kit's own; bytes of a set of slots, the lowest first
 FOR, DIE, EVERY_PEER = 1130, 1090, 0xFFFF
 
 
@@ -170,7 +169,7 @@
 
 
 def _slots(reader: _Reader) -> int:
-    return from_bytes(reader.raw(SLOTS // 8, "fleet"))
+    return int.from_bytes(reader.raw(SLOTS_BYTES, "fleet"), "little")
 
 
 def _numbers(reader: _Reader, count: int) -> tuple[int, ...]:
@@ -179,13 +178,14 @@
 
 def _fleet(reader: _Reader) -> FleetChanged:
     """This project's own: the kit's platform has no view to tell of. Counts and times, the slots of this
-    gateway, the others' numbers, those of possible homes, and the slots of each of the others."""
+    gateway, the others' numbers, those of possible homes, the slots of each of the others, and of each
+    place."""
     me, until, ends, places, others, homes = reader.take(_FLEET, "fleet")
-    if not homes or max(places, others, homes) > _NUMBERS_MOST:
+    if not homes or not places or max(places, others, homes) > _NUMBERS_MOST:
         raise WireError(f"impossible count in fleet at byte {reader.base + reader.at}")
     slots, numbers, may_keep = _slots(reader), _numbers(reader, others), _numbers(reader, homes)
     theirs = tuple(_slots(reader) for _ in range(others))
-    seats = tuple(seat((n, max(1, places))) for n in range(max(1, places)))
+    seats = tuple(_slots(reader) for _ in range(places))
     return FleetChanged(me, numbers, may_keep, seats, slots, theirs, until, ends)
 
 
