What waits for a client that has left is never sent on, wherever it waits

Need: the operators' term that a request whose client left while it waited is not sent on 0.3 s later.

Seen by reading and confirmed by tests over sockets, red before: (1) an attempt that was still being connected, or only partly written, when its client left was written all the same once the connection came up (`backends/pools.py`, `_Pool.connected`; nobody asked whether the request is closed). (2) A client whose commands are held back is not read, so its end was seen by nothing, and held commands were taken for nobody whenever room came (`fronts/client.py`, `_gate` and `_go_on`). Ruled out: what the module holds for a home or the counter (`_decided` and `_entitled` ask for the open request), retries (`_ended`), `Send` for a closed request (moot).

Change: `Requests.left` withdraws attempts not written whole, as MOOT: never ran, and no word on the backend. Clients that are not read are asked every 0.1 s whether their other side has ended (poll for the end alone), and once more in the turn in which held commands would be taken. An attempt's end is told once, also where one put off to the loop's next turn (`fail_unsent`) comes behind a time-out in the same turn.

--- /dev/null
+++ b/tests/test_endings_clients.py
@@ -0,0 +1,170 @@
+"""What ends with a client: whatever of its requests still waits is never sent on, wherever it waits.
+
+Each test brings the bad order about over sockets, by events alone."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import cast
+
+import pytest
+
+from trackspread.config.operator import DEFAULTS
+from trackspread.decide.interface import Arrival, AttemptEnded, ClientLeft, Fail, Outcome, Send
+
+from .fakes import LOCAL, Connection, World, call, host, listing, run, soon, until, world
+from .test_net_clients import only_backend, script
+
+HOW = ["end", "reset"]
+
+
+def leave(client: Connection, how: str) -> None:
+    made = client.writer.get_extra_info("socket")
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", how == "reset", 0))
+    client.writer.close()
+
+
+@contextmanager
+def busy_listener() -> Iterator[socket.socket]:
+    """Its accept queue is full: a connect to it stays without an answer, as one that comes up late does."""
+    with socket.socket() as full:
+        full.bind((LOCAL, 0))
+        full.listen(0)
+        fill = [socket.socket() for _ in range(4)]
+        for one in fill:
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        try:
+            yield full
+        finally:
+            for one in fill:
+                one.close()
+
+
+async def moved(w: World, port: int) -> int:
+    """The one backend is at another address now; its number."""
+    pools, backend = w.node.backends, only_backend(w)
+    before = pools._pools[backend]
+    w.agent.tell(listing(2, host("s-1", port)))
+    await until(lambda: pools._pools[backend] is not before)
+    return backend
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_request_is_not_written_to_a_connection_that_comes_up_once_its_client_has_left(how: str) -> None:
+    async def test() -> None:
+        with busy_listener() as full:
+            async with world() as w:
+                backend = await moved(w, full.getsockname()[1])
+                s = script(w, lambda a: [Send(a.request, backend, 0)])
+                client = await w.client()
+                client.send(call("charge", body=b"B"))
+                await until(lambda: w.node.backends.open == 1)
+                leave(client, how)
+                await until(lambda: bool(s.of(ClientLeft)))
+                # The backend takes connections now: the gateway's comes up, if it still wants it.
+                loop = asyncio.get_running_loop()
+                full.setblocking(False)
+                came: list[bytes] = []
+
+                async def accept() -> None:
+                    while True:
+                        taken, _ = await loop.sock_accept(full)
+                        taken.setblocking(False)
+                        came.append(await loop.sock_recv(taken, 1 << 16))
+
+                accepting = asyncio.create_task(accept())
+                await until(lambda: w.node.backends.open == 0 or any(came))
+                accepting.cancel()
+                assert not any(came)
+                (ended,) = s.of(AttemptEnded)
+                assert (ended.outcome, ended.finished) == (Outcome.MOOT, True)
+                assert not w.node.requests and not w.node.ids
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_request_partly_written_is_broken_off_once_its_client_has_left(how: str) -> None:
+    async def test() -> None:
+        with socket.create_server((LOCAL, 0)) as server:
+            async with world() as w:
+                backend = await moved(w, server.getsockname()[1])
+                s = script(w, lambda a: [Send(a.request, backend, 0)])
+                client = await w.client()
+                body = b"x" * (4 << 20)  # over what both sockets hold: some of it stays behind
+                server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.send(call("charge", body=body))
+                server.setblocking(False)
+                taken, _ = await soon(asyncio.get_running_loop().sock_accept(server))
+                await until(lambda: bool(s.events) and bool(w.node.requests))
+                (request,) = w.node.requests.values()
+                (attempt,) = request.out.values()
+                await until(lambda: attempt.link is not None and attempt.link.transport is not None)
+                assert not attempt.written
+                leave(client, how)
+                await until(lambda: bool(s.of(ClientLeft)))
+                (ended,) = s.of(AttemptEnded)
+                assert (ended.outcome, ended.finished) == (Outcome.MOOT, True)
+                taken.setblocking(False)
+                got = 0
+                try:
+                    while piece := await soon(asyncio.get_running_loop().sock_recv(taken, 1 << 16)):
+                        got += len(piece)
+                except ConnectionResetError:
+                    pass
+                assert got < len(body)
+                taken.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_commands_held_back_are_not_taken_once_their_client_has_left(how: str) -> None:
+    """Nothing is read from a client with so many commands open, and so nothing tells that it has left."""
+
+    async def test() -> None:
+        async with world() as w:
+            most = DEFAULTS.clients.pipeline
+            s = script(w, *[lambda a: []] * (2 * most))
+            w.node.time_is_up = lambda number: None  # type: ignore[method-assign]
+            client = await w.client()
+            client.send(b"".join(call(number=n) for n in range(2 * most)))
+            await until(lambda: len(w.node.requests) == most and w.node.clients.held > 0)
+            leave(client, how)
+            await until(lambda: len(s.of(ClientLeft)) == most)
+            assert not w.node.requests and not w.node.clients.count() and not w.node.clients.held
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_commands_held_back_are_not_taken_in_the_turn_in_which_room_comes(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("trackspread.fronts.connections.GONE_LOOK", 60.0, raising=False)
+
+    async def test() -> None:
+        async with world() as w:
+            most = DEFAULTS.clients.pipeline
+            s = script(w, *[lambda a: []] * (2 * most))
+            w.node.time_is_up = lambda number: None  # type: ignore[method-assign]
+            client = await w.client()
+            client.send(b"".join(call(number=n) for n in range(2 * most)))
+            await until(lambda: len(w.node.requests) == most and w.node.clients.held > 0)
+            (server,) = w.node.clients._clients
+            leave(client, how)
+            left = select.poll()
+            transport = cast(asyncio.Transport, server._transport)
+            left.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+            await until(lambda: bool(left.poll(0)))
+            w.node.act(Fail(min(w.node.requests)))
+            await until(lambda: not w.node.clients.count())
+            assert len(s.of(Arrival)) == most and not w.node.requests and not w.node.clients.held
+
+    run(test)
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -39,7 +39,7 @@
 class Attempt:
     """One try of one request at one backend; a probe if `call` is None."""
 
-    __slots__ = ("backend", "call", "expires", "index", "link", "request", "started", "timer",
+    __slots__ = ("backend", "call", "expires", "index", "link", "over", "request", "started", "timer",
                  "written")
 
     def __init__(
@@ -51,6 +51,7 @@
         self.link: _Link | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False
+        self.over = False  # its end has been told
 
     def quiet(self) -> None:
         """It is waited for without a limit of its own from now on."""
@@ -394,6 +395,12 @@
     def cancel(self, attempt: Attempt) -> None:
         self._abandon(attempt, Outcome.CANCELLED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Nobody is there any more for whom it would be written: what has not gone out whole never will. It
+        says nothing about the backend."""
+        if not attempt.written:
+            self._abandon(attempt, Outcome.MOOT)
+
     def _abandon(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.link is not None:
             # Answers queue in order: a connection whose answer is not waited for is of no more use.
@@ -401,6 +408,10 @@
         self.finish(attempt, outcome, None, {})
 
     def finish(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
+        """The first end told counts: one that was put off to the loop's next turn may come second."""
+        if attempt.over:
+            return
+        attempt.over = True
         attempt.link = None
         attempt.quiet()
         self.hearer.attempt_ended(attempt, outcome, value, report)
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -11,6 +11,7 @@
 import fcntl
 import logging
 import os
+import select
 import struct
 import termios
 from collections import deque
@@ -31,6 +32,7 @@
 LONG_UNREAD = 10.0  # s in which a client takes nothing of a long value: it may take seconds for a piece
 LINGER = 0.75  # s that what a client still sends is read on and dropped, once all is answered
 LINGER_MOST = 1 << 20  # bytes of it; more is left unread
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # of a socket: its other side sends nothing more
 
 
 class Slot:
@@ -174,6 +176,8 @@
     def _go_on(self) -> None:
         if self._owner.handing:
             self._owner.leave(self)
+        elif self.gone():
+            return self.abort()
         elif self._rest and not self._ending and not cast(asyncio.Transport, self._transport).is_closing():
             waited = self._owner.time() - self._rest_at
             self._take(self._release(), waited)
@@ -185,9 +189,19 @@
             self._rest or self._blocked or self._owner.handing or self.roomless)
         if read_on is not self._read_on:
             self._read_on, transport = read_on, cast(asyncio.Transport, self._transport)
+            self._owner.unread(self, not read_on)
             if not transport.is_closing():
                 (transport.resume_reading if read_on else transport.pause_reading)()
 
+    def gone(self) -> bool:
+        """Whether the client has left, which nothing tells where its connection is not read."""
+        transport = cast(asyncio.Transport, self._transport)
+        if self._read_on or transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(transport.get_extra_info("socket").fileno(), ENDED)
+        return bool(look.poll(0))
+
     def room(self, there: bool) -> None:
         """Whether there is room for more of the long body that is coming."""
         if there is self.roomless:
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -26,6 +26,7 @@
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
+GONE_LOOK = 0.1  # s between looks whether who is not read has left: what waits is not sent on 0.3 s later
 LOOK = 0.25  # s between looks at all connections for those that have had their time
 CROWDED = 0.75  # part of the bound on connections from which they count as few
 BODIES_PART = 0.2  # of the memory, for long bodies; one more than fits, and its copy when whole, come on top
@@ -68,7 +69,9 @@
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
+        self._unread: dict[Client, None] = {}  # those of them that are not read at present
         self._servers: list[asyncio.Server] = []
+        self._gone_looker: asyncio.TimerHandle | None = None
         self._looker: asyncio.TimerHandle | None = None
         self._last_came = 0.0
         self.closing = False
@@ -136,6 +139,20 @@
             client.look(now, crowded)
         self._looker = self._later(LOOK, self._look)
 
+    def unread(self, client: Client, on: bool) -> None:
+        """Whether a client's connection is not read, so that its end would go unseen."""
+        if not on or not (client in self._clients or client in self._fresh):
+            self._unread.pop(client, None)
+            return
+        self._unread[client] = None
+        if self._gone_looker is None:
+            self._gone_looker = self._later(GONE_LOOK, self._look_gone)
+
+    def _look_gone(self) -> None:
+        for client in [client for client in self._unread if client.gone()]:
+            client.abort()
+        self._gone_looker = self._later(GONE_LOOK, self._look_gone) if self._unread else None
+
     @property
     def port(self) -> int:
         """The first listener's."""
@@ -166,8 +183,8 @@
         return len(self._clients) + len(self._fresh)
 
     def went(self, client: Client) -> None:
-        self._fresh.pop(client, None)
-        self._clients.pop(client, None)
+        for table in (self._fresh, self._clients, self._unread):
+            table.pop(client, None)
 
     async def drain(self) -> None:
         """Take what comes until new connections cease, answer all of it, close what rests."""
@@ -210,6 +227,8 @@
         """Close everything as it stands."""
         if self._looker is not None:
             self._looker.cancel()
+        if self._gone_looker is not None:
+            self._gone_looker.cancel()
         self.close_door()
         for client in [*self._fresh, *self._clients]:
             client.abort()
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -144,10 +144,15 @@
             self.handle(ClientLeft(number))
             if request.begun is not None:
                 self._loop.call_soon(self._cancel, request.begun)
+            for attempt in list(request.out.values()):
+                # Whether settings allow to cancel does not matter for what was never written.
+                self.backends.withdraw(attempt)
 
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
-        request = self.requests[number]
+        request = self.requests.get(number)
+        if request is None:
+            return
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
             request.timer = self._loop.call_later(left / SECOND, self.time_is_up, number)
