A stopping gateway answers all that it takes before it may be killed, also what came late

Cause: the door of a stopping gateway stays open for 0.5 to 0.9 s, and kept connections bring commands for longer; each got its own whole time (`Requests.take`), while SIGKILL may come 0.7 s over the longest deadline after SIGTERM. `Clients.emptied` waited up to 0.9 + 0.5 s over the longest deadline too, past the kill. Ruled out: the close of resting connections (the request was taken and its connection open), a fault (none in any log).

Change: from SIGTERM on no request's time reaches beyond 0.5 s over the longest deadline after it, what still comes then is refused at once, and the connections are closed 0.1 s later. The bound is the protocol's 0.7 s, less what a lagging loop and the close need; no figure of a deployment.

--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -32,7 +32,6 @@
 BODIES_PART = 0.2  # of the memory, for long bodies; one more than fits, and its copy when whole, come on top
 BUFFER_LEAST = 96 << 10  # bytes, for each connection, of what a client has not taken: over a whole value
 BUFFER_PART = 0.125  # of the memory, for what all clients together have not taken, and likewise not been read
-SECOND = 1_000_000_000
 
 PassOn = Callable[[int, bytes], object]  # a connection's descriptor, and what was read of it and not taken
 
@@ -52,11 +51,10 @@
 
     def __init__(
         self, listeners: Sequence[tuple[Address, Front]], requests: Requests, most: int, memory: int,
-        longest: int, bounds: ClientBounds, inherited: int | None = None,
+        bounds: ClientBounds, inherited: int | None = None,
     ) -> None:
-        """`memory`: bytes that the process may use; `longest`: the longest deadline, ns; `inherited`:
-        descriptor of the first listener's socket, where the platform holds it: never shut down, only
-        closed."""
+        """`memory`: bytes that the process may use; `inherited`: descriptor of the first listener's socket,
+        where the platform holds it: never shut down, only closed."""
         self.requests, self.bounds = requests, bounds
         loop = asyncio.get_running_loop()
         self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
@@ -77,7 +75,6 @@
         self.closing = False
         self.handing = False  # another process takes over: nothing new is taken here
         self._pass_on: PassOn | None = None
-        self.longest = longest
 
     async def start(self) -> None:
         await self.open_door()
@@ -186,8 +183,9 @@
         for table in (self._fresh, self._clients, self._unread):
             table.pop(client, None)
 
-    async def drain(self) -> None:
-        """Take what comes until new connections cease, answer all of it, close what rests."""
+    async def drain(self, end: float) -> None:
+        """Take what comes until new connections cease, answer all of it, close what rests. `end`: when, s of
+        the loop's clock, every request is over, with time for its answer to leave."""
         loop = asyncio.get_running_loop()
         self._last_came = loop.time()
         latest = self._last_came + DOOR_MOST
@@ -202,13 +200,12 @@
                 await asyncio.sleep(0)
         self.close_door()
         self.closing = True
-        # Every request has ended by then; only half a command can hold a connection open for longer.
-        await self.emptied()
+        # Only half a command can hold a connection open for longer.
+        await self._emptied(end)
 
-    async def emptied(self) -> None:
-        """Close what rests until nothing is left, or all that it could owe is long over."""
+    async def _emptied(self, end: float) -> None:
+        """Close what rests until nothing is left, or all that it could owe is over."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.longest / SECOND + QUIET
         while self.count() and loop.time() < end:
             for client in [*self._fresh, *self._clients]:
                 if self.handing:
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -45,6 +45,8 @@
 log = logging.getLogger(__name__)
 
 FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
+ANSWERED = 0.5  # s over the longest deadline in which a stopping gateway answers all: SIGKILL comes after 0.7
+EMPTIED = 0.1  # s more in which the last answers leave and their connections close
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 HANDED = 2.0  # s for which a process that hands over may still hold the address in the fleet
 RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
@@ -85,7 +87,7 @@
         self._front = front = RespFront(settings, self.roster, config.plans)
         self.clients = Clients(
             [(each, front) for each in (config.listen, *operator.addresses())], self, spare - most,
-            config.memory, self._longest(), operator.clients, config.accept_fd,
+            config.memory, operator.clients, config.accept_fd,
         )
         self.book = self._book()
         self.uses = self._uses()
@@ -104,7 +106,8 @@
         if index is None:
             self.handle(Topology(ListKind.CACHED, 0, ()))
         self.discovery = Discovery(
-            config.discovery, config.zones, config.kinds, index, self._listed, settings.gateways
+            config.discovery, config.zones, config.kinds, index, self._listed, settings.gateways,
+            settings.drain_grace / SECOND,
         )
         if self.membered is not None:
             self.membered.begin()
@@ -262,11 +265,12 @@
     async def stop(self) -> None:
         """End in good order: all that was taken is answered first."""
         settings = self.config.settings
-        end = self._loop.time() + self._longest() / SECOND + TELL_ON
+        began, longest = self._loop.time(), self._longest()
+        self.answer_by = self.now() + longest + int(ANSWERED * SECOND)
         self._serving = False
         if self.book is not None:
             self.book.stop()
-        await self.clients.drain()
+        await self.clients.drain(began + longest / SECOND + ANSWERED + EMPTIED)
         handed = self.predecessor is not None and self.predecessor.handed
         if self._teller is not None:
             self._teller.cancel()
@@ -277,7 +281,7 @@
         if settings.may_message and settings.gateways > 1 and not handed and self.membered is None:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
-            await asyncio.sleep(max(0.0, end - self._loop.time()))
+            await asyncio.sleep(max(0.0, began + longest / SECOND + TELL_ON - self._loop.time()))
         self.peers.close()
         if self.predecessor is not None:
             self.predecessor.close()
@@ -304,7 +308,6 @@
             self.config.settings, classes=fresh.settings.classes, max_attempts=most))
         self.handle(change(roster, heirs, most))
         self._front.configure(roster)
-        self.clients.longest = self._longest()
         self.figures.configured(fresh.classes)
 
     def reconfigure(self, fresh: Config, operator: Operator) -> None:
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -96,6 +96,7 @@
         self.figures = Figures(config.classes)
         self.requests: dict[int, Request] = {}
         self.ids: set[bytes] = set()  # of the requests that still owe an answer
+        self.answer_by: int | None = None  # once stopping: when every request has to be answered
         self.testator: Testator | None = None  # while another process has the word
         self._numbers: Iterator[int] = count(1)
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
@@ -122,6 +123,9 @@
         now, number = self.now(), next(self._numbers)
         wait = min(call.wait_ms * MILLISECOND, self.roster.rules[call.cls].deadline)
         valid_until = now + max(0, wait - int(waited * SECOND) - MARGIN)
+        if self.answer_by is not None:
+            # A backend may hang for all of a late comer's time, and this process is killed before that is up.
+            valid_until = min(valid_until, max(now, self.answer_by))
         request = Request(call, slot, valid_until)
         self.ids.add(call.id)
         slot.request = number
