A broken watch is opened anew within a drain's grace in fleets of any size, whatever broke it

Need: where lists are pushed, what the agent has counts as told also while no watch is open. Read in the code and shown by tests: a watch that broke within its first 4 s waited for its gateway's turn, 4.5 to 9 s with 200 gateways (`Turns.again`), and one of a small fleet that had broken some times in a row without news up to 2 s, both over a grace of 1 s; and an exception of any kind but OSError and TimeoutError ended the watch's task, and with it all news for good (`Discovery._run`).

Change: only discovery's own word that it gets too many calls (a status other than 200, or a call closed unanswered after the 2 s of its line's patience) has the next call wait for a turn; any other end waits 0.4 of the grace at most. Any exception is logged and the watch taken up again.

Tests: a watch of a fleet of 200 reset three times while young, then turned away; a fault in connecting; waits by fleet and grace in virtual time (`test_turns.py`: where its figure said over 1 s for a small fleet that now holds for a grace of 10 s, and the new bound for every grace is as strict).

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -89,11 +89,12 @@
         self.asked: asyncio.Queue[bytes] = asyncio.Queue()
         self.writers: list[asyncio.StreamWriter] = []
         self.first: dict[str, Any] | None = None
+        self.status = b"200 OK"
         self.port = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"HTTP/1.1 %b\r\nTransfer-Encoding: chunked\r\n\r\n" % self.status)
         self.writers.append(writer)
         if self.first is not None:
             self.tell(self.first)
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -13,6 +13,7 @@
 from trackspread.decide.interface import Backend, Health, ListKind, PeerMessage
 from trackspread.lists import agent as discovery
 from trackspread.lists.agent import Discovery, parse_update
+from trackspread.lists.turns import GRACE_PART, Turns
 from trackspread.lists.seam import ListError, Update, backend_id
 from trackspread.node import gateway
 from trackspread.node.gateway import Gateway
@@ -123,6 +124,79 @@
     run(test)
 
 
+def test_watch_that_breaks_young_in_a_large_fleet_is_opened_anew_within_a_drains_grace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the agent has counts as told while no watch is open. A watch reset within its first seconds waited
+    for its gateway's turn, up to 9 s with 200 gateways; only discovery's word that it is short may do so."""
+    waits: list[float] = []
+    again = Turns.again
+
+    def noted(turns: Turns, turned_away: bool) -> float:
+        waits.append(again(turns, turned_away))
+        return waits[-1] if len(waits) <= 3 else 0.0
+
+    monkeypatch.setattr(Turns, "again", noted)
+
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            told: asyncio.Queue[Update] = asyncio.Queue()
+            watch = Discovery((LOCAL, agent.port), ZONES, KINDS, 7, told.put_nowait, 200, 1.0)
+            watch.start()
+            for _ in range(3):
+                await soon(agent.asked.get())
+                agent.hang_up()  # as a rule before any line
+            await soon(agent.asked.get())
+            assert max(waits) <= GRACE_PART
+            agent.tell(listing(8, whole=False))
+            assert (await soon(told.get())).topology.version == 8
+            agent.status = b"503 Service Unavailable"
+            agent.hang_up()
+            await until(lambda: len(waits) > 4)
+            assert max(waits[:4]) <= GRACE_PART < min(waits[4:])
+            await watch.close()
+
+    run(test)
+
+
+def test_a_fault_that_nobody_expected_does_not_end_discovery(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Any exception but two kinds ended the task of the watch, and with it all news for good."""
+
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            loop, faults = asyncio.get_running_loop(), [RuntimeError("unheard of")]
+            connect = loop.create_connection
+
+            async def broken(*args: Any) -> Any:
+                if faults:
+                    raise faults.pop()
+                return await connect(*args)
+
+            watching = Discovery((LOCAL, agent.port), ZONES, KINDS, None, print)
+            made = _Loop(loop, broken)
+            monkeypatch.setattr(asyncio, "get_running_loop", lambda: made)
+            watching.start()
+            assert b"index=0" in await soon(agent.asked.get())
+            assert not faults and "unheard of" in caplog.text
+            await watching.close()
+
+    run(test)
+
+
+class _Loop:
+    """A loop whose connections a test makes."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, connect: Any) -> None:
+        self._loop, self.create_connection = loop, connect
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+
 def test_watch_moves_to_another_agent_and_goes_on_from_the_last_version() -> None:
     async def test() -> None:
         old, new = Agent(), Agent()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from trackspread.lists.turns import FIRST, LIVED, PATIENCE, SPREAD_MOST, TURN, UNASKED, Turns
+from trackspread.lists.turns import FIRST, GRACE_PART, PATIENCE, SPREAD_MOST, TURN, UNASKED, Turns
 
 
 def listed(gateways: int, turn: float, seed: int, spread: bool, end: float = 30.0) -> list[float]:
     """When each gateway had its list: calls wait in line, also those that their callers gave up."""
     rng, line, had = random.Random(seed), 0.0, []
-    calls = [Turns(gateways if spread else 1, rng) for _ in range(gateways)]
+    calls = [Turns(gateways if spread else 1, rng, 10.0) for _ in range(gateways)]
     due = [(turns.first(), number) for number, turns in enumerate(calls)]
     heapq.heapify(due)
     while due and due[0][0] < end:
@@ -22,7 +22,7 @@
         if line - now <= PATIENCE:
             had.append(line)
         else:
-            heapq.heappush(due, (now + PATIENCE + calls[number].again(PATIENCE), number))
+            heapq.heappush(due, (now + PATIENCE + calls[number].again(True), number))
     return had
 
 
@@ -34,17 +34,27 @@
 
 
 def test_where_gateways_are_few_nobody_waits_for_a_turn() -> None:
-    turns = Turns(4, random.Random(1))
+    turns = Turns(4, random.Random(1), 10.0)
     assert turns.first() == 0.0
-    assert turns.again(0.0) <= FIRST
-    assert max(turns.again(0.0) for _ in range(20)) > 1.0
+    assert turns.again(False) <= FIRST
+    assert max(turns.again(False) for _ in range(20)) > 1.0
     turns.answered()
-    assert turns.again(0.0) <= FIRST
+    assert turns.again(False) <= FIRST
 
 
 def test_nobody_waits_so_long_that_it_is_taken_as_told() -> None:
     """Seen: a restarted gateway that waited its turn of 8 s for its first call broke the rule on drains."""
-    turns = Turns(10_000, random.Random(1))
-    assert max(turns.again(0.0) for _ in range(500)) <= SPREAD_MOST
-    assert max(turns.again(LIVED) for _ in range(500)) <= UNASKED < 1.0
+    turns = Turns(10_000, random.Random(1), 10.0)
+    assert max(turns.again(True) for _ in range(500)) <= SPREAD_MOST
+    turns.answered()
+    assert turns.again(False) <= UNASKED < 1.0
     assert max(turns.first() for _ in range(500)) <= UNASKED
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 200])
+@pytest.mark.parametrize("grace", [0.25, 1.0, 2.0])
+def test_another_watch_is_opened_well_within_a_drains_grace(gateways: int, grace: float) -> None:
+    """What a pushing agent has counts as told while no watch is open, however often watches broke before."""
+    turns = Turns(gateways, random.Random(1), grace)
+    waits = [turns.again(False) for _ in range(500)]
+    assert FIRST / 2 <= max(waits) <= GRACE_PART * grace
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -16,7 +16,7 @@
 from ..decide.interface import Backend, Health, ListKind, Topology
 from ..logs import Sparing
 from .seam import ListError, Update, backend_id
-from .turns import Turns
+from .turns import PATIENCE, Turns
 
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
@@ -69,9 +69,10 @@
 
     def __init__(
         self, agent: Address, zones: tuple[str, ...], kinds: tuple[str, ...], index: int | None,
-        told: Callable[[Update], None], gateways: int = 1,
+        told: Callable[[Update], None], gateways: int = 1, grace: float = 1.0,
     ) -> None:
-        self._agent, self._turns = agent, Turns(gateways, random.Random())
+        """`grace`: s after the notice of a drain in which a request may still be sent."""
+        self._agent, self._turns = agent, Turns(gateways, random.Random(), grace)
         self._zones, self._kinds = zones, kinds
         self._index = index
         self._told = told
@@ -105,7 +106,6 @@
         if self._index is not None:
             await asyncio.sleep(self._turns.first())
         while True:
-            began = loop.time()
             watch = _Watch(f"{host}:{port}", self._index, self._line)
             try:
                 async with asyncio.timeout(CONNECT):
@@ -113,9 +113,12 @@
                 await watch.ended
             except (OSError, TimeoutError) as error:
                 log.warning("discovery: %s", error or type(error).__name__)
+            except Exception:
+                # Whatever it was: a gateway that hears of no drain ever again breaks rule 3.
+                log.exception("discovery: fault in the watch")
             finally:
                 watch.close()
-            await asyncio.sleep(self._turns.again(loop.time() - began))
+            await asyncio.sleep(self._turns.again(watch.turned_away))
 
     def _behind(self, update: Update) -> Update:
         """A whole list that is older than what is known, as of an agent that lags behind the one before it:
@@ -150,6 +153,7 @@
     """One HTTP exchange; `ended` is done when nothing more can come of it."""
 
     def __init__(self, host: str, index: int | None, line: Callable[[bytes, bool], None]) -> None:
+        self.turned_away, self._begun = False, False  # the latter: an answer has begun
         self._loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self._loop.create_future()
         self._http = h11.Connection(h11.CLIENT)
@@ -185,8 +189,11 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
-                if isinstance(event, h11.Response) and event.status_code != 200:
-                    return self._end(f"status {event.status_code}")
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        self.turned_away = True
+                        return self._end(f"status {event.status_code}")
+                    self._begun = True
                 if isinstance(event, h11.Data):
                     self._lines(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
@@ -204,6 +211,8 @@
             self._end("endless line")
 
     def connection_lost(self, exc: Exception | None) -> None:
+        waited = not self._begun and self._loop.time() - self._heard_at >= PATIENCE
+        self.turned_away = self.turned_away or waited
         self._end(str(exc or "closed"))
 
     def _end(self, why: str) -> None:
--- a/trackspread/lists/turns.py
+++ b/trackspread/lists/turns.py
@@ -15,29 +15,35 @@
 PATIENCE = 2.0  # s after which a call is given up: a line of all gateways' turns that long does no harm
 SPREAD_MOST = 9.0  # s over which calls are spread at most: who does not ask within 10 s is taken as told
 UNASKED = 0.4  # s over which first calls are spread: the answer is there before the door opens (`FIRST_LIST`)
-LIVED = 2 * PATIENCE  # s after which a watch that ends had been answered: its end is no failed call
+# Where lists are pushed, what discovery has counts as told also while no watch is open: the wait before the
+# next one is no more than this part of a drain's grace, of which the call itself needs some.
+GRACE_PART = 0.4
 
 
 class Turns:
     """The waits before calls of one gateway, in seconds; no state but the present wait."""
 
-    def __init__(self, gateways: int, rng: random.Random) -> None:
+    def __init__(self, gateways: int, rng: random.Random, grace: float) -> None:
+        """`grace`: s after the notice of a drain in which a request may still be sent."""
         line = TURN * gateways
         self._spread = min(SPREAD_MOST, line) if line > PATIENCE else 0.0
         self._rng, self._wait = rng, FIRST
+        self._most = min(MOST, max(FIRST, GRACE_PART * grace))
 
     def first(self) -> float:
         """Before the first call after a start with a list that serves meanwhile: many may start together."""
         return self._rng.uniform(0.0, min(UNASKED, self._spread))
 
-    def again(self, lived: float) -> float:
-        """Before the call that follows one that failed, or a watch that ended after it `lived` so long."""
-        if self._spread and lived >= LIVED:
-            return self.first()
+    def again(self, turned_away: bool) -> float:
+        """Before the call that follows one that ended. `turned_away`: discovery has too much to do, as it
+        said or as it closed a call that waited in its line; any other end is no word on how many calls it
+        gets."""
         # Jitter, or gateways whose agents broke together would come back together.
-        wait = max(self._wait, self._spread) * self._rng.uniform(0.5, 1.0)
-        self._wait = min(MOST, 2 * self._wait)
-        return wait
+        part = self._rng.uniform(0.5, 1.0)
+        if turned_away and self._spread:
+            return part * self._spread
+        wait, self._wait = self._wait, min(self._most, 2 * self._wait)
+        return max(part * wait, min(self._most, self.first()))
 
     def answered(self) -> None:
         """A line came, or discovery is another one now: the next wait is the first one again."""
