Late comers of a drain get no more time than SIGKILL leaves where deadlines are long

Need: SIGKILL waits for the longest deadline, 3 s at most, and 0.7 s; the other deployment's settings have deadlines of 12 s, so the bound on a late comer's time must not follow those.

Change: `Gateway.stop` bounds what comes from SIGTERM on by the lesser of both. What came before keeps its time. Test over sockets with deadlines of 12 s: tests/test_endings_stop.py.

--- a/tests/test_endings_stop.py
+++ b/tests/test_endings_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -46,3 +47,31 @@
             assert not w.node.requests and not w.node.clients.count()
 
     run(test)
+
+
+def test_a_request_that_comes_in_the_drain_has_no_more_time_than_sigkill_leaves_where_deadlines_are_long(
+) -> None:
+    """Another customer's classes have deadlines of 12 s; SIGKILL waits for 3 s and 0.7 s at most."""
+
+    async def test() -> None:
+        async with world() as w:
+            w.node._longest = lambda: 12 * SECOND  # type: ignore[method-assign]
+            w.node.roster = replace(w.node.roster, rules=tuple(
+                replace(rule, deadline=12 * SECOND) for rule in w.node.roster.rules))
+            client = await w.client()
+            client.send(call(number=1, wait_ms=12_000))
+            before, _ = await w.backend.command()
+            stopped = w.node.now()
+            stopping = asyncio.create_task(w.node.stop())
+            await until(lambda: w.node.answer_by is not None)
+            client.send(call(number=2, wait_ms=12_000))
+            after, _ = await w.backend.command()
+            open_now = sorted(w.node.requests.items())
+            assert [request.valid_until > stopped + 11 * SECOND for _, request in open_now] == [True, False]
+            assert open_now[1][1].valid_until <= stopped + int((3 + KILLED) * SECOND)
+            before.send(served(b"one"))
+            after.send(served(b"two"))
+            assert [await client.next(), await client.next()] == [b"one", b"two"]
+            stopping.cancel()
+
+    run(test)
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -46,6 +46,7 @@
 
 FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
 ANSWERED = 0.5  # s over the longest deadline in which a stopping gateway answers all: SIGKILL comes after 0.7
+LONGEST = 3 * SECOND  # the longest deadline that SIGKILL waits for
 EMPTIED = 0.1  # s more in which the last answers leave and their connections close
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 HANDED = 2.0  # s for which a process that hands over may still hold the address in the fleet
@@ -266,7 +267,7 @@
         """End in good order: all that was taken is answered first."""
         settings = self.config.settings
         began, longest = self._loop.time(), self._longest()
-        self.answer_by = self.now() + longest + int(ANSWERED * SECOND)
+        self.answer_by = self.now() + min(LONGEST, longest) + int(ANSWERED * SECOND)
         self._serving = False
         if self.book is not None:
             self.book.stop()
