Limits on open attempts hold for the fleet: one home grants the places and hears when they end

Lines at fault: `Quota.may` let every gateway have the rounded-up slice of the limit (6 of 2 with six gateways) as word of others' open attempts came from the counter alone; `heard` dropped what peers told of them, and they told nothing for plans without a rate; `drawn`, at a home, never asked for the limit; `known_spent` took a store of nothing for spent, so with homes such a customer was refused for good after its first answer; `_wanted` gave it a commitment of two.

Change: a plan with such a limit has a home for each customer also where all tell all. The asker says with each draw how many attempts it has out (five bits of the kind's byte, none for other plans: those draws stay as they were), a grant adds one at the home, DONE and every later draw put it right, 3 s of silence forget it. Without an answer a gateway decides alone, by what peers told, else by its slice and chance.

The counter's word in `test_broker.py` is now tested where a counter is, the only place that has it; what peers and homes tell has tests as strict of its own.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -432,13 +432,14 @@
 
 
 def test_old_word_of_others_open_attempts_is_not_held_against_a_customer() -> None:
-    g = gateway(plans=(plan(open_limit=2),))
-    g.handle(0, arrival(1, 0))
+    """The counter's word; what peers and homes tell is in `test_places.py`."""
+    g = gateway(plans=(plan(open_limit=2),), may_message=False, counter=True)
+    g.handle(0, arrival(1, 0, spread=1))
     g.handle(MS, ended(1, 1))
     account = g.quota.accounts[1]
     account.others, account.open_at = 2, MS
-    assert refusals(g.handle(2 * MS, arrival(2, 2 * MS)))
-    assert sends(g.handle(SECOND, arrival(3, SECOND)))
+    assert refusals(g.handle(2 * MS, arrival(2, 2 * MS, spread=1)))
+    assert sends(g.handle(SECOND, arrival(3, SECOND, spread=1)))
 
 
 def test_accounts_of_customers_long_gone_are_dropped() -> None:
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,203 @@
+"""Limits on open attempts hold over all gateways together: one home grants the places, and hears when they
+are free again. Messages lie in a queue until a test delivers or loses them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from trackspread.decide.broker import EVERY_TICK, Broker
+from trackspread.decide.interface import (
+    Action,
+    ClientLeft,
+    Event,
+    PeerMessage,
+    Refuse,
+    Send,
+    Tell,
+    TimerFired,
+)
+from trackspread.decide.mail import OUT_MOST, Draw, Kind, is_draw, pack_draw, unpack_draw
+from trackspread.decide.model import TICK
+from trackspread.decide.quota import SILENT
+
+from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
+
+OPEN_ONLY = plan(rate=0.0, burst=0.0, open_limit=3)
+FEW, MANY = 4, 200  # word of all to all, and homes
+CUSTOMER = 2  # of which gateway 2 is the home
+
+
+class Net:
+    """Gateways, and the messages between them."""
+
+    def __init__(self, gateways: int, **changes: Any) -> None:
+        self.wire: list[tuple[int, int, bytes]] = []
+        self.sent: dict[int, tuple[int, Send]] = {}  # by request: the gateway, the attempt
+        self.refused: list[int] = []
+        self.gateways: list[Broker] = []
+        for number in range(gateways):
+            made = Broker(settings(gateways=gateways, position=number, **{"plans": (OPEN_ONLY,), **changes}),
+                          number + 7, 0)
+            self.gateways.append(made)
+            self.give(0, number, full_list(*[backend(i) for i in range(1, 9)]))
+        assert made.quota.gossip is (gateways == FEW) and made.quota.homes is (gateways == MANY)
+
+    def give(self, now: int, gateway: int, event: Event) -> None:
+        self.play(gateway, self.gateways[gateway].handle(now, event))
+
+    def play(self, gateway: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.sent[action.request] = gateway, action
+            elif isinstance(action, Refuse):
+                self.refused.append(action.request)
+            elif isinstance(action, Tell):
+                to = range(len(self.gateways)) if action.to is None else [action.to]
+                self.wire += [(gateway, each, action.data) for each in to if each != gateway]
+
+    def deliver(self, now: int) -> None:
+        while self.wire:
+            sender, to, data = self.wire.pop(0)
+            self.give(now, to, PeerMessage(sender, data))
+
+    def come(self, now: int, gateway: int, request: int) -> None:
+        spread = len(self.gateways)
+        self.give(now, gateway, arrival(request, now, customer=CUSTOMER, spread=spread, first=0))
+
+    def end(self, now: int, request: int) -> None:
+        gateway, send = self.sent.pop(request)
+        self.give(now, gateway, ended(request, send.backend))
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_no_more_attempts_are_out_than_the_plan_allows_however_many_gateways_they_come_by(
+    gateways: int,
+) -> None:
+    """Seen on the bench's calm days: each gateway let the rounded-up slice of the limit through, 6 of 2."""
+    net, request = Net(gateways), 0
+    for turn in range(40):
+        now = turn * 10 * MS
+        for gateway in range(FEW):
+            request += 1
+            net.come(now, gateway, request)
+            net.deliver(now + MS)
+            assert len(net.sent) <= 3
+        assert len(net.sent) == 3  # and none is left unused
+        net.end(now + 5 * MS, min(net.sent))
+        net.deliver(now + 6 * MS)
+    assert len(net.refused) + 40 + 2 == request
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_requests_that_come_together_at_many_gateways_share_the_places(gateways: int) -> None:
+    net = Net(gateways)
+    for gateway in range(FEW):
+        net.come(0, gateway, 2 * gateway + 1)
+        net.come(0, gateway, 2 * gateway + 2)
+    net.deliver(MS)
+    assert len(net.sent) == 3 and len(net.refused) == 5
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_a_place_granted_to_a_client_that_has_left_is_free_again(gateways: int) -> None:
+    net = Net(gateways)
+    for request in (1, 2, 3):
+        net.come(0, 1, request)
+        net.give(MS, 1, ClientLeft(request))
+    net.deliver(2 * MS)
+    assert not net.sent
+    for request in (4, 5, 6):
+        net.come(3 * MS, 3, request)
+    net.deliver(4 * MS)
+    assert sorted(net.sent) == [4, 5, 6] and not net.refused
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_the_next_word_puts_right_what_lost_messages_left_wrong(gateways: int) -> None:
+    net = Net(gateways)
+    for request in (1, 2, 3):
+        net.come(0, 1, request)
+    net.deliver(MS)
+    assert len(net.sent) == 3
+    for request in (1, 2, 3):
+        net.end(2 * MS, request)
+    net.wire.clear()  # that they are over is lost
+    net.come(3 * MS, 3, 4)
+    net.deliver(4 * MS)
+    assert net.refused == [4]
+    net.come(5 * MS, 1, 5)  # whoever had them asks again: nothing is out there
+    net.deliver(6 * MS)
+    net.come(7 * MS, 3, 6)
+    net.deliver(8 * MS)
+    assert sorted(net.sent) == [5, 6]
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_places_of_a_gateway_that_fell_silent_come_back(gateways: int) -> None:
+    net = Net(gateways)
+    for request in (1, 2, 3):
+        net.come(0, 1, request)
+    net.deliver(MS)
+    net.come(SILENT - MS, 3, 4)
+    net.deliver(SILENT - MS)
+    assert net.refused == [4]
+    net.come(SILENT + 2 * MS, 3, 5)
+    net.deliver(SILENT + 2 * MS)
+    assert 5 in net.sent
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_without_an_answer_a_gateway_decides_alone_and_soon(gateways: int) -> None:
+    """All of a fleet that hears no home lets less through than one for each gateway, and not nothing."""
+    net = Net(gateways)
+    for gateway in range(gateways):
+        net.come(0, gateway, gateway + 1)
+    net.wire.clear()
+    for gateway in range(gateways):
+        net.give(2 * TICK, gateway, TimerFired(EVERY_TICK))
+        assert not net.gateways[gateway].held
+    answered = len(net.sent) + len(net.refused)
+    assert answered == gateways and 0 < len(net.sent) <= gateways
+    assert gateways == FEW or len(net.sent) <= gateways / 2
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_requests_with_no_time_for_an_answer_leave_no_place_taken_behind(gateways: int) -> None:
+    net = Net(gateways)
+    for request in range(1, 30):
+        hurried = arrival(request, 0, customer=CUSTOMER, spread=gateways, valid_until=3 * TICK)
+        net.give(0, 1, hurried)
+        net.deliver(MS)
+        if request in net.sent:
+            net.end(2 * MS, request)
+        net.deliver(3 * MS)
+    for request in (31, 32, 33):
+        net.come(4 * MS, 3, request)
+        net.deliver(5 * MS)
+        assert request in net.sent
+
+
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_a_customer_that_comes_by_one_gateway_has_all_its_places_there(gateways: int) -> None:
+    """Without a rate its commitment was two, whatever the plan's limit."""
+    net = Net(gateways, plans=(plan(rate=0.0, burst=0.0, open_limit=7),))
+    for request in range(1, 9):
+        net.come(0, 1, request)
+        net.deliver(MS)
+    assert len(net.sent) == 7 and net.refused == [8]
+
+
+def test_what_is_out_stands_beside_the_kind_and_old_word_reads_as_none_out() -> None:
+    for out in (0, 1, OUT_MOST, OUT_MOST + 9):
+        told = unpack_draw(pack_draw(Draw(Kind.DONE, 5, 0, 0.0, 1, 1, out=out)))
+        assert told is not None and (told.kind, told.out) == (Kind.DONE, min(out, OUT_MOST))
+    plain = pack_draw(Draw(Kind.ASK, 5, 0, 1.0, 1, 1))
+    assert plain[0] == Kind.ASK and is_draw(plain)
+
+
+def test_a_plan_without_such_a_limit_asks_no_home_where_all_tell_all() -> None:
+    net = Net(FEW, plans=(plan(),))
+    net.come(SECOND, 1, 1)
+    assert not net.wire and 1 in net.sent
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -90,6 +90,7 @@
                 actions += self._tick(now) if token == EVERY_TICK else [Watch(True)]
             case PeerMessage() if self.quota.gossip and is_draw(event.data):
                 actions += self.quota.lent(now, event)
+                actions += self._decided(now, *self.quota.drawn(now, event))
             case PeerMessage() if self.quota.gossip:
                 self.quota.heard(now, event)
             case PeerMessage():
@@ -138,6 +139,8 @@
         What is out ends here; who waited for word that goes elsewhere now is refused at once."""
         self.retired = self.fleet.retired = True
         waiting = [self.held.pop(tag) for tag in list(self.held)]
+        for request in waiting:
+            request.account.asking = 0
         return [self._refusal(r.arrival) for r in waiting if self.open.pop(r.arrival.request, None)]
 
     def resume(self) -> None:
@@ -177,10 +180,11 @@
         return min(FORGET, once) if account.sent <= ONCE and not account.heard else FORGET
 
     def _wanted(self, now: int, account: Account) -> tuple[int, float]:
-        """Nreq and XMIN: quota slice x aim plus a slice of the burst, two at least."""
+        """Nreq and XMIN: quota slice x aim plus a slice of the burst, or else the places; two at least."""
         part = self.quota.share(now, account) / (account.demand.value or 1.0)
         rate, burst = account.plan.rate * part, account.plan.burst * part
-        return max(2, ceil(rate * account.aim / SECOND + burst)), min(rate, account.demand.rate(now))
+        places = account.plan.open_limit * (not account.plan.rate)
+        return max(2, places, ceil(rate * account.aim / SECOND + burst)), min(rate, account.demand.rate(now))
 
     def _evaluate(self, now: int, account: Account) -> None:
         account.evaluated, self.active[account.customer] = now, account
@@ -247,12 +251,15 @@
             return [WantRights(a.customer)]
         if not pays and quota.known_spent(account, a.units):
             return [self._refusal(a)]
-        if not (quota.homes or (quota.counter and self.rng.random() < quota.pace)):
+        if not (quota.asks(account) or (quota.counter and self.rng.random() < quota.pace)):
             return self._alone(now, request)
         if pays and not plan.ceiling_rate:
             return self._admit(now, request, quota.pace >= 1.0)
+        short = a.valid_until - now < 4 * TICK
+        if short and plan.open_limit and quota.asks(account):
+            return self._alone(now, request)  # a place would be granted that nobody takes
         tag, action = quota.ask(now, account, a.units, Kind.ASK)
-        if a.valid_until - now < 4 * TICK:
+        if short:
             return [action, *self._alone(now, request)]
         request.asked_at = now
         self.held[tag] = self.open[a.request] = request
@@ -275,7 +282,7 @@
             return [self._refusal(a)]
         self.open[a.request] = request
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
-        request.placed |= tell
+        request.placed |= tell or self.quota.asks(request.account)
         if self.quota.homes and not self.quota.at_home(request.account):
             request.account.sent += round(4 * a.units)
         return [send, self.quota.ask(now, request.account, a.units, Kind.TAKE)[1]] if tell else [send]
@@ -286,6 +293,7 @@
         if request is None:
             return more
         request.placed = granted is True
+        request.account.asking -= self.quota.asks(request.account)
         if self.open.pop(request.arrival.request, None):
             if granted is None:
                 more += self._alone(now, request)
@@ -294,10 +302,10 @@
         return more + self._release(now, request)
 
     def _release(self, now: int, request: Open) -> list[Action]:
-        if request.out or not request.placed or not self.quota.place(request.account):
+        if request.out or not request.placed:
             return []
         request.placed = False
-        return [self.quota.call(now, request.account, -OPEN)]
+        return self.quota.free(now, request.account)
 
     def _overdue(self, now: int) -> list[Action]:
         overdue = [tag for tag, request in self.held.items() if now - request.asked_at >= HOLD]
@@ -339,7 +347,8 @@
         if not request.may_have_run:
             request.keyed_at, request.keyed_by = now, server.entry
         request.sends, request.out, request.sent_at = request.sends + 1, request.out + 1, now
-        request.account.open, self.out = request.account.open + 1, self.out + 1
+        self.out += 1
+        self.quota.opened(request.account, 1)
         return Send(a.request, server.entry.id, self._patience(now, request))
 
     def _patience(self, now: int, request: Open) -> int:
@@ -367,7 +376,8 @@
         if request is None:
             return []
         account, cls = request.account, request.arrival.cls
-        request.out, account.open, self.out = request.out - 1, account.open - 1, self.out - 1
+        request.out, self.out = request.out - 1, self.out - 1
+        self.quota.opened(account, -1)
         if event.used:
             account.granted.add(now, min(1.0, max(0.0, 0.5 + (1.01 - event.used / 100) / METER_SPAN)))
         if request.began:
--- a/trackspread/decide/mail.py
+++ b/trackspread/decide/mail.py
@@ -11,6 +11,8 @@
 _HEADER, _TOTAL, _DRAW = struct.Struct("<HH"), struct.Struct("<QHB"), struct.Struct("<BQBHIHH")
 _SET = struct.Struct("<HHHI")  # behind a draw where homes may move: the customer's set, what a home told
 TOTALS = (MESSAGE - _HEADER.size) // _TOTAL.size  # customers in one message of totals
+KIND_BITS = 3  # of a draw's first byte; the others tell how many attempts are out
+OUT_MOST = 31
 
 
 class Kind(IntEnum):
@@ -22,6 +24,7 @@
     DENY = 4  # no; likewise
     LACK = 5  # of the ceiling's part here so many units are wanted
     GIVE = 6  # these are taken off the sender's part
+    DONE = 7  # an attempt of the customer's is over
 
 
 class Draw(NamedTuple):
@@ -30,7 +33,8 @@
     `taken`: quarter units, modulo 2^16, that the asking gateway has sent on for the customer since its start:
     a running total, so that a lost message costs nothing once the next one comes. `spread`: gateways in a row
     from number `first` that the customer's requests come by; 0: not told. `level`: of the store, by the last
-    word of home `teller`; 0: not told of late."""
+    word of home `teller`; 0: not told of late. `out`: attempts of the customer's that are out at the
+    sender, or asked for before this; held at 31."""
 
     kind: int
     customer: int
@@ -43,6 +47,7 @@
     spread: int = 0
     level: float = 0.0
     teller: int = 0
+    out: int = 0
 
 
 def _u16(value: float) -> int:
@@ -52,7 +57,8 @@
 def pack_draw(draw: Draw) -> bytes:
     """Units travel in quarters; what does not fit is held at the bound."""
     units, age, taken = _u16(4 * draw.units), _u16(draw.age), draw.taken & 0xFFFF
-    made = _DRAW.pack(draw.kind, draw.customer, draw.plan, units, draw.tag, age, taken)
+    first = draw.kind | min(OUT_MOST, draw.out) << KIND_BITS
+    made = _DRAW.pack(first, draw.customer, draw.plan, units, draw.tag, age, taken)
     if not draw.spread:
         return made
     return made + _SET.pack(draw.first & 0xFFFF, min(0xFFFF, draw.spread), _u16(4 * draw.level), draw.teller)
@@ -67,10 +73,11 @@
     """None for anything that is no such message."""
     if not is_draw(data):
         return None
-    kind, customer, plan, quarters, tag, age, taken = _DRAW.unpack_from(data)
+    byte, customer, plan, quarters, tag, age, taken = _DRAW.unpack_from(data)
+    kind, out = byte & (1 << KIND_BITS) - 1, byte >> KIND_BITS
     first, spread, level, teller = (
         _SET.unpack_from(data, _DRAW.size) if len(data) > _DRAW.size else (0, 0, 0, 0))
-    made = Draw(kind, customer, plan, quarters / 4, tag, age, taken, first, spread, level / 4, teller)
+    made = Draw(kind, customer, plan, quarters / 4, tag, age, taken, first, spread, level / 4, teller, out)
     return made if kind in tuple(Kind) else None
 
 
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -270,7 +270,11 @@
 
     def at_home(self, account: Account) -> bool:
         near = self.gossip or self.rights or account.slices == 1
-        return self.home(account) == self.s.position if self.homes else near
+        return self.home(account) == self.s.position if self.asks(account) else near
+
+    def asks(self, account: Account) -> bool:
+        """Whether one home grants for all: places among a few are gone before all could tell all."""
+        return self.homes or (self.gossip and account.plan.open_limit > 0)
 
     def refill(self, now: int, account: Account) -> None:
         dt, account.at = (now - account.at) / SECOND, now
@@ -311,10 +315,19 @@
         most = ceil(limit * (1.0 if told else own) - 1e-9)
         most = int(limit * account.places + 1e-6) if self.rights else most
         few = not limit or account.open + told * account.others < most
+        if limit and (self.gossip or (self.homes and self.at_home(account))):
+            others = sum(out for out, at in account.out.values() if now - at < SILENT)
+            few = account.open + others < limit * self.share(now, account)
         limited = account.plan.rate or limit or account.plan.ceiling_rate
         return few and (not account.plan.ceiling_rate or account.ceiling >= units) and not (
             limited and self.barred(now))
 
+    def opened(self, account: Account, more: int) -> None:
+        """An attempt of the customer's is out, or over."""
+        account.open += more
+        if account.plan.open_limit:
+            account.tells = 3
+
     def short(self, now: int, account: Account) -> list[Action]:
         """Ask a peer for some of its part of a ceiling that runs short here. Parts are even while demand is
         not: a customer that comes through one gateway would get that one's part alone."""
@@ -364,7 +377,7 @@
     def known_spent(self, account: Account, units: float) -> bool:
         """Whether the home's last word, and what filled its store since, fall short of these units: others
         can only have taken more. Not to ask then spares a home whose customer asks more than it can hear."""
-        told = self.homes and account.told_at > self.born
+        told = self.homes and account.plan.rate > 0.0 and account.told_at > self.born
         return told and account.level + QUARTER / 2 < units
 
     def lacking(self, now: int, account: Account, units: float) -> str:
@@ -388,14 +401,14 @@
     def alone(self, now: int, account: Account, units: float) -> bool:
         """Without the store's word: by the even slice, else by chance, as home, counter or meter lately said
         of this customer, or else of its plan. That ages away, and even slices are left."""
-        if self.rights:
+        if self.rights or self.gossip:
             return self.may(now, account, units) and self.book(account, units, False)
         usual, even = self.granted[account.index].blend(now, 0.0, 0.1), account.part >= units
         # Seen here more than its even slice, beyond the one request that says nothing, a customer is busy.
         seen, one = account.seen.rate(now) * account.seen.value, units * SECOND / LONG
         own = self.even(now, account) or (self.view is None)
         fits = min(1.0, (account.plan.rate * own + 2 * one) / (seen + one))
-        fits *= UNTOLD if self.place(account) else 1.0
+        fits *= UNTOLD if account.plan.open_limit else 1.0
         lucky = even or self.rng.random() < account.granted.blend(now, usual, 0.5) * fits
         if not lucky or not self.may(now, account, units):
             return False
@@ -412,15 +425,18 @@
 
     def ask(self, now: int, account: Account, units: float, kind: Kind) -> tuple[int, Action]:
         self.tag = self.tag + 1 & 0xFFFFFFFF
-        if self.homes:
-            return self.tag, self._tell(now, self.home(account), account, kind, units, self.tag)
+        if self.asks(account):
+            action = self._tell(now, self.home(account), account, kind, units, self.tag)
+            account.asking += kind == Kind.ASK
+            return self.tag, action
         # While not all are counted, each that is stands for those that are not.
         amount = units / self.pace + self.place(account)
         return self.tag, self.call(now, account, amount, self.tag * (kind == Kind.ASK))
 
     def _tell(self, now: int, to: int, account: Account, kind: Kind, units: float, tag: int) -> Action:
         age = (now - self.born) * 10 // SECOND
-        draw = Draw(kind, account.customer, account.index, units, tag, age, account.sent)
+        draw = Draw(kind, account.customer, account.index, units, tag, age, account.sent,
+                    out=(account.open + account.asking) * (account.plan.open_limit > 0))
         if self.view is not None:  # whoever keeps slots has to know which of them are the customer's
             teller = account.teller * (now - account.told_at < TAKEN_OVER)
             draw = draw._replace(first=account.first, spread=account.spread, level=max(0.0, account.level),
@@ -447,11 +463,12 @@
 
     def drawn(self, now: int, event: PeerMessage) -> Word:
         """Word with a home, either way: the number of the ask it answers, the answer, what to send."""
-        if (draw := unpack_draw(event.data)) is None or draw.plan >= len(self.s.plans):
+        draw = unpack_draw(event.data)
+        if draw is None or draw.plan >= len(self.s.plans) or draw.kind in (Kind.LACK, Kind.GIVE):
             return 0, None, []
         self._note_age(now, draw.age)
         if draw.kind in (Kind.GRANT, Kind.DENY):
-            if mine := self.accounts.get(draw.customer):
+            if (mine := self.accounts.get(draw.customer)) and self.homes:
                 self.refill(now, mine)
                 self.answered(now, mine, draw.units, draw.kind == Kind.GRANT)
                 mine.teller = event.sender
@@ -463,11 +480,16 @@
         if draw.teller not in (0, self.s.position):
             self._take_over(now, account, event.sender, draw)
         account.taking, account.last = False, now
+        account.out[event.sender] = draw.out, now
+        if draw.kind == Kind.DONE:
+            return 0, None, []
         pays = account.plan.over_worth > account.plan.over_cost
-        if not pays and draw.kind == Kind.ASK:
+        if not pays and draw.kind == Kind.ASK and self.homes:
             self._settle(now, account, event.sender, draw.taken)
-        kind = Kind.GRANT if self.book(account, draw.units, pays) else Kind.DENY
+        room = not account.plan.open_limit or pays or self.may(now, account, draw.units)
+        kind = Kind.GRANT if room and self.book(account, draw.units, pays) else Kind.DENY
         if kind == Kind.GRANT:
+            account.out[event.sender] = draw.out + 1, now
             account.given[event.sender] = account.given.get(event.sender, (0.0, 0))[0] + draw.units, now
         word = self._tell(now, event.sender, account, kind, account.level, draw.tag)
         return 0, None, [word] * (draw.kind == Kind.ASK)
@@ -505,6 +527,14 @@
         amount, account.owed = amount + account.owed, 0.0
         return AddToCounter(name, COUNTER_LIFE, amount)
 
+    def free(self, now: int, account: Account) -> list[Action]:
+        """Nothing of a request that was counted as out elsewhere is out any more."""
+        if self.place(account):
+            return [self.call(now, account, -OPEN)]
+        if not account.plan.open_limit or not self.asks(account) or self.at_home(account):
+            return []
+        return [self._tell(now, self.home(account), account, Kind.DONE, 0.0, 0)]
+
     def place(self, account: Account) -> float:
         """What an attempt out adds to the counter's number where a plan limits how many may be."""
         return OPEN * (self.counter and account.plan.open_limit > 0)
@@ -580,12 +610,16 @@
         if not known:  # restarted: it counts from nothing, for each customer whenever first told
             for each in self.accounts.values():
                 each.heard.pop(event.sender, None)
+                each.out.pop(event.sender, None)
         older = self._note_age(now, word[1])
-        for customer, sent, _ in word[2]:
+        for customer, sent, out in word[2]:
             account = self.accounts.get(customer)
             if account is None:
                 continue
             last = account.heard.get(event.sender) if known else None
+            # A home hears of what it granted by draws, and of what went out without its answer thus alone.
+            if not self.at_home(account) or out > account.out.get(event.sender, (0, now))[0]:
+                account.out[event.sender] = out, now
             self.refill(now, account)
             used = min(sent / 4, account.plan.burst) * (not older)
             grown = 0x8000 if last is None else (sent - last) & 0xFFFF
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -88,7 +88,9 @@
     heard: dict[int, int] = field(default_factory=dict)
     asked: dict[int, int] = field(default_factory=dict)  # at home: when each last asked
     given: dict[int, tuple[float, int]] = field(default_factory=dict)  # at home: granted, not told as taken
-    others: int = 0  # open attempts elsewhere, as told
+    others: int = 0  # open attempts elsewhere, as told by the counter
+    out: dict[int, tuple[int, int]] = field(default_factory=dict)  # as each peer told, and when
+    asking: int = 0  # requests that wait for the home's answer
     owed: float = 0.0  # to be added to the counter with the next call
     soft: float = 0.0  # shares of quota and ceiling kept here, as the host says
     hard: float = 0.0
