--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -44,3 +45,19 @@
 def test_the_judge_imports_nothing_of_the_project() -> None:
     paths = list((ROOT / "judge").glob("*.py"))
     assert len(paths) > 2 and all(imported(path) <= {"judge"} for path in paths)
+
+
+def test_the_deploy_file_names_all_that_the_running_gateway_imports() -> None:
+    """Also what only an operator's own settings bring in: it runs in the same process."""
+    deploy = tomllib.loads((ROOT.parent / "deploy/balancer.toml").read_text())
+    named = {Path(name).parts[1].removesuffix(".py") for name in deploy["node"]}
+    assert all((ROOT.parent / name).exists() for name in deploy["node"] + deploy["policy"])
+    reached, new = set[str](), {"node"}
+    while new:
+        one = new.pop()
+        reached.add(one)
+        inside = [p for p in files() if p.relative_to(ROOT).parts[0].removesuffix(".py") == one]
+        new |= set[str]().union(*map(imported, inside)) - reached
+    assert reached <= named
+    decide = {str(p.relative_to(ROOT.parent)) for p in files() if p.parent.name == "decide"}
+    assert decide - {"trackspread/decide/__init__.py"} <= {*deploy["node"], *deploy["policy"]}
