--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -26,12 +26,12 @@
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
+GONE_LOOK = 0.1  # s between looks whether who is not read has left: what waits is not sent on 0.3 s later
 LOOK = 0.25  # s between looks at all connections for those that have had their time
 CROWDED = 0.75  # part of the bound on connections from which they count as few
 BODIES_PART = 0.2  # of the memory, for long bodies; one more than fits, and its copy when whole, come on top
 BUFFER_LEAST = 96 << 10  # bytes, for each connection, of what a client has not taken: over a whole value
 BUFFER_PART = 0.125  # of the memory, for what all clients together have not taken, and likewise not been read
-SECOND = 1_000_000_000
 
 PassOn = Callable[[int, bytes], object]  # a connection's descriptor, and what was read of it and not taken
 
@@ -51,11 +51,10 @@
 
     def __init__(
         self, listeners: Sequence[tuple[Address, Front]], requests: Requests, most: int, memory: int,
-        longest: int, bounds: ClientBounds, inherited: int | None = None,
+        bounds: ClientBounds, inherited: int | None = None,
     ) -> None:
-        """`memory`: bytes that the process may use; `longest`: the longest deadline, ns; `inherited`:
-        descriptor of the first listener's socket, where the platform holds it: never shut down, only
-        closed."""
+        """`memory`: bytes that the process may use; `inherited`: descriptor of the first listener's socket,
+        where the platform holds it: never shut down, only closed."""
         self.requests, self.bounds = requests, bounds
         loop = asyncio.get_running_loop()
         self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
@@ -68,13 +67,14 @@
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
+        self._unread: dict[Client, None] = {}  # those of them that are not read at present
         self._servers: list[asyncio.Server] = []
+        self._gone_looker: asyncio.TimerHandle | None = None
         self._looker: asyncio.TimerHandle | None = None
         self._last_came = 0.0
         self.closing = False
         self.handing = False  # another process takes over: nothing new is taken here
         self._pass_on: PassOn | None = None
-        self.longest = longest
 
     async def start(self) -> None:
         await self.open_door()
@@ -136,6 +136,20 @@
             client.look(now, crowded)
         self._looker = self._later(LOOK, self._look)
 
+    def unread(self, client: Client, on: bool) -> None:
+        """Whether a client's connection is not read, so that its end would go unseen."""
+        if not on or not (client in self._clients or client in self._fresh):
+            self._unread.pop(client, None)
+            return
+        self._unread[client] = None
+        if self._gone_looker is None:
+            self._gone_looker = self._later(GONE_LOOK, self._look_gone)
+
+    def _look_gone(self) -> None:
+        for client in [client for client in self._unread if client.gone()]:
+            client.abort()
+        self._gone_looker = self._later(GONE_LOOK, self._look_gone) if self._unread else None
+
     @property
     def port(self) -> int:
         """The first listener's."""
@@ -166,11 +180,12 @@
         return len(self._clients) + len(self._fresh)
 
     def went(self, client: Client) -> None:
-        self._fresh.pop(client, None)
-        self._clients.pop(client, None)
+        for table in (self._fresh, self._clients, self._unread):
+            table.pop(client, None)
 
-    async def drain(self) -> None:
-        """Take what comes until new connections cease, answer all of it, close what rests."""
+    async def drain(self, end: float) -> None:
+        """Take what comes until new connections cease, answer all of it, close what rests. `end`: when, s of
+        the loop's clock, every request is over, with time for its answer to leave."""
         loop = asyncio.get_running_loop()
         self._last_came = loop.time()
         latest = self._last_came + DOOR_MOST
@@ -185,13 +200,12 @@
                 await asyncio.sleep(0)
         self.close_door()
         self.closing = True
-        # Every request has ended by then; only half a command can hold a connection open for longer.
-        await self.emptied()
+        # Only half a command can hold a connection open for longer.
+        await self._emptied(end)
 
-    async def emptied(self) -> None:
-        """Close what rests until nothing is left, or all that it could owe is long over."""
+    async def _emptied(self, end: float) -> None:
+        """Close what rests until nothing is left, or all that it could owe is over."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.longest / SECOND + QUIET
         while self.count() and loop.time() < end:
             for client in [*self._fresh, *self._clients]:
                 if self.handing:
@@ -210,6 +224,8 @@
         """Close everything as it stands."""
         if self._looker is not None:
             self._looker.cancel()
+        if self._gone_looker is not None:
+            self._gone_looker.cancel()
         self.close_door()
         for client in [*self._fresh, *self._clients]:
             client.abort()
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -96,6 +96,7 @@
         self.figures = Figures(config.classes)
         self.requests: dict[int, Request] = {}
         self.ids: set[bytes] = set()  # of the requests that still owe an answer
+        self.answer_by: int | None = None  # once stopping: when every request has to be answered
         self.testator: Testator | None = None  # while another process has the word
         self._numbers: Iterator[int] = count(1)
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
@@ -122,6 +123,9 @@
         now, number = self.now(), next(self._numbers)
         wait = min(call.wait_ms * MILLISECOND, self.roster.rules[call.cls].deadline)
         valid_until = now + max(0, wait - int(waited * SECOND) - MARGIN)
+        if self.answer_by is not None:
+            # A backend may hang for all of a late comer's time, and this process is killed before that is up.
+            valid_until = min(valid_until, max(now, self.answer_by))
         request = Request(call, slot, valid_until)
         self.ids.add(call.id)
         slot.request = number
@@ -144,10 +148,15 @@
             self.handle(ClientLeft(number))
             if request.begun is not None:
                 self._loop.call_soon(self._cancel, request.begun)
+            for attempt in list(request.out.values()):
+                # Whether settings allow to cancel does not matter for what was never written.
+                self.backends.withdraw(attempt)
 
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
-        request = self.requests[number]
+        request = self.requests.get(number)
+        if request is None:
+            return
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
             request.timer = self._loop.call_later(left / SECOND, self.time_is_up, number)
