A handover carries what peers have out in its own shape, and its attempts free their places

`asking` went along too, though those who wait are refused at the handover, and would have stayed. The mirrored attempts of the old process told no home of their end, which kept their places for 3 s.

Change: `out` is decoded, `asking` is not carried, a mirrored attempt counts through `Quota.opened` and is placed like one of one's own; the portrait is version 4, so an older program starts cold instead of reading what it does not know.

Test: every field of an account comes over as it was, with its type, red before with `out`; it names no field, so the next new one is held to it too. The version in the neighbouring test follows.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,13 +10,16 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import fields
 from pathlib import Path
 
 import pytest
 
 from trackspread.decide import carried
 from trackspread.decide.broker import Broker
-from trackspread.decide.interface import AttemptEnded, Outcome, Refuse, Send
+from trackspread.decide.interface import AttemptEnded, Outcome, PeerMessage, Refuse, Send
+from trackspread.decide.mail import pack_totals
+from trackspread.decide.state import Account, Mean
 from trackspread.handover import wire
 from trackspread.handover.states import Act, Actions, Elder, Happening, Heir
 from trackspread.handover.wire import Gathering, Kind, WireError
@@ -177,11 +180,31 @@
     assert twice
 
 
+def test_all_that_is_known_of_a_customer_comes_over_as_it_was() -> None:
+    """Seen in review: what peers have out came over as a list, and every word of theirs was a fault then."""
+    made = settings(gateways=4, plans=(plan(open_limit=3),))
+    old, new = Broker(made, 1, 0), Broker(made, 2, 0)
+    account = old.quota.account(SECOND, 2, 0, 4, 0)
+    account.heard, account.asked, account.given = {1: 5}, {1: 6}, {3: (2.0, 7)}
+    account.out, account.peers = {1: (2, 9), 3: (1, 8)}, (1, 2, 3)
+    told = wire.decode(wire.encode(carried.portrait(old, NAMES, {})), dict)
+    carried.restore(new, told, NAMES)
+    fresh = new.quota.accounts[2]
+    for each in fields(Account):
+        was, now = getattr(account, each.name), getattr(fresh, each.name)
+        if isinstance(was, Mean):
+            was, now = [[getattr(m, name) for name in Mean.__slots__] for m in (was, now)]
+        assert (type(now), now) == (type(was), was), each.name
+    totals = pack_totals(1, 10, [(2, 0, 1)])
+    new.handle(SECOND, PeerMessage(1, totals))
+    assert new.handle(SECOND, arrival(9, SECOND, customer=2, spread=4))
+
+
 def test_a_portrait_of_another_version_changes_nothing() -> None:
     module = Broker(settings(gateways=1), 1, 0)
     told = carried.portrait(Broker(settings(gateways=1), 2, 0), NAMES, {}) | {"version": 1, "me": 77}
     before = module.quota.me
-    with pytest.raises(ValueError, match="version 1, this is 3"):
+    with pytest.raises(ValueError, match="version 1, this is 4"):
         carried.restore(module, told, NAMES)
     assert module.quota.me == before
 
--- a/trackspread/decide/carried.py
+++ b/trackspread/decide/carried.py
@@ -16,8 +16,8 @@
     from .broker import Broker
 
 Plain = dict[str, Any]
-VERSION = 3  # of the portrait: raised with every change of what it holds: old and new program may differ
-_NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed", "keeps", "taking", "tellers"})
+VERSION = 4  # of the portrait: raised with every change of what it holds: old and new program may differ
+_NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed", "keeps", "taking", "tellers", "asking"})
 _SERVER = ("slow", "pause", "fails", "suspended", "tokens", "tokens_at")  # the rest is the list's
 
 
@@ -116,6 +116,7 @@
     values["heard"] = {int(p): int(sent) for p, sent in values["heard"]}
     values["asked"] = {int(p): int(at) for p, at in values["asked"]}
     values["given"] = {int(p): (float(word[0]), int(word[1])) for p, word in values["given"]}
+    values["out"] = {int(p): (int(word[0]), int(word[1])) for p, word in values["out"]}
     values["peers"] = tuple(values["peers"])
     values["open"] = values["passing"] = 0  # those that are out are told one by one
     account = Account(plan=quota.figures(customer, index), index=index,
@@ -143,7 +144,9 @@
         return
     arrival = Arrival(number, number_of[cls], plans.index(plan), customer, 0, units, 0, 0, 0)
     account = module.quota.account(module.told_at, customer, arrival.plan)
-    module.attempts[number, attempt] = Open(arrival, account, 1, sends=1, out=1)
-    account.open, module.out = account.open + 1, module.out + 1
+    placed = module.quota.asks(account)  # its end is told to the home, as by whoever sent it
+    module.attempts[number, attempt] = Open(arrival, account, 1, sends=1, out=1, placed=placed)
+    module.quota.opened(account, 1)
+    module.out += 1
     if (server := module.fleet.servers.get(backend)) is not None:
         server.out += 1
