--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -18,7 +18,7 @@
 from trackspread.decide.interface import Arrival, AttemptEnded, ClientLeft, Fail, Outcome, Send
 
 from .fakes import LOCAL, Connection, World, call, host, listing, run, soon, until, world
-from .test_net_clients import only_backend, script
+from .test_net_clients import Script, only_backend, script
 
 HOW = ["end", "reset"]
 
@@ -124,20 +124,28 @@
     run(test)
 
 
+MOST = DEFAULTS.clients.pipeline
+
+
+async def held_back(w: World) -> tuple[Script, Connection]:
+    """A client with as many commands open as are worked on at once, which no time ends, and as many held."""
+    s = script(w, *[lambda a: []] * (2 * MOST))
+    w.node.time_is_up = lambda number: None  # type: ignore[method-assign]
+    client = await w.client()
+    client.send(b"".join(call(number=n) for n in range(2 * MOST)))
+    await until(lambda: len(w.node.requests) == MOST and w.node.clients.held > 0)
+    return s, client
+
+
 @pytest.mark.parametrize("how", HOW)
 def test_commands_held_back_are_not_taken_once_their_client_has_left(how: str) -> None:
     """Nothing is read from a client with so many commands open, and so nothing tells that it has left."""
 
     async def test() -> None:
         async with world() as w:
-            most = DEFAULTS.clients.pipeline
-            s = script(w, *[lambda a: []] * (2 * most))
-            w.node.time_is_up = lambda number: None  # type: ignore[method-assign]
-            client = await w.client()
-            client.send(b"".join(call(number=n) for n in range(2 * most)))
-            await until(lambda: len(w.node.requests) == most and w.node.clients.held > 0)
+            s, client = await held_back(w)
             leave(client, how)
-            await until(lambda: len(s.of(ClientLeft)) == most)
+            await until(lambda: len(s.of(ClientLeft)) == MOST)
             assert not w.node.requests and not w.node.clients.count() and not w.node.clients.held
 
     run(test)
@@ -151,12 +159,7 @@
 
     async def test() -> None:
         async with world() as w:
-            most = DEFAULTS.clients.pipeline
-            s = script(w, *[lambda a: []] * (2 * most))
-            w.node.time_is_up = lambda number: None  # type: ignore[method-assign]
-            client = await w.client()
-            client.send(b"".join(call(number=n) for n in range(2 * most)))
-            await until(lambda: len(w.node.requests) == most and w.node.clients.held > 0)
+            s, client = await held_back(w)
             (server,) = w.node.clients._clients
             leave(client, how)
             left = select.poll()
@@ -165,6 +168,6 @@
             await until(lambda: bool(left.poll(0)))
             w.node.act(Fail(min(w.node.requests)))
             await until(lambda: not w.node.clients.count())
-            assert len(s.of(Arrival)) == most and not w.node.requests and not w.node.clients.held
+            assert len(s.of(Arrival)) == MOST and not w.node.requests and not w.node.clients.held
 
     run(test)
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -71,6 +71,16 @@
         self.give(now, gateway, ended(request, send.backend))
 
 
+def taken(gateways: int) -> Net:
+    """Requests 1 to 3 of the customer have all its places, through gateway 1."""
+    net = Net(gateways)
+    for request in (1, 2, 3):
+        net.come(0, 1, request)
+    net.deliver(MS)
+    assert len(net.sent) == 3
+    return net
+
+
 @pytest.mark.parametrize("gateways", [FEW, MANY])
 def test_no_more_attempts_are_out_than_the_plan_allows_however_many_gateways_they_come_by(
     gateways: int,
@@ -116,11 +126,7 @@
 
 @pytest.mark.parametrize("gateways", [FEW, MANY])
 def test_the_next_word_puts_right_what_lost_messages_left_wrong(gateways: int) -> None:
-    net = Net(gateways)
-    for request in (1, 2, 3):
-        net.come(0, 1, request)
-    net.deliver(MS)
-    assert len(net.sent) == 3
+    net = taken(gateways)
     for request in (1, 2, 3):
         net.end(2 * MS, request)
     net.wire.clear()  # that they are over is lost
@@ -136,10 +142,7 @@
 
 @pytest.mark.parametrize("gateways", [FEW, MANY])
 def test_places_of_a_gateway_that_fell_silent_come_back(gateways: int) -> None:
-    net = Net(gateways)
-    for request in (1, 2, 3):
-        net.come(0, 1, request)
-    net.deliver(MS)
+    net = taken(gateways)
     net.come(SILENT - MS, 3, 4)
     net.deliver(SILENT - MS)
     assert net.refused == [4]
