Planted breaches of the places are convicted: four, with word of all to all and with homes

Limits on open attempts had none.

The flood that binds the limit is one function now, run as it was and with four breaches planted: a home that forgets what is out, one that is not asked, ends that are not told, draws that tell nothing as out. It starts by another gateway each turn and holds that a free place goes to whoever asks first, stricter than before: ends that are not told passed until then.

--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -3,10 +3,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 
+from trackspread.decide import quota
 from trackspread.decide.broker import EVERY_TICK, Broker
 from trackspread.decide.interface import (
     Action,
@@ -20,7 +23,7 @@
 )
 from trackspread.decide.mail import OUT_MOST, Draw, Kind, is_draw, pack_draw, unpack_draw
 from trackspread.decide.model import TICK
-from trackspread.decide.quota import SILENT
+from trackspread.decide.quota import SILENT, Quota
 
 from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
 
@@ -81,25 +84,59 @@
     return net
 
 
-@pytest.mark.parametrize("gateways", [FEW, MANY])
-def test_no_more_attempts_are_out_than_the_plan_allows_however_many_gateways_they_come_by(
-    gateways: int,
-) -> None:
-    """Seen on the bench's calm days: each gateway let the rounded-up slice of the limit through, 6 of 2."""
+def flood(gateways: int) -> None:
+    """More than the places come, by four gateways in turn; raises `AssertionError` where one too many is out,
+    or where a place that is free again does not go to whoever asks first."""
     net, request = Net(gateways), 0
     for turn in range(40):
         now = turn * 10 * MS
-        for gateway in range(FEW):
+        for step in range(FEW):
             request += 1
-            net.come(now, gateway, request)
+            net.come(now, (turn + step) % FEW, request)
             net.deliver(now + MS)
-            assert len(net.sent) <= 3
-        assert len(net.sent) == 3  # and none is left unused
+            assert len(net.sent) == 3 if turn else len(net.sent) <= 3
+        assert len(net.sent) == 3
         net.end(now + 5 * MS, min(net.sent))
         net.deliver(now + 6 * MS)
     assert len(net.refused) + 40 + 2 == request
 
 
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_no_more_attempts_are_out_than_the_plan_allows_however_many_gateways_they_come_by(
+    gateways: int,
+) -> None:
+    """Seen on the bench's calm days: each gateway let the rounded-up slice of the limit through, 6 of 2."""
+    flood(gateways)
+
+
+def _home_forgets() -> Any:
+    """The home keeps no word of what is out elsewhere."""
+    real = Quota.drawn
+
+    def mutant(self: Quota, now: int, event: PeerMessage) -> Any:
+        word = real(self, now, event)
+        for account in self.accounts.values():
+            account.out.clear()
+        return word
+
+    return patch.object(Quota, "drawn", mutant)
+
+
+PLANTED: dict[str, Callable[[], Any]] = {
+    "home-forgets": _home_forgets,
+    "home-unasked": lambda: patch.object(Quota, "at_home", lambda self, account: True),
+    "end-untold": lambda: patch.object(Quota, "free", lambda self, now, account: []),
+    "none-told-as-out": lambda: patch.object(quota, "Draw", lambda *told, out: Draw(*told)),
+}
+
+
+@pytest.mark.parametrize("breach", PLANTED)
+@pytest.mark.parametrize("gateways", [FEW, MANY])
+def test_planted_breaches_of_the_places_are_convicted(gateways: int, breach: str) -> None:
+    with PLANTED[breach](), pytest.raises(AssertionError):
+        flood(gateways)
+
+
 @pytest.mark.parametrize("gateways", [FEW, MANY])
 def test_requests_that_come_together_at_many_gateways_share_the_places(gateways: int) -> None:
     net = Net(gateways)
