One entry for draws of every kind, and no second table of clients that are not read

Seen on the last reading of the change: where all tell all each draw was unpacked twice, by `lent` and by `drawn`, and turned down by one of them; and `Clients` kept a table of those of its connections that are not read, with a guard against those already gone, which each client knows of itself.

Behaviour stays; tests as they were.

--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -88,10 +88,7 @@
                 self.open.pop(event.request, None)
             case TimerFired(token):
                 actions += self._tick(now) if token == EVERY_TICK else [Watch(True)]
-            case PeerMessage() if self.quota.gossip and is_draw(event.data):
-                actions += self.quota.lent(now, event)
-                actions += self._decided(now, *self.quota.drawn(now, event))
-            case PeerMessage() if self.quota.gossip:
+            case PeerMessage() if self.quota.gossip and not is_draw(event.data):
                 self.quota.heard(now, event)
             case PeerMessage():
                 actions += self._decided(now, *self.quota.drawn(now, event))
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -347,17 +347,14 @@
         to = others[self.tag % len(others)]
         return [self._tell(now, to, account, Kind.LACK, most - account.ceiling, self.tag)]
 
-    def lent(self, now: int, event: PeerMessage) -> list[Action]:
+    def _lent(self, now: int, sender: int, draw: Draw) -> list[Action]:
         """A peer asks for some of the part here, or gives of its own. What is given has left that part
         before it is told, and no part ever holds more than its even one: together they never hold more than
-        the
-        ceiling."""
-        draw = unpack_draw(event.data)
-        account = self.accounts.get(draw.customer) if draw is not None else None
-        if account is None and draw is not None and self.view is not None and draw.plan < len(self.s.plans):
+        the ceiling."""
+        account = self.accounts.get(draw.customer)
+        if account is None and self.view is not None:
             account = self._drawn_on(now, draw)  # by the view it may have slots here
-        known = draw is not None and account is not None and account.index == draw.plan
-        if not known or draw is None or account is None or event.sender not in self._others(account):
+        if account is None or account.index != draw.plan or sender not in self._others(account):
             return []
         self.refill(now, account)
         if draw.kind == Kind.GIVE and draw.tag == account.lacked:
@@ -372,7 +369,7 @@
         if given <= 0.0:
             return []
         account.ceiling -= given
-        return [self._tell(now, event.sender, account, Kind.GIVE, given, draw.tag)]
+        return [self._tell(now, sender, account, Kind.GIVE, given, draw.tag)]
 
     def known_spent(self, account: Account, units: float) -> bool:
         """Whether the home's last word, and what filled its store since, fall short of these units: others
@@ -462,10 +459,13 @@
         account.tellers[draw.teller] = now
 
     def drawn(self, now: int, event: PeerMessage) -> Word:
-        """Word with a home, either way: the number of the ask it answers, the answer, what to send."""
+        """Word with a home, either way, or of ceilings between equals: the number of the ask it answers, the
+        answer, what to send."""
         draw = unpack_draw(event.data)
-        if draw is None or draw.plan >= len(self.s.plans) or draw.kind in (Kind.LACK, Kind.GIVE):
+        if draw is None or draw.plan >= len(self.s.plans):
             return 0, None, []
+        if draw.kind in (Kind.LACK, Kind.GIVE):
+            return 0, None, self._lent(now, event.sender, draw) if self.gossip else []
         self._note_age(now, draw.age)
         if draw.kind in (Kind.GRANT, Kind.DENY):
             if (mine := self.accounts.get(draw.customer)) and self.homes:
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -189,7 +189,6 @@
             self._rest or self._blocked or self._owner.handing or self.roomless)
         if read_on is not self._read_on:
             self._read_on, transport = read_on, cast(asyncio.Transport, self._transport)
-            self._owner.unread(self, not read_on)
             if not transport.is_closing():
                 (transport.resume_reading if read_on else transport.pause_reading)()
 
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -67,7 +67,6 @@
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
-        self._unread: dict[Client, None] = {}  # those of them that are not read at present
         self._servers: list[asyncio.Server] = []
         self._gone_looker: asyncio.TimerHandle | None = None
         self._looker: asyncio.TimerHandle | None = None
@@ -79,6 +78,7 @@
     async def start(self) -> None:
         await self.open_door()
         self._look()
+        self._look_gone()
 
     async def open_door(self) -> None:
         loop = asyncio.get_running_loop()
@@ -136,19 +136,11 @@
             client.look(now, crowded)
         self._looker = self._later(LOOK, self._look)
 
-    def unread(self, client: Client, on: bool) -> None:
-        """Whether a client's connection is not read, so that its end would go unseen."""
-        if not on or not (client in self._clients or client in self._fresh):
-            self._unread.pop(client, None)
-            return
-        self._unread[client] = None
-        if self._gone_looker is None:
-            self._gone_looker = self._later(GONE_LOOK, self._look_gone)
-
     def _look_gone(self) -> None:
-        for client in [client for client in self._unread if client.gone()]:
-            client.abort()
-        self._gone_looker = self._later(GONE_LOOK, self._look_gone) if self._unread else None
+        for client in [*self._fresh, *self._clients]:
+            if client.gone():
+                client.abort()
+        self._gone_looker = self._later(GONE_LOOK, self._look_gone)
 
     @property
     def port(self) -> int:
@@ -180,8 +172,8 @@
         return len(self._clients) + len(self._fresh)
 
     def went(self, client: Client) -> None:
-        for table in (self._fresh, self._clients, self._unread):
-            table.pop(client, None)
+        self._fresh.pop(client, None)
+        self._clients.pop(client, None)
 
     async def drain(self, end: float) -> None:
         """Take what comes until new connections cease, answer all of it, close what rests. `end`: when, s of
