Where nobody is ever heard, one request by chance may overdraw an even slice

Checked: the refusals are the module's own, from Quota.alone: its chance goes by what home, counter or meter lately granted, with 0 as prior, and none of these ever speaks there. Even slices are left, of a few hundredths of a unit among 200, which pay for no request. Ruled out: caps and pressure (in flight far below both), lost messages (there are none).

Changed: such a gateway lets a request through by its slice, or by a chance that may overdraw the slice by one request. What was overdrawn is kept until it is filled again. A plan without any limit is let through, too: all of its requests were refused there.

--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -172,6 +172,8 @@
     def _keep(self, account: Account) -> int:
         """How long a customer's account outlasts its last request; the store must be full by then."""
         plan = account.plan
+        if self.quota.blind and account.part < 0.0:
+            return FORGET  # with it would go what it overdrew
         full = 2 * plan.burst / max(plan.rate, 1e-9), plan.ceiling_burst / max(plan.ceiling_rate, 1e-9)
         once = max(FORGET_ONCE, int(SECOND * max(full)))
         return min(FORGET, once) if account.sent <= ONCE and not account.heard else FORGET
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -9,7 +9,8 @@
 import random
 from collections import deque
 from dataclasses import replace
-from math import ceil
+from functools import lru_cache
+from math import ceil, exp
 
 import xxhash
 
@@ -40,6 +41,7 @@
 LACK_MESSAGES = 0.25  # part of the messages that a gateway takes in that asks and what they bring may be
 POOLED = 0.75  # part of a ceiling that the home hands out; the rest is in even slices for its silence
 TAKEN_OVER = 5 * SECOND  # for which a home's word of a store is good for the next one: askers move in that
+OVER_PRICE = 0.05  # of all worth: what units beyond quotas may cost, let through by chance: half its bound
 PEERS_MOST = 512  # peers whose last word is kept; the longest silent make room
 
 
@@ -48,6 +50,19 @@
     return level * min(1.0, new / old) if level > 0.0 and old > 0.0 else min(level, 0.0)
 
 
+@lru_cache(maxsize=64)
+def blind_chance(cost: float) -> float:
+    """By which a request of a customer of whom nothing is known may be let through, so that what goes beyond
+    quotas costs `OVER_PRICE` of what is asked inside them, if customers ask for their quotas on average, some
+    for little and a few for much more (exponentially). `cost`: of a unit beyond, in its worth."""
+    low, high = 0.0, 1.0
+    for _ in range(20):
+        chance = (low + high) / 2
+        beyond = chance * exp(-1.0 / chance) / (1.0 - exp(-1.0))
+        low, high = (low, chance) if beyond * cost > OVER_PRICE else (chance, high)
+    return high
+
+
 def home_of(customer: int, homes: tuple[int, ...]) -> int:
     """Rendezvous: whoever comes takes its part of the customers from all, whoever goes leaves its to all."""
     seed = customer & 0xFFFFFFFFFFFFFFFF
@@ -72,6 +87,8 @@
         self._regime(1.0)
         told = settings.may_message or self.rights
         self.counter = settings.counter and not told and settings.gateways > 1
+        # No word, no counter, no meter: then nothing of what others let through is ever known.
+        self.blind = not (told or self.counter or settings.meter_period)
         self.granted = [Mean(LONG) for _ in settings.plans]
         self.calls: dict[int, deque[tuple[int, float, bool, float]]] = {}  # ask, amount, fix, owed
         self.tag, self.pace, self.restarted, self.lack_at = 0, 1.0, False, now
@@ -400,6 +417,8 @@
         of this customer, or else of its plan. That ages away, and even slices are left."""
         if self.rights or self.gossip:
             return self.may(now, account, units) and self.book(account, units, False)
+        if self.blind:
+            return self._unheard(now, account, units)
         usual, even = self.granted[account.index].blend(now, 0.0, 0.1), account.part >= units
         # Seen here more than its even slice, beyond the one request that says nothing, a customer is busy.
         seen, one = account.seen.rate(now) * account.seen.value, units * SECOND / LONG
@@ -415,6 +434,23 @@
             account.level = max(0.0, account.level - units)
         return True
 
+    def _unheard(self, now: int, account: Account, units: float) -> bool:
+        """Where nobody is ever heard: by the even slice, which one request by chance may overdraw. What goes
+        beyond the quota is thus one request for each gateway at most, and is filled up again. The more
+        requests the slice pays for of itself, the less it takes chance that some other gateway's goes
+        unused."""
+        plan, span = account.plan, min(LONG, now - self.born) / SECOND
+        limited, owed = plan.rate or plan.open_limit or plan.ceiling_rate, units - account.part
+        paid = (plan.burst + plan.rate * span) * self.even(now, account) / self.s.largest
+        chance = blind_chance(plan.over_cost) * (1.0 + paid) if plan.rate else 1.0
+        chance *= UNTOLD if plan.open_limit else 1.0
+        lucky = not limited or owed <= 0.0 or (owed <= self.s.largest and self.rng.random() < chance)
+        if not lucky or not self.may(now, account, units):
+            return False
+        account.part -= units if plan.rate else 0.0
+        account.ceiling -= units
+        return True
+
     def answered(self, now: int, account: Account, level: float, granted: bool) -> None:
         account.level, account.told_at = level, now
         account.granted.add(now, float(granted))
