A connection that is closed with answers unread ends in its time, and makes no room before

Seen by a test, from the list of endings not looked at: a client that does not read its last answers, with less of them in the gateway's buffer than has it hold back what it reads, was closed as resting (idle, or to make room for a newcomer). The transport then waits for its buffer to empty; nothing looks at it again (Client.look passes over what is closing), and where it made room it was no longer counted either, so descriptors beyond the bound stayed with clients that never read. Ruled out: answers lost (a close writes out what is buffered first).

Changed: one whose answers are unread does not give way, and one that is closed, or ends after words that could not be read, is looked at for progress like any that does not read, and aborted in the same time.

Tests: who has unread answers makes no room; a connection closed with answers unread ends (both red before, the second by its time-out); a body that waits for room is dropped with its client, by FIN and RST (sound before; red with the look at who has left taken out). All over sockets.

--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -10,11 +10,11 @@
 import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import cast
+from typing import Any, cast
 
 import pytest
 
-from trackspread.config.operator import DEFAULTS
+from trackspread.config.operator import DEFAULTS, ClientBounds, Operator
 from trackspread.decide.interface import Arrival, AttemptEnded, ClientLeft, Fail, Outcome, Send
 
 from .fakes import LOCAL, Connection, World, call, host, listing, run, soon, until, world
@@ -171,3 +171,91 @@
             assert len(s.of(Arrival)) == MOST and not w.node.requests and not w.node.clients.held
 
     run(test)
+
+
+def server_of(w: World) -> tuple[Any, asyncio.Transport]:
+    """The gateway's side of its only client."""
+    (server,) = [*w.node.clients._clients, *w.node.clients._fresh]
+    return server, cast(asyncio.Transport, server._transport)
+
+
+async def unread(w: World) -> Connection:
+    """A client that is owed nothing but has not read its answers: some lie in the gateway's own buffer, and too
+    few of them for the gateway to hold back what it reads."""
+    script(w, *[lambda a: []] * 200)
+    client = await w.client()
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    number = 0
+    while not w.node.clients.count():
+        await asyncio.sleep(0)
+    server, transport = server_of(w)
+    while not transport.get_write_buffer_size():
+        client.send(call(number=number))
+        await until(lambda: len(server.slots) == 1)
+        w.node.requests[server.slots[0].request].slot.served(call_of(w), b"v" * 60_000)
+        w.node.requests.clear()
+        w.node.ids.clear()
+        number += 1
+        await asyncio.sleep(0)
+    assert not server._blocked and not server.slots
+    return client
+
+
+def call_of(w: World) -> Any:
+    return next(iter(w.node.requests.values())).call
+
+
+def test_who_has_unread_answers_makes_no_room_for_a_newcomer() -> None:
+    """Closed, its descriptor would stay until it has read them, and nobody would count it."""
+
+    async def test() -> None:
+        async with world() as w:
+            client = await unread(w)
+            w.node.clients.bound = 1
+            newcomer = await w.client()
+            assert await newcomer.next() is None
+            assert w.node.clients.count() == 1
+            server, transport = server_of(w)
+            assert not transport.is_closing()
+            client.abort()
+
+    run(test)
+
+
+def test_connection_that_is_closed_with_answers_unread_ends_though_they_never_are(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("trackspread.fronts.connections.LOOK", 0.01)
+
+    async def test() -> None:
+        async with world(Operator(clients=ClientBounds(idle_s=0.05, unread_s=0.05))) as w:
+            client = await unread(w)
+            server, transport = server_of(w)
+            await until(transport.is_closing)
+            await until(lambda: w.node.clients.count() == 0)
+            client.abort()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_body_that_waits_for_room_is_dropped_with_its_client(how: str) -> None:
+    """Nothing is read of it meanwhile, and so nothing tells that its client has left."""
+
+    async def test() -> None:
+        async with world() as w:
+            s = script(w, *[lambda a: []] * 2)
+            w.node.clients.bodies.most = 1 << 20
+            first, second = await w.client(), await w.client()
+            first.send(call("charge", 1, body=b"x" * 1_500_000))
+            await until(lambda: len(s.of(Arrival)) == 1)
+            # The rest is still at the client: its end can be seen, it lies behind no byte that has to be read.
+            second.send(call("charge", 2, body=b"y" * 1_500_000)[:200_000])
+            await until(lambda: any(c.roomless for c in w.node.clients._fresh))
+            leave(second, how)
+            await until(lambda: w.node.clients.count() == 1)
+            w.node.act(Fail(min(w.node.requests)))  # room for all of the second's body
+            assert str(await first.next()) == "ERR failed"
+            assert len(s.of(Arrival)) == 1 and w.node.clients.bodies.held == 0
+
+    run(test)
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -337,9 +337,11 @@
 
     def look(self, now: float, crowded: bool) -> None:
         """Whether this connection has had its time."""
-        if self._blocked:
-            unsent = cast(asyncio.Transport, self._transport).get_write_buffer_size()
-            if unsent < self._unsent:
+        transport = cast(asyncio.Transport, self._transport)
+        unsent = transport.get_write_buffer_size()
+        if self._blocked or transport.is_closing() or (self._lingering and unsent):
+            # Also one that is closed or ends stays until what waits for the client is out.
+            if not self._blocked or unsent < self._unsent:
                 self._blocked, self._unsent = now, unsent
             elif now - self._blocked >= self._patience():
                 log.warning("client does not read its answers")
@@ -372,6 +374,10 @@
             if slot.answer is None:
                 self._owner.requests.left(slot.request)
 
+    def gives_way(self) -> bool:
+        """Whether its descriptor is free once it is closed: nothing is owed, and nothing waits to be read."""
+        return self.resting() and not cast(asyncio.Transport, self._transport).get_write_buffer_size()
+
     def resting(self) -> bool:
         """Between requests, with nothing unread in the socket; what is unwritten goes out before a close."""
         transport = cast(asyncio.Transport, self._transport)
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -153,7 +153,7 @@
             # Descriptors are few: whoever never said anything, or else rests longest, makes room, as a
             # gateway may close between requests. Where nobody rests the new one can't be kept.
             for other in chain(self._fresh, self._clients):
-                if other.resting():
+                if other.gives_way():
                     other.close()
                     self.went(other)
                     break
