--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -180,8 +180,8 @@
 
 
 async def unread(w: World) -> Connection:
-    """A client that is owed nothing but has not read its answers: some lie in the gateway's own buffer, and too
-    few of them for the gateway to hold back what it reads."""
+    """A client that is owed nothing but has not read its answers: some lie in the gateway's own buffer, and
+    too few of them for the gateway to hold back what it reads."""
     script(w, *[lambda a: []] * 200)
     client = await w.client()
     client.writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -215,7 +215,7 @@
             newcomer = await w.client()
             assert await newcomer.next() is None
             assert w.node.clients.count() == 1
-            server, transport = server_of(w)
+            _, transport = server_of(w)
             assert not transport.is_closing()
             client.abort()
 
@@ -230,7 +230,7 @@
     async def test() -> None:
         async with world(Operator(clients=ClientBounds(idle_s=0.05, unread_s=0.05))) as w:
             client = await unread(w)
-            server, transport = server_of(w)
+            _, transport = server_of(w)
             await until(transport.is_closing)
             await until(lambda: w.node.clients.count() == 0)
             client.abort()
@@ -249,7 +249,7 @@
             first, second = await w.client(), await w.client()
             first.send(call("charge", 1, body=b"x" * 1_500_000))
             await until(lambda: len(s.of(Arrival)) == 1)
-            # The rest is still at the client: its end can be seen, it lies behind no byte that has to be read.
+            # The rest is still at the client: an end behind more than is read could not be seen.
             second.send(call("charge", 2, body=b"y" * 1_500_000)[:200_000])
             await until(lambda: any(c.roomless for c in w.node.clients._fresh))
             leave(second, how)
