Connections that rest go with the process that had them; four endings have their tests

Seen by reading, from the list of endings not looked at, and shown by a test: a backend that is back under its id and address with another start (a machine that vanished and never reset anything) kept its resting connections here. What is written to one ends as a reset after its last byte, so as if it might have run, and a request that may not be repeated fails. Lines at fault: Backends.learn looked at the address alone.

Changed: another start closes the connections that rest, and one that is in use is not kept after its answer.

Tests, over sockets: that one (red without the change); a call to discovery given up while it connects, by a move, by its time, by the end, leaves no connection behind, told by the kernel's own table (sound before); on processes SIGTERM before the first list, a second SIGTERM and SIGHUP during the drain with a file that takes the class and discovery away (sound before); an answer that a slow client has not read when all else is over still goes out (sound before).

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from contextlib import asynccontextmanager
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any, TypeVar
 
 import hiredis
@@ -181,6 +182,23 @@
             task.cancel()
 
 
+@contextmanager
+def busy_listener() -> Iterator[socket.socket]:
+    """Its accept queue is full: a connect to it stays without an answer, as one that comes up late does."""
+    with socket.socket() as full:
+        full.bind((LOCAL, 0))
+        full.listen(0)
+        fill = [socket.socket() for _ in range(4)]
+        for one in fill:
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        try:
+            yield full
+        finally:
+            for one in fill:
+                one.close()
+
+
 class World:
     """A gateway with one backend and its discovery, and clients for it."""
 
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -8,8 +8,6 @@
 import select
 import socket
 import struct
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any, cast
 
 import pytest
@@ -17,7 +15,7 @@
 from trackspread.config.operator import DEFAULTS, ClientBounds, Operator
 from trackspread.decide.interface import Arrival, AttemptEnded, ClientLeft, Fail, Outcome, Send
 
-from .fakes import LOCAL, Connection, World, call, host, listing, run, soon, until, world
+from .fakes import LOCAL, Connection, World, busy_listener, call, host, listing, run, soon, until, world
 from .test_net_clients import Script, only_backend, script
 
 HOW = ["end", "reset"]
@@ -29,23 +27,6 @@
     client.writer.close()
 
 
-@contextmanager
-def busy_listener() -> Iterator[socket.socket]:
-    """Its accept queue is full: a connect to it stays without an answer, as one that comes up late does."""
-    with socket.socket() as full:
-        full.bind((LOCAL, 0))
-        full.listen(0)
-        fill = [socket.socket() for _ in range(4)]
-        for one in fill:
-            one.setblocking(False)
-            one.connect_ex(full.getsockname())
-        try:
-            yield full
-        finally:
-            for one in fill:
-                one.close()
-
-
 async def moved(w: World, port: int) -> int:
     """The one backend is at another address now; its number."""
     pools, backend = w.node.backends, only_backend(w)
--- a/tests/test_endings_stop.py
+++ b/tests/test_endings_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import cast
 
 import pytest
 
@@ -75,3 +76,32 @@
             stopping.cancel()
 
     run(test)
+
+
+def test_an_answer_that_is_not_written_out_yet_still_goes_out_before_the_gateway_ends() -> None:
+    """Its client reads slowly: what waits for it lies in the gateway when nothing else is owed any more."""
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            number, sent = 0, 0
+            (server,) = [*w.node.clients._clients, *w.node.clients._fresh]
+            transport = cast(asyncio.Transport, server._transport)
+            while not transport.get_write_buffer_size():
+                client.send(call(number=number))
+                connection, _ = await w.backend.command()
+                connection.send(served(b"v" * 60_000))
+                await until(lambda: not w.node.requests)
+                number += 1
+            stopping = asyncio.create_task(w.node.stop())
+            await until(transport.is_closing)
+            assert not stopping.done() and transport.get_write_buffer_size()
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            while (answer := await client.next()) is not None:
+                assert answer == b"v" * 60_000
+                sent += 1
+            assert sent == number
+            await soon(stopping)
+
+    run(test)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -364,6 +364,41 @@
     run(test)
 
 
+def test_a_backend_that_has_started_anew_has_none_of_the_connections_that_rest(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A machine that vanished is back at its address: it never closed them, and a request that cannot be
+    repeated would be written, reset and lost."""
+    monkeypatch.setattr(backends, "SETTLE", 0.0)
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.pools.learn(7, (LOCAL, backend.port), booted=1)
+            b.start(1)
+            first, _ = await backend.command()
+            first.send(served(b"v"))
+            assert (await b.end())[:2] == (1, Outcome.OK)
+            b.pools.learn(7, (LOCAL, backend.port), booted=1)
+            assert b.pools.idle() == 1
+            b.start(2)
+            out, _ = await backend.command()
+            assert out is first
+            b.pools.learn(7, (LOCAL, backend.port), booted=2)
+            out.send(served(b"w"))  # what is out may still be answered
+            assert (await b.end())[:2] == (2, Outcome.OK)
+            assert b.pools.idle() == 0
+            b.start(3)
+            second, _ = await backend.command()
+            assert second is not first
+            second.send(served(b"x"))
+            assert (await b.end())[:2] == (3, Outcome.OK)
+            b.pools.learn(7, (LOCAL, backend.port), booted=3)
+            assert b.pools.idle() == 0
+
+    run(test)
+
+
 def test_late_answer_is_never_taken_for_the_next_attempt() -> None:
     async def test() -> None:
         backend = Backend()
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -25,6 +26,7 @@
 from .fakes import (
     LOCAL,
     Agent,
+    busy_listener,
     call,
     config,
     host,
@@ -39,6 +41,7 @@
 )
 from .test_net_clients import Script
 
+SYN_SENT = "02"
 ZONES, KINDS = ("a", "b"), ("m1", "m2")
 
 
@@ -219,6 +222,38 @@
     run(test)
 
 
+@pytest.mark.parametrize("how", ["moved", "late", "closed"])
+def test_a_call_that_is_given_up_while_it_connects_leaves_no_watch_behind(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection may come up all the same, and would stay, with an agent that is no longer followed."""
+    monkeypatch.setattr(discovery, "CONNECT", 0.05 if how == "late" else 20.0)
+
+    async def test() -> None:
+        new, old = Agent(), Agent()
+        with busy_listener() as full:
+            async with listening(new):
+                old.port = full.getsockname()[1]
+                before = connecting(old.port)
+                f = Follower(old, None)
+                await until(lambda: connecting(old.port) == before + 1)
+                if how == "closed":
+                    await soon(f.watch.close())
+                elif how == "moved":
+                    f.watch.move((LOCAL, new.port))
+                    await soon(new.asked.get())
+                await until(lambda: connecting(old.port) == before)
+                await f.watch.close()
+
+    run(test)
+
+
+def connecting(port: int) -> int:
+    """How many of this machine's connections to this port are not up yet, by the kernel's own table."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(row[2].endswith(f":{port:04X}") and row[3] == SYN_SENT for row in rows)
+
+
 def test_drain_holds_though_an_agent_that_lags_tells_an_older_whole_list() -> None:
     async def test() -> None:
         old, new = Agent(), Agent()
@@ -304,9 +339,11 @@
             told: list[bool] = []
             learn = w.node.backends.learn
 
-            def noted(number: int, where: tuple[str, int] | None, old: bool = False) -> None:
+            def noted(
+                number: int, where: tuple[str, int] | None, old: bool = False, booted: int = 0
+            ) -> None:
                 told.append(old)
-                learn(number, where, old)
+                learn(number, where, old, booted)
 
             w.node.backends.learn = noted  # type: ignore[method-assign,assignment]
             w.agent.tell(listing(2, host("s-1", w.backend.port, "terminating"), whole=False))
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -56,27 +56,77 @@
         return Connection(*await soon(asyncio.open_connection(LOCAL, self.port)))
 
 
+@asynccontextmanager
+async def started(folder: Path, agent: Agent) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path]]:
+    """The program as `run` starts it, from its first moment on, and its configuration."""
+    path, own = folder / "config.json", folder / "own.toml"
+    own.touch()
+    path.write_text(json.dumps(raw_config(agent.port)))
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, "run", "--file", str(own), stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}"},
+    )
+    try:
+        yield process, path
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
 @asynccontextmanager
 async def running(folder: Path) -> AsyncIterator[Process]:
     agent, backend = Agent(), Backend()
     async with listening(agent), listening(backend):
         agent.first = listing(1, host("s-1", backend.port))
-        path, own = folder / "config.json", folder / "own.toml"
-        own.touch()
-        path.write_text(json.dumps(raw_config(agent.port)))
-        process = await asyncio.create_subprocess_exec(
-            *COMMAND, "run", "--file", str(own), stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}"},
-        )
-        try:
+        async with started(folder, agent) as (process, path):
             assert process.stderr is not None
             while b"listening on" not in (line := await soon(process.stderr.readline())):
                 assert line, "ended before it listened"
             yield Process(process, int(line.rsplit(b":", 1)[1]), backend, path)
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+
+
+def test_sigterm_before_the_first_list_ends_in_good_order(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent), started(tmp_path, agent) as (process, _):
+            await soon(agent.asked.get())  # it is told nothing
+            process.send_signal(signal.SIGTERM)
+            assert await soon(process.wait()) == 0
+            assert process.stderr is not None and b"Traceback" not in await process.stderr.read()
+
+    run(test)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_another_signal_during_the_drain_takes_nothing_that_is_owed_along(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """A second SIGTERM, or SIGHUP with a file by which discovery is elsewhere and the class is gone."""
+
+    async def test() -> None:
+        async with running(tmp_path) as p:
+            client, late = await p.client(), await p.client()
+            client.send(call(number=1))
+            first, _ = await p.backend.command()
+            p.process.send_signal(signal.SIGTERM)
+            await p.logged(b"stopping")
+            raw = json.loads(p.path.read_text())
+            raw["discovery"] = f"{LOCAL}:1"
+            raw["settings"]["classes"] = raw["settings"]["classes"][1:]
+            p.path.write_text(json.dumps(raw))
+            p.process.send_signal(number)
+            if number is signal.SIGHUP:
+                await p.logged(b"classes changed")
+            late.send(call("charge", 2, body=b"B"))
+            second, _ = await p.backend.command()
+            second.send(served(b"two"))
+            first.send(served(b"one"))
+            assert [await client.next(), await late.next()] == [b"one", b"two"]
+            assert [await client.next(), await late.next()] == [None, None]
+            assert await soon(p.process.wait()) == 0
+
+    run(test)
 
 
 def test_sigterm_answers_all_that_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -69,11 +69,11 @@
 class _Link(asyncio.Protocol):
     """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
 
-    __slots__ = ("_paused", "age", "answers", "attempt", "idle_at", "passing", "pool", "task", "timer",
-                 "transport", "unsent", "written_at")
+    __slots__ = ("_paused", "age", "answers", "attempt", "booted", "idle_at", "passing", "pool", "task",
+                 "timer", "transport", "unsent", "written_at")
 
     def __init__(self, pool: _Pool, attempt: Attempt) -> None:
-        self.pool = pool
+        self.pool, self.booted = pool, pool.booted
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
@@ -235,8 +235,8 @@
 class _Pool:
     """The connections to one backend."""
 
-    def __init__(self, owner: Backends, address: Address) -> None:
-        self.owner, self.address = owner, address
+    def __init__(self, owner: Backends, address: Address, booted: int) -> None:
+        self.owner, self.address, self.booted = owner, address, booted
         self.idle: list[_Link] = []
         self.links: set[_Link] = set()
         self.closing_at: float | None = None  # when the grace after a drain's notice ends
@@ -296,7 +296,7 @@
 
     def release(self, link: _Link) -> None:
         """Back to the top of the stack: the rest below grow old and are retired."""
-        if self.closing_at is not None:
+        if self.closing_at is not None or link.booted != self.booted:
             link.drop()
             return
         link.idle_at = self.owner.time()
@@ -343,11 +343,11 @@
         self._pools: dict[int, _Pool] = {}
         self._sweeper = self.loop.call_later(SWEEP, self._sweep)
 
-    def learn(self, backend: int, address: Address | None, old: bool = False) -> None:
+    def learn(self, backend: int, address: Address | None, old: bool = False, booted: int = 0) -> None:
         """Where a backend is reached; None once it drains or is gone and gets nothing new. `old`: that may
         have been told to others long ago: its grace may be over, and whoever is connecting to it is not
-        written
-        to."""
+        written to. `booted`: when its process started, in any unit; another one has none of the connections
+        made to it, and what is written to them would end as a reset, as if it might have run."""
         grace = 0.0 if old else self._grace
         pool = self._pools.get(backend)
         if address is None:
@@ -360,7 +360,10 @@
                     log.warning("backend at %s:%d is at %s:%d now", *pool.address, *address)
                 pool.closing_at = pool.closing_at or self.loop.time() + grace
                 pool.close_idle()
-            self._pools[backend] = _Pool(self, address)
+            self._pools[backend] = _Pool(self, address, booted)
+        elif pool.booted != booted:
+            pool.booted = booted
+            pool.close_idle()
 
     def known(self) -> list[int]:
         return list(self._pools)
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -357,7 +357,8 @@
             self._seen = set()
         for entry in update.topology.entries:
             gone = entry.health is not Health.READY
-            self.backends.learn(entry.id, None if gone else update.addresses[entry.id], update.old)
+            at = None if gone else update.addresses[entry.id]
+            self.backends.learn(entry.id, at, update.old, entry.booted)
             (self._seen.discard if entry.health is Health.GONE else self._seen.add)(entry.id)
         self.handle(update.topology)
 
