What came or came up in time counts though the process lagged: timers look again behind the sockets

Cause: a process that lags runs the timer of a connect before it turns to its sockets, or before what a socket brought has been taken in (a connection that is up takes several turns of the loop). The backend was told off as well. Looked for on other paths: the same order, forced, turned an answer that lay in the socket into a time-out, into "out of time" of the whole request and into a spoilt one, and a whole command into "command without end".

Tests: five, over sockets, in which the loop stands still in the midst of its sockets until the timer is due; all red without the change.

--- a/tests/test_endings_attempts.py
+++ b/tests/test_endings_attempts.py
@@ -1,14 +1,28 @@
-"""What ends with an attempt: its one end is told once, whatever else falls into the same turn of the loop."""
+"""What ends with an attempt: its one end is told once, whatever else falls into the same turn of the loop,
+and what came in time counts though the process lagged.
+
+A lag is forced: what the other side did lies in the kernel, and the loop stands still until the timer is
+due, in the midst of its sockets: what came to the others meanwhile is behind the timers."""
 
 from __future__ import annotations
 
+import asyncio
+import os
+import socket
+import time
+from collections.abc import Callable
+
 import pytest
 
+from trackspread.backends import pools
+from trackspread.config.operator import ClientBounds, Operator
 from trackspread.decide.interface import Outcome
 
-from .fakes import run
+from .fakes import LOCAL, Backend, Connection, call, run, served, soon, world
 from .test_net_backends import bench
 
+TIME = 1.0  # s of each timer here: long enough to come to the halt before it is due
+
 
 @pytest.mark.parametrize("how", ["time-out", "cancel", "withdrawn"])
 def test_an_end_put_off_to_the_next_turn_is_not_told_behind_another(how: str) -> None:
@@ -25,3 +39,110 @@
             assert first[0] == 1 and b.ends.empty()
 
     run(test)
+
+
+def at_once(connection: Connection, data: bytes) -> None:
+    """Into the other side's socket, without a turn of the loop."""
+    descriptor = connection.writer.get_extra_info("socket").fileno()
+    assert os.write(descriptor, data) == len(data)
+
+
+async def halted(began: float, do: Callable[[], object]) -> None:
+    """From some socket's turn on the process stands still until the timer is due that began then; `do` is
+    what others do to it meanwhile."""
+    loop, (ours, theirs) = asyncio.get_running_loop(), socket.socketpair()
+    stood = loop.create_future()
+
+    def stand_still() -> None:
+        loop.remove_reader(ours)
+        do()
+        time.sleep(max(0.0, began + 1.1 * TIME - time.monotonic()))
+        stood.set_result(None)
+
+    with ours, theirs:
+        theirs.send(b"x")
+        loop.add_reader(ours, stand_still)
+        await soon(stood)
+
+
+def test_an_answer_that_lies_in_the_socket_comes_before_the_time_out_of_its_attempt() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            began = time.monotonic()
+            b.start(1, timeout=TIME)
+            connection, _ = await backend.command()
+            await halted(began, lambda: at_once(connection, served(b"v")))
+            assert (await b.end())[:3] == (1, Outcome.OK, b"v")
+
+    run(test)
+
+
+def test_an_answer_that_lies_in_the_socket_comes_before_the_end_of_its_requests_time() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client, began = await w.client(), time.monotonic()
+            client.send(call(wait_ms=int(TIME * 1000)))
+            connection, _ = await w.backend.command()
+            await halted(began, lambda: at_once(connection, served(b"v")))
+            assert await client.next() == b"v"
+
+    run(test)
+
+
+def test_the_rest_of_an_answer_that_lies_in_the_socket_is_not_missed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pools, "STALL", TIME)
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            connection, _ = await backend.command()
+            whole = served(b"v" * 100)
+            at_once(connection, whole[:50])
+            began = time.monotonic()
+            while not any(link.timer for link in b.pools._pools[7].links):
+                await asyncio.sleep(0)
+            await halted(began + 0.1, lambda: at_once(connection, whole[50:]))
+            assert (await b.end())[:3] == (1, Outcome.OK, b"v" * 100)
+
+    run(test)
+
+
+def test_a_connection_that_is_up_is_not_taken_for_late() -> None:
+    async def test() -> None:
+        with socket.create_server((LOCAL, 0)) as server:
+            server.setblocking(False)
+            async with bench(port=server.getsockname()[1], connect=TIME) as b:
+                began = time.monotonic()
+                b.start(1)
+                await asyncio.sleep(0)  # the connect goes out, and the kernel answers it
+                await halted(began, lambda: None)
+                loop = asyncio.get_running_loop()
+                taken, _ = await soon(loop.sock_accept(server))
+                assert await soon(loop.sock_recv(taken, 4096))
+                await soon(loop.sock_sendall(taken, served(b"v")))
+                assert (await b.end())[:2] == (1, Outcome.OK)
+                taken.close()
+
+    run(test)
+
+
+def test_the_rest_of_a_command_that_lies_in_the_socket_is_read_before_its_client_is_given_up(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("trackspread.fronts.connections.LOOK", TIME / 2)
+
+    async def test() -> None:
+        async with world(Operator(clients=ClientBounds(mute_s=TIME))) as w:
+            client, began = await w.client(), time.monotonic()
+            command = call()
+            at_once(client, command[:20])
+            while not any(each._half for each in w.node.clients._fresh):
+                await asyncio.sleep(0)
+            await halted(began + 0.1, lambda: at_once(client, command[20:]))
+            connection, _ = await w.backend.command()
+            connection.send(served(b"v"))
+            assert await client.next() == b"v"
+
+    run(test)
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -16,6 +16,7 @@
 from ..call import Call
 from ..config.addresses import Address
 from ..decide.interface import Outcome
+from ..lag import after_sockets
 from ..logs import Sparing
 from .ages import Ages
 from .seam import Dialect, Hearer, Report, Spoilt
@@ -160,7 +161,12 @@
         self.quiet()
         if not self._paused:
             wait = LONG_STALL if self.passing else STALL
-            self.timer = self.pool.owner.loop.call_later(wait, self._spoilt, "answer without end")
+            self.timer = self.pool.owner.loop.call_later(wait, self._endless)
+
+    def _endless(self) -> None:
+        """No more of the answer came in time, unless it lies in the socket."""
+        due, loop = self.timer, self.pool.owner.loop
+        after_sockets(loop, lambda: self._spoilt("answer without end") if self.timer is due else None)
 
     def begins(self, length: int) -> None:
         attempt = cast(Attempt, self.attempt)
@@ -256,7 +262,8 @@
         attempt.link = link
         self.links.add(link)
         self.owner.open += 1
-        link.timer = self.owner.loop.call_later(self.owner.connect_timeout, self._too_late, link)
+        loop, wait = self.owner.loop, self.owner.connect_timeout
+        link.timer = loop.call_later(wait, after_sockets, loop, self._not_up, link)
         link.task = self.owner.loop.create_task(self._connect(link))
 
     def _free(self, rested: float) -> _Link | None:
@@ -278,6 +285,11 @@
         except OSError:
             self._too_late(link)
 
+    def _not_up(self, link: _Link) -> None:
+        """Its time to come up is over."""
+        if link.transport is None:
+            self._too_late(link)
+
     def _too_late(self, link: _Link) -> None:
         """Refused, or not up in time: known never to have run."""
         attempt = link.attempt
@@ -379,7 +391,7 @@
     def start(self, attempt: Attempt, timeout: float | None) -> None:
         """Exactly one call of `done` follows, never before this returns."""
         if timeout is not None:
-            attempt.timer = self.loop.call_later(timeout, self.expire, attempt)
+            attempt.timer = self.loop.call_later(timeout, after_sockets, self.loop, self._due, attempt)
         pool = self._pools.get(attempt.backend)
         if pool is None:
             self.loop.call_soon(self.fail_unsent, attempt)
@@ -389,6 +401,11 @@
     def fail_unsent(self, attempt: Attempt) -> None:
         self.finish(attempt, Outcome.CONNECT_FAILED, None, {})
 
+    def _due(self, attempt: Attempt) -> None:
+        """Its time is over, and nothing of its answer has come."""
+        if attempt.timer is not None:
+            self.expire(attempt)
+
     def expire(self, attempt: Attempt) -> None:
         """Stop waiting. What never left the write buffer never ran, anything else may have."""
         link = attempt.link
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -17,6 +17,7 @@
 from ..call import Call
 from ..config.addresses import Address
 from ..config.operator import ClientBounds
+from ..lag import after_sockets
 from .bodies import Bodies
 from .client import Client, Slot
 from .seam import Front
@@ -58,6 +59,7 @@
         self.requests, self.bounds = requests, bounds
         loop = asyncio.get_running_loop()
         self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
+        self._loop = loop
         self.bound = most
         self.memory = int(memory * BUFFER_PART)  # bytes that all clients' rests may hold
         self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
@@ -71,7 +73,7 @@
         self._gone_looker: asyncio.TimerHandle | None = None
         self._looker: asyncio.TimerHandle | None = None
         self._last_came = 0.0
-        self.closing = False
+        self.closing = self._shut = False
         self.handing = False  # another process takes over: nothing new is taken here
         self._pass_on: PassOn | None = None
 
@@ -131,10 +133,13 @@
             came.close()
 
     def _look(self) -> None:
+        if self._shut:
+            return
         now, crowded = self.time(), self.count() > CROWDED * self.bound
         for client in [*self._fresh, *self._clients]:
             client.look(now, crowded)
-        self._looker = self._later(LOOK, self._look)
+        # What has come, or has been read, while this process lagged counts before a look does.
+        self._looker = self._later(LOOK, after_sockets, self._loop, self._look)
 
     def _look_gone(self) -> None:
         for client in [*self._fresh, *self._clients]:
@@ -214,6 +219,7 @@
 
     def shut(self) -> None:
         """Close everything as it stands."""
+        self._shut = True
         if self._looker is not None:
             self._looker.cancel()
         if self._gone_looker is not None:
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -14,6 +14,7 @@
 
 from ..config.addresses import Address, ConfigError, address
 from ..decide.interface import Backend, Health, ListKind, Topology
+from ..lag import after_sockets
 from ..logs import Sparing
 from .seam import ListError, Update, backend_id
 from .turns import PATIENCE, Turns
@@ -175,11 +176,13 @@
 
     def _listen(self) -> None:
         """A machine that vanished says nothing: silence ends the watch as a break would."""
+        if self.ended.done():
+            return
         left = self._heard_at + SILENCE - self._loop.time()
         if left <= 0:
             self._end("silent")
         else:
-            self._timer = self._loop.call_later(left, self._listen)
+            self._timer = self._loop.call_later(left, after_sockets, self._loop, self._listen)
 
     def data_received(self, data: bytes) -> None:
         self._heard_at = self._loop.time()
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -46,6 +46,7 @@
     Watch,
 )
 from ..fronts.client import Slot
+from ..lag import after_sockets
 from ..lists.seam import ListError
 from ..peers.datagrams import Peers
 from ..usage.record import Ending
@@ -139,7 +140,7 @@
         )
         if number in self.requests:
             delay = (valid_until - self.now()) / SECOND
-            request.timer = self._loop.call_later(max(0.0, delay), self.time_is_up, number)
+            request.timer = self._loop.call_later(max(0.0, delay), self._due, number)
 
     def left(self, number: int) -> None:
         request = self.requests.get(number)
@@ -152,14 +153,18 @@
                 # Whether settings allow to cancel does not matter for what was never written.
                 self.backends.withdraw(attempt)
 
+    def _due(self, number: int) -> None:
+        """An answer that is here already counts, where this process lagged."""
+        after_sockets(self._loop, self.time_is_up, number)
+
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
         request = self.requests.get(number)
-        if request is None:
+        if request is None or request.begun is not None:
             return
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
-            request.timer = self._loop.call_later(left / SECOND, self.time_is_up, number)
+            request.timer = self._loop.call_later(left / SECOND, self._due, number)
             return
         for attempt in list(request.out.values()):
             self.backends.expire(attempt)
