The test of SIGHUP names the second backend once it listens: what flaked was the test

The new agent's first list was made before the second backend listened, so with port 0, and made again only after SIGHUP; where the gateway called in between it learnt port 0.

--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -203,8 +203,8 @@
 def test_sighup_moves_discovery_and_keeps_the_rest_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         agent, second = Agent(), Backend()
-        agent.first = listing(2, host("s-2", second.port), whole=False)
         async with listening(agent), listening(second), running(tmp_path) as p:
+            agent.first = listing(2, host("s-2", second.port), whole=False)
             client = await p.client()
             client.send(call(number=1))
             before, _ = await p.backend.command()
@@ -218,7 +218,6 @@
             for _ in range(3):
                 p.process.send_signal(signal.SIGHUP)
             await p.logged(b"a restart is needed for name")
-            agent.first = listing(2, host("s-2", second.port), whole=False)
             assert b"index=1 " in await soon(agent.asked.get())
             before.send(served(b"one"))
             assert await client.next() == b"one"
