Units of what never came to a backend are given back to the customer

Seen by reading, from the list of endings not looked at, and shown by tests: a request whose connects were refused, whose client left before anything was written, or for which no backend was there, kept what it had taken of store, slice and ceiling, and peers were told of it as used. Checked: a home already takes back what it granted and nobody took; its asker told of it all the same.

Changed: a request knows what it took (differences of its account's stores, so any way of sharing limits does); if none of its attempts may have come whole, that goes back at its end. The total told to peers may only grow (a total that went back is read as a gateway begun anew): what was told and never used is kept, and later use counts for it first.

--- /dev/null
+++ b/tests/test_given_back.py
@@ -0,0 +1,136 @@
+"""Units of what never came to a backend are the customer's still: nothing was sent on, so nothing is used."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from trackspread.decide.broker import HOLD, Broker
+from trackspread.decide.interface import ClientLeft, Outcome, PeerMessage, Refuse, Send, Tell
+from trackspread.decide.mail import Draw, Kind, pack_draw, unpack_draw
+from trackspread.standins.settings import plan_settings
+
+from .fakes import call, host, listing, run, served, until, world
+from .helpers import MS, SECOND, UNSAFE, arrival, backend, ended, full_list, plan, settings
+
+# A store for one request, which takes long to fill.
+ONE = plan(rate=0.001, burst=1.0, over_cost=8.0)
+NEVER = [Outcome.CONNECT_FAILED, Outcome.MOOT]
+
+
+def gateway(**changes: Any) -> Broker:
+    made = Broker(settings(plans=(ONE,), max_attempts=1, **changes), 7, 0)
+    made.handle(0, full_list(*[backend(number) for number in range(1, 100)]))
+    return made
+
+
+def sent(gateway: Broker, number: int, now: int, **changes: Any) -> int:
+    """The backend it was sent to; 0 for none."""
+    actions = gateway.handle(now, arrival(number, now, cls=UNSAFE, **changes))
+    return next((action.backend for action in actions if isinstance(action, Send)), 0)
+
+
+# What a gateway may let through of one request's store: the store, or where none is ever heard a slice, whose
+# first part is drawn by lot, and one request by chance.
+WAYS = [({"gateways": 2}, 1, 1), ({"gateways": 1}, 1, 1), ({"gateways": 3, "may_message": False}, 3, 2)]
+
+
+@pytest.mark.parametrize("outcome", NEVER)
+@pytest.mark.parametrize(("way", "spread", "most"), WAYS)
+def test_a_request_whose_attempts_never_came_to_a_backend_uses_no_units(
+    way: dict[str, Any], spread: int, most: int, outcome: Outcome
+) -> None:
+    g = gateway(**way)
+    sends = 0
+    for n in range(60):
+        if to := sent(g, n, n * MS, spread=spread):
+            sends += 1
+            g.handle(n * MS, ended(n, to, outcome))
+    assert sends >= 10
+    # Those that came to a backend use them, whatever it then says.
+    came = 0
+    for n in range(100, 300):
+        if to := sent(g, n, n * MS, spread=spread):
+            came += 1
+            g.handle(n * MS, ended(n, to, Outcome.FULL))
+    assert 1 <= came <= most
+
+
+def test_a_client_that_left_before_anything_was_written_uses_no_units() -> None:
+    g = gateway()
+    assert sent(g, 1, 0, spread=1)
+    g.handle(MS, ClientLeft(1))
+    g.handle(MS, ended(1, 1, Outcome.MOOT, finished=True))
+    assert sent(g, 2, 2 * MS, spread=1)
+
+
+def test_a_request_for_which_there_is_no_backend_uses_no_units() -> None:
+    g = Broker(settings(plans=(ONE,)), 7, 0)
+    assert not sent(g, 1, 0, spread=1)
+    g.handle(0, full_list(backend(1)))
+    assert sent(g, 2, MS, spread=1)
+
+
+def test_what_peers_are_told_counts_only_what_came_to_a_backend() -> None:
+    """A total that went back would be taken for a gateway that has begun anew."""
+    g = gateway()
+    told = []
+    for n, outcome in enumerate([Outcome.OK, Outcome.CONNECT_FAILED, Outcome.OK, Outcome.MOOT, Outcome.OK]):
+        now = n * 2_000 * SECOND
+        assert sent(g, n, now, spread=1)
+        g.handle(now, ended(n, 1, outcome))
+        told.append(g.quota.accounts[1].sent)
+    assert told == sorted(told) and told[-1] == 4 * 3
+
+
+def test_an_asker_whose_grant_never_came_to_a_backend_is_not_counted_by_the_home_for_it() -> None:
+    """The home puts back what was granted and not taken; its asker tells of less with what it takes next."""
+    many = settings(plans=(ONE,), gateways=40, messages_per_s=1.0, max_attempts=1)
+    g = Broker(many, 7, 0)
+    g.handle(0, full_list(backend(1)))
+    customer = next(c for c in range(1, 99) if c % 40 != 0)
+    for n, outcome in enumerate([Outcome.CONNECT_FAILED, Outcome.OK]):
+        now = n * SECOND
+        asks = [a for a in g.handle(now, arrival(n, now, UNSAFE, customer, spread=40)) if isinstance(a, Tell)]
+        if not asks:
+            assert g.handle(now + HOLD, arrival(100 + n, now + HOLD, UNSAFE, customer, spread=40)) is not None
+        draw = unpack_draw(asks[0].data)
+        assert draw is not None
+        grant = Draw(Kind.GRANT, customer, 0, 1.0, draw.tag, 0)
+        actions = g.handle(now + MS, PeerMessage(asks[0].to or 0, pack_draw(grant)))
+        assert any(isinstance(action, Send) for action in actions)
+        g.handle(now + 2 * MS, ended(n, 1, outcome))
+    assert g.quota.accounts[customer].sent == 4
+
+
+def test_over_sockets_a_refused_connect_leaves_the_quota_as_it_was() -> None:
+    async def test() -> None:
+        async with world(packages=[plan_settings("team", 0.001, 1.0)]) as w:
+            (first,) = w.node.backends.known()
+            w.agent.tell(listing(2, host("s-1", 1)))  # where nobody listens
+            await until(lambda: w.node.backends._pools[first].address[1] == 1)
+            client = await w.client()
+            client.send(one_gateway(call(number=1)))
+            assert str(await client.next()).startswith("BUSY")
+            w.agent.tell(listing(3, host("s-2", w.backend.port)))
+            await until(lambda: w.node.backends.usable() and w.node.backends.known() != [first])
+            client.send(one_gateway(call(number=2)))
+            connection, _ = await w.backend.command()
+            connection.send(served(b"v"))
+            assert await client.next() == b"v"
+            client.send(one_gateway(call(number=3)))
+            assert str(await client.next()).startswith("BUSY") and w.backend.commands.empty()
+
+    run(test)
+
+
+def one_gateway(command: bytes) -> bytes:
+    """All of the customer's requests come here: the store is whole."""
+    return command.replace(b"spread=2", b"spread=1")
+
+
+def test_refusals_of_such_requests_are_refusals() -> None:
+    g = gateway()
+    assert sent(g, 1, 0, spread=1)
+    assert any(isinstance(a, Refuse) for a in g.handle(MS, ended(1, 1, Outcome.CONNECT_FAILED)))
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -238,6 +238,7 @@
         pays = plan.over_worth > plan.over_cost and not self.model.risen
         # Word this fresh is acted on at once, and the use told afterwards: no wait where gateways are few.
         knows = quota.counter and now - account.told_at < FRESH // 4
+        request.before = account.stores()
         if knows or quota.at_home(account):
             may = pays or quota.may(now, account, a.units)
             if may and quota.book(account, a.units, pays):
@@ -272,26 +273,29 @@
         return [action for request in still for action in self._within_quota(now, request)]
 
     def _alone(self, now: int, request: Open) -> list[Action]:
+        request.before = request.account.stores()
         may = self.quota.alone(now, request.account, request.arrival.units)
         return self._admit(now, request, False) if may else [self._refusal(request.arrival)]
 
     def _admit(self, now: int, request: Open, tell: bool) -> list[Action]:
-        a = request.arrival
+        a, account = request.arrival, request.account
         if (send := self._send(now, request)) is None:
+            account.give_back(account.taken_since(request.before))
             return [self._refusal(a)]
         self.open[a.request] = request
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
-        request.placed |= tell or self.quota.asks(request.account)
-        if self.quota.homes and not self.quota.at_home(request.account):
-            request.account.sent += round(4 * a.units)
-        return [send, self.quota.ask(now, request.account, a.units, Kind.TAKE)[1]] if tell else [send]
+        request.placed |= tell or self.quota.asks(account)
+        if self.quota.homes and not self.quota.at_home(account):
+            account.spend(a.units)
+        request.taken = account.taken_since(request.before)
+        return [send, self.quota.ask(now, account, a.units, Kind.TAKE)[1]] if tell else [send]
 
     def _decided(self, now: int, tag: int, granted: bool | None, more: list[Action]) -> list[Action]:
         """A held request goes on, or is refused; without an answer this gateway decides alone."""
         request = self.held.pop(tag, None)
         if request is None:
             return more
-        request.placed = granted is True
+        request.placed, request.before = granted is True, request.account.stores()
         request.account.asking -= self.quota.asks(request.account)
         if self.open.pop(request.arrival.request, None):
             if granted is None:
@@ -390,9 +394,13 @@
         self.fleet.ended(now, event, (cls, request.arrival.plan), event.elapsed / usual)
         if event.outcome not in NEVER_RAN:
             request.may_have_run = True
+        request.came |= event.outcome not in (Outcome.CONNECT_FAILED, Outcome.MOOT)
         if event.finished:
             self.open.pop(event.request, None)
         again = [] if request.out or event.request not in self.open else self._try_again(now, request)
+        if not (request.out or request.came or event.request in self.open):
+            account.give_back(request.taken)
+            request.came = True
         return again + self._release(now, request)
 
     def _began(self, event: Begun) -> None:
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -409,7 +409,7 @@
         account.ceiling -= units
         if within and account.plan.rate:
             account.level, account.tells = account.level - units, 3
-            account.sent += round(4 * units)
+            account.spend(units)
         return True
 
     def alone(self, now: int, account: Account, units: float) -> bool:
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -11,6 +11,8 @@
 from .interface import Arrival, Backend, Plan
 
 T = TypeVar("T")
+Stores = tuple[float, float, float, int]  # level, part, ceiling, quarter units not told as used
+NOTHING: Stores = (0.0, 0.0, 0.0, 0)
 SECOND = 1_000_000_000
 # Time constants of recent means.
 MEMORY = 1 * SECOND  # time constant of recent means: a few dozen answers at the usual rates
@@ -106,6 +108,27 @@
     tellers: dict[int, int] = field(default_factory=dict)  # at home: others whose stores came here, and when
     homed: int = -1  # by which of the views taken in so far its home was found
     refused_for: str = ""  # which limit turned its last refused request away, where the host asks
+    unspent: int = 0  # quarter units counted in `sent` that never came to a backend: later ones count for it
+
+    def spend(self, units: float) -> None:
+        """Count units as sent on inside the quota. What is told of them to others may only grow."""
+        quarters = round(4 * units)
+        again = min(quarters, self.unspent)
+        self.unspent, self.sent = self.unspent - again, self.sent + quarters - again
+
+    def stores(self) -> Stores:
+        return self.level, self.part, self.ceiling, self.unspent - self.sent
+
+    def taken_since(self, before: Stores) -> Stores:
+        return (before[0] - self.level, before[1] - self.part, before[2] - self.ceiling,
+                before[3] - self.unspent + self.sent)
+
+    def give_back(self, taken: Stores) -> None:
+        """What the stores had more before; they are not overfilled for long, as each refill is bounded."""
+        level, part, ceiling, quarters = taken
+        self.level = max(self.level, min(self.plan.burst, self.level + level))
+        self.part, self.ceiling = self.part + part, self.ceiling + ceiling
+        self.unspent += quarters
 
 
 @dataclass(slots=True)
@@ -143,3 +166,6 @@
     began: int = 0  # ns from an attempt's start to the first byte of its long value
     asked_at: int = 0
     placed: bool = False  # counted as out on the counter
+    before: Stores = NOTHING  # in the account's stores before it took of them ...
+    taken: Stores = NOTHING  # ... and what it took
+    came: bool = False  # whether an attempt may have come whole to a backend: then the units are used
