--- a/trackspread/standins/scene.py
+++ b/trackspread/standins/scene.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -49,7 +50,9 @@
 class Scene:
     """A fleet of gateways and rating nodes; `load` is what is asked, as part of what the nodes can do.
 
-    `greedy`: part of the customers that ask for several times their quota. `customers`: how many at most."""
+    `greedy`: part of the customers that ask for several times their quota. `customers`: how many at most.
+    `plans`: each asked for by an even part of the customers but the first, which most have. `allow`: what the
+    settings say otherwise than usual, by section and key."""
 
     gateways: int = 3
     nodes: int = 9
@@ -67,6 +70,9 @@
     beyond_most: float = 1.0
     habit: Habit = field(default_factory=Habit)
     classes: tuple[SceneClass, ...] = CLASSES
+    plans: Mapping[str, PlanRule] = field(default_factory=lambda: PLANS)
+    zones: tuple[str, ...] = ZONES
+    allow: tuple[tuple[str, str, Any], ...] = ()
 
     def specs(self) -> list[NodeSpec]:
         return [self.spec(number) for number in range(self.nodes)]
@@ -76,7 +82,8 @@
         name = f"s-{number}" + (f"-{generation}" if generation else "")
         cell = number // 3
         return NodeSpec(
-            name, ZONES[cell % len(ZONES)], "m1", cell, start=self.start, warm=self.warm,
+            name, self.zones[cell % len(self.zones)] if self.zones else "", "m1", cell,
+            start=self.start, warm=self.warm,
         )
 
     def successor(self, spec: NodeSpec) -> NodeSpec:
@@ -98,7 +105,7 @@
         """The judge's figures."""
         rules = {c.name: ClassRule(c.repeat, c.group, self.window) for c in self.classes}
         return World(
-            rules, PLANS, self.grace, self.fall_window, self.fall_multiple, self.tolerance,
+            rules, dict(self.plans), self.grace, self.fall_window, self.fall_multiple, self.tolerance,
             beyond_most=self.beyond_most,
         )
 
@@ -110,14 +117,16 @@
         ]
         plans = [
             plan_settings(name, p.rate, p.burst, (p.ceiling_rate, p.ceiling_burst, p.ceiling_slack))
-            for name, p in PLANS.items()
+            for name, p in self.plans.items()
         ]
-        made = nested_settings(classes, plans, position, self.gateways, zones=ZONES)
-        made["zone"] = position % len(ZONES)
+        made = nested_settings(classes, plans, position, self.gateways, zones=self.zones)
+        made["zone"] = position % max(1, len(self.zones))
         made["rules"].update(
             drainGrace=self.grace, fall=self.fall_window, fallMultiple=self.fall_multiple,
             startCapacity=self.start, warmUp=self.warm,
         )
+        for section, key, value in self.allow:
+            made[section][key] = value
         return made
 
     def crowd(self) -> Crowd:
@@ -128,12 +137,14 @@
         made: list[Customer] = []
         asked = 0.0
         while len(made) < self.customers and asked < total:
-            plan = "full" if rng.random() < 0.3 else "basic"
+            (usual, *others), lot = self.plans, rng.random()
+            plan = others[int(lot / 0.3 * len(others))] if others and lot < 0.3 else usual
             spread = min(self.gateways, rng.randint(2, 4))
             use = rng.uniform(2.0, 4.0) if rng.random() < self.greedy else rng.uniform(0.2, 0.9)
             first = rng.randrange(self.gateways)
+            rate = self.plans[plan].rate * use
             made.append(Customer(
-                rng.getrandbits(33), plan, PLANS[plan].rate * use, spread, first, draw_weights(rng, spread)
+                rng.getrandbits(33), plan, rate, spread, first, draw_weights(rng, spread)
             ))
             asked += made[-1].rate
         classes = tuple(
