--- a/tests/test_generated_settings.py
+++ b/tests/test_generated_settings.py
@@ -100,5 +100,5 @@
         if verdict.state != "void":
             break
     assert verdict.state == "kept", [str(each) for each in verdict.violations[:5]]
-    # Where gateways hear nothing of one another, ceilings in even slices turn most of a short run's tries away.
+    # Where gateways hear of nobody, ceilings in even slices turn most of a short run's tries away.
     assert verdict.figures.served >= SERVED_LEAST * verdict.figures.tries > 0.0
