A quota of any size is evaluated within the model's range: a huge one froze the gateway

Checked by a sampling profile: all of it in seven_cases, called by Broker._evaluate for each arriving customer. Under pressure it goes down from what the quota allows (two million levels) to what the model lets hold, one level at a time. Ruled out: sockets, the choice of backends, refusals. Lines at fault: `fewer` in decide/model.py.

Changed: where response or the others' goal fails for what is wanted, it fails down to the end of what the model has worked out, as it answers the same beyond; so the search begins there. 300 random cases, constant beyond that level, give the same offers as the whole search.

Tests: the 300 cases; two million levels cost 500 questions at most; three customers of such a plan under pressure cost the broker under 1,000.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
+from trackspread.decide.broker import Broker
 from trackspread.decide.model import TICK, Goal, QueueModel, mean_values, seven_cases
 
-from .helpers import MS, SECOND, settings
+from .helpers import MS, SECOND, arrival, backend, full_list, plan, settings
 
 
 def test_mean_value_analysis_of_one_customer_has_no_queue() -> None:
@@ -84,7 +87,56 @@
 
 @pytest.mark.parametrize(("response", "throughput", "others", "offered"), CASES)
 def test_seven_cases(response: Goal, throughput: Goal, others: Goal, offered: int) -> None:
-    assert seven_cases(5, response, throughput, others) == offered
+    assert seven_cases(5, 99, response, throughput, others) == offered
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_levels_past_the_models_range_are_passed_over_and_change_nothing(seed: int) -> None:
+    """Beyond what the model has worked out its answers are the same at every level."""
+    rng = random.Random(seed)
+    flat, wanted = rng.randint(1, 12), rng.randint(2, 40)
+    held = [[rng.random() < 0.5 for _ in range(flat + 1)] for _ in range(2)]
+    least = rng.randint(1, 2 * wanted)
+
+    def of(which: int) -> Goal:
+        return lambda n: held[which][min(n, flat)]
+
+    goals = of(0), at_least(least), of(1)
+    assert seven_cases(wanted, flat, *goals) == seven_cases(wanted, wanted, *goals)
+
+
+def test_a_quota_of_any_size_costs_no_more_than_the_models_range() -> None:
+    """Seen with a plan of a million units a second: under pressure each customer's evaluation took seconds,
+    and the gateway answered nobody."""
+    asked = 0
+
+    def others(n: int) -> bool:
+        nonlocal asked
+        asked += 1
+        return n < 100
+
+    assert seven_cases(2_000_000, 500, at_most(100), at_least(1), others) == 99
+    assert asked <= 500
+
+
+def test_under_pressure_a_customer_with_a_huge_quota_is_evaluated_as_fast_as_any() -> None:
+    gateway, asked = Broker(settings(gateways=1, plans=(plan(rate=1e6, burst=1e6),)), 7, 0), 0
+    gateway.handle(0, full_list(backend(1)))
+    model = gateway.model
+    model.risen, model.delay, model.times = True, 1.0 * MS, [n * 100.0 * MS for n in range(60)]
+    response = model.response
+
+    def counted(n: float) -> float:
+        nonlocal asked
+        asked += 1
+        return response(n)
+
+    model.response = counted  # type: ignore[method-assign]
+    for customer in range(3):
+        gateway.quota.account(0, customer, 0).in_flight.add(0, 3.0)
+        gateway.handle(0, arrival(customer, 0, customer=customer, spread=1))
+    assert 0 < asked < 1_000
+    assert all(1 <= account.cap < 60 for account in list(gateway.active.values())[1:])
 
 
 def test_a_gateway_with_few_answers_sees_a_rise() -> None:
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -201,7 +201,7 @@
             return self.model.response(others + n) - self.model.delay
 
         offered = seven_cases(
-            max(wanted, ceil(account.in_flight.value)),
+            max(wanted, ceil(account.in_flight.value)), len(self.model.times),
             lambda n: wait(n) <= account.room,
             lambda n: n * SECOND >= least * (self.model.delay + wait(n)),
             lambda n: wait(n) <= room and self.model.delay + wait(n) <= slowest,
--- a/trackspread/decide/model.py
+++ b/trackspread/decide/model.py
@@ -93,19 +93,21 @@
         return self.times[min(max(0, round(n)), len(self.times) - 1)]
 
 
-def seven_cases(wanted: int, response: Goal, throughput: Goal, others: Goal) -> int:
-    """The paper's section 5: concurrency offered, 0 to reject; each goal tells whether it holds at one."""
+def seven_cases(wanted: int, flat: int, response: Goal, throughput: Goal, others: Goal) -> int:
+    """The paper's section 5: concurrency offered, 0 to reject; each goal tells whether it holds at one. From
+    `flat` on `response` and `others` no longer change: where one fails for what is wanted, it fails down to
+    there, and a quota of any size costs no more levels than the model has."""
 
     def first(levels: range, *goals: Goal) -> int:
         return next((n for n in levels if all(goal(n) for goal in goals)), 0)
 
-    fewer, more = range(wanted - 1, 0, -1), range(wanted + 1, 2 * wanted + 1)
-
+    fewer, more = range(min(wanted - 1, flat), 0, -1), range(wanted + 1, 2 * wanted + 1)
+    fewest = range(1, wanted)
     r, x, w = response(wanted), throughput(wanted), others(wanted)
     if w and r and x:
         return wanted  # case 1
     if w and x:  # case 2: too slow; fewer, or else the fewest that keep the throughput
-        return first(fewer, response, throughput) or first(fewer[::-1], throughput) or wanted
+        return first(fewer, response, throughput) or first(fewest, throughput) or wanted
     if w and r:  # case 3: too little throughput; more, or else as many as stay fast enough
         return first(more, response, throughput, others) or first(more[::-1], response, others) or wanted
     if w:  # case 4: both
