--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -231,11 +231,18 @@
         }
 
 
-class _Older(GatewayProcess):
+class Older(GatewayProcess):
     """A gateway of another checkout."""
 
     checkout = Path()
 
+    @classmethod
+    def check_out(cls, commit: str, folder: Path) -> None:
+        folder.mkdir()
+        archive = subprocess.run(["git", "archive", commit], capture_output=True, check=True)
+        subprocess.run(["tar", "-x", "-C", str(folder)], input=archive.stdout, check=True)
+        cls.checkout = folder
+
     async def start(self) -> None:
         here = os.getcwd()
         os.chdir(self.checkout)
@@ -245,16 +252,12 @@
             os.chdir(here)
 
 
-async def cpu_ratio(folder: Path, span: float, rounds: int) -> float:
-    """CPU a request, short values, over that of `BEFORE`, taken in turn. Single turns differ by a half on a
+async def cpu_ratio(folder: Path, span: float, rounds: int, commit: str = BEFORE) -> float:
+    """CPU a request, short values, over that of `commit`, taken in turn. Single turns differ by a half on a
     noisy machine, in either direction: all turns of each count together."""
-    before = folder / "before"
-    before.mkdir()
-    archive = subprocess.run(["git", "archive", BEFORE], capture_output=True, check=True)
-    subprocess.run(["tar", "-x", "-C", str(before)], input=archive.stdout, check=True)
-    _Older.checkout = before
+    Older.check_out(commit, folder / "before")
     process, nodes = await spawn("nodes", "9")
-    spent = {_Older: 0.0, GatewayProcess: 0.0}
+    spent = {Older: 0.0, GatewayProcess: 0.0}
     try:
         for _ in range(rounds):
             for kind in spent:
@@ -262,7 +265,7 @@
     finally:
         process.kill()
         await process.wait()
-    return spent[GatewayProcess] / spent[_Older]
+    return spent[GatewayProcess] / spent[Older]
 
 
 async def measure(quick: bool) -> dict[str, float]:
