The module is played under settings at the ends of what may be given: two divisions by nothing

After a plan of a million units froze the gateway, the module is played with figures from 0 to 10^12 beside one another (rates, bursts, ceilings, places, costs, attempts, messages, warm-up, grace, largest request, 1 to 200 gateways), random events, and the model risen at times.

--- a/trackspread/decide/fleet.py
+++ b/trackspread/decide/fleet.py
@@ -67,7 +67,7 @@
         booted, start = server.entry.booted, self.s.start_capacity
         if not booted or now - booted >= self.s.warm_up:
             return 1.0
-        return start + (1.0 - start) * max(0, now - booted) / self.s.warm_up
+        return start + (1.0 - start) * max(0, now - booted) / max(1, self.s.warm_up)
 
     def ready(self, now: int, server: Server) -> bool:
         if not server.usable or now < server.suspended:
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -441,10 +441,11 @@
         unused."""
         plan, span = account.plan, min(LONG, now - self.born) / SECOND
         limited, owed = plan.rate or plan.open_limit or plan.ceiling_rate, units - account.part
-        paid = (plan.burst + plan.rate * span) * self.even(now, account) / self.s.largest
+        largest = max(self.s.largest, units)
+        paid = (plan.burst + plan.rate * span) * self.even(now, account) / largest
         chance = blind_chance(plan.over_cost) * (1.0 + paid) if plan.rate else 1.0
         chance *= UNTOLD if plan.open_limit else 1.0
-        lucky = not limited or owed <= 0.0 or (owed <= self.s.largest and self.rng.random() < chance)
+        lucky = not limited or owed <= 0.0 or (owed <= largest and self.rng.random() < chance)
         if not lucky or not self.may(now, account, units):
             return False
         account.part -= units if plan.rate else 0.0
