--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -60,9 +60,9 @@
     """A drained backend gets what was decided before, however late."""
     real = Pools.learn
 
-    def mutant(self: Pools, backend: int, address: Any, old: bool = False) -> None:
+    def mutant(self: Pools, backend: int, address: Any, old: bool = False, booted: int = 0) -> None:
         if address is not None:
-            real(self, backend, address, old)
+            real(self, backend, address, old, booted)
 
     return [patch.object(Pools, "learn", mutant), *MUTANTS["drains-ignored"].patches()]
 
