A repeat of a keyed request that comes up after its window is not written

Followed by a trace of the repeats: zones and cells fit, the window is 1 s there, repeats are decided up to 0.988 s after the first attempt, and a third of the connections come up as much as 0.2 s later (at most 1.5 s): written past the window. Ruled out: a filter that lets another group pass, a first attempt whose outcome was told wrongly. Lines at fault: _Pool.connected wrote whatever came up; only a drain's grace was looked at there.

Changed: the module's Send names the end of the window where it repeats a keyed request; an attempt that comes up later, or whose last byte is not out by then, ends as one that never ran and says nothing of the backend.

Tests, over sockets: a repeat that is up too late and one that is not out in time (red without the change in the pools); the module names the window's end for keyed repeats alone.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -459,3 +459,14 @@
     g.model.limit = 4
     sent = [bool(sends(g.handle(SECOND, arrival(i, SECOND, customer=i)))) for i in range(1, 20)]
     assert sent == [True] * most + [False] * (19 - most)
+
+
+@pytest.mark.parametrize("cls", [SAFE, KEYED])
+def test_a_keyed_request_that_is_sent_again_names_the_end_of_its_window(cls: int) -> None:
+    """Whoever carries it out may come to write it only after that."""
+    g = gateway()
+    (first,) = [a for a in g.handle(0, arrival(1, 0, cls=cls)) if isinstance(a, Send)]
+    assert first.until == 0
+    later = 300 * MS
+    again = [a for a in g.handle(later, ended(1, first.backend, Outcome.RESET)) if isinstance(a, Send)]
+    assert [a.until for a in again] == [2 * SECOND if cls == KEYED else 0]
--- a/tests/test_endings_attempts.py
+++ b/tests/test_endings_attempts.py
@@ -19,7 +19,7 @@
 from trackspread.decide.interface import Outcome
 
 from .fakes import LOCAL, Backend, Connection, call, run, served, soon, world
-from .test_net_backends import bench
+from .test_net_backends import CLOCK, bench
 
 TIME = 1.0  # s of each timer here: long enough to come to the halt before it is due
 
@@ -146,3 +146,33 @@
             assert await client.next() == b"v"
 
     run(test)
+
+
+@pytest.mark.parametrize("late", ["to come up", "to go out"])
+def test_a_repeat_that_is_too_late_for_its_window_is_not_written(late: str) -> None:
+    """Seen on the bench: decided 0.99 s after the first attempt, written 0.2 s later, as its connection came
+    up late; the window was 1 s."""
+
+    async def test() -> None:
+        with socket.create_server((LOCAL, 0)) as server:
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            server.setblocking(False)
+            async with bench(port=server.getsockname()[1]) as b:
+                body = b"x" * (4 << 20)  # over what both sockets hold
+                wait = 1 if late == "to come up" else 300_000_000
+                attempt = b.start(1, body=body, until=CLOCK() + wait)
+                loop = asyncio.get_running_loop()
+                taken, _ = await soon(loop.sock_accept(server))
+                assert (await b.end())[:2] == (1, Outcome.MOOT)
+                assert not attempt.written and CLOCK() >= attempt.until
+                got = 0
+                try:
+                    while piece := await soon(loop.sock_recv(taken, 1 << 16)):
+                        got += len(piece)
+                except ConnectionResetError:
+                    pass
+                assert got == 0 if late == "to come up" else got < len(body)
+                taken.close()
+                assert b.pools.open == 0
+
+    run(test)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -51,12 +51,13 @@
         raise AssertionError("not wanted")
 
     def start(
-        self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7
+        self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7,
+        until: int = 0,
     ) -> Attempt:
         now = CLOCK()
         words = Words((b"CALL.POST", b"c", b"i"), b"c=x,", b",k=y", (body,))
         call = Call(words, b"i", 0, 0, 1, 3000, 1.0, 1, 0, 0)
-        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, call)
+        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, call, until)
         self.pools.start(attempt, timeout)
         return attempt
 
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -35,19 +35,22 @@
 RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
 SWEEP = 1.0  # s between looks for idle connections to retire
 AGE_BREAK = 0.02  # s after a request's last byte in which a reset is the answer to it: over a round trip
-MILLISECOND = 1_000_000
+MILLISECOND, SECOND = 1_000_000, 1_000_000_000
+
 
 class Attempt:
     """One try of one request at one backend; a probe if `call` is None."""
 
     __slots__ = ("backend", "call", "expires", "index", "link", "over", "request", "started", "timer",
-                 "written")
+                 "until", "written")
 
     def __init__(
-        self, request: int, index: int, backend: int, started: int, expires: int, call: Call | None
+        self, request: int, index: int, backend: int, started: int, expires: int, call: Call | None,
+        until: int = 0,
     ) -> None:
+        """`until`: ns of the clock by which its last byte has to be out, 0 for no such time."""
         self.request, self.index, self.backend = request, index, backend
-        self.started, self.expires = started, expires
+        self.started, self.expires, self.until = started, expires, until
         self.call = call
         self.link: _Link | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -114,6 +117,15 @@
         self.unsent = transport.is_closing() or transport.get_write_buffer_size() > 0
         if not self.unsent:
             self._out()
+        elif attempt.until:
+            wait = max(0, attempt.until - now) / SECOND
+            self.timer = self.pool.owner.loop.call_later(wait, self._window_over)
+
+    def _window_over(self) -> None:
+        """A repeat that has not gone out whole may not go out any more."""
+        if (attempt := self.attempt) is not None and self.unsent:
+            self.drop()
+            self.pool.finish(attempt, Outcome.MOOT)
 
     def _out(self) -> None:
         """The request's last byte has gone out: told once, however the buffer came to be empty."""
@@ -304,7 +316,13 @@
             # Rule 3: decided before the drain was told, but too late to be written now.
             self._too_late(link)
             return
-        link.write(attempt, self.owner.clock())
+        now = self.owner.clock()
+        if attempt.until and now >= attempt.until:
+            # Rule 2: decided within the window for repeats, but up too late. It says nothing of the backend.
+            link.drop()
+            self.finish(attempt, Outcome.MOOT)
+            return
+        link.write(attempt, now)
 
     def release(self, link: _Link) -> None:
         """Back to the top of the stack: the rest below grow old and are retired."""
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -352,7 +352,9 @@
         request.sends, request.out, request.sent_at = request.sends + 1, request.out + 1, now
         self.out += 1
         self.quota.opened(request.account, 1)
-        return Send(a.request, server.entry.id, self._patience(now, request))
+        cls, repeated = self.s.classes[a.cls], request.may_have_run
+        until = request.keyed_at + cls.window if repeated and cls.repeat is Repeat.KEYED else 0
+        return Send(a.request, server.entry.id, self._patience(now, request), until)
 
     def _patience(self, now: int, request: Open) -> int:
         """Time-out of an attempt, or 0: guards against lost answers, hung backends, classes left unanswered,
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -338,7 +338,7 @@
         left = request.valid_until - now
         timeout = action.timeout / SECOND if 0 < action.timeout < left else None
         expires = now + (action.timeout if timeout is not None else left)
-        attempt = Attempt(action.request, index, action.backend, now, expires, request.call)
+        attempt = Attempt(action.request, index, action.backend, now, expires, request.call, action.until)
         request.out[index] = attempt
         if self.testator is not None:
             self.testator.sent(attempt)
