--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -295,8 +295,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; `timeout` 0 means until the client gives up. `until`: when the window for repeats ends,
-    0 for none: what has not gone out whole by then may not go out any more (rule 2)."""
+    """Start an attempt; `timeout` 0 means until the client gives up. `until`: when its window ends, 0 for
+    none: what has not gone out whole by then may not go out any more (rule 2)."""
 
     request: int
     backend: int
