Whether anybody is heard follows from what is known: a view brings word of others

Read once more: Quota.blind was reckoned at the start alone, so a gateway whose settings give no address for word between gateways and that then takes up a view went on as one that hears of nobody (a slice overdrawn by chance, its store's use not told to the next home). It is derived now; test red before.

--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -8,7 +8,7 @@
 import pytest
 
 from trackspread.decide.broker import EVERY_TICK, FORGET_ONCE, Broker
-from trackspread.decide.interface import Send, TimerFired
+from trackspread.decide.interface import FleetChanged, Send, TimerFired
 from trackspread.decide.quota import OVER_PRICE, blind_chance
 
 from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
@@ -95,6 +95,14 @@
     assert chances[0] == 1.0 and chances == sorted(chances, reverse=True) and 0.2 < chances[-1] < 0.3
 
 
+def test_where_a_view_brings_word_of_others_nobody_is_unheard() -> None:
+    quota = Broker(settings(gateways=200, may_message=False), 7, 0).quota
+    assert quota.blind
+    seats = tuple(1 << n for n in range(2))
+    quota.joined(0, FleetChanged(0, (1,), (0, 1), seats, 1, (2,), 30 * SECOND, 60 * SECOND))
+    assert not quota.blind
+
+
 def test_a_plan_without_limits_is_let_through_though_nobody_is_heard() -> None:
     free = plan(rate=0.0, burst=0.0)
     gateway = Broker(settings(gateways=200, plans=(free,), may_message=False), 7, 0)
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -402,7 +402,6 @@
         again = [] if request.out or event.request not in self.open else self._try_again(now, request)
         if not (request.out or request.came or event.request in self.open):
             account.give_back(request.taken)
-            request.came = True
         return again + self._release(now, request)
 
     def _began(self, event: Begun) -> None:
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -87,8 +87,6 @@
         self._regime(1.0)
         told = settings.may_message or self.rights
         self.counter = settings.counter and not told and settings.gateways > 1
-        # No word, no counter, no meter: then nothing of what others let through is ever known.
-        self.blind = not (told or self.counter or settings.meter_period)
         self.granted = [Mean(LONG) for _ in settings.plans]
         self.calls: dict[int, deque[tuple[int, float, bool, float]]] = {}  # ask, amount, fix, owed
         self.tag, self.pace, self.restarted, self.lack_at = 0, 1.0, False, now
@@ -99,6 +97,10 @@
         self.gossip = self.s.may_message and self.every <= room * FRESH // 4
         self.homes = self.s.may_message and not self.gossip
 
+    @property
+    def blind(self) -> bool:  # no word (a view brings it), no counter, no meter: nothing of others is known
+        return not (self.s.may_message or self.rights or self.counter or self.s.meter_period)
+
     def joined(self, now: int, event: FleetChanged) -> None:
         """Another view, or another part of all limits. What is here was filled by the old ones until now."""
         if self.rights:
