--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -11,12 +11,13 @@
 import select
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 from ..call import Call
 from ..config.addresses import Address
 from ..decide.interface import Outcome
-from ..lag import after_sockets
+from ..lag import Later
 from ..logs import Sparing
 from .ages import Ages
 from .seam import Dialect, Hearer, Report, Spoilt
@@ -53,7 +54,7 @@
         self.started, self.expires, self.until = started, expires, until
         self.call = call
         self.link: _Link | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Later | None = None
         self.written = False
         self.over = False  # its end has been told
 
@@ -81,7 +82,7 @@
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Later | None = None
         self.answers = pool.owner.dialect.answers()
         self.unsent = True
         self.idle_at = self.written_at = 0.0
@@ -118,14 +119,8 @@
         if not self.unsent:
             self._out()
         elif attempt.until:
-            wait = max(0, attempt.until - now) / SECOND
-            self.timer = self.pool.owner.loop.call_later(wait, self._window_over)
-
-    def _window_over(self) -> None:
-        """A repeat that has not gone out whole may not go out any more."""
-        if (attempt := self.attempt) is not None and self.unsent:
-            self.drop()
-            self.pool.finish(attempt, Outcome.MOOT)
+            owner = self.pool.owner  # not behind the sockets: its last bytes could go out in those turns
+            owner.loop.call_later(max(0, attempt.until - now) / SECOND, owner.withdraw, attempt)
 
     def _out(self) -> None:
         """The request's last byte has gone out: told once, however the buffer came to be empty."""
@@ -173,12 +168,7 @@
         self.quiet()
         if not self._paused:
             wait = LONG_STALL if self.passing else STALL
-            self.timer = self.pool.owner.loop.call_later(wait, self._endless)
-
-    def _endless(self) -> None:
-        """No more of the answer came in time, unless it lies in the socket."""
-        due, loop = self.timer, self.pool.owner.loop
-        after_sockets(loop, lambda: self._spoilt("answer without end") if self.timer is due else None)
+            self.timer = Later(self.pool.owner.loop, wait, partial(self._spoilt, "answer without end"))
 
     def begins(self, length: int) -> None:
         attempt = cast(Attempt, self.attempt)
@@ -274,8 +264,7 @@
         attempt.link = link
         self.links.add(link)
         self.owner.open += 1
-        loop, wait = self.owner.loop, self.owner.connect_timeout
-        link.timer = loop.call_later(wait, after_sockets, loop, self._not_up, link)
+        link.timer = Later(self.owner.loop, self.owner.connect_timeout, partial(self._too_late, link))
         link.task = self.owner.loop.create_task(self._connect(link))
 
     def _free(self, rested: float) -> _Link | None:
@@ -297,11 +286,6 @@
         except OSError:
             self._too_late(link)
 
-    def _not_up(self, link: _Link) -> None:
-        """Its time to come up is over."""
-        if link.transport is None:
-            self._too_late(link)
-
     def _too_late(self, link: _Link) -> None:
         """Refused, or not up in time: known never to have run."""
         attempt = link.attempt
@@ -318,9 +302,8 @@
             return
         now = self.owner.clock()
         if attempt.until and now >= attempt.until:
-            # Rule 2: decided within the window for repeats, but up too late. It says nothing of the backend.
-            link.drop()
-            self.finish(attempt, Outcome.MOOT)
+            # Rule 2: decided within the window for repeats, but up too late.
+            self.owner.withdraw(attempt)
             return
         link.write(attempt, now)
 
@@ -409,7 +392,7 @@
     def start(self, attempt: Attempt, timeout: float | None) -> None:
         """Exactly one call of `done` follows, never before this returns."""
         if timeout is not None:
-            attempt.timer = self.loop.call_later(timeout, after_sockets, self.loop, self._due, attempt)
+            attempt.timer = Later(self.loop, timeout, partial(self.expire, attempt))
         pool = self._pools.get(attempt.backend)
         if pool is None:
             self.loop.call_soon(self.fail_unsent, attempt)
@@ -419,11 +402,6 @@
     def fail_unsent(self, attempt: Attempt) -> None:
         self.finish(attempt, Outcome.CONNECT_FAILED, None, {})
 
-    def _due(self, attempt: Attempt) -> None:
-        """Its time is over, and nothing of its answer has come."""
-        if attempt.timer is not None:
-            self.expire(attempt)
-
     def expire(self, attempt: Attempt) -> None:
         """Stop waiting. What never left the write buffer never ran, anything else may have."""
         link = attempt.link
@@ -434,8 +412,8 @@
         self._abandon(attempt, Outcome.CANCELLED)
 
     def withdraw(self, attempt: Attempt) -> None:
-        """Nobody is there any more for whom it would be written: what has not gone out whole never will. It
-        says nothing about the backend."""
+        """Nobody is there any more for whom it would be written, or it may not be sent again any more: what
+        has not gone out whole never will. It says nothing about the backend."""
         if not attempt.written:
             self._abandon(attempt, Outcome.MOOT)
 
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -17,7 +17,7 @@
 from ..call import Call
 from ..config.addresses import Address
 from ..config.operator import ClientBounds
-from ..lag import after_sockets
+from ..lag import Later
 from .bodies import Bodies
 from .client import Client, Slot
 from .seam import Front
@@ -71,9 +71,9 @@
         self._fresh: dict[Client, None] = {}  # those that have not
         self._servers: list[asyncio.Server] = []
         self._gone_looker: asyncio.TimerHandle | None = None
-        self._looker: asyncio.TimerHandle | None = None
+        self._looker: Later | None = None
         self._last_came = 0.0
-        self.closing = self._shut = False
+        self.closing = False
         self.handing = False  # another process takes over: nothing new is taken here
         self._pass_on: PassOn | None = None
 
@@ -133,13 +133,11 @@
             came.close()
 
     def _look(self) -> None:
-        if self._shut:
-            return
         now, crowded = self.time(), self.count() > CROWDED * self.bound
         for client in [*self._fresh, *self._clients]:
             client.look(now, crowded)
         # What has come, or has been read, while this process lagged counts before a look does.
-        self._looker = self._later(LOOK, after_sockets, self._loop, self._look)
+        self._looker = Later(self._loop, LOOK, self._look)
 
     def _look_gone(self) -> None:
         for client in [*self._fresh, *self._clients]:
@@ -219,7 +217,6 @@
 
     def shut(self) -> None:
         """Close everything as it stands."""
-        self._shut = True
         if self._looker is not None:
             self._looker.cancel()
         if self._gone_looker is not None:
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -14,7 +14,7 @@
 
 from ..config.addresses import Address, ConfigError, address
 from ..decide.interface import Backend, Health, ListKind, Topology
-from ..lag import after_sockets
+from ..lag import Later
 from ..logs import Sparing
 from .seam import ListError, Update, backend_id
 from .turns import PATIENCE, Turns
@@ -161,7 +161,7 @@
         self._host, self._index, self._line = host, index, line
         self._rest, self._first = b"", True
         self._heard_at = self._loop.time()
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: Later | None = None
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -176,13 +176,11 @@
 
     def _listen(self) -> None:
         """A machine that vanished says nothing: silence ends the watch as a break would."""
-        if self.ended.done():
-            return
         left = self._heard_at + SILENCE - self._loop.time()
         if left <= 0:
             self._end("silent")
         else:
-            self._timer = self._loop.call_later(left, after_sockets, self._loop, self._listen)
+            self._timer = Later(self._loop, left, self._listen)
 
     def data_received(self, data: bytes) -> None:
         self._heard_at = self._loop.time()
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -11,6 +11,7 @@
 import logging
 from collections import Counter
 from collections.abc import Iterator
+from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -46,7 +47,7 @@
     Watch,
 )
 from ..fronts.client import Slot
-from ..lag import after_sockets
+from ..lag import Later
 from ..lists.seam import ListError
 from ..peers.datagrams import Peers
 from ..usage.record import Ending
@@ -75,7 +76,7 @@
         self.closed = False
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Later | None = None
         self.begun: Attempt | None = None  # whose long value is being passed on
 
 
@@ -140,7 +141,7 @@
         )
         if number in self.requests:
             delay = (valid_until - self.now()) / SECOND
-            request.timer = self._loop.call_later(max(0.0, delay), self._due, number)
+            request.timer = Later(self._loop, max(0.0, delay), partial(self.time_is_up, number))
 
     def left(self, number: int) -> None:
         request = self.requests.get(number)
@@ -153,18 +154,14 @@
                 # Whether settings allow to cancel does not matter for what was never written.
                 self.backends.withdraw(attempt)
 
-    def _due(self, number: int) -> None:
-        """An answer that is here already counts, where this process lagged."""
-        after_sockets(self._loop, self.time_is_up, number)
-
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
         request = self.requests.get(number)
-        if request is None or request.begun is not None:
+        if request is None:
             return
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
-            request.timer = self._loop.call_later(left / SECOND, self._due, number)
+            request.timer = Later(self._loop, left / SECOND, partial(self.time_is_up, number))
             return
         for attempt in list(request.out.values()):
             self.backends.expire(attempt)
