--- a/benchmarks/endings.py
+++ b/benchmarks/endings.py
@@ -9,10 +9,8 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import itertools
-import json
 import random
 import socket
 import struct
@@ -23,7 +21,6 @@
 from typing import Any, cast
 
 import hiredis
-import uvloop
 
 from trackspread.harness.process import GatewayProcess
 from trackspread.judge.ledger import Ledger
@@ -32,7 +29,7 @@
 from trackspread.standins.settings import class_settings, nested_settings, plan_settings
 
 from .closed_loop import Asker, Tally
-from .common import say
+from .common import say, tell
 from .cost import SERVED
 from .operations import Older, cpu_ratio
 
@@ -251,13 +248,5 @@
     return now | older | {"cpu_ratio": round(ratio, 3)}
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
-    parser.add_argument("--quick", action="store_true", help="under 50 s")
-    given = parser.parse_args()
-    print(json.dumps(uvloop.run(measure(given.quick))))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(tell(__doc__, measure))
--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import json
 import os
 import signal
 import socket
@@ -21,8 +19,6 @@
 from pathlib import Path
 from typing import Any, cast
 
-import uvloop
-
 from trackspread.harness.fleet import Fleet
 from trackspread.harness.process import GatewayProcess
 from trackspread.harness.upgraded import HeldProcess, figures
@@ -34,6 +30,7 @@
 from trackspread.standins.settings import class_settings, nested_settings, plan_settings
 
 from .closed_loop import Asker, Tally, commands
+from .common import tell
 from .cost import SERVED, WORKS, gateway, spawn
 
 SECOND = 1_000_000_000
@@ -291,13 +288,5 @@
     return made
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
-    parser.add_argument("--quick", action="store_true", help="under 50 s")
-    given = parser.parse_args()
-    print(json.dumps(uvloop.run(measure(given.quick))))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(tell(__doc__, measure))
