--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -4,12 +4,13 @@
 from __future__ import annotations
 
 import random
+from unittest.mock import patch
 
 import pytest
 
 from trackspread.decide.broker import EVERY_TICK, FORGET_ONCE, Broker
 from trackspread.decide.interface import FleetChanged, Send, TimerFired
-from trackspread.decide.quota import OVER_PRICE, blind_chance
+from trackspread.decide.quota import OVER_PRICE, Quota, blind_chance
 
 from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
 
@@ -75,6 +76,12 @@
     assert (inside + beyond - 1.0) * (BURST + RATE * 45) <= gateways
 
 
+def test_planted_chance_without_the_bound_of_a_slice_and_one_request_is_told() -> None:
+    with patch.object(Quota, "_unheard", lambda self, now, account, units: self.rng.random() < 0.37):
+        inside, beyond = play(6, {50.0: 1}, 1.3, 1)
+    assert (inside + beyond - 1.0) * (BURST + RATE * 45) > 10 * 6
+
+
 def test_what_a_slice_was_overdrawn_by_is_not_forgotten_while_it_is_owed() -> None:
     """The rest of a customer that came once is forgotten sooner."""
     own = settings(gateways=200, plans=(plan(rate=RATE, burst=BURST, over_cost=0.0),), may_message=False)
--- a/trackspread/virtual/fleet.py
+++ b/trackspread/virtual/fleet.py
@@ -24,6 +24,7 @@
 
 WITNESS = 200 * MILLISECOND  # for which a client looks on after its time, to see an answer that is late
 CONNECTS = 3  # gateways that a client tries in turn
+LATE_UP = 250 * MILLISECOND  # a connection that takes longer is given up, as the settings have it
 
 
 @dataclass(slots=True)
@@ -36,6 +37,7 @@
     peer_twice: float = 0.0
     peer_delay: int = 0  # ns more, at most, for messages between gateways: they overtake one another
     reset: float = 0.0  # chance that an attempt is reset once it has come whole
+    late_up: float = 0.0  # chance that a connection comes up late, by `LATE_UP` at most
     unwritten: float = 0.0  # chance that a connection breaks before the request's last byte is out
     list_delay: int = 300 * MILLISECOND  # at most, for news of the list
 
@@ -187,13 +189,15 @@
         if node is None or not node.up or self.rng.random() < self.weather.unwritten:
             self.clock.after(self._delay(), partial(host.ended, attempt, Outcome.CONNECT_FAILED))
             return
-        self.clock.after(self._delay(), partial(self._come, node, host, request, attempt))
+        late = self.weather.late_up and self.rng.random() < self.weather.late_up
+        wait = self._delay() + (self.rng.randint(0, LATE_UP) if late else 0)
+        self.clock.after(wait, partial(self._come, node, host, request, attempt))
 
     def _come(self, node: Node, host: Host, request: str, attempt: Attempt) -> None:
         if not node.up:
             host.ended(attempt, Outcome.CONNECT_FAILED)
             return
-        if attempt.over:
+        if not host.writes(attempt):
             return  # given up before it was written whole
         attempt.written, now = True, self.clock.now
         cls, key = self._asked[request]
--- a/trackspread/virtual/host.py
+++ b/trackspread/virtual/host.py
@@ -43,6 +43,7 @@
     started: int
     expires: int
     written: bool = False
+    until: int = 0  # when the window ends in which it may be a repeat; 0 for none
     over: bool = False
 
 
@@ -87,6 +88,9 @@
         if held is not None and not held.closed:
             self._close(number, held)
             self.handle(ClientLeft(number))
+            for attempt in list(held.out.values()):
+                if not attempt.written:
+                    self.ended(attempt, Outcome.MOOT)
 
     def learn(self, topology: Topology) -> None:
         self.handle(topology)
@@ -94,6 +98,12 @@
     def heard(self, sender: int, data: bytes) -> None:
         self.handle(PeerMessage(sender, data))
 
+    def writes(self, attempt: Attempt) -> bool:
+        """Its connection is up: whether it is written, as a repeat is within its window alone."""
+        if attempt.until and self.clock.now >= attempt.until:
+            self.ended(attempt, Outcome.MOOT)
+        return not attempt.over
+
     def ended(self, attempt: Attempt, outcome: Outcome, value: str = "") -> None:
         """How an attempt ended; what comes after the first word on it is nobody's."""
         if attempt.over or not self.alive:
@@ -183,7 +193,7 @@
             return
         left = held.valid_until - now
         patience = action.timeout if 0 < action.timeout < left else left
-        attempt = Attempt(action.request, index, action.backend, now, now + patience)
+        attempt = Attempt(action.request, index, action.backend, now, now + patience, until=action.until)
         held.out[index] = attempt
         self.network.send(self, held.name, attempt)
         if patience < left:
--- a/trackspread/virtual/mutants.py
+++ b/trackspread/virtual/mutants.py
@@ -61,6 +61,11 @@
     return [patch.object(Broker, "_repeat_filter", mutant)]
 
 
+def _window_outlasted() -> list[Any]:
+    """What was decided within the window is written whenever its connection comes up."""
+    return [patch.object(Host, "writes", lambda self, attempt: not attempt.over)]
+
+
 def _two_copies() -> list[Any]:
     """A second copy at once, whatever the class."""
     real = Broker._admit
@@ -129,6 +134,20 @@
     return [patch.object(Quota, "book", lambda self, account, units, pays: True)]
 
 
+def _used_units_back() -> list[Any]:
+    """Units go back at a request's end though an attempt came to a backend."""
+    real = Broker._ended
+
+    def mutant(self: Broker, now: int, event: Any) -> list[Any]:
+        request = self.attempts.get((event.request, event.attempt))
+        made = real(self, now, event)
+        if request is not None and not request.out:
+            request.account.give_back(request.taken)
+        return made
+
+    return [patch.object(Broker, "_ended", mutant)]
+
+
 def _now_and_then() -> Callable[[], bool]:
     counted = [0]
 
@@ -221,6 +240,7 @@
     "refuses-after-run": Mutant("effects", _refuses_after_run),
     "group-forgotten": Mutant("effects", _group_forgotten),
     "window-forgotten": Mutant("effects", _window_forgotten),
+    "window-outlasted": Mutant("effects", _window_outlasted),
     "two-copies": Mutant("effects", _two_copies),
     "drains-ignored": Mutant("drains", _drains_ignored),
     "cold-flooded": Mutant("cold", _cold_flooded),
@@ -228,6 +248,7 @@
     "whole-ceiling-each": Mutant("ceilings", _whole_ceiling_each),
     "peers-unheard": Mutant("quotas", _peers_unheard),
     "quota-unbooked": Mutant("quotas", _quota_unbooked),
+    "used-units-back": Mutant("quotas", _used_units_back),
     "answers-lost": Mutant("answers", _answers_lost),
     "answers-twice": Mutant("answers", _answers_twice),
     "answers-late": Mutant("answers", _answers_late),
--- a/trackspread/virtual/schedules.py
+++ b/trackspread/virtual/schedules.py
@@ -133,6 +133,7 @@
 
 def resets(fleet: VirtualFleet, rng: random.Random) -> None:
     fleet.weather.reset, fleet.weather.unwritten = rng.uniform(0.02, 0.3), rng.uniform(0.0, 0.1)
+    fleet.weather.late_up = rng.uniform(0.0, 0.5)
 
 
 def apart(fleet: VirtualFleet, rng: random.Random) -> None:
