Cold backends: by what each warm one got when it was sent, kept while none is warm

A cold backend's tokens came at the rate sent to warm ones over their number now: when most warm ones went at once, what ten had got counted as one's, and when none was left, the rate faded and nobody sent any more. Gateways that started meanwhile never sent at all until the backends were warm.

Now each request for a warm backend counts by the number of warm ones at its time, over as long as the rule counts (fall_window); the rate stays as it was when the last warm one goes. Where none is warm, gateways take turns of one aim at each cold backend, one request in a turn, by the settings' list.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -7,7 +7,8 @@
 import pytest
 
 from trackspread.decide.broker import Broker
-from trackspread.decide.model import TICK, Goal, QueueModel, mean_values, seven_cases
+from trackspread.decide.mean_value_analysis import mean_values
+from trackspread.decide.model import TICK, Goal, QueueModel, seven_cases
 
 from .helpers import MS, SECOND, arrival, backend, full_list, plan, settings
 
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -17,7 +17,7 @@
 from trackspread.config.operator import parse
 from trackspread.decide.broker import Broker
 from trackspread.decide.interface import ListKind, LogLine, Plan, PlansChanged, Refuse, Send
-from trackspread.decide.quota import carried
+from trackspread.decide.state import carried
 from trackspread.plans.book import (
     SCHEMA, Book, Figures, Uptake, Version, applied, differences, in_force, upcoming, withdrawn,
 )
--- a/trackspread/decide/carried.py
+++ b/trackspread/decide/carried.py
@@ -16,9 +16,9 @@
     from .broker import Broker
 
 Plain = dict[str, Any]
-VERSION = 5  # of the portrait: raised with every change of what it holds: old and new program may differ
+VERSION = 6  # of the portrait: raised with every change of what it holds: old and new program may differ
 _NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed", "keeps", "taking", "tellers", "asking"})
-_SERVER = ("slow", "pause", "fails", "suspended", "tokens", "tokens_at")  # the rest is the list's
+_SERVER = ("slow", "pause", "fails", "suspended", "tokens", "tokens_at", "turn")  # the rest is the list's
 
 
 def _mean(mean: Mean) -> list[float]:
--- a/trackspread/decide/fleet.py
+++ b/trackspread/decide/fleet.py
@@ -21,11 +21,14 @@
     """The list of backends, their health from symptoms, cold budgets, and the choice among them."""
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
-        self.s, self.rng, self.sends = settings, rng, Mean(MEMORY)
+        self.s, self.rng = settings, rng
+        self.places = max(1, settings.gateways)  # in the settings' list of gateways, gone ones among them
+        self.sends = Mean(max(MEMORY, settings.fall_window))  # to warm backends, each by their number then
         self.servers: dict[int, Server] = {}
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.retired = False  # cold backends' budgets are another process's
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
+        self.warm_at, self.none_warm = 0, False  # when any was last; whether none is
 
     def learn(self, now: int, event: Topology) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -48,10 +51,7 @@
         """What was met under a number goes with the class that now inherits it, or is forgotten."""
         self.silence = inherited(self.silence, event.heirs, lambda: Mean(LONG))
         for server in self.servers.values():
-            server.met = {n: server.met[h] for n, h in enumerate(event.heirs) if h in server.met}
-            full = server.full.items()
-            server.full = {(n, plan): until for n, h in enumerate(event.heirs)
-                           for (cls, plan), until in full if cls == h}
+            server.reclass(event.heirs)
 
     def count(self, now: int) -> None:
         # Backends come and go under ever new ids: who is off the list and holds nothing of ours is forgotten,
@@ -60,6 +60,8 @@
             del self.servers[gone]
         usable = [s for s in self.servers.values() if s.usable]
         self.warm = sum(self.warmth(now, s) >= 1.0 for s in usable)
+        self.none_warm = not any(now >= s.suspended and self.warmth(now, s) >= 1.0 for s in usable)
+        self.warm_at = self.warm_at if self.none_warm else now
         self.usual = sum(s.out for s in usable) / max(1, len(usable))
 
     def warmth(self, now: int, server: Server) -> float:
@@ -75,11 +77,20 @@
         warmth = self.warmth(now, server)
         if warmth >= 1.0 or self.retired:
             return warmth >= 1.0
-        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here.
-        each, span = self.sends.rate(now) / max(1, self.warm), (now - server.tokens_at) / SECOND
-        server.tokens = min(2.0, server.tokens + warmth * each * span)
-        server.tokens_at = now
-        return server.tokens >= 1.0
+        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here,
+        # or got while there was one.
+        server.refill(now, warmth * self.sends.rate(max(self.warm_at, self.sends.at)))
+        return server.tokens >= 1.0 or self._has_turn(now, server)
+
+    def _has_turn(self, now: int, server: Server) -> bool:
+        """Where no backend is warm, nobody may know what one carries: then gateways take turns at each, with
+        one request in a turn. A turn lasts for an aim, so that a backend surely bears as much."""
+        turn = self._turn(now)
+        free = self.none_warm and server.turn != turn
+        return free and (server.entry.id + turn) % self.places == self.s.position
+
+    def _turn(self, now: int) -> int:
+        return now // min(c.aim for c in self.s.classes)
 
     def wait(self, now: int, server: Server) -> float:
         """Expected time at a backend, in a request's usual latencies; others hold what own attempts say, the
@@ -106,9 +117,9 @@
     def sent(self, now: int, server: Server) -> None:
         server.out += 1
         if self.warmth(now, server) < 1.0:
-            server.tokens -= 1.0
+            server.take(self._turn(now))
         else:
-            self.sends.add(now, 1.0)
+            self.sends.add(now, 1.0, 1.0 / max(1, self.warm))
 
     def ended(self, now: int, event: AttemptEnded, kind: tuple[int, int], relative: float) -> None:
         server = self.servers.get(event.backend)
--- a/trackspread/decide/model.py
+++ b/trackspread/decide/model.py
@@ -9,6 +9,7 @@
 from math import ceil
 
 from .interface import ClassesChanged, Settings
+from .mean_value_analysis import mean_values
 from .state import LONG, MEMORY, SECOND, Mean, inherited
 
 Goal = Callable[[int], bool]
@@ -21,16 +22,6 @@
 TARGET = 0.4  # part of the room between delay and aim that the mean wait may take: latencies vary
 
 
-def mean_values(demand: float, delay: float, most: int) -> list[float]:
-    """Mean value analysis of one delay and one queue: response times for 0..most in flight."""
-    times, queued = [delay + demand], 0.0
-    for n in range(1, most + 1):
-        wait = demand * (1.0 + queued)
-        times.append(delay + wait)
-        queued = n * wait / (delay + wait)
-    return times
-
-
 class QueueModel:
     """Delay plus one shared queue; the demand is fitted to recent latency at the recent number in flight."""
 
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -19,7 +19,7 @@
     Settings, Tell,
 )
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
-from .state import LONG, MEMORY, SECOND, Account, Mean
+from .state import LONG, MEMORY, SECOND, Account, Mean, carried
 
 Word = tuple[int, bool | None, list[Action]]  # number of the ask answered, the answer, what to send
 
@@ -45,11 +45,6 @@
 PEERS_MOST = 512  # peers whose last word is kept; the longest silent make room
 
 
-def carried(level: float, old: float, new: float) -> float:
-    """A store's level under another burst; one that begins to count begins empty."""
-    return level * min(1.0, new / old) if level > 0.0 and old > 0.0 else min(level, 0.0)
-
-
 @lru_cache(maxsize=64)
 def blind_chance(cost: float) -> float:
     """By which a request of a customer of whom nothing is known may be let through, so that what goes beyond
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -17,6 +17,7 @@
 # Time constants of recent means.
 MEMORY = 1 * SECOND  # time constant of recent means: a few dozen answers at the usual rates
 LONG = 10 * SECOND  # the same for what is seen seldom
+TOKENS_MOST = 2.0  # requests that a gateway may save up for one cold backend
 
 
 def decayed(age: int, constant: int) -> float:
@@ -24,6 +25,11 @@
     return exp(-age / constant)
 
 
+def carried(level: float, old: float, new: float) -> float:
+    """A store's level under another burst; one that begins to count begins empty."""
+    return level * min(1.0, new / old) if level > 0.0 and old > 0.0 else min(level, 0.0)
+
+
 def inherited(old: list[T], heirs: tuple[int, ...], fresh: Callable[[], T]) -> list[T]:
     """What was learnt by number, under other numbers: each goes on with its heir's past, or begins anew."""
     return [old[h] if h == n else deepcopy(old[h]) if h >= 0 else fresh() for n, h in enumerate(heirs)]
@@ -147,6 +153,27 @@
     met: dict[int, tuple[int, float]] = field(default_factory=dict)  # by class: when, 1 if unanswered
     tokens: float = 0.0
     tokens_at: int = 0
+    turn: int = -1  # number of the last turn that was used
+
+    def reclass(self, heirs: tuple[int, ...]) -> None:
+        """What was met under a class goes with the one that now inherits it, or is forgotten."""
+        self.met = {n: self.met[h] for n, h in enumerate(heirs) if h in self.met}
+        full = self.full.items()
+        self.full = {
+            (n, plan): until for n, h in enumerate(heirs) for (cls, plan), until in full if cls == h
+        }
+
+    def refill(self, now: int, rate: float) -> None:
+        """Add the tokens that came since the last time, at `rate` a second."""
+        self.tokens = min(TOKENS_MOST, self.tokens + rate * (now - self.tokens_at) / SECOND)
+        self.tokens_at = now
+
+    def take(self, turn: int) -> None:
+        """A request goes there while it is cold: by a token, or else in the turn of that number."""
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+        else:
+            self.turn = turn
 
 
 @dataclass(slots=True)
--- a/trackspread/plans/calendar.py
+++ b/trackspread/plans/calendar.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from ..decide.model import mean_values
+from ..decide.mean_value_analysis import mean_values
 from .moments import NOTICE_MS, PlanError
 
 IN_FLIGHT_MOST = 4_096  # requests in flight that the model is solved for: past it a queue is long saturated
--- a/trackspread/virtual/booked.py
+++ b/trackspread/virtual/booked.py
@@ -23,6 +23,7 @@
     TimerFired, Topology,
 )
 from ..decide.quota import Quota
+from ..decide.state import carried
 from .clock import Clock
 from .patches import held
 from .plain import plain_settings
@@ -123,7 +124,7 @@
     def mutant(self: Quota, now: int, account: Any, index: int) -> None:
         old, new = account.plan, self.figures(account.customer, index)
         account.plan, account.index = new, index
-        account.level = quota.carried(account.level, old.burst, new.burst)
+        account.level = carried(account.level, old.burst, new.burst)
 
     return [patch.object(Quota, "carry", mutant)]
 
