--- /dev/null
+++ b/tests/test_ramp_process.py
@@ -0,0 +1,39 @@
+"""Many real gateways that start while all backends are cold: they share what those bear, and use it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import uvloop
+
+from trackspread.harness.fleet import Fleet
+from trackspread.judge.verdict import Verdict
+from trackspread.standins.rating import SECOND
+from trackspread.standins.scene import Scene
+from trackspread.virtual.ramp import excess
+
+pytestmark = pytest.mark.processes
+
+GATEWAYS = 20
+SCENE = Scene(gateways=GATEWAYS, nodes=3, load=0.5, seed=11, warm=300 * SECOND, fall_multiple=2.0)
+SERVED = 20  # by backends that stay cold throughout
+MOST = 100.0  # s: only a hang reaches it
+
+
+async def all_cold() -> tuple[Verdict, float]:
+    async with Fleet(SCENE) as fleet:
+        for node in fleet.listed():
+            await fleet.replace(node, 0.0)
+        await fleet.restart(range(GATEWAYS), 0.1)
+        fleet.ask()
+        while fleet.clients.kinds["served"] < SERVED:
+            await asyncio.sleep(0.05)
+        await fleet.settle()
+        return fleet.verdict(), max(excess(SCENE, fleet.ledger))
+
+
+def test_twenty_processes_share_backends_that_are_all_cold() -> None:
+    verdict, worst = uvloop.run(asyncio.wait_for(all_cold(), MOST))
+    assert verdict.figures.served >= SERVED
+    assert worst <= 0.0
--- a/trackspread/virtual/ramp.py
+++ b/trackspread/virtual/ramp.py
@@ -82,7 +82,7 @@
     figures = verdict.figures
     due = figures.served + figures.refused_with_room + figures.failed + figures.unanswered
     return Ramp(
-        world.gateways, max(_excess(world, fleet.ledger), default=-inf), _used(fleet.ledger, since),
+        world.gateways, max(excess(world, fleet.ledger), default=-inf), _used(fleet.ledger, since),
         figures.served / max(1, due), frozenset(verdict.broken() - {"cold"}),
     )
 
@@ -141,7 +141,7 @@
     return start.start + (1.0 - start.start) * min(1.0, (at - start.at) / start.warm)
 
 
-def _excess(world: Scene, ledger: Ledger) -> Iterator[float]:
+def excess(world: Scene, ledger: Ledger) -> Iterator[float]:
     """At each request for a cold backend: what came in the window that ends then, over what may come."""
     mean = sum(c.share * c.work for c in world.classes) / sum(c.share for c in world.classes)
     starts = _cold_starts(ledger)
