A drain is acted on within 6 s of discovery's having it, whatever became of the calls before

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the call. Cause, read in the code and shown by the test: after a call that was turned away a gateway of a large fleet waited 4.5 to 9 s (SPREAD_MOST); after a silence of 5 s the wait went on growing with the ends before it, up to 2 s where a drain's grace is long; and any byte counted as life, so a trickle that makes no line kept a dead watch.

Change: waits after being turned away are 4.25 to 5 s at most (a second is left for the call), an unanswered call is given up after 4 s, a watch without a whole line after 4.5 s, and the wait after a silence doesn't grow. Why the jitter is so narrow: docs/design/larger-fleet.md, "Told within 6 s".

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -183,10 +183,11 @@
 
 
 @contextmanager
-def busy_listener() -> Iterator[socket.socket]:
+def busy_listener(at: tuple[str, int] = (LOCAL, 0)) -> Iterator[socket.socket]:
     """Its accept queue is full: a connect to it stays without an answer, as one that comes up late does."""
     with socket.socket() as full:
-        full.bind((LOCAL, 0))
+        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        full.bind(at)
         full.listen(0)
         fill = [socket.socket() for _ in range(4)]
         for one in fill:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,7 +7,18 @@
 
 import pytest
 
-from trackspread.lists.turns import FIRST, GRACE_PART, PATIENCE, SPREAD_MOST, TURN, UNASKED, Turns
+from trackspread.lists.agent import ANSWER, SILENCE
+from trackspread.lists.turns import (
+    ANSWER_MOST,
+    FIRST,
+    GRACE_PART,
+    PATIENCE,
+    SPREAD_MOST,
+    TOLD_MOST,
+    TURN,
+    UNASKED,
+    Turns,
+)
 
 
 def listed(gateways: int, turn: float, seed: int, spread: bool, end: float = 30.0) -> list[float]:
@@ -58,3 +69,16 @@
     turns = Turns(gateways, random.Random(1), grace)
     waits = [turns.again(False) for _ in range(500)]
     assert FIRST / 2 <= max(waits) <= GRACE_PART * grace
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 25, 200, 10_000])
+@pytest.mark.parametrize("grace", [0.25, 1.0, 10.0])
+def test_whatever_became_of_a_call_the_next_one_is_answered_before_a_change_counts_as_told(
+    gateways: int, grace: float
+) -> None:
+    """The wait before it, with a second for the call itself; a silence is part of the wait."""
+    turns = Turns(gateways, random.Random(1), grace)
+    for _ in range(500):
+        assert turns.again(True) + ANSWER_MOST <= TOLD_MOST
+        assert turns.again(False) + ANSWER_MOST <= TOLD_MOST
+        assert max(ANSWER, SILENCE) + turns.after_silence() + ANSWER_MOST <= TOLD_MOST
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -22,7 +22,10 @@
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
 
-SILENCE = 5.0  # s without a byte: an idle watch brings an empty line every 2 s, so two were missed
+# A change counts as told 6 s after a watch fell silent, or after discovery could be reached if the call that
+# was out then stays without an answer: either is over early enough for another call.
+SILENCE = 4.5  # s without a whole line: an idle watch brings an empty one every 2 s, so two were missed
+ANSWER = 4.0  # s without an answer's head: twice what discovery keeps a call in its line
 CONNECT = 1.0  # s for the agent, which is on this machine
 LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
 LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
@@ -119,7 +122,8 @@
                 log.exception("discovery: fault in the watch")
             finally:
                 watch.close()
-            await asyncio.sleep(self._turns.again(watch.turned_away))
+            turns = self._turns
+            await asyncio.sleep(turns.after_silence() if watch.silent else turns.again(watch.turned_away))
 
     def _behind(self, update: Update) -> Update:
         """A whole list that is older than what is known, as of an agent that lags behind the one before it:
@@ -154,13 +158,14 @@
     """One HTTP exchange; `ended` is done when nothing more can come of it."""
 
     def __init__(self, host: str, index: int | None, line: Callable[[bytes, bool], None]) -> None:
-        self.turned_away, self._begun = False, False  # the latter: an answer has begun
+        self.turned_away, self.silent = False, False
+        self._begun = False  # whether an answer has begun
         self._loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self._loop.create_future()
         self._http = h11.Connection(h11.CLIENT)
         self._host, self._index, self._line = host, index, line
         self._rest, self._first = b"", True
-        self._heard_at = self._loop.time()
+        self._moved_at = self._loop.time()  # when the call was made, its answer began or its last line ended
         self._timer: Later | None = None
         self._transport: asyncio.Transport | None = None
 
@@ -175,15 +180,16 @@
         self._listen()
 
     def _listen(self) -> None:
-        """A machine that vanished says nothing: silence ends the watch as a break would."""
-        left = self._heard_at + SILENCE - self._loop.time()
+        """A machine that vanished says nothing: silence ends the watch as a break would. So does a trickle
+        that comes to no line, which tells as little."""
+        left = self._moved_at + (SILENCE if self._begun else ANSWER) - self._loop.time()
         if left <= 0:
+            self.silent = True
             self._end("silent")
         else:
             self._timer = Later(self._loop, left, self._listen)
 
     def data_received(self, data: bytes) -> None:
-        self._heard_at = self._loop.time()
         try:
             self._http.receive_data(data)
             while not self.ended.done():
@@ -194,7 +200,7 @@
                     if event.status_code != 200:
                         self.turned_away = True
                         return self._end(f"status {event.status_code}")
-                    self._begun = True
+                    self._begun, self._moved_at = True, self._loop.time()
                 if isinstance(event, h11.Data):
                     self._lines(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
@@ -204,6 +210,8 @@
 
     def _lines(self, data: bytes) -> None:
         *lines, self._rest = (self._rest + data).split(b"\n")
+        if lines:
+            self._moved_at = self._loop.time()
         for line in lines:
             if line.strip():
                 first, self._first = self._first, False
@@ -212,7 +220,7 @@
             self._end("endless line")
 
     def connection_lost(self, exc: Exception | None) -> None:
-        waited = not self._begun and self._loop.time() - self._heard_at >= PATIENCE
+        waited = not self._begun and self._loop.time() - self._moved_at >= PATIENCE
         self.turned_away = self.turned_away or waited
         self._end(str(exc or "closed"))
 
--- a/trackspread/lists/turns.py
+++ b/trackspread/lists/turns.py
@@ -13,7 +13,13 @@
 FIRST, MOST = 0.05, 2.0  # s between calls where gateways are few; doubles from the first to the most
 TURN = 0.2  # s that discovery may need for one gateway's call, its slowest: 40 of them in 8 s
 PATIENCE = 2.0  # s after which a call is given up: a line of all gateways' turns that long does no harm
-SPREAD_MOST = 9.0  # s over which calls are spread at most: who does not ask within 10 s is taken as told
+# What discovery has counts as told this many s after it could be reached, whatever became of the call before.
+TOLD_MOST = 6.0
+ANSWER_MOST = 1.0  # s that the call which then reaches it may take, connecting and the answer
+SPREAD_MOST = TOLD_MOST - ANSWER_MOST  # s that a gateway which was turned away waits at most
+# Part of these that each waits at least. No less: with the slowest discovery served, the calls of those that
+# it has not answered yet come to fewer than it answers, and all are answered in the end.
+SPREAD_LEAST = 0.85
 UNASKED = 0.4  # s over which first calls are spread: the answer is there before the door opens (`FIRST_LIST`)
 # Where lists are pushed, what discovery has counts as told also while no watch is open: the wait before the
 # next one is no more than this part of a drain's grace, of which the call itself needs some.
@@ -39,12 +45,17 @@
         said or as it closed a call that waited in its line; any other end is no word on how many calls it
         gets."""
         # Jitter, or gateways whose agents broke together would come back together.
-        part = self._rng.uniform(0.5, 1.0)
         if turned_away and self._spread:
-            return part * self._spread
+            return self._rng.uniform(SPREAD_LEAST, 1.0) * self._spread
+        part = self._rng.uniform(0.5, 1.0)
         wait, self._wait = self._wait, min(self._most, 2 * self._wait)
         return max(part * wait, min(self._most, self.first()))
 
+    def after_silence(self) -> float:
+        """Before the call that follows one that fell silent: the silence was the wait, and has no part left
+        of the time in which a change counts as told."""
+        return max(self._rng.uniform(0.5, 1.0) * FIRST, self.first())
+
     def answered(self) -> None:
         """A line came, or discovery is another one now: the next wait is the first one again."""
         self._wait = FIRST
--- a/trackspread/standins/agent.py
+++ b/trackspread/standins/agent.py
@@ -1,14 +1,16 @@
 """The platform's discovery agent: one for each gateway, all telling one list, each with addresses of its own.
 
 `GET /api/targets` gives the whole list, `?stream=1&index=N` a watch. What is written to a gateway goes into
-the ledger as told.
+the ledger as told. While discovery is in trouble calls end as `Trouble` says; open watches go on.
 """
 
 from __future__ import annotations
 
 import asyncio
+import enum
 import json
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
 from urllib.parse import parse_qs, urlsplit
@@ -20,6 +22,20 @@
 
 HEARTBEAT = 2.0  # s between empty lines of a watch
 CHANGES_MOST = 512  # that the list remembers; whoever is further behind gets the whole
+RETRY_AFTER = 3600  # s that an error asks its caller to wait
+LINE_PATIENCE = 2.1  # s that a call which is turned away late was kept waiting
+TRICKLE = 0.5  # s between the bytes of an answer that comes to no line
+
+
+class Trouble(enum.Enum):
+    """What becomes of a call while discovery is in trouble."""
+
+    RESET = "its connection is reset"
+    ERROR = "it is answered with an error and a long wait"
+    KEPT_WAITING = "it is kept waiting and then closed without an answer"
+    ENDED = "its answer ends at once"
+    SILENT = "nothing comes"
+    TRICKLE = "bytes come that make no line"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +97,9 @@
     def __init__(self, listed: BackendList, gateway: int, ledger: Ledger) -> None:
         self.listed, self.gateway, self._ledger = listed, gateway, ledger
         self.delay, self.mute = 0.0, False
+        self.trouble: Trouble | None = None
+        self.calls: list[int] = []  # ns of the monotonic clock at which each came
+        self.troubled: Callable[[], None] = lambda: None  # told of each call that has met with trouble
         self.address: Address = (own_address(), 0)
         self._server: asyncio.Server | None = None
         self._watches: set[_Watch] = set()
@@ -110,13 +129,23 @@
         for watch in list(self._watches):
             watch.abort()
 
+    def silence(self) -> None:
+        """Open watches bring nothing any more, and stay open; other calls are answered."""
+        for watch in self._watches:
+            watch.silence()
+        self._watches.clear()
+
     def watched(self, watch: _Watch, on: bool) -> None:
         (self._watches.add if on else self._watches.discard)(watch)
 
     def close(self) -> None:
+        self.refuse()
+        self.cut()
+
+    def refuse(self) -> None:
+        """New connections are refused until it is started again; open watches stay."""
         if self._server is not None:
             self._server.close()
-        self.cut()
 
 
 class _Watch(asyncio.Protocol):
@@ -141,7 +170,10 @@
 
     def _answer(self, target: Any) -> None:
         agent, asked = self._agent, parse_qs(target.query)
-        if target.path != "/api/targets":
+        agent.calls.append(time.monotonic_ns())
+        if agent.trouble is not None:
+            self._fail(agent.trouble)
+        elif target.path != "/api/targets":
             self._send(h11.Response(status_code=404, headers=[("Content-Length", "0")]), h11.EndOfMessage())
         elif "stream" not in asked:
             body = json.dumps(agent.listed.whole(agent.gateway)).encode()
@@ -156,6 +188,39 @@
                           else agent.listed.whole(agent.gateway))
             self._heartbeat()
 
+    def _fail(self, trouble: Trouble) -> None:
+        loop = asyncio.get_running_loop()
+        match trouble:
+            case Trouble.RESET:
+                self.abort()
+            case Trouble.ERROR:
+                headers = [("Content-Length", "0"), ("Retry-After", str(RETRY_AFTER))]
+                self._send(h11.Response(status_code=503, headers=headers), h11.EndOfMessage())
+            case Trouble.KEPT_WAITING:
+                self._beat = loop.call_later(LINE_PATIENCE, self._turn_away)
+                return
+            case Trouble.ENDED:
+                head = h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")])
+                self._send(head, h11.EndOfMessage())
+            case Trouble.TRICKLE:
+                self._send(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
+                self._trickle()
+            case Trouble.SILENT:
+                pass
+        self._agent.troubled()
+
+    def _turn_away(self) -> None:
+        self.abort()
+        self._agent.troubled()
+
+    def _trickle(self) -> None:
+        self._send(h11.Data(data=b" "))
+        self._beat = asyncio.get_running_loop().call_later(TRICKLE, self._trickle)
+
+    def silence(self) -> None:
+        if self._beat is not None:
+            self._beat.cancel()
+
     def _heartbeat(self) -> None:
         if not self._agent.mute:
             self._send(h11.Data(data=b"\n"))
@@ -172,8 +237,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._agent.watched(self, False)
-        if self._beat is not None:
-            self._beat.cancel()
+        self.silence()
 
     def abort(self) -> None:
         cast(asyncio.Transport, self._transport).abort()
