Connections are bounded by the descriptors that the system grants, where the settings name more

Need: idle clients may fill the descriptors while discovery is down; its call, attempts and the operators' door have to get theirs at once. But the bounds went by `limits.sockets` alone: with 160 granted and 1,024 named, clients took all 160, and calls to discovery, attempts and the door ended with EMFILE.

Change: the lower of the two figures counts (node/serve.py), with one line in the log.

--- a/trackspread/node/serve.py
+++ b/trackspread/node/serve.py
@@ -6,7 +6,9 @@
 import gc
 import logging
 import os
+import resource
 import signal
+from dataclasses import replace
 from pathlib import Path
 
 import uvloop
@@ -28,6 +30,15 @@
     return own.load(OWN_FILE) if OWN_FILE.exists() else own.DEFAULTS
 
 
+def granted(config: platform.Config) -> platform.Config:
+    """With no more descriptors than the system grants the process. Where the settings name more, clients at
+    rest would take those that discovery's call, attempts and the operators' door need."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if most == resource.RLIM_INFINITY or most >= config.sockets:
+        return config
+    return replace(config, sockets=most)
+
+
 async def serve(config: platform.Config, operator: own.Operator, named: str | None) -> None:
     """Run until SIGTERM or SIGINT, then end in good order; SIGHUP has the configuration read again."""
     loop = asyncio.get_running_loop()
@@ -39,7 +50,7 @@
     def reread() -> None:
         """A file that can't be used changes nothing: whoever wrote it half will send the signal again."""
         try:
-            fresh, own_fresh = platform.reload(os.environ), operator_file(named)
+            fresh, own_fresh = granted(platform.reload(os.environ)), operator_file(named)
         except ConfigError as error:
             log.error("configuration not taken, the old one goes on: %s", error)
             gateway.figures.reloads_failed += 1
@@ -66,6 +77,10 @@
     """The running gateway, in the foreground; raises `ConfigError` on what it cannot start with."""
     signal.pthread_sigmask(signal.SIG_BLOCK, HANGUP)
     logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(name)s %(levelname)s %(message)s")
-    config, operator = platform.load(os.environ), operator_file(named)
+    named_config, operator = platform.load(os.environ), operator_file(named)
     log.setLevel(operator.log.level.upper())
+    config = granted(named_config)
+    if config.sockets < named_config.sockets:
+        log.warning("limits.sockets: %d, but the system grants %d descriptors: these bound the connections",
+                    named_config.sockets, config.sockets)
     uvloop.run(serve(config, operator, named))
