--- a/tests/test_descriptors_process.py
+++ b/tests/test_descriptors_process.py
@@ -1,4 +1,5 @@
-"""Idle clients fill a process's descriptors while discovery is down: what the process itself needs stays free."""
+"""Idle clients fill a process's descriptors while discovery is down: what the process itself needs is kept
+free."""
 
 from __future__ import annotations
 
@@ -8,7 +9,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -57,10 +58,8 @@
             self.crowd.append(made)
         if words:
             for made in self.crowd[-count:]:
-                try:
+                with suppress(OSError):
                     made.send(words)
-                except OSError:
-                    pass
 
     async def fill(self) -> None:
         """What waits is taken in one turn of a process that stood still, and then more comes all the time."""
