Usage: ledger, segment store, totals and audit in place of keeper, shelf, tally, survey

The modules of usage/ had names of our own making. Renamed: keeper.py Keeper to ledger.py UsageLedger, shelf.py Shelf to segments.py SegmentStore, tally.py Tally to totals.py Totals, survey.py Survey to audit.py Audit; TotalsRow, SegmentTotals, StreamAudit and rebuild_control with them. Tests, benchmarks, the virtual world and docs follow. Files on the disk, what goes to billing, settings, commands and their output are as before.

--- a/benchmarks/export.py
+++ b/benchmarks/export.py
@@ -34,7 +34,7 @@
 from trackspread.storage.slots import SLOT
 from trackspread.usage.control import AREA_SIZE, AREAS, Names
 from trackspread.usage.host import UseHost, export_all
-from trackspread.usage.keeper import Bounds, State
+from trackspread.usage.ledger import Bounds, State
 from trackspread.usage.record import Ending
 from trackspread.usage.senders import Target, put, sender
 from trackspread.virtual import booked
@@ -116,9 +116,9 @@
             await fleet.settle()
             server.lost = server.busy = 0.0
             for name in ("n0", "n1"):
-                keeper = await export_all(folder / name, sender(Target(server.url)), DRAIN_MOST)
-                if not keeper.exported:
-                    raise RuntimeError(f"{name} is not exported: {keeper.exporter.trouble}")
+                ledger = await export_all(folder / name, sender(Target(server.url)), DRAIN_MOST)
+                if not ledger.exported:
+                    raise RuntimeError(f"{name} is not exported: {ledger.exporter.trouble}")
             told = compare(fleet.ledger.entries, server.ledger.totals())
         server.close()
         return told, server.billing.seen
@@ -169,7 +169,7 @@
 
 async def _live(host: UseHost) -> None:
     host.start()
-    while host.keeper.state is not State.LIVE:
+    while host.ledger.state is not State.LIVE:
         await asyncio.sleep(0.001)
 
 
@@ -179,7 +179,7 @@
     with tempfile.TemporaryDirectory(prefix="trackspread-use-") as place:
         host = _host(Path(place))
         await _live(host)
-        journal = host.keeper.journal
+        journal = host.ledger.journal
         assert journal is not None
         waiting: list[tuple[int, int]] = []  # place, when
         end, due = time.monotonic() + LAG_S, time.monotonic()
@@ -202,14 +202,14 @@
         folder = Path(place)
         host = _host(folder)
         await _live(host)
-        journal = host.keeper.journal
+        journal = host.ledger.journal
         assert journal is not None
         written = 0
         while written < RECOVERED:
-            recorded = host.keeper.recorded
+            recorded = host.ledger.recorded
             for _ in range(2_000):
                 host.count(Ending.SERVED, 0, 0, 0, 7, 1.0, 1)
-            written += host.keeper.recorded - recorded
+            written += host.ledger.recorded - recorded
             await asyncio.sleep(0)
             while journal.room() < 4_000:
                 await asyncio.sleep(0.001)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -16,7 +16,7 @@
     AREA_SIZE, STREAMS_MOST, Control, Intent, Names, Part, Stream, newest, pack,
 )
 from trackspread.usage.exporter import forked
-from trackspread.usage.keeper import Bounds, State
+from trackspread.usage.ledger import Bounds, State
 from trackspread.usage.meter import Meter, month_start
 from trackspread.usage.record import NANO, Ending, Kind, Use, nano, unpack
 from trackspread.usage.record import pack as pack_use
@@ -160,7 +160,7 @@
 def _live(world: World, disk: Disk) -> World:
     life = world.begin(disk)
     world.run(SECOND)
-    assert life.keeper.state is State.LIVE
+    assert life.ledger.state is State.LIVE
     return world
 
 
@@ -171,8 +171,8 @@
     for _ in range(400):
         world.lives[0].count(Ending.SERVED)
         world.run(5 * MILLISECOND)
-    keeper = world.lives[0].keeper
-    assert keeper.folded > 100 and any("no room" in text for text in world.lives[0].alarms)
+    ledger = world.lives[0].ledger
+    assert ledger.folded > 100 and any("no room" in text for text in world.lives[0].alarms)
     assert len([name for name in disk.files if name.startswith("use-")]) == BOUNDS.segments
     world.net.down = False
     world.run(100 * SECOND)
@@ -191,7 +191,7 @@
     life = world.begin(disk)
     world.run(10 * SECOND)
     life.count(Ending.SERVED)
-    assert life.keeper.state is State.STUCK and life.keeper.folded == 1
+    assert life.ledger.state is State.STUCK and life.ledger.folded == 1
     assert {name: bytes(file.cached) for name, file in disk.files.items()} == before
     assert any("a newer program wrote here" in text for text in life.alarms)
 
--- a/tests/test_use_process.py
+++ b/tests/test_use_process.py
@@ -23,7 +23,7 @@
 from trackspread.usage.control import Names
 from trackspread.usage.exporter import Post
 from trackspread.usage.host import UseHost, export_all
-from trackspread.usage.keeper import Bounds, State
+from trackspread.usage.ledger import Bounds, State
 from trackspread.usage.record import DAY_MS, NANO, Ending
 from trackspread.usage.senders import Drop, SendError, Target, sender
 
@@ -58,8 +58,8 @@
         await fleet.settle()
         server.lost = server.busy = 0.0
         for name in ("n0", "n1"):
-            keeper = await export_all(folder / name, sender(Target(server.url, SECRET)), MOST)
-            assert keeper.exported, keeper.exporter.trouble
+            ledger = await export_all(folder / name, sender(Target(server.url, SECRET)), MOST)
+            assert ledger.exported, ledger.exporter.trouble
         told = compare(fleet.ledger.entries, server.ledger.totals())
     assert server.billing.seen["again"] > 0 and server.billing.seen["conflict"] == 0
     assert told.read > 0 and (told.lost, told.doubled) == (0, 0)
@@ -78,7 +78,7 @@
 
 async def _until(host: UseHost, state: State) -> None:
     async with asyncio.timeout(MOST):
-        while host.keeper.state is not state:
+        while host.ledger.state is not state:
             await asyncio.sleep(0.005)
 
 
@@ -88,15 +88,15 @@
     await _until(first, State.LIVE)
     second.start()
     async with asyncio.timeout(MOST):
-        while "another process's" not in second.keeper.trouble:
+        while "another process's" not in second.ledger.trouble:
             await asyncio.sleep(0.005)
     second.count(Ending.SERVED, 0, 0, 0, 7, 1.0, 1)
-    assert second.keeper.folded == 1, "what the second counts is kept as sums until the folder is free"
+    assert second.ledger.folded == 1, "what the second counts is kept as sums until the folder is free"
     await first.stop()
     await _until(second, State.LIVE)
     await second.stop()
-    assert second.keeper.state is State.CLOSED and second.keeper.control.epoch == 2
-    assert second.keeper.control.streams[2].length == 2, "the record, and the mark of a clean end"
+    assert second.ledger.state is State.CLOSED and second.ledger.control.epoch == 2
+    assert second.ledger.control.streams[2].length == 2, "the record, and the mark of a clean end"
 
 
 def test_a_folder_has_one_owner_and_the_second_waits_without_losing_a_count(tmp_path: Path) -> None:
@@ -109,10 +109,10 @@
         host = _host(tmp_path / "file" / "use")
         host.start()
         async with asyncio.timeout(MOST):
-            while not host.keeper.trouble:
+            while not host.ledger.trouble:
                 await asyncio.sleep(0.005)
         host.count(Ending.SERVED, 0, 0, 0, 7, 1.0, 1)
-        assert host.keeper.folded == 1 and host.keeper.trouble == "Not a directory"
+        assert host.ledger.folded == 1 and host.ledger.trouble == "Not a directory"
         await host.abandon()
 
     uvloop.run(asyncio.wait_for(body(), MOST))
@@ -165,8 +165,8 @@
 
 def test_the_lock_is_free_again_after_an_export(tmp_path: Path) -> None:
     async def body() -> None:
-        keeper = await export_all(tmp_path, Drop(tmp_path / "drop"), 1.0)
-        assert keeper.exported and msgspec.to_builtins(keeper.control)["streams"] == {}
+        ledger = await export_all(tmp_path, Drop(tmp_path / "drop"), 1.0)
+        assert ledger.exported and msgspec.to_builtins(ledger.control)["streams"] == {}
         Directory(tmp_path).close()
 
     uvloop.run(asyncio.wait_for(body(), MOST))
--- a/tests/test_used_mutants.py
+++ b/tests/test_used_mutants.py
@@ -1,4 +1,4 @@
-"""Planted faults of the keeper of use records, put to its schedules."""
+"""Planted faults of the ledger of use records, put to its schedules."""
 
 from __future__ import annotations
 
--- a/trackspread/commands/use.py
+++ b/trackspread/commands/use.py
@@ -1,6 +1,6 @@
 """`trackspread use`: what was counted, what billing has, and what to do when they differ.
 
-May know: folders, surveys, the export. Every operator's error is one plain line (`ConfigError`).
+May know: folders, audits, the export. Every operator's error is one plain line (`ConfigError`).
 """
 
 from __future__ import annotations
@@ -21,11 +21,11 @@
 from ..storage.directory import Directory
 from ..storage.document import DocumentError
 from ..usage import senders
+from ..usage.audit import Audit, Received, audit, rebuild_control, reconcile
 from ..usage.control import AREA_SIZE, AREAS, Names, pack
 from ..usage.host import export_all
-from ..usage.keeper import Keeper
+from ..usage.ledger import UsageLedger
 from ..usage.record import NANO, Ending
-from ..usage.survey import Received, Survey, rebuilt, reconcile, survey
 
 SHOWN = 40  # differences; the rest is counted
 FETCH_MOST = 30.0  # s for billing's totals
@@ -36,13 +36,13 @@
     try:
         match given.use:
             case "show":
-                return _show(_survey(given.folder))
+                return _show(_audit(given.folder))
             case "verify":
-                return _verify(_survey(given.folder))
+                return _verify(_audit(given.folder))
             case "export":
                 return _export(given)
             case "reconcile":
-                return _reconcile([_survey(folder) for folder in given.folder], _received(given.received))
+                return _reconcile([_audit(folder) for folder in given.folder], _received(given.received))
             case _:
                 return _repair(given.folder, given.config)
     except (OSError, DocumentError) as error:
@@ -50,10 +50,10 @@
         raise ConfigError(f"{where}: {getattr(error, 'strerror', None) or error}") from None
 
 
-def _survey(folder: Path) -> Survey:
+def _audit(folder: Path) -> Audit:
     if not folder.is_dir():
         raise ConfigError(f"{folder}: found no folder, wanted a gateway's use.folder")
-    found = survey(Directory(folder, view=True))
+    found = audit(Directory(folder, view=True))
     if found.newer:
         raise ConfigError(f"{folder}: a newer program wrote here, wanted at least its version")
     return found
@@ -63,7 +63,7 @@
     return f"{units / NANO:.3f}"
 
 
-def _show(found: Survey) -> int:
+def _show(found: Audit) -> int:
     control = found.control
     if control is None:
         print("; ".join(found.wrong) or "nothing was recorded here yet")
@@ -71,11 +71,11 @@
     print(f"producer {control.producer}: {found.segments} segments, {found.bytes / (1 << 20):.1f} MB")
     print(f"{'life':>6} {'gateway':<16} {'state':<8} {'places':>10} {'records':>10} {'billing has':>12} "
           f"{'to go':>10}")
-    for life in found.lives:
-        stream = life.stream
-        state = "open" if life.live else "sealed" if stream.sealed else "ended"
-        print(f"{life.epoch:>6} {control.names[stream.names].gateway:<16} {state:<8} {life.length:>10} "
-              f"{life.records:>10} {stream.acked:>12} {life.length - stream.acked:>10}")
+    for each in found.streams:
+        stream = each.stream
+        state = "open" if each.live else "sealed" if stream.sealed else "ended"
+        print(f"{each.epoch:>6} {control.names[stream.names].gateway:<16} {state:<8} {each.length:>10} "
+              f"{each.records:>10} {stream.acked:>12} {each.length - stream.acked:>10}")
     for ending in Ending:
         rows = [held for (_, _, own), held in found.journal.rows.items() if own == ending]
         if rows:
@@ -88,13 +88,13 @@
     return 0
 
 
-def _verify(found: Survey) -> int:
-    records = sum(life.records for life in found.lives)
-    torn = sum(len(life.torn) for life in found.lives)
+def _verify(found: Audit) -> int:
+    records = sum(each.records for each in found.streams)
+    torn = sum(len(each.torn) for each in found.streams)
     for text in found.wrong:
         print(text)
-    print(f"{records} records check, {sum(len(life.damaged) for life in found.lives)} are damaged, "
-          f"{sum(life.missing for life in found.lives)} are missing; {torn} were torn by a loss of power")
+    print(f"{records} records check, {sum(len(each.damaged) for each in found.streams)} are damaged, "
+          f"{sum(each.missing for each in found.streams)} are missing; {torn} were torn by a loss of power")
     return 1 if found.wrong else 0
 
 
@@ -110,15 +110,15 @@
     except ValueError as error:
         raise ConfigError(f"--to: found {url!r}, {error}") from None
 
-    def told(keeper: Keeper) -> None:
-        streams = keeper.control.streams.values()
+    def told(ledger: UsageLedger) -> None:
+        streams = ledger.control.streams.values()
         left = sum((stream.length or 0) - stream.acked for stream in streams)
-        why = keeper.exporter.trouble or keeper.trouble
+        why = ledger.exporter.trouble or ledger.trouble
         print(f"{left} places to go{f', waiting: {why}' if why else ''}", file=sys.stderr, flush=True)
 
-    keeper = asyncio.run(export_all(given.folder, way, given.seconds, told))
-    if not keeper.exported:
-        print(f"not all is exported: {keeper.exporter.trouble or keeper.trouble or 'out of time'}")
+    ledger = asyncio.run(export_all(given.folder, way, given.seconds, told))
+    if not ledger.exported:
+        print(f"not all is exported: {ledger.exporter.trouble or ledger.trouble or 'out of time'}")
         return 1
     print("billing has everything that is in the folder")
     return 0
@@ -136,8 +136,8 @@
         raise ConfigError(f"--received {where}: {getattr(error, 'strerror', None) or error}") from None
 
 
-def _reconcile(surveys: list[Survey], received: list[Received]) -> int:
-    differences = reconcile(surveys, received)
+def _reconcile(audits: list[Audit], received: list[Received]) -> int:
+    differences = reconcile(audits, received)
     for each in differences[:SHOWN]:
         day = datetime.fromtimestamp(each.day * 86_400, UTC).date()
         print(f"{each.customer:016x} {day} {Ending(each.ending).name.lower():<8} "
@@ -147,26 +147,27 @@
     if len(differences) > SHOWN:
         print(f"and {len(differences) - SHOWN} more")
     gateways: dict[str, int] = {}
-    for found in surveys:
+    for found in audits:
         control = found.control
-        names = {control.names[life.stream.names].gateway for life in found.lives} if control else set[str]()
-        for name in names:
+        if control is None:
+            continue
+        for name in {control.names[each.stream.names].gateway for each in found.streams}:
             gateways[name] = gateways.get(name, 0) + 1
     for name in sorted(name for name, folders in gateways.items() if folders > 1):
         print(f"{gateways[name]} folders are of gateways called {name}: wanted a name of its own for each")
-    requests, units = _total(surveys)
+    requests, units = _total(audits)
     print(f"{requests} requests, {_units(units)} units in the journals: "
           f"{len(differences) or 'no'} differences")
     return 1 if differences else 0
 
 
-def _total(surveys: list[Survey]) -> tuple[int, int]:
-    totals = [found.journal.total() for found in surveys]
+def _total(audits: list[Audit]) -> tuple[int, int]:
+    totals = [found.journal.total() for found in audits]
     return sum(n for n, _ in totals), sum(u for _, u in totals)
 
 
 def _repair(folder: Path, config: str | None) -> int:
-    found = _survey(folder)
+    found = _audit(folder)
     if found.control is not None:
         print("the control can be read: there is nothing to repair")
         return 0
@@ -175,7 +176,7 @@
         names = named(platform.load({**os.environ, "ROUTER_CONFIG": config}))
     files = Directory(folder)
     try:
-        control = rebuilt(files, names, os.urandom(16).hex())
+        control = rebuild_control(files, names, os.urandom(16).hex())
         data = pack(control)
         for name in AREAS:
             files.replace(name, data.ljust(AREA_SIZE, b"\0"))
--- a/trackspread/node/uses.py
+++ b/trackspread/node/uses.py
@@ -15,7 +15,7 @@
 from ..storage.slots import SLOT
 from ..usage.control import Names
 from ..usage.host import UseHost
-from ..usage.keeper import Bounds
+from ..usage.ledger import Bounds
 from ..usage.record import Ending
 from ..usage.senders import Sender, told
 
--- a/trackspread/usage/survey.py
+++ b/trackspread/usage/audit.py
@@ -1,10 +1,10 @@
 """A folder of use records as it lies there: what it holds, what is damaged, what billing should have.
 
 May know: the layout of segments, the control, sums. May not know: threads, running keepers. Nothing here
-writes; `rebuilt` only makes the document that `use repair` saves.
+writes; `rebuild_control` only makes the document that `use repair` saves.
 
 - A place that was written and does not check is damage where a mark or the watermark says that it was on the
-  disk; behind these it is the torn end of a life that lost its machine, and was never promised.
+  disk; behind these it is the torn end of a process that lost its machine, and was never promised.
 - What billing should have: sums of segments that went, and records up to the watermark.
 """
 
@@ -20,11 +20,11 @@
 from ..storage.slots import HEAD, Head, Scan, SegmentError, scan, unpack_head, written
 from .control import AREAS, Control, Names, Part, Stream, newest
 from .record import unpack
-from .tally import SCHEMA, Summed, Tally
+from .totals import SCHEMA, SegmentTotals, Totals
 
 
 @dataclass(slots=True)
-class Life:
+class StreamAudit:
     """One stream: `records` that can be read, places `damaged`, `torn`, or `missing` with their segment."""
 
     epoch: int
@@ -39,26 +39,26 @@
 
 
 @dataclass(slots=True)
-class Survey:
+class Audit:
     """`journal`: all that was counted, as far as it is still known; `exported`: of that, what billing told it
     has. `wrong`: what a person should look at."""
 
     control: Control | None
     newer: bool
-    lives: list[Life] = field(default_factory=list)
-    journal: Tally = field(default_factory=Tally)
-    exported: Tally = field(default_factory=Tally)
+    streams: list[StreamAudit] = field(default_factory=list)
+    journal: Totals = field(default_factory=Totals)
+    exported: Totals = field(default_factory=Totals)
     wrong: list[str] = field(default_factory=list)
     segments: int = 0
     bytes: int = 0
 
 
-def survey(files: Files) -> Survey:
+def audit(files: Files) -> Audit:
     """Reads everything; raises `OSError`."""
     names = files.names()
     copies = [files.load(name) or b"" for name in AREAS]
     control, _, wrong, newer = newest(copies)
-    found = Survey(control, newer, wrong=wrong)
+    found = Audit(control, newer, wrong=wrong)
     if control is None:
         if any(segment_of(name) for name in names):
             found.wrong.append("there are records, and no control that can be read")
@@ -72,7 +72,7 @@
         found.bytes += len(data)
         stream = control.streams.get(at[0])
         if stream is None:
-            continue  # of a life that was never declared
+            continue  # of a process that never declared it
         head = Head(at[0], at[1], stream.slots, bytes.fromhex(stream.nonce))
         try:
             unpack_head(data)
@@ -80,46 +80,47 @@
             found.wrong.append(f"{name}: {error}")
         scans.setdefault(at[0], []).append((head, scan(data[HEAD:], head, head.first)))
     for epoch, stream in sorted(control.streams.items()):
-        found.lives.append(_life(found, epoch, stream, scans.get(epoch, [])))
+        found.streams.append(_audit_stream(found, epoch, stream, scans.get(epoch, [])))
     for name in names:
         if name.startswith("sum-"):
             _add_sum(found, name, files.load(name) or b"")
     return found
 
 
-def _life(found: Survey, epoch: int, stream: Stream, scans: list[tuple[Head, Scan]]) -> Life:
-    life = Life(epoch, stream, stream.length is None)
-    life.marked = max([stream.acked, *(each.marked for _, each in scans)])
-    life.length = stream.length if stream.length is not None else max([0, *(each.last for _, each in scans)])
+def _audit_stream(found: Audit, epoch: int, stream: Stream, scans: list[tuple[Head, Scan]]) -> StreamAudit:
+    audited = StreamAudit(epoch, stream, stream.length is None)
+    audited.marked = max([stream.acked, *(each.marked for _, each in scans)])
+    written_to = max([0, *(each.last for _, each in scans)])
+    audited.length = stream.length if stream.length is not None else written_to
     for _, each in scans:
-        places = {n: unpack(payload) for n, payload in each.payloads.items() if n <= life.length}
+        places = {n: unpack(payload) for n, payload in each.payloads.items() if n <= audited.length}
         uses = {n: use for n, use in places.items() if use is not None}
-        life.records += len(uses)
+        audited.records += len(uses)
         found.journal.uses(uses.values())
         found.exported.uses(use for n, use in uses.items() if n <= stream.acked)
         for place in each.bad:
-            (life.damaged if place <= life.marked else life.torn).append(place)
+            (audited.damaged if place <= audited.marked else audited.torn).append(place)
     here = {head.index for head, _ in scans}
-    most = -(-life.length // stream.slots)
+    most = -(-audited.length // stream.slots)
     gone = [index for index in range(stream.kept, most) if index not in here]
     if gone:
         found.wrong.append(f"epoch {epoch}: segments {', '.join(map(str, gone))} are missing")
-        life.missing += len(gone) * stream.slots
-    if life.damaged:
-        found.wrong.append(f"epoch {epoch}: {len(life.damaged)} records are damaged, the first at place "
-                           f"{life.damaged[0]}")
-    return life
+        audited.missing += len(gone) * stream.slots
+    if audited.damaged:
+        found.wrong.append(f"epoch {epoch}: {len(audited.damaged)} records are damaged, the first at place "
+                           f"{audited.damaged[0]}")
+    return audited
 
 
-def _add_sum(found: Survey, name: str, data: bytes) -> None:
+def _add_sum(found: Audit, name: str, data: bytes) -> None:
     """What a segment that went held was exported, or given up."""
     try:
-        summed = SCHEMA.unpack(data, Summed)
+        summed = SCHEMA.unpack(data, SegmentTotals)
     except DocumentError as error:
         found.wrong.append(f"{name}: {error}")
         return
-    found.journal.add_lines(summed.lines)
-    found.exported.add_lines(summed.lines)
+    found.journal.add_rows(summed.lines)
+    found.exported.add_rows(summed.lines)
 
 
 class Received(msgspec.Struct, frozen=True, array_like=True):
@@ -153,13 +154,13 @@
         return "billing has less than it took" if self.received < self.exported else "billing has more"
 
 
-def reconcile(surveys: list[Survey], received: list[Received]) -> list[Difference]:
+def reconcile(audits: list[Audit], received: list[Received]) -> list[Difference]:
     """Each member's day on which journal, export and billing differ; empty if all is there and agrees."""
-    journal, exported, billing = Tally(), Tally(), Tally()
-    for each in surveys:
-        for tally, own in ((journal, each.journal), (exported, each.exported)):
+    journal, exported, billing = Totals(), Totals(), Totals()
+    for each in audits:
+        for totals, own in ((journal, each.journal), (exported, each.exported)):
             for (customer, day, ending), (requests, units) in own.rows.items():
-                tally.add(customer, day, ending, requests, units)
+                totals.add(customer, day, ending, requests, units)
     for line in received:
         billing.add(int(line.customer, 16), line.day, line.ending, line.requests, int(line.units))
     nothing = 0, 0
@@ -171,7 +172,7 @@
     return [each for each in made if not each.journal == each.exported == each.received]
 
 
-def rebuilt(files: Files, names: Names, producer: str) -> Control:
+def rebuild_control(files: Files, names: Names, producer: str) -> Control:
     """A control for segments whose own is lost. Nothing counts as exported: billing has each place once and
     says where it is. Raises `DocumentError` where a newer program wrote."""
     control = Control(producer, names=[names])
--- a/trackspread/usage/keeper.py
+++ b/trackspread/usage/ledger.py
@@ -1,4 +1,4 @@
-"""The keeper of use records: what is written, committed, exported, removed, and what happens as disks fail.
+"""The ledger of use records: what is written, committed, exported, removed, and what happens as disks fail.
 
 May know: the journal, the exporter, the meter, calls to the disk as values. May not know: threads, sockets,
 clocks: `now` is handed in, calls and posts are handed out, and how they ended comes back. Rules:
@@ -30,7 +30,7 @@
 from .meter import REFUSALS_MS, SUMS_MOST, Meter
 from .record import ATTEMPTS_MOST, Ending, Kind, Use
 from .record import pack as pack_use
-from .shelf import Full, Shelf
+from .segments import Full, SegmentStore
 
 SECOND = 1_000_000_000
 RETRY = 2 * SECOND  # until a call that failed is made again
@@ -72,7 +72,7 @@
     full: Full
 
 
-class Keeper:
+class UsageLedger:
     """`alarms`: lines for the operators; `spent`: areas to be closed. Whoever hosts takes them from here."""
 
     def __init__(self, bounds: Bounds, names: Names, rng: random.Random, write: bool = True) -> None:
@@ -81,7 +81,7 @@
         self.meter, self.exporter = Meter(), Exporter(bounds.every, rng)
         self.journal: Journal | None = None
         self.control = Control(f"{rng.getrandbits(128):032x}")
-        self.shelf = Shelf(bounds.segments, bounds.full)
+        self.segment_store = SegmentStore(bounds.segments, bounds.full)
         self.alarms: list[str] = []
         self.spent: list[Area] = []
         self.recorded, self.folded = 0, 0  # requests with a record of their own, and those in sums
@@ -151,12 +151,12 @@
             self.state = State.LOOKING
             return self._start(Look(AREAS, AREA_SIZE), self._found, self._not_found)
         if self.state is State.FOUND and self._may("refresh", now):
-            names = self.shelf.unsure(self.control)
+            names = self.segment_store.unsure(self.control)
             call = Refresh((self._areas[self._good],), names)
             return self._start(call, self._refreshed, self._later("refresh"))
         if self.state not in OPENED:
             return None
-        return self._writers(now) or self._keepers(now)
+        return self._advance_stream(now) or self._maintain(now)
 
     def done(self, now: int, result: Result | OSError) -> None:
         """The end of the call that was out: what it gave, or the error."""
@@ -168,16 +168,16 @@
                 self.alarms.append(f"use: the disk failed: {why}")
             self.trouble = why
             if result.errno in (errno.ENOSPC, errno.EDQUOT):
-                self.shelf.short = True
+                self.segment_store.short = True
             failed(now, result)
         else:
             then(now, result)
             if self.trouble and self.state is State.LIVE:
                 self.alarms.append("use: the disk works again")
                 self.trouble = ""
-        self.alarms += [f"use: {text}" for text in self.exporter.alarms + self.shelf.alarms]
+        self.alarms += [f"use: {text}" for text in self.exporter.alarms + self.segment_store.alarms]
         self.exporter.alarms.clear()
-        self.shelf.alarms.clear()
+        self.segment_store.alarms.clear()
         self._tell_meter()
 
     def _tell_meter(self) -> None:
@@ -215,7 +215,7 @@
             self.spent += self._fresh.areas()
             self._fresh = None
 
-    def _writers(self, now: int) -> Call | None:
+    def _advance_stream(self, now: int) -> Call | None:
         match self.state:
             case State.ABSENT if self._write and self._may("stream", now):
                 if len(self.control.streams) < STREAMS_MOST:
@@ -269,7 +269,7 @@
             if old is not None:
                 self.spent += old.areas()
             self.journal, self._fresh, self.state = fresh, None, State.LIVE
-            self.shelf.add(fresh.epoch, 0)
+            self.segment_store.add(fresh.epoch, 0)
             self.exporter.dirty = True  # the other copy, too, is to know of it
             self._owed = bool(self.meter.sums)
 
@@ -296,7 +296,7 @@
 
         def saved(now: int, result: Result) -> None:
             self._good = at
-            self.shelf.saved = watermarks
+            self.segment_store.saved = watermarks
             self.exporter.saved()
             then(now, result)
 
@@ -316,7 +316,7 @@
             if not journal.ended():
                 return self._live(now)
             return self._end(now, journal) if self._may("end", now) else None
-        if (head := journal.wants()) is not None and self.shelf.room() and self._may("segment", now):
+        if (head := journal.wants()) is not None and self.segment_store.room() and self._may("segment", now):
             return self._start(Create(head), self._provided, self._later("segment"))
         return None
 
@@ -332,7 +332,7 @@
     def _provided(self, now: int, area: Result) -> None:
         assert self.journal is not None
         self.journal.provide(cast(Area, area))
-        self.shelf.add(self.journal.epoch, self.journal.index + 1)
+        self.segment_store.add(self.journal.epoch, self.journal.index + 1)
 
     def _committed(self, now: int, commit: Commit) -> None:
         assert self.journal is not None
@@ -346,14 +346,14 @@
 
     # The control's and the export's.
 
-    def _keepers(self, now: int) -> Call | None:
+    def _maintain(self, now: int) -> Call | None:
         exporter, control, journal = self.exporter, self.control, self.journal
-        if (exporter.dirty or self.shelf.dirty) and self._may("save", now):
-            exporter.dirty = self.shelf.dirty = False
+        if (exporter.dirty or self.segment_store.dirty) and self._may("save", now):
+            exporter.dirty = self.segment_store.dirty = False
             return self._save(now, lambda now, _: None, self._unsaved)
-        if self._may("shelf", now) and (step := self.shelf.next(control, journal)) is not None:
+        if self._may("retention", now) and (step := self.segment_store.next(control, journal)) is not None:
             call, after = step
-            return self._start(call, lambda now, result: after(result), self._not_shelved)
+            return self._start(call, lambda now, result: after(result), self._not_maintained)
         if not self._may("read", now):
             return None
         read = exporter.next(now, control, journal.committed if journal is not None else 0)
@@ -372,9 +372,9 @@
         self.exporter.dirty = True
         self._later("save")(now, error)
 
-    def _not_shelved(self, now: int, error: OSError) -> None:
-        self.shelf.failed()
-        self._later("shelf")(now, error)
+    def _not_maintained(self, now: int, error: OSError) -> None:
+        self.segment_store.failed()
+        self._later("retention")(now, error)
 
     def _not_read(self, now: int, error: OSError) -> None:
         self.exporter.unread()
@@ -402,13 +402,13 @@
         self.alarms += [f"use: {name}: {why}" for name, why in found.broken.items()]
         if best is not None:
             self.control = best
-        self.shelf.found(self.control, found, strangers)
+        self.segment_store.found(self.control, found, strangers)
         # Names of lives that were never declared are not used again either: their files are still to go.
         self._epoch = max([self.control.epoch, *(epoch for epoch, _ in found.segments)])
         self.meter.floor = max(self.meter.floor, self.control.month)
 
     def _refreshed(self, now: int, result: Result) -> None:
-        self.shelf.ended(self.control)
+        self.segment_store.ended(self.control)
         self.state = State.ABSENT
 
     # Billing.
@@ -424,7 +424,7 @@
     @property
     def exported(self) -> bool:
         """Billing has all that former lives left, and the disk knows it."""
-        idle = self.exporter.stage is Stage.IDLE and not (self.exporter.dirty or self.shelf.dirty)
+        idle = self.exporter.stage is Stage.IDLE and not (self.exporter.dirty or self.segment_store.dirty)
         streams = self.control.streams.values()
         return self.state in OPENED and self._out is None and idle and all(s.over() for s in streams)
 
--- a/trackspread/usage/shelf.py
+++ b/trackspread/usage/segments.py
@@ -21,7 +21,7 @@
 from ..storage.slots import Head, Scan
 from .control import Control, Stream
 from .record import unpack
-from .tally import Summed, Tally, pack, sum_name
+from .totals import SegmentTotals, Totals, pack, sum_name
 
 SUMS_KEPT = 1024  # documents of sums, one a segment, some 20 kB each at most; the oldest go first
 Full = Literal["fold", "drop"]
@@ -29,7 +29,7 @@
 Step = tuple[Call, Callable[[Result], None]]  # a call, and what it is for
 
 
-class Shelf:
+class SegmentStore:
     """`saved`: by epoch, the watermark that is on the disk. `short`: the disk had no room of late. `dirty`:
     the control was changed here."""
 
@@ -43,7 +43,7 @@
         self._leftover: list[str] = []  # of lives that were never declared, or counted nothing
         self._filled: dict[int, int] = {}  # by epoch, the last place that a former life wrote
         self._going: At | None = None
-        self._sum: Summed | None = None
+        self._sum: SegmentTotals | None = None
         self._summed = False  # the sum of what is going is on the disk, or finds no room there
 
     def found(self, control: Control, found: Found, strangers: set[At]) -> None:
@@ -108,7 +108,7 @@
 
     def _read(self, control: Control, at: At, scan: Result) -> None:
         assert scan is None or isinstance(scan, Scan)
-        self._sum = summed(at, control.streams[at[0]], scan)
+        self._sum = segment_totals(at, control.streams[at[0]], scan)
 
     def _noted(self, at: At) -> None:
         self._summed = True
@@ -169,10 +169,10 @@
             self.alarms.append(f"no room: up to {lost} records of epoch {at[0]} go before billing had them")
 
 
-def summed(at: At, stream: Stream, scan: Scan | None) -> Summed:
+def segment_totals(at: At, stream: Stream, scan: Scan | None) -> SegmentTotals:
     """What one segment holds, as totals."""
-    tally, first = Tally(), at[1] * stream.slots + 1
+    totals, first = Totals(), at[1] * stream.slots + 1
     if scan is not None:
-        tally.uses(use for payload in scan.payloads.values() if (use := unpack(payload)) is not None)
+        totals.uses(use for payload in scan.payloads.values() if (use := unpack(payload)) is not None)
     bad = len(scan.bad) if scan is not None else stream.slots
-    return Summed(at[0], first, first + stream.slots - 1, bad, tally.lines())
+    return SegmentTotals(at[0], first, first + stream.slots - 1, bad, totals.lines())
--- a/trackspread/usage/tally.py
+++ b/trackspread/usage/totals.py
@@ -15,7 +15,7 @@
 SCHEMA = Schema("use-sum", 1)
 
 
-class Line(msgspec.Struct, frozen=True, array_like=True):
+class TotalsRow(msgspec.Struct, frozen=True, array_like=True):
     """`day` since 1970; `units` in billionths, as a decimal."""
 
     customer: int
@@ -25,17 +25,17 @@
     units: str
 
 
-class Summed(msgspec.Struct, frozen=True):
+class SegmentTotals(msgspec.Struct, frozen=True):
     """What one segment held: places `first` to `last` of a stream; `bad` could not be read."""
 
     epoch: int
     first: int
     last: int
     bad: int
-    lines: tuple[Line, ...]
+    lines: tuple[TotalsRow, ...]
 
 
-class Tally:
+class Totals:
     """Exact: whole numbers alone. Keys are member, day and ending."""
 
     def __init__(self) -> None:
@@ -45,15 +45,15 @@
         held = self.rows.get((customer, day, ending), (0, 0))
         self.rows[customer, day, ending] = held[0] + count, held[1] + units
 
-    def uses(self, uses: Iterable[Use]) -> Tally:
+    def uses(self, uses: Iterable[Use]) -> Totals:
         for use in uses:
             self.add(use.customer, use.time // DAY_MS, use.ending, use.requests, use.units)
         return self
 
-    def lines(self) -> tuple[Line, ...]:
-        return tuple(Line(*key, count, str(units)) for key, (count, units) in sorted(self.rows.items()))
+    def lines(self) -> tuple[TotalsRow, ...]:
+        return tuple(TotalsRow(*key, count, str(units)) for key, (count, units) in sorted(self.rows.items()))
 
-    def add_lines(self, lines: Iterable[Line]) -> Tally:
+    def add_rows(self, lines: Iterable[TotalsRow]) -> Totals:
         for line in lines:
             self.add(line.customer, line.day, line.ending, line.count, int(line.units))
         return self
@@ -67,5 +67,5 @@
     return f"sum-{epoch:08d}-{index:06d}.json"
 
 
-def pack(summed: Summed) -> bytes:
-    return SCHEMA.pack(summed)
+def pack(totals: SegmentTotals) -> bytes:
+    return SCHEMA.pack(totals)
--- a/trackspread/virtual/used.py
+++ b/trackspread/virtual/used.py
@@ -1,6 +1,6 @@
 """Use records in virtual time: lives of gateways on disks that fail, and billing behind a bad network.
 
-May know: the keeper's events and calls, the disk, billing's rules. Decides nothing. The account is its own:
+May know: the ledger's events and calls, the disk, billing's rules. Decides nothing. The account is its own:
 each request has units of its own (a serial number), so what billing has names the requests it stands for.
 
 What is held to, at the end, once all faults are over and the last life has exported:
@@ -26,14 +26,14 @@
 from ..usage.batch import Reply, decode
 from ..usage.control import Names
 from ..usage.exporter import Post, Stage
-from ..usage.keeper import OPENED, Bounds, Keeper, State
+from ..usage.ledger import OPENED, Bounds, State, UsageLedger
 from ..usage.record import Ending, Kind, unpack
 from .clock import START, Clock
 from .disk import Crash, Disk, VirtualFiles
 
 MILLISECOND = 1_000_000
 SECOND = 1_000_000_000
-PUMP = 2 * MILLISECOND  # between looks at what the keeper wants, as a host's timer has it
+PUMP = 2 * MILLISECOND  # between looks at what the ledger wants, as a host's timer has it
 PATIENCE = SECOND // 2  # until a post without an answer counts as failed
 NAMES = Names("n0", ("rate-lookup", "charge-post"), ("basic", "full"))
 MEMBERS = 5
@@ -64,12 +64,12 @@
 
 
 class Life:
-    """One process: a keeper on a disk, until it is over."""
+    """One process: a ledger on a disk, until it is over."""
 
     def __init__(self, world: World, disk: Disk) -> None:
         self.world, self.disk, self.alive = world, disk, True
         self.files = VirtualFiles(disk)
-        self.keeper = Keeper(world.bounds, NAMES, random.Random(world.rng.getrandbits(64)))
+        self.ledger = UsageLedger(world.bounds, NAMES, random.Random(world.rng.getrandbits(64)))
         self.alarms: list[str] = []
         self._posts = 0
         world.clock.after(0, self._pump)
@@ -81,7 +81,7 @@
         member = serial % MEMBERS
         world.truth.counted[serial] = member
         try:
-            self.keeper.count(
+            self.ledger.count(
                 world.clock.now, world.wall_ms(), ending, serial % 2, member % 2, 1, member, serial, 1
             )
         except Crash:
@@ -96,7 +96,7 @@
         now, clock = self.world.clock.now, self.world.clock
         result: Result | OSError
         try:
-            call = self.keeper.call(now)
+            call = self.ledger.call(now)
             try:
                 result = perform(self.files, call) if call is not None else None
             except OSError as error:
@@ -106,17 +106,17 @@
             return
         if call is not None:
             clock.after(self.world.rng.randint(0, 8 * MILLISECOND), partial(self._done, result))
-        if (post := self.keeper.post(now)) is not None:
+        if (post := self.ledger.post(now)) is not None:
             self._post(post)
-        self.keeper.spent.clear()
-        self.alarms += self.keeper.alarms
-        self.keeper.alarms.clear()
+        self.ledger.spent.clear()
+        self.alarms += self.ledger.alarms
+        self.ledger.alarms.clear()
         clock.after(PUMP, self._pump)
 
     def _done(self, result: Result | OSError) -> None:
         if self.alive:
             try:
-                self.keeper.done(self.world.clock.now, result)
+                self.ledger.done(self.world.clock.now, result)
             except Crash:  # records that are written anew, into a new stream
                 self.world.crashed(self)
 
@@ -131,31 +131,31 @@
         world.clock.after(PATIENCE, partial(self._patience, number))
 
     def _reply(self, number: int, body: bytes, reply: Reply) -> None:
-        if self.alive and number == self._posts and self.keeper.exporter.stage is Stage.SENT:
+        if self.alive and number == self._posts and self.ledger.exporter.stage is Stage.SENT:
             self.world.answered(body)
-            self.keeper.exporter.answered(self.keeper.control, reply)
+            self.ledger.exporter.answered(self.ledger.control, reply)
 
     def _patience(self, number: int) -> None:
-        if self.alive and number == self._posts and self.keeper.exporter.stage is Stage.SENT:
-            self.keeper.exporter.failed(self.world.clock.now, "no answer")
+        if self.alive and number == self._posts and self.ledger.exporter.stage is Stage.SENT:
+            self.ledger.exporter.failed(self.world.clock.now, "no answer")
 
     @property
     def pending(self) -> list[tuple[int, int, int]]:
         """Kind, requests and units of what was written and is not committed."""
-        journal = self.keeper.journal
+        journal = self.ledger.journal
         held = [unpack(payload) for payload in journal.pending if payload[0] != MARK] if journal else []
         return [(use.kind, use.requests, use.units) for use in held if use is not None]
 
     @property
     def drained(self) -> bool:
         """All that was counted is with billing."""
-        keeper, journal = self.keeper, self.keeper.journal
-        if keeper.state is not State.LIVE or journal is None or journal.pending or keeper.meter.sums:
+        ledger, journal = self.ledger, self.ledger.journal
+        if ledger.state is not State.LIVE or journal is None or journal.pending or ledger.meter.sums:
             return False
         return all(
             stream.over() if epoch != journal.epoch else stream.acked >= journal.committed
-            for epoch, stream in keeper.control.streams.items()
-        ) and keeper.exporter.stage is Stage.IDLE
+            for epoch, stream in ledger.control.streams.items()
+        ) and ledger.exporter.stage is Stage.IDLE
 
 
 class World:
@@ -214,14 +214,14 @@
         life.alive = False
         self.crashes += 1
         self.lives.remove(life)
-        self.alarms += life.alarms + life.keeper.alarms
-        truth, keeper, disk = self.truth, life.keeper, life.disk
-        for row, (requests, units, _, _) in keeper.meter.sums.items():
+        self.alarms += life.alarms + life.ledger.alarms
+        truth, ledger, disk = self.truth, life.ledger, life.disk
+        for row, (requests, units, _, _) in ledger.meter.sums.items():
             truth.memory[row[0]] += requests
             truth.memory_units += units
-        truth.dropped += keeper.control.lost.get("dropped", 0)
+        truth.dropped += ledger.control.lost.get("dropped", 0)
         limbo = self.limbo.setdefault(id(disk), [])
-        if keeper.state in OPENED | {State.CLOSED}:
+        if ledger.state in OPENED | {State.CLOSED}:
             limbo.clear()
         limbo += life.pending
         disk.crash_at = 0
--- a/trackspread/virtual/used_mutants.py
+++ b/trackspread/virtual/used_mutants.py
@@ -1,4 +1,4 @@
-"""Keepers of use records with one fault each, for the schedules to convict.
+"""Ledgers of use records with one fault each, for the schedules to convict.
 
 Each breaks one rule of `storage/` or `usage/` by a patch that is taken back.
 """
@@ -14,14 +14,14 @@
 from ..storage.journal import Journal
 from ..storage.seam import Files
 from ..storage.slots import Head, Scan
-from ..usage import exporter, keeper
+from ..usage import exporter, ledger
 from ..usage.batch import Reply
 from ..usage.control import Control, Stream
 from ..usage.exporter import Exporter, Span, Stage
-from ..usage.keeper import Keeper, State
+from ..usage.ledger import State, UsageLedger
 from ..usage.meter import Meter
 from ..usage.record import Use, pack
-from ..usage.shelf import Shelf
+from ..usage.segments import SegmentStore
 from . import used
 from .patches import held
 from .used_schedules import make, play
@@ -49,22 +49,22 @@
     def mutant(epoch: int, index: int, slots: int, nonce: bytes) -> Head:
         return Head(epoch, index, slots, bytes(16))
 
-    return [patch.object(keeper, "Head", mutant)]
+    return [patch.object(ledger, "Head", mutant)]
 
 
 def _names_used_again() -> list[Any]:
     """A life takes the number of one that was never declared, whose files are still to go."""
-    real = Keeper._found
+    real = UsageLedger._found
 
-    def mutant(self: Keeper, now: int, found: Result) -> None:
+    def mutant(self: UsageLedger, now: int, found: Result) -> None:
         real(self, now, found)
         self._epoch = self.control.epoch
 
-    return [patch.object(Keeper, "_found", mutant)]
+    return [patch.object(UsageLedger, "_found", mutant)]
 
 
 def _gone_before_the_watermark() -> list[Any]:
-    return [patch.object(Shelf, "_behind", lambda self, stream, at: True)]
+    return [patch.object(SegmentStore, "_behind", lambda self, stream, at: True)]
 
 
 def _not_noted() -> list[Any]:
@@ -81,45 +81,45 @@
 
 def _synced_again() -> list[Any]:
     """After a sync that failed the next one is believed."""
-    def mutant(self: Keeper, now: int, error: OSError) -> None:
+    def mutant(self: UsageLedger, now: int, error: OSError) -> None:
         return None
 
-    return [patch.object(Keeper, "_doubted", mutant)]
+    return [patch.object(UsageLedger, "_doubted", mutant)]
 
 
 def _good_copy_overwritten() -> list[Any]:
-    real = Keeper._save
+    real = UsageLedger._save
 
-    def mutant(self: Keeper, *words: Any) -> Any:
+    def mutant(self: UsageLedger, *words: Any) -> Any:
         self._good = 1 - self._good
         return real(self, *words)
 
-    return [patch.object(Keeper, "_save", mutant)]
+    return [patch.object(UsageLedger, "_save", mutant)]
 
 
 def _doubt_forgotten() -> list[Any]:
     """What a failed sync was for is not written into the new stream."""
-    real = Keeper._create
+    real = UsageLedger._create
 
-    def mutant(self: Keeper) -> Any:
+    def mutant(self: UsageLedger) -> Any:
         if self.journal is not None:
             self.journal.pending.clear()
         return real(self)
 
-    return [patch.object(Keeper, "_create", mutant)]
+    return [patch.object(UsageLedger, "_create", mutant)]
 
 
 def _doubt_kept() -> list[Any]:
     """The stream that a failed sync left in doubt is not ended: what is written anew counts twice."""
-    real = Keeper._declare
+    real = UsageLedger._declare
 
-    def mutant(self: Keeper, now: int) -> Any:
+    def mutant(self: UsageLedger, now: int) -> Any:
         made = real(self, now)
         if self.journal is not None and self.journal.epoch in self.control.streams:
             self.control.streams[self.journal.epoch].length = self.journal.next - 1
         return made
 
-    return [patch.object(Keeper, "_declare", mutant)]
+    return [patch.object(UsageLedger, "_declare", mutant)]
 
 
 def _sum_written_twice() -> list[Any]:
@@ -135,25 +135,25 @@
 
 def _sum_dropped() -> list[Any]:
     """A sum is let go of before it has a place."""
-    def mutant(self: Keeper, now: int) -> None:
+    def mutant(self: UsageLedger, now: int) -> None:
         while (use := self.meter.oldest()) is not None:
             self.meter.written(use)
             self._append(now, pack(*use))
 
-    return [patch.object(Keeper, "_unfold", mutant)]
+    return [patch.object(UsageLedger, "_unfold", mutant)]
 
 
 def _tail_forgotten() -> list[Any]:
     """A life that was killed ends where billing had got to."""
-    real = Shelf.ended
+    real = SegmentStore.ended
 
-    def mutant(self: Shelf, control: Control) -> None:
+    def mutant(self: SegmentStore, control: Control) -> None:
         for stream in control.streams.values():
             if stream.length is None:
                 stream.length = stream.acked
         real(self, control)
 
-    return [patch.object(Shelf, "ended", mutant)]
+    return [patch.object(SegmentStore, "ended", mutant)]
 
 
 def _silence_is_consent() -> list[Any]:
@@ -164,12 +164,12 @@
     real = used.Life._patience
 
     def patience(self: used.Life, number: int) -> None:
-        span = self.keeper.exporter._span
-        sent = self.keeper.exporter.stage is Stage.SENT and number == self._posts
+        span = self.ledger.exporter._span
+        sent = self.ledger.exporter.stage is Stage.SENT and number == self._posts
         real(self, number)
         if sent and span is not None and self.alive:
-            self.keeper.control.streams[span.epoch].acked = span.last
-            self.keeper.control.intent = None
+            self.ledger.control.streams[span.epoch].acked = span.last
+            self.ledger.control.intent = None
 
     return [patch.object(Exporter, "failed", mutant), patch.object(used.Life, "_patience", patience)]
 
@@ -217,14 +217,14 @@
 
 def _closed_early() -> list[Any]:
     """A clean end does not wait for its last commit."""
-    real = Keeper._live
+    real = UsageLedger._live
 
-    def mutant(self: Keeper, now: int) -> Any:
+    def mutant(self: UsageLedger, now: int) -> Any:
         if self._ending and self.state is State.LIVE and self.journal is not None:
             return self._end(now, self.journal)
         return real(self, now)
 
-    return [patch.object(Keeper, "_live", mutant)]
+    return [patch.object(UsageLedger, "_live", mutant)]
 
 
 def _places_anywhere() -> list[Any]:
@@ -258,4 +258,4 @@
     try:
         return bool(play(make(seed))[0])
     except (AssertionError, KeyError, IndexError, ValueError):
-        return True  # a keeper that trips over its own fault
+        return True  # a ledger that trips over its own fault
--- a/trackspread/virtual/used_schedules.py
+++ b/trackspread/virtual/used_schedules.py
@@ -1,6 +1,6 @@
 """Seeded schedules for use records: lives that end anywhere, disks and networks that fail while they last.
 
-May know: the world's handles. May not know: what the keeper decides. The same seed plays the same schedule.
+May know: the world's handles. May not know: what the ledger decides. The same seed plays the same schedule.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from functools import partial
 
 from ..storage.slots import HEAD, SLOT
-from ..usage.keeper import Bounds, State
+from ..usage.ledger import Bounds, State
 from ..usage.record import Ending, Kind
 from .disk import Disk
 from .used import MILLISECOND, SECOND, Life, World
@@ -134,8 +134,8 @@
         for end, troubles in zip(self.schedule.ends, self.schedule.troubles, strict=True):
             self._life(end, troubles)
         if not self.world.settle(self.disks):
-            stage = [life.keeper.exporter.stage for life in self.world.lives]
-            states = [life.keeper.state for life in self.world.lives]
+            stage = [life.ledger.exporter.stage for life in self.world.lives]
+            states = [life.ledger.state for life in self.world.lives]
             return [f"not everything is exported in the end: {states}, {stage}"]
         if self.clean or self.flipped:
             # Copies of one folder cut their batches each for itself; what a flip destroyed is a hole.
@@ -167,7 +167,7 @@
         world.run(rng.randint(SECOND // 5, SPAN_MOST))
         for each in list(world.lives):
             if end == "close":
-                each.keeper.close()
+                each.ledger.close()
                 world.run(3 * SECOND)
             world.crashed(each)  # a clean end first, if the disk allowed one
         if end == "old_copy" and copy is not None:
@@ -181,7 +181,7 @@
 
     def _until_live(self, life: Life) -> None:
         for _ in range(1000):  # one that is stuck never is
-            if life.alive and life.keeper.state is not State.LIVE:
+            if life.alive and life.ledger.state is not State.LIVE:
                 self.world.run(10 * MILLISECOND)
 
     def _crash_soon(self, life: Life) -> None:
@@ -193,7 +193,7 @@
         rng, clock = self.rng, self.world.clock
 
         def one() -> None:
-            if life.alive and not life.keeper._ending:
+            if life.alive and not life.ledger._ending:
                 served = rng.choice((Ending.SERVED, Ending.FAILED))
                 life.count(Ending.REFUSED if rng.random() < refused else served)
                 clock.after(int(rng.expovariate(rate) * SECOND), one)
