Counter: leases, failure detector and quota client in place of holding, witness, desk

Renamed in counter/: witness.py Witness to failure_detector.py FailureDetector, holding.py Holding to lease.py Lease, tier.py Tier to lease_manager.py LeaseManager, desk.py Desk to quota_client.py QuotaClient; Beat is Heartbeat, Right is Grant, Deed is Action, Refused.word is Refused.code, Lease.word and told are next_claim and answered. The gateway hands other plans on by Counted.replan. The names, fields and bytes on the counter (also its key 'beats'), settings and status lines are as before, so that versions run side by side.

--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -1,4 +1,4 @@
-"""The counter's tier: its rules by themselves, and in virtual time under seeded faults."""
+"""The shared counter's leases: its rules by themselves, and in virtual time under seeded faults."""
 
 from __future__ import annotations
 
@@ -9,12 +9,24 @@
 
 from trackspread.counter.allot import allot
 from trackspread.counter.commands import CounterError, Refused, commands, name_of, reply
-from trackspread.counter.desk import terms_of
+from trackspread.counter.failure_detector import FailureDetector
+from trackspread.counter.quota_client import terms_of
 from trackspread.counter.terms import (
-    BEAT, KEPT, MILLISECOND, OUT, SECOND, Beat, Call, Claim, Reply, Terms, even, pack_beat, pack_claim,
+    HEARTBEAT,
+    KEPT,
+    MILLISECOND,
+    OUT,
+    SECOND,
+    Call,
+    Claim,
+    Heartbeat,
+    Reply,
+    Terms,
+    even,
+    pack_claim,
+    pack_heartbeat,
     unpack_claim,
 )
-from trackspread.counter.witness import Witness
 from trackspread.decide.interface import Plan
 from trackspread.standins.counter import Cluster, Failure, Shard, slot_of
 from trackspread.virtual.counted import Plant, World
@@ -73,43 +85,43 @@
     assert terms_of(Plan("p", 0.0, 0.0, 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0), 2.0, (0,)) is None
 
 
-def _read(witness: Witness, now: int, number: int, late: int = 0, wrote: bool = True) -> None:
+def _read(detector: FailureDetector, now: int, number: int, late: int = 0, wrote: bool = True) -> None:
     """A read at `now` that shows gateway 1's beat, which lay `late` ns on its way."""
     clock = now // MILLISECOND
-    beat = pack_beat(Beat(5, number, clock - late // MILLISECOND))
-    witness.answered(now, now, wrote, Reply(clock, {1: beat}, b"x"))
-    witness.look(now)
+    beat = pack_heartbeat(Heartbeat(5, number, clock - late // MILLISECOND))
+    detector.answered(now, now, wrote, Reply(clock, {1: beat}, b"x"))
+    detector.look(now)
 
 
 def test_a_gateway_is_seen_by_beats_that_change_and_from_the_read_before() -> None:
-    witness = Witness(0, 2, 9, SECOND)
-    _read(witness, SECOND, 1)
+    detector = FailureDetector(0, 2, 9, SECOND)
+    _read(detector, SECOND, 1)
     for number in range(2, 6):
-        _read(witness, number * SECOND // 2 + SECOND, number)
+        _read(detector, number * SECOND // 2 + SECOND, number)
     last = 3 * SECOND + SECOND // 2
-    assert witness.seen[1].since == last - SECOND // 2 and not witness.quiet
-    witness.look(last - SECOND // 2 + KEPT + 1)
-    assert witness.quiet == {1} and not witness.gone
-    witness.look(last - SECOND // 2 + OUT + 1)
-    assert witness.gone == {1}
+    assert detector.seen[1].since == last - SECOND // 2 and not detector.quiet
+    detector.look(last - SECOND // 2 + KEPT + 1)
+    assert detector.quiet == {1} and not detector.gone
+    detector.look(last - SECOND // 2 + OUT + 1)
+    assert detector.gone == {1}
 
 
 def test_a_beat_that_lay_on_its_way_is_as_old_as_the_counters_clock_says() -> None:
-    witness = Witness(0, 2, 9, 100 * SECOND)
+    detector = FailureDetector(0, 2, 9, 100 * SECOND)
     for number in range(1, 5):
-        _read(witness, 100 * SECOND + number * BEAT, number)
-    since = witness.seen[1].since
-    _read(witness, 100 * SECOND + 5 * BEAT, 5, late=SECOND * 10)
-    assert witness.seen[1].since == since
+        _read(detector, 100 * SECOND + number * HEARTBEAT, number)
+    since = detector.seen[1].since
+    _read(detector, 100 * SECOND + 5 * HEARTBEAT, 5, late=SECOND * 10)
+    assert detector.seen[1].since == since
 
 
 def test_what_a_healed_half_brings_up_again_is_no_sign_of_life() -> None:
-    witness = Witness(0, 2, 9, 100 * SECOND)
+    detector = FailureDetector(0, 2, 9, 100 * SECOND)
     for number in range(1, 5):
-        _read(witness, 100 * SECOND + number * BEAT, number)
-    seen = witness.seen[1]
-    _read(witness, 100 * SECOND + 6 * BEAT, 2)
-    assert witness.seen[1] == seen
+        _read(detector, 100 * SECOND + number * HEARTBEAT, number)
+    seen = detector.seen[1]
+    _read(detector, 100 * SECOND + 6 * HEARTBEAT, 2)
+    assert detector.seen[1] == seen
 
 
 def test_claims_that_are_none_are_passed_over() -> None:
--- a/tests/test_counter_process.py
+++ b/tests/test_counter_process.py
@@ -14,19 +14,19 @@
 import uvloop
 
 from trackspread.cli import main
+from trackspread.clock import Clock
 from trackspread.commands.quota import ask
 from trackspread.config.addresses import ConfigError
 from trackspread.config.operator import parse
 from trackspread.counter.commands import Refused
-from trackspread.counter.desk import Desk
 from trackspread.counter.host import CounterHost
 from trackspread.counter.link import Access, Link
+from trackspread.counter.quota_client import QuotaClient
 from trackspread.counter.routes import Routes
 from trackspread.decide.interface import Plan, RightsChanged
 from trackspread.harness import counted
 from trackspread.judge.verdict import Verdict
 from trackspread.node.counted import _clear, access
-from trackspread.clock import Clock
 from trackspread.standins.counter import SLOTS, Cluster, Shard
 from trackspread.standins.counter_server import CounterServer
 from trackspread.standins.loopback import own_address
@@ -49,24 +49,24 @@
 
 
 class Side:
-    """One gateway's desk on sockets; `until` waits for a right that fits."""
+    """One gateway's quota client on sockets; `until` waits for a right that fits."""
 
     def __init__(self, server: CounterServer, number: int, gateways: int, partitions: int = 4) -> None:
         settings = plain_settings(PLAN, position=number, gateways=gateways, rights=True)
         now = CLOCK()
-        self.desk = Desk(settings, partitions, number + 1, number, now, lambda member: (0.0, 10.0))
+        self.client = QuotaClient(settings, partitions, number + 1, number, now, lambda member: (0.0, 10.0))
         self.routes = Routes(
             [server.addresses[shard.number, number] for shard in server.shards],
             server.shards[0].cluster is not None, "ts", partitions,
         )
         self.events: list[RightsChanged] = []
-        self.host = CounterHost(self.desk, self.routes, Access(), "ts", number, CLOCK, self._told)
+        self.host = CounterHost(self.client, self.routes, Access(), "ts", number, CLOCK, self._told)
 
     def _told(self, event: RightsChanged) -> None:
         self.events.append(event)
 
     def ask(self, member: int) -> None:
-        self.host.do(self.desk.before(CLOCK(), member, 0, 1.0, 0, 0))
+        self.host.do(self.client.before(CLOCK(), member, 0, 1.0, 0, 0))
 
     async def until(self, fits: Callable[[], bool], members: range = range(0)) -> None:
         """Asks for the members meanwhile, as their clients would."""
@@ -79,7 +79,7 @@
         await asyncio.sleep(0.02)
 
     def known(self) -> set[int]:
-        return {member for member, held in self.desk.tier.holdings.items() if held.known}
+        return {member for member, held in self.client.manager.leases.items() if held.known}
 
 
 def test_partitions_lie_where_rendezvous_puts_them_and_few_move_with_a_server() -> None:
@@ -121,8 +121,8 @@
             await side.until(lambda: all(
                 shard.calls > calls[shard.number] + 40 for shard in cluster.shards if shard.number == 1
             ), members)
-            assert set(side.desk.tier.states(CLOCK())) <= {"sound", "rebuilding"}
-            failed = side.desk.tier.calls["failed"]
+            assert set(side.client.manager.states(CLOCK())) <= {"sound", "rebuilding"}
+            failed = side.client.manager.calls["failed"]
             assert failed == 0, "a slot that moved must not fail a call"
         finally:
             for side in sides:
--- a/trackspread/counter/commands.py
+++ b/trackspread/counter/commands.py
@@ -21,12 +21,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """An error in place of a reply; the first word says which (MOVED, ASK, TRYAGAIN, LOADING, ...)."""
+    """An error in place of a reply; `code` says which (MOVED, ASK, TRYAGAIN, LOADING, ...)."""
 
     text: str
 
     @property
-    def word(self) -> str:
+    def code(self) -> str:
         return self.text.partition(" ")[0]
 
 
--- a/trackspread/counter/witness.py
+++ b/trackspread/counter/failure_detector.py
@@ -17,26 +17,26 @@
 
 from dataclasses import dataclass
 
-from .terms import KEPT, MILLISECOND, OUT, PROVE, Beat, Reply, unpack_beat
+from .terms import KEPT, MILLISECOND, OUT, PROVE, Heartbeat, Reply, unpack_heartbeat
 
 NEVER = -(1 << 62)  # ns, before any time
 
 
 @dataclass(slots=True)
-class Seen:
+class Observation:
     """One other gateway. `since`: it lived then or later. `changes`: beats seen so far."""
 
-    beat: Beat
+    beat: Heartbeat
     since: int
     changes: int = 0
 
 
-class Witness:
+class FailureDetector:
     """One partition of the counter as this gateway sees it."""
 
     def __init__(self, slot: int, slots: int, incarnation: int, now: int) -> None:
         self.slot, self.slots, self.incarnation, self.born = slot, slots, incarnation, now
-        self.seen: dict[int, Seen] = {}
+        self.seen: dict[int, Observation] = {}
         self.number = 0  # of this gateway's beats
         self.sent = now  # of the last beat: nobody can have seen a later one, nor one of a former life
         self.acked = NEVER  # sending of the last beat that was answered
@@ -56,10 +56,10 @@
         """The counter's, in ms, as far as is known."""
         return self._clock + (now - self._clock_at) // MILLISECOND
 
-    def beat(self, now: int) -> Beat:
+    def next_heartbeat(self, now: int) -> Heartbeat:
         """The next sign of life; to be written now."""
         self.number, self.sent = self.number + 1, now
-        return Beat(self.incarnation, self.number, self.clock(now))
+        return Heartbeat(self.incarnation, self.number, self.clock(now))
 
     def failed(self) -> None:
         self.trusting = False
@@ -80,13 +80,13 @@
             if self._raw.get(slot) == data:
                 continue
             self._raw[slot] = data
-            beat = unpack_beat(data)
+            beat = unpack_heartbeat(data)
             if beat is None or slot == self.slot or not 0 <= slot < self.slots:
                 continue
             known = self.seen.get(slot)
             if known is None:
                 # It may have been written at any time, and come back with a heal: only changes are signs.
-                self.seen[slot], self._look_at = Seen(beat, self.first_read), now
+                self.seen[slot], self._look_at = Observation(beat, self.first_read), now
                 continue
             # What a lagging replica or a healed half brings up again, also of a former life, says nothing
             # new; but where nobody lived for long, a life whose clock was set back is believed.
@@ -94,7 +94,7 @@
             if newer or (slot in self.gone and beat.incarnation != known.beat.incarnation):
                 written = sent - max(0, reply.clock - beat.clock) * MILLISECOND
                 since = max(known.since, min(self.read, written))
-                self.seen[slot] = Seen(beat, since, known.changes + 1)
+                self.seen[slot] = Observation(beat, since, known.changes + 1)
                 self._look_at = now if slot in self.quiet else self._look_at
         self.read = sent
 
@@ -128,10 +128,10 @@
         self._look_at = now + 1 + min([*left, *ends], default=OUT)
 
     def marks(self) -> dict[int, int]:
-        """What `beaten` compares with later."""
+        """What `advanced_since` compares with later."""
         return {slot: known.changes for slot, known in self.seen.items()}
 
-    def beaten(self, marks: dict[int, int]) -> bool:
+    def advanced_since(self, marks: dict[int, int]) -> bool:
         """Whether every other has shown a beat since, beyond the one that may have been under way, or has
         been silent for so long that it holds its even slice at most."""
         return all(
@@ -140,7 +140,7 @@
         )
 
     def state(self, now: int) -> str:
-        """For people; what may be spent in each is in `holding.py`."""
+        """For people; what may be spent in each is in `lease.py`."""
         if not self.own(now):
             return "lost" if self.acked != NEVER or now - self.born > OUT else "rebuilding"
         if self.quiet - self.gone or not self.trusting:
--- a/trackspread/counter/host.py
+++ b/trackspread/counter/host.py
@@ -1,6 +1,6 @@
-"""The desk on sockets: its calls to servers, its ticks from the loop, its events to the module.
+"""The quota client on sockets: its calls to servers, its ticks from the loop, its events to the module.
 
-May know: desk, routes, links. Decides nothing.
+May know: quota client, routes, links. Decides nothing.
 """
 
 from __future__ import annotations
@@ -14,8 +14,8 @@
 
 from ..decide.interface import RightsChanged
 from .commands import Command, CounterError, Refused, commands, reply
-from .desk import Deed, Desk
 from .link import Access, Link
+from .quota_client import Action, QuotaClient
 from .routes import Routes, Server
 from .terms import SECOND, Call
 
@@ -30,10 +30,10 @@
     """`events` takes what the module is to be told."""
 
     def __init__(
-        self, desk: Desk, routes: Routes, access: Access, prefix: str, slot: int, now: Callable[[], int],
-        events: Callable[[RightsChanged], None],
+        self, client: QuotaClient, routes: Routes, access: Access, prefix: str, slot: int,
+        now: Callable[[], int], events: Callable[[RightsChanged], None],
     ) -> None:
-        self.desk, self.routes = desk, routes
+        self.client, self.routes = client, routes
         self._access, self._prefix, self._slot, self._now, self._events = access, prefix, slot, now, events
         self._links: dict[Server, Link] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -50,20 +50,20 @@
         for link in self._links.values():
             await link.close()
 
-    def do(self, deeds: list[Deed]) -> None:
-        for deed in deeds:
-            if isinstance(deed, Call):
-                server = self.routes.server(deed.partition)
+    def do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Call):
+                server = self.routes.server(action.partition)
                 # For a counter that has none yet: another each time, or a new one would look like the old.
-                token = secrets.token_hex(8).encode() if deed.member is None else b""
-                self._send(deed, server, commands(deed, self._prefix, self._slot, token), 0)
+                token = secrets.token_hex(8).encode() if action.member is None else b""
+                self._send(action, server, commands(action, self._prefix, self._slot, token), 0)
             else:
-                self._events(deed)
+                self._events(action)
 
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
         try:
-            self.do(self.desk.tick(self._now()))
+            self.do(self.client.tick(self._now()))
         except Exception:  # the next one must come all the same, or rights would outlive their time
             log.exception("fault in a tick")
         if self.routes.stale and loop.time() - self._asked_at >= REFRESH:
@@ -71,7 +71,7 @@
             ready = [link for link in self._links.values() if link.ready]
             if ready:
                 ready[0].send([(b"CLUSTER", b"SLOTS")], self._mapped)
-        wait = max(LEAST, (self.desk.due - self._now()) / SECOND)
+        wait = max(LEAST, (self.client.due - self._now()) / SECOND)
         self._timer = loop.call_later(wait, self._tick)
 
     def _mapped(self, replies: list[Any] | None) -> None:
@@ -85,33 +85,33 @@
             link.start()
         return link
 
-    def _send(self, call: Call, server: Server, words: list[Command], tries: int) -> None:
+    def _send(self, call: Call, server: Server, sent: list[Command], tries: int) -> None:
         link = self._link(server)
         if link is None:
-            asyncio.get_running_loop().call_soon(self._done, call, server, words, tries, None)
+            asyncio.get_running_loop().call_soon(self._done, call, server, sent, tries, None)
             return
-        link.send(words, partial(self._done, call, server, words, tries))
+        link.send(sent, partial(self._done, call, server, sent, tries))
 
     def _done(
-        self, call: Call, server: Server, words: list[Command], tries: int, replies: list[Any] | None
+        self, call: Call, server: Server, sent: list[Command], tries: int, replies: list[Any] | None
     ) -> None:
         if replies is None:
-            self.do(self.desk.failed(self._now(), call.number))
+            self.do(self.client.failed(self._now(), call.number))
             return
-        if words and words[0] == (b"ASKING",):
+        if sent and sent[0] == (b"ASKING",):
             replies = replies[1::2]
-            words = words[1::2]
+            sent = sent[1::2]
         refused = next((each for each in replies if isinstance(each, Refused)), None)
         if refused is not None and tries < 2:
             further = self.routes.redirected(call.partition, refused, server)
             if further is not None:
                 to, asking = further
-                again = [each for word in words for each in ((b"ASKING",), word)] if asking else words
+                again = [each for command in sent for each in ((b"ASKING",), command)] if asking else sent
                 self._send(call, to, again, tries + 1)
                 return
         try:
             told = reply(call, replies)
         except CounterError:
-            self.do(self.desk.failed(self._now(), call.number))
+            self.do(self.client.failed(self._now(), call.number))
         else:
-            self.do(self.desk.answered(self._now(), call.number, told))
+            self.do(self.client.answered(self._now(), call.number, told))
--- a/trackspread/counter/link.py
+++ b/trackspread/counter/link.py
@@ -185,14 +185,14 @@
         _, line = await loop.create_connection(lambda: _Line(self), *self.address, ssl=self._access.tls)
         try:
             answer = await self._one(line, tuple(hello))
-            if isinstance(answer, Refused) and answer.word in ("ERR", "NOPROTO"):
+            if isinstance(answer, Refused) and answer.code in ("ERR", "NOPROTO"):
                 # A server from before HELLO, or without RESP3: the same by the older words.
                 answer = True
                 if secret:
                     words = (self._access.user.encode(), secret) if self._access.user else (secret,)
                     answer = await self._one(line, (b"AUTH", *words))
             if isinstance(answer, Refused):
-                raise ValueError(f"not let in: {answer.word}")
+                raise ValueError(f"not let in: {answer.code}")
         except BaseException:
             if line.transport is not None:
                 line.transport.abort()
--- a/trackspread/counter/desk.py
+++ b/trackspread/counter/quota_client.py
@@ -1,22 +1,23 @@
-"""Between the decision module and the tier: requests and wants in, calls and `RightsChanged` out.
+"""Between the decision module and the lease manager: requests and wants in, calls and `RightsChanged` out.
 
 The same object stands in a running gateway and in virtual time; whoever hosts it sends the calls and hands
 the events to the module, in the order given.
 
-May know: the module's vocabulary, the tier. May not know: sockets, the module itself.
+May know: the module's vocabulary, the lease manager. May not know: sockets, the module itself.
 """
 
 from __future__ import annotations
 
 from ..decide.interface import Plan, RightsChanged, Settings
-from .terms import GUARANTEED, Call, Reply, Right, Terms
-from .tier import Kept, Out, Tier
+from .lease_manager import LeaseManager, Output, UsageCount
+from .terms import GUARANTEED, Call, Grant, Reply, Terms
 
-Deed = Call | RightsChanged
+Action = Call | RightsChanged
 
 
 def terms_of(plan: Plan, largest: float, slots: tuple[int, ...]) -> Terms | None:
-    """A plan's figures for the tier; None where it has no limits. `largest`: units of the largest request.
+    """A plan's figures for the lease manager; None where it has no limits. `largest`: units of the largest
+    request.
 
     The least share holds one request in every store, and one place where open attempts are limited."""
     needs = [largest / plan.burst] if plan.rate else []
@@ -30,29 +31,33 @@
     return Terms(rate, burst, min(1.0, max(needs)), slots, plan.open_limit > 0)
 
 
-class Desk:
+class QuotaClient:
     """`before` each request, `wanted` for each `WantRights`, `tick` when `due`; `answered`, `failed`."""
 
     def __init__(
-        self, settings: Settings, partitions: int, incarnation: int, seed: int, now: int, store: Kept
+        self, settings: Settings, partitions: int, incarnation: int, seed: int, now: int, store: UsageCount
     ) -> None:
-        """`store`: the module's `Quota.kept`, which is asked whenever a word goes out."""
+        """`store`: the module's `Quota.kept`, which is asked whenever a claim goes out."""
         self._settings, self._plans = settings, settings.plans
-        self.tier = Tier(settings.position, settings.gateways, partitions, incarnation, seed, now, store)
+        self.manager = LeaseManager(
+            settings.position, settings.gateways, partitions, incarnation, seed, now, store
+        )
         self._terms: dict[tuple[int, int, int], Terms | None] = {}
         self._index: dict[int, int] = {}  # by customer: of its plan
 
     @property
     def due(self) -> int:
-        return self.tier.due
+        return self.manager.due
 
     def replan(self, plans: tuple[Plan, ...]) -> None:
         """Other figures: taken up with each customer's next request."""
         self._plans = plans
         self._terms.clear()
 
-    def before(self, now: int, customer: int, plan: int, units: float, spread: int, first: int) -> list[Deed]:
-        """To be called, and its deeds done, before the module sees the request."""
+    def before(
+        self, now: int, customer: int, plan: int, units: float, spread: int, first: int
+    ) -> list[Action]:
+        """To be called, and its actions done, before the module sees the request."""
         key = plan, spread, first
         if key not in self._terms:
             n = self._settings.gateways
@@ -62,30 +67,30 @@
         if terms is None:
             return []
         self._index[customer] = plan
-        return self._deeds(self.tier.asked(now, customer, terms, units))
+        return self._actions(self.manager.asked(now, customer, terms, units))
 
-    def wanted(self, now: int, customer: int) -> list[Deed]:
-        return self._deeds(self.tier.short(now, customer))
+    def wanted(self, now: int, customer: int) -> list[Action]:
+        return self._actions(self.manager.short(now, customer))
 
-    def tick(self, now: int) -> list[Deed]:
-        return self._deeds(self.tier.tick(now))
+    def tick(self, now: int) -> list[Action]:
+        return self._actions(self.manager.tick(now))
 
-    def answered(self, now: int, number: int, reply: Reply) -> list[Deed]:
-        return self._deeds(self.tier.answered(now, number, reply))
+    def answered(self, now: int, number: int, reply: Reply) -> list[Action]:
+        return self._actions(self.manager.answered(now, number, reply))
 
-    def failed(self, now: int, number: int) -> list[Deed]:
-        return self._deeds(self.tier.failed(now, number))
+    def failed(self, now: int, number: int) -> list[Action]:
+        return self._actions(self.manager.failed(now, number))
 
-    def _deeds(self, out: list[Out]) -> list[Deed]:
-        made: list[Deed] = []
+    def _actions(self, out: list[Output]) -> list[Action]:
+        made: list[Action] = []
         for each in out:
-            if not isinstance(each, Right):
+            if not isinstance(each, Grant):
                 made.append(each)
             elif each.member in self._index:
                 plan = self._index[each.member]
                 made.append(RightsChanged(
                     each.member, plan, each.soft, each.hard, each.places, each.taken, each.level, each.more
                 ))
-                if each.member not in self.tier.holdings:
+                if each.member not in self.manager.leases:
                     del self._index[each.member]
         return made
--- a/trackspread/counter/report.py
+++ b/trackspread/counter/report.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from ..decide.state import Account
+from .lease_manager import LeaseManager
 from .terms import SECOND, partition_of
-from .tier import Tier
 
 SOURCES = {
     "sound": "the counter",
@@ -54,18 +54,18 @@
     others: tuple[Other, ...] = ()
 
 
-def report(now: int, tier: Tier, member: int, account: Account | None) -> Report:
+def report(now: int, manager: LeaseManager, member: int, account: Account | None) -> Report:
     """`account`: the module's, filled until now; None where no request of the member came here."""
-    partition = partition_of(member, tier.partitions)
-    witness = tier.parts[partition].witness
-    witness.look(now)
-    state, held = witness.state(now), tier.holdings.get(member)
-    made = Report(f"{member & (1 << 64) - 1:016x}", partition, state, SOURCES[state], witness.replaced,
+    partition = partition_of(member, manager.partitions)
+    detector = manager.parts[partition].detector
+    detector.look(now)
+    state, held = detector.state(now), manager.leases.get(member)
+    made = Report(f"{member & (1 << 64) - 1:016x}", partition, state, SOURCES[state], detector.replaced,
                   held is not None)
     if held is not None:
         others = tuple(
             Other(slot, claim.share, claim.want,
-                  witness.age(now, slot) / SECOND if slot in witness.seen else -1.0)
+                  detector.age(now, slot) / SECOND if slot in detector.seen else -1.0)
             for slot, claim in sorted(held.others.items())
         )
         made = msgspec.structs.replace(
--- a/trackspread/counter/terms.py
+++ b/trackspread/counter/terms.py
@@ -1,4 +1,4 @@
-"""What the parts of the counter's tier say to one another: figures, claims, calls, rights. Plain values.
+"""What the parts of the lease manager say to one another: figures, claims, calls, rights. Plain values.
 
 May know: figures of the design (`docs/design/counter.md`). May not know: sockets, clocks, the module.
 """
@@ -13,23 +13,23 @@
 
 SECOND = 1_000_000_000
 MILLISECOND = 1_000_000
-BEAT = 400 * MILLISECOND  # ns between signs of life in a partition: one lost call must not look like silence
+HEARTBEAT = 400 * MILLISECOND  # ns between heartbeats in a partition: one lost call is no silence
 TIMEOUT = 250 * MILLISECOND  # ns for a call's answer; a counter slower than this is as good as lost
-RENEW = 800 * MILLISECOND  # ns between words on a member that is held: what vanished is back within it
+RENEW = 800 * MILLISECOND  # ns between claims on a member that is held: what vanished is back within it
 DRIFT = 0.02  # by which two clocks may run apart, as in planning
-KEPT = int(2 * SECOND * (1.0 - DRIFT))  # ns that a right outlasts the word it rests on: two lost calls
+KEPT = int(2 * SECOND * (1.0 - DRIFT))  # ns that a right outlasts the answer it rests on: two lost calls
 # From the last sign of life that anyone can have seen: by then whoever counted on it has let go. A reader
 # sees a beat up to one beat and one call late, and so does the reader whom he stands for.
-OUT = int((2 * SECOND + 2 * BEAT + 2 * TIMEOUT) * (1.0 + DRIFT))
+OUT = int((2 * SECOND + 2 * HEARTBEAT + 2 * TIMEOUT) * (1.0 + DRIFT))
 PROVE = RENEW + 2 * TIMEOUT  # ns that a raise waits: whoever holds what vanished has written it anew by then
 IDLE = 5 * SECOND  # ns without a request after which a right is given back
 GUARANTEED = 0.5  # part of a ceiling that is never pooled: each gateway's at once, whatever the counter says
-FLOOR = 0.25  # part of an even slice of a quota that is usable before any word: a quota is soft
-TOLD = 0.25  # part of a quota's burst that may be asked for here before others are told
+FLOOR = 0.25  # part of an even slice of a quota that is usable before any answer: a quota is soft
+REPORT_AFTER = 0.25  # part of a quota's burst that may be asked for here before others are told
 HEADROOM = 2.0  # a claim over what is asked for: bursts pass without a call
 FIRST = 0.5  # part of what is free that a first claim takes: it leaves some for who comes next
 TURN_MS = 2_000  # ms, of the counter's clock, after which those who can't all hold a right change places
-LIFE_MS = 60_000  # ms that a name outlives the last word under it; longer than any store takes to fill here
+LIFE_MS = 60_000  # ms that a name outlives the last write under it; longer than any store takes to fill here
 MOST_MEMBERS = 50_000  # held at once; more would not fit a small gateway's memory (some 400 bytes each)
 EPSILON = 1e-9  # rounding of shares
 
@@ -53,8 +53,8 @@
     it knows of the quota's one store.
 
     `incarnation`: ms of its machine's clock when it started, so that of two lives the later is known.
-    `number` grows with each word, also over a holding that was given up. `share`: of rate and burst. `want`:
-    units a second. `spent`: units of the quota, since this holding began. `level`: units in the store, as
+    `number` grows with each claim, also over a lease that was given up. `share`: of rate and burst. `want`:
+    units a second. `spent`: units of the quota, since this lease began. `level`: units in the store, as
     known at `clock`, ms of the counter's."""
 
     incarnation: int
@@ -67,7 +67,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """A gateway's sign of life in one partition; `clock`: the counter's when it was sent, in ms, as its
     writer reckons: one that lay on its way for long must not pass for fresh."""
 
@@ -76,7 +76,7 @@
     clock: int
 
 
-_CLAIM, _BEAT = struct.Struct("<QQffdfQ"), struct.Struct("<QQQ")
+_CLAIM, _HEARTBEAT = struct.Struct("<QQffdfQ"), struct.Struct("<QQQ")
 
 
 def pack_claim(claim: Claim) -> bytes:
@@ -93,12 +93,12 @@
     return claim if sound and claim.want >= 0.0 and 0.0 <= claim.share <= 1.0 + 1e-6 else None
 
 
-def pack_beat(beat: Beat) -> bytes:
-    return _BEAT.pack(beat.incarnation, beat.number, beat.clock)
+def pack_heartbeat(beat: Heartbeat) -> bytes:
+    return _HEARTBEAT.pack(beat.incarnation, beat.number, beat.clock)
 
 
-def unpack_beat(data: bytes) -> Beat | None:
-    return Beat(*_BEAT.unpack(data)) if len(data) == _BEAT.size else None
+def unpack_heartbeat(data: bytes) -> Heartbeat | None:
+    return Heartbeat(*_HEARTBEAT.unpack(data)) if len(data) == _HEARTBEAT.size else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,11 +124,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Right:
+class Grant:
     """From now on: `soft` of a quota's rate and burst, `hard` of a ceiling's, `places` of the limit on open
     attempts. `taken`: units of the quota that others spent, to be taken off once. `level`: what others know
-    of the quota's store, in place of what is known here; None where that stands. `more`: the first word is on
-    its way, so that it pays to hold a request a moment."""
+    of the quota's store, in place of what is known here; None where that stands. `more`: the first answer is
+    on its way, so that it pays to hold a request a moment."""
 
     member: int
     soft: float
--- a/trackspread/node/counted.py
+++ b/trackspread/node/counted.py
@@ -1,4 +1,4 @@
-"""The gateway's side of the counter: settings to a host, requests to the desk, and what operators ask.
+"""The gateway's side of the counter: settings to a host, requests to the quota client, operators' questions.
 
 May know: calls, configuration, the module's stores to show them. Decides nothing.
 """
@@ -20,13 +20,13 @@
 from ..config.addresses import ConfigError, address
 from ..config.operator import Counter
 from ..config.platform import Config
-from ..counter.desk import Desk
 from ..counter.host import CounterHost
 from ..counter.link import Access
+from ..counter.quota_client import QuotaClient
 from ..counter.report import Report, report
 from ..counter.routes import Routes
 from ..decide.broker import Broker
-from ..decide.interface import Event
+from ..decide.interface import Event, Plan
 
 log = logging.getLogger(__name__)
 
@@ -70,7 +70,7 @@
         self._counter, self._now, self._module, self._settings = counter, now, module, config.settings
         self._server: asyncio.Server | None = None
         seed = config.seed ^ int.from_bytes(os.urandom(8))  # a name may start twice from one configuration
-        self.desk = Desk(
+        self.client = QuotaClient(
             config.settings, counter.partitions, time.time_ns() // 1_000_000, seed, now(), module.quota.kept
         )
         routes = Routes(
@@ -78,7 +78,7 @@
             counter.prefix, counter.partitions,
         )
         slot = config.settings.position
-        self.host = CounterHost(self.desk, routes, access(counter), counter.prefix, slot, now, handle)
+        self.host = CounterHost(self.client, routes, access(counter), counter.prefix, slot, now, handle)
 
     async def start(self) -> None:
         self.host.start()
@@ -97,14 +97,18 @@
     def before(self, call: Call) -> None:
         """A fault here must not cost the request: it is decided by what is kept."""
         try:
-            self.host.do(self.desk.before(
+            self.host.do(self.client.before(
                 self._now(), call.customer, call.plan, call.units, call.spread, call.first
             ))
         except Exception:
             log.exception("fault before a request")
 
+    def replan(self, plans: tuple[Plan, ...]) -> None:
+        """Other figures for the plans, from each customer's next request on."""
+        self.client.replan(plans)
+
     def wanted(self, customer: int) -> None:
-        self.host.do(self.desk.wanted(self._now(), customer))
+        self.host.do(self.client.wanted(self._now(), customer))
 
     # For operators.
 
@@ -113,7 +117,7 @@
         account = self._module.quota.accounts.get(customer)
         if account is not None:
             self._module.quota.refill(now, account)
-        return report(now, self.desk.tier, customer, account)
+        return report(now, self.client.manager, customer, account)
 
     async def _asked(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One line with a member in hexadecimal digits; one line of JSON."""
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -148,7 +148,7 @@
 
     def _replanned(self, event: PlansChanged) -> None:
         if self.counted is not None:
-            self.counted.desk.replan(event.plans)
+            self.counted.replan(event.plans)
         self.handle(event)
 
     async def start(self) -> None:
--- a/trackspread/virtual/counted.py
+++ b/trackspread/virtual/counted.py
@@ -1,10 +1,10 @@
-"""Gateways that share a counter, in virtual time: the real tier and the real decision module in each, the
+"""Gateways that share a counter, in virtual time: the real leases and the real decision module in each, the
 stand-in counter between them, and one store for each member kept exactly beside them.
 
 The invariant, at every change: over all gateways that live, shares of a member's ceiling sum to 1 at most.
 The account: what all gateways sent on never takes the one store of a ceiling below nothing.
 
-May know: everything about its world; faults are plain attributes. May not know: what the tier decides or why.
+May know: everything about its world; faults are plain attributes. May not know: what it decides or why.
 """
 
 from __future__ import annotations
@@ -15,12 +15,26 @@
 from functools import partial
 
 from ..counter.commands import CounterError, Refused, commands, reply
-from ..counter.desk import Deed, Desk
+from ..counter.quota_client import Action as CounterAction
+from ..counter.quota_client import QuotaClient
 from ..counter.terms import MILLISECOND, SECOND, Call
 from ..decide.broker import Broker
 from ..decide.interface import (
-    Action, Arrival, AttemptEnded, Backend, Event, Health, ListKind, Outcome, Plan, RightsChanged, Send,
-    SetTimer, TimerFired, Topology, WantRights,
+    Action,
+    Arrival,
+    AttemptEnded,
+    Backend,
+    Event,
+    Health,
+    ListKind,
+    Outcome,
+    Plan,
+    RightsChanged,
+    Send,
+    SetTimer,
+    TimerFired,
+    Topology,
+    WantRights,
 )
 from ..standins.counter import Failure, Shard
 from .clock import START, Clock
@@ -91,7 +105,7 @@
     number: int
     speed: float
     born: int
-    desk: Desk
+    client: QuotaClient
     module: Broker
     alive: bool = True
     paused_until: int = 0
@@ -149,9 +163,9 @@
         seed = self.rng.getrandbits(32)
         module = Broker(settings, seed, now)
         life = (now - START) // MILLISECOND + 1
-        desk = Desk(settings, plant.partitions, life, seed, now, module.quota.kept)
+        client = QuotaClient(settings, plant.partitions, life, seed, now, module.quota.kept)
         made = Gateway(
-            number, 1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART), now, desk, module,
+            number, 1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART), now, client, module,
         )
         entries = tuple(Backend(n, 0, 0, 0, Health.READY, 1.0, 0) for n in (1, 2, 3))
         self._handle(made, Topology(ListKind.FULL, 1, entries))
@@ -183,17 +197,17 @@
 
     def _tick(self, gateway: Gateway) -> None:
         now = gateway.now(self.clock.now)
-        self._do(gateway, gateway.desk.tick(now))
-        self._later(gateway, max(1, gateway.desk.due - now), partial(self._tick, gateway))
+        self._do(gateway, gateway.client.tick(now))
+        self._later(gateway, max(1, gateway.client.due - now), partial(self._tick, gateway))
 
-    def _do(self, gateway: Gateway, deeds: list[Deed]) -> None:
-        for deed in deeds:
-            if isinstance(deed, Call):
-                self._send(gateway, deed)
+    def _do(self, gateway: Gateway, actions: list[CounterAction]) -> None:
+        for action in actions:
+            if isinstance(action, Call):
+                self._send(gateway, action)
             else:
-                gateway.hard[deed.customer] = deed.hard
-                self._handle(gateway, deed)
-                self._check(deed)
+                gateway.hard[action.customer] = action.hard
+                self._handle(gateway, action)
+                self._check(action)
 
     def _check(self, told: RightsChanged) -> None:
         now, total = self.clock.now, 0.0
@@ -238,9 +252,9 @@
         try:
             told = reply(call, results)
         except CounterError:
-            self._do(gateway, gateway.desk.failed(now, call.number))
+            self._do(gateway, gateway.client.failed(now, call.number))
         else:
-            self._do(gateway, gateway.desk.answered(now, call.number, told))
+            self._do(gateway, gateway.client.answered(now, call.number, told))
 
     # Requests.
 
@@ -278,7 +292,7 @@
         self._request += 1
         gateway.open[self._request] = member
         first = self.first[index]
-        self._do(gateway, gateway.desk.before(now, member, 0, 1.0, self.spread, first))
+        self._do(gateway, gateway.client.before(now, member, 0, 1.0, self.spread, first))
         arrival = Arrival(self._request, 0, 0, member, now + 3 * SECOND, 1.0, self.spread, first, 0)
         self._handle(gateway, arrival)
 
@@ -295,7 +309,7 @@
             case SetTimer(after, token):
                 self._later(gateway, after, partial(self._handle, gateway, TimerFired(token)))
             case WantRights(customer):
-                self._do(gateway, gateway.desk.wanted(gateway.now(self.clock.now), customer))
+                self._do(gateway, gateway.client.wanted(gateway.now(self.clock.now), customer))
             case _:
                 gateway.open.pop(getattr(action, "request", 0), None)
 
--- a/trackspread/virtual/counted_mutants.py
+++ b/trackspread/virtual/counted_mutants.py
@@ -1,4 +1,4 @@
-"""The counter's tier with one fault each, for the invariant, the account and calm worlds to convict.
+"""The lease manager with one fault each, for the invariant, the account and calm worlds to convict.
 
 Each breaks one rule that stands at the top of a file of `counter/`, by a patch that is taken back.
 """
@@ -10,190 +10,191 @@
 from typing import Any
 from unittest.mock import patch
 
-from ..counter import holding, tier, witness
-from ..counter.holding import Holding
+from ..counter import failure_detector, lease, lease_manager
+from ..counter.failure_detector import FailureDetector
+from ..counter.lease import Lease
+from ..counter.lease_manager import LeaseManager, PartitionState
 from ..counter.terms import KEPT, SECOND, Claim, Reply
-from ..counter.tier import Part, Tier
-from ..counter.witness import Witness
 from . import counted_schedules as schedules
 from .patches import held
 
 
 def _proof_not_awaited() -> list[Any]:
     """A raise of a ceiling counts with the answer that shows room."""
-    real = Holding.told
+    real = Lease.answered
 
-    def mutant(self: Holding, *words: Any) -> None:
+    def mutant(self: Lease, *words: Any) -> None:
         real(self, *words)
         self.proven = max(self.proven, self.claimed)
 
-    return [patch.object(Holding, "told", mutant)]
+    return [patch.object(Lease, "answered", mutant)]
 
 
 def _proof_without_beats() -> list[Any]:
-    return [patch.object(Witness, "beaten", lambda self, marks: True)]
+    return [patch.object(FailureDetector, "advanced_since", lambda self, marks: True)]
 
 
 def _proof_without_time() -> list[Any]:
-    return [patch.object(holding, "PROVE", 0)]
+    return [patch.object(lease, "PROVE", 0)]
 
 
 def _fresh_counter_trusted() -> list[Any]:
     """What the counter has lost is forgotten here too."""
-    real = Holding._merge
+    real = Lease._merge
 
-    def mutant(self: Holding, sent: int, claims: dict[int, Claim], seen: Witness) -> None:
+    def mutant(self: Lease, sent: int, claims: dict[int, Claim], seen: FailureDetector) -> None:
         real(self, sent, claims, seen)
         self.others = {slot: claim for slot, claim in self.others.items() if slot in claims}
         self._heard = {slot: at for slot, at in self._heard.items() if slot in claims}
 
-    return [patch.object(Holding, "_merge", mutant), patch.object(holding, "PROVE", 0)]
+    return [patch.object(Lease, "_merge", mutant), patch.object(lease, "PROVE", 0)]
 
 
 def _not_fitted() -> list[Any]:
-    return [patch.object(Holding, "fit", lambda self, seen: None)]
+    return [patch.object(Lease, "fit", lambda self, seen: None)]
 
 
 def _even_at_once() -> list[Any]:
     """Up to the even slice as soon as the counter is lost."""
-    return [patch.object(Witness, "even_due", lambda self, now: True)]
+    return [patch.object(FailureDetector, "even_due", lambda self, now: True)]
 
 
 def _beats_after_a_failure() -> list[Any]:
-    return [patch.object(Witness, "failed", lambda self: None)]
+    return [patch.object(FailureDetector, "failed", lambda self: None)]
 
 
 def _beat_before_writing_back() -> list[Any]:
-    real = Tier._beat
+    real = LeaseManager._heartbeat
 
-    def mutant(self: Tier, now: int, index: int, part: Part) -> Any:
+    def mutant(self: LeaseManager, now: int, index: int, part: PartitionState) -> Any:
         part.unwritten.clear()
         return real(self, now, index, part)
 
-    return [patch.object(Tier, "_beat", mutant)]
+    return [patch.object(LeaseManager, "_heartbeat", mutant)]
 
 
 def _alive_by_the_last_look() -> list[Any]:
     """A beat counts from when it was seen, not from when it can have been written."""
-    real = Witness.answered
+    real = FailureDetector.answered
 
-    def mutant(self: Witness, now: int, sent: int, wrote: bool, reply: Reply) -> None:
+    def mutant(self: FailureDetector, now: int, sent: int, wrote: bool, reply: Reply) -> None:
         before = {slot: seen.changes for slot, seen in self.seen.items()}
         real(self, now, sent, wrote, reply)
         for slot, seen in self.seen.items():
             if seen.changes > before.get(slot, seen.changes):
                 seen.since = now
 
-    return [patch.object(Witness, "answered", mutant)]
+    return [patch.object(FailureDetector, "answered", mutant)]
 
 
 def _old_claims_believed() -> list[Any]:
     """A claim that a lagging replica brings up again replaces the newer one."""
-    real = Holding._merge
+    real = Lease._merge
 
-    def mutant(self: Holding, sent: int, claims: dict[int, Claim], seen: Witness) -> None:
+    def mutant(self: Lease, sent: int, claims: dict[int, Claim], seen: FailureDetector) -> None:
         for slot in claims:
             self.others.pop(slot, None)
             self._heard.pop(slot, None)
         real(self, sent, claims, seen)
 
-    return [patch.object(Holding, "_merge", mutant), patch.object(holding, "PROVE", 0)]
+    return [patch.object(Lease, "_merge", mutant), patch.object(lease, "PROVE", 0)]
 
 
 def _raised_before_the_answer() -> list[Any]:
-    real = Holding.word
+    real = Lease.next_claim
 
-    def mutant(self: Holding, *words: Any) -> bytes:
+    def mutant(self: Lease, *words: Any) -> bytes:
         made = real(self, *words)
         self.proven = self.claimed = max(self.proven, self.said)
         return made
 
-    return [patch.object(Holding, "word", mutant)]
+    return [patch.object(Lease, "next_claim", mutant)]
 
 
 def _kept_without_word() -> list[Any]:
-    return [patch.object(Witness, "own", lambda self, now: self.acked != witness.NEVER),
-            patch.object(holding, "KEPT", 1 << 62)]
+    return [patch.object(FailureDetector, "own", lambda self, now: self.acked != failure_detector.NEVER),
+            patch.object(lease, "KEPT", 1 << 62)]
 
 
 def _out_too_short() -> list[Any]:
-    return [patch.object(witness, "OUT", KEPT // 2)]
+    return [patch.object(failure_detector, "OUT", KEPT // 2)]
 
 
 def _return_not_noticed() -> list[Any]:
     """Who is seen again counts at once as if it had never been away."""
-    real = Witness.look
+    real = FailureDetector.look
 
-    def mutant(self: Witness, now: int) -> None:
+    def mutant(self: FailureDetector, now: int) -> None:
         real(self, now)
         self.back = {}
 
-    return [patch.object(Witness, "look", mutant)]
+    return [patch.object(FailureDetector, "look", mutant)]
 
 
 def _floor_of_the_whole() -> list[Any]:
     """All of a ceiling lies in even slices beside the pool."""
-    return [patch.object(holding, "GUARANTEED", 1.5)]
+    return [patch.object(lease, "GUARANTEED", 1.5)]
 
 
 def _late_answers_taken() -> list[Any]:
     """An answer to a call that had failed still counts."""
-    real = Tier.answered
+    real = LeaseManager.answered
 
-    def mutant(self: Tier, now: int, number: int, reply: Reply) -> Any:
+    def mutant(self: LeaseManager, now: int, number: int, reply: Reply) -> Any:
         sent = self._sent.get(number)
         if sent is not None:
             sent.at = max(sent.at, now - 8 * SECOND + 1)
         return real(self, now, number, reply)
 
-    return [patch.object(Tier, "answered", mutant), patch.object(tier, "TIMEOUT", 8 * SECOND)]
+    return [patch.object(LeaseManager, "answered", mutant),
+            patch.object(lease_manager, "TIMEOUT", 8 * SECOND)]
 
 
 def _use_not_taken_off() -> list[Any]:
     """What others spent of a quota stays in the store here."""
-    real = Holding._merge
+    real = Lease._merge
 
-    def mutant(self: Holding, *words: Any) -> None:
+    def mutant(self: Lease, *words: Any) -> None:
         real(self, *words)
         self.taken = 0.0
 
-    return [patch.object(Holding, "_merge", mutant)]
+    return [patch.object(Lease, "_merge", mutant)]
 
 
 def _full_at_first() -> list[Any]:
     """A member that comes to a gateway for the first time has its whole burst there."""
-    return [patch.object(Holding, "_told_level", lambda self, *words: self.terms.burst)]
+    return [patch.object(Lease, "_level_from_claims", lambda self, *words: self.terms.burst)]
 
 
 def _lost_field_not_noticed() -> list[Any]:
     """Who finds his own field gone goes on with his proofs."""
-    real = Holding.told
+    real = Lease.answered
 
-    def mutant(self: Holding, now: int, sent: int, said: float, reply: Reply, seen: Witness) -> None:
+    def mutant(self: Lease, now: int, sent: int, said: float, reply: Reply, seen: FailureDetector) -> None:
         real(self, now, sent, said, replace(reply, fresh=False), seen)
 
-    return [patch.object(Holding, "told", mutant)]
+    return [patch.object(Lease, "answered", mutant)]
 
 
 def _whole_while_deaf() -> list[Any]:
     """A quota stays whole here while no call is answered."""
-    real = Holding.usable
+    real = Lease.usable
 
-    def mutant(self: Holding, now: int, seen: Witness) -> tuple[float, float, float]:
+    def mutant(self: Lease, now: int, seen: FailureDetector) -> tuple[float, float, float]:
         _, hard, places = real(self, now, seen)
         return 1.0, hard, places
 
-    return [patch.object(Holding, "usable", mutant)]
+    return [patch.object(Lease, "usable", mutant)]
 
 
 def _release_stuck() -> list[Any]:
     """What is not asked for any more is never given back."""
-    real = Holding._aim
+    real = Lease._aim
 
-    def mutant(self: Holding, now: int, seen: Witness, want: float) -> None:
+    def mutant(self: Lease, now: int, seen: FailureDetector, want: float) -> None:
         real(self, now, seen, want if want >= 1.0 else max(1.0, self.terms.rate))
 
-    return [patch.object(Holding, "_aim", mutant)]
+    return [patch.object(Lease, "_aim", mutant)]
 
 
 MUTANTS: dict[str, Callable[[], list[Any]]] = {
--- a/trackspread/virtual/counted_schedules.py
+++ b/trackspread/virtual/counted_schedules.py
@@ -1,4 +1,4 @@
-"""Seeded schedules for the counter's tier: it is cut, split, promoted, replaced, evicted from, slow, while
+"""Seeded schedules for the shared counter: it is cut, split, promoted, replaced, evicted from, slow, while
 gateways die, stop and members move their traffic. What goes wrong and when hangs on the seed alone.
 """
 
