Plans: registry, follower and notice in place of book, uptake and moments

Renamed: plans/book.py Book to registry.py PlanRegistry, Uptake to VersionFollower, plans/moments.py to notice.py, calendar.moments to change_times; load_registry, change_registry and parse_time in the commands; usage's senders.told to configured_sender. Docs, help and tests follow.

--- a/benchmarks/export.py
+++ b/benchmarks/export.py
@@ -26,7 +26,7 @@
 from trackspread.harness.billed import Billed, compare
 from trackspread.harness.fleet import Fleet
 from trackspread.judge.ledger import Answered, Asked
-from trackspread.plans.book import SCHEMA, Book, Figures, Version
+from trackspread.plans.registry import SCHEMA, Figures, PlanRegistry, Version
 from trackspread.standins.billing_server import BillingServer
 from trackspread.standins.scene import Scene
 from trackspread.storage.calls import Look, perform
@@ -244,7 +244,7 @@
             fleet.ask()
             now = time.time_ns() // 1_000_000
             version = Version(1, now + AHEAD_MS, now, "", {plan: Figures(10.0, 20.0)})
-            put(path.parent, path.name, SCHEMA.pack(Book((version,))))
+            put(path.parent, path.name, SCHEMA.pack(PlanRegistry((version,))))
             await asyncio.sleep(AHEAD_MS / 1000 + 0.5)
             taken = []
             for gateway in fleet.gateways:
--- a/tests/test_calendar.py
+++ b/tests/test_calendar.py
@@ -11,11 +11,19 @@
 from trackspread.cli import main
 from trackspread.decide.broker import Broker
 from trackspread.decide.interface import ListKind, PlansChanged, Send
-from trackspread.plans.book import SCHEMA, Book, Uptake
 from trackspread.plans.calendar import (
-    SPAN_MOST_MS, Fleet, Reservation, admitted, cancelled, capacity, moments, reserved, room,
+    SPAN_MOST_MS,
+    Fleet,
+    Reservation,
+    admitted,
+    cancelled,
+    capacity,
+    change_times,
+    reserved,
+    room,
 )
-from trackspread.plans.moments import NOTICE_MS, PlanError
+from trackspread.plans.notice import NOTICE_MS, PlanError
+from trackspread.plans.registry import SCHEMA, PlanRegistry, VersionFollower
 from trackspread.storage.document import Schema
 from trackspread.virtual.booked import MUTANTS, convict, play
 
@@ -38,7 +46,7 @@
     with pytest.raises(PlanError, match="found 20 units a second, of which 10 would fit over the whole span"):
         admitted(FLEET, (made,), 8, 20.0, NOW + 30_000, NOW + 90_000, NOW, "")
     after = admitted(FLEET, (made,), 8, 20.0, NOW + 60_000, NOW + 90_000, NOW, "")
-    assert after.number == 2 and moments((made, after)) == [NOW + 5_000, NOW + 60_000, NOW + 90_000]
+    assert after.number == 2 and change_times((made, after)) == [NOW + 5_000, NOW + 60_000, NOW + 90_000]
 
 
 @pytest.mark.parametrize(
@@ -73,7 +81,7 @@
         except PlanError:
             refused += 1
         limit = capacity(FLEET) - FLEET.kept
-        for moment in moments(held):
+        for moment in change_times(held):
             assert sum(reserved(held, moment).values()) <= limit * (1 + 1e-9)
     assert refused and len(held) > 5
 
@@ -90,21 +98,21 @@
 
 def test_uptake_begins_and_ends_a_reservation_at_its_moments_and_after_a_restart() -> None:
     made = admitted(FLEET, (), 7, 100.0, NOW + 10_000, NOW + 60_000, NOW, "")
-    uptake = Uptake()
-    uptake.read(Book(reservations=(made,)))
-    assert uptake.reservations(NOW) is None and uptake.wait(NOW) == 10_000
-    assert uptake.reservations(NOW + 10_000) == {7: 100.0} and uptake.wait(NOW + 10_000) == 50_000
-    assert uptake.reservations(NOW + 11_000) is None and uptake.reservations(NOW + 60_000) == {}
-    fresh = Uptake()
-    fresh.read(Book(reservations=(made,)))
+    follower = VersionFollower()
+    follower.read(PlanRegistry(reservations=(made,)))
+    assert follower.reservations(NOW) is None and follower.wait(NOW) == 10_000
+    assert follower.reservations(NOW + 10_000) == {7: 100.0} and follower.wait(NOW + 10_000) == 50_000
+    assert follower.reservations(NOW + 11_000) is None and follower.reservations(NOW + 60_000) == {}
+    fresh = VersionFollower()
+    fresh.read(PlanRegistry(reservations=(made,)))
     assert fresh.reservations(NOW + 30_000) == {7: 100.0}
 
 
-def test_a_book_of_the_first_schema_is_upgraded() -> None:
+def test_a_registry_of_the_first_schema_is_upgraded() -> None:
     class Old(msgspec.Struct):
         versions: tuple[int, ...] = ()
 
-    assert SCHEMA.unpack(Schema("plan-book", 1).pack(Old()), Book) == Book()
+    assert SCHEMA.unpack(Schema("plan-book", 1).pack(Old()), PlanRegistry) == PlanRegistry()
 
 
 def _sent(module: Broker, customer: int, begin: int, seconds: int, rate: int) -> int:
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -1,4 +1,4 @@
-"""Plans with a history: the book's rules, stores that are carried over, and uptake on sockets."""
+"""Plans with a history: the registry's rules, stores that are carried over, and what follows on sockets."""
 
 from __future__ import annotations
 
@@ -18,10 +18,19 @@
 from trackspread.decide.broker import Broker
 from trackspread.decide.interface import ListKind, LogLine, Plan, PlansChanged, Refuse, Send
 from trackspread.decide.quota import carried
-from trackspread.plans.book import (
-    SCHEMA, Book, Figures, Uptake, Version, applied, differences, in_force, upcoming, withdrawn,
+from trackspread.plans.notice import NOTICE_MS, PlanError
+from trackspread.plans.registry import (
+    SCHEMA,
+    Figures,
+    PlanRegistry,
+    Version,
+    VersionFollower,
+    applied,
+    differences,
+    in_force,
+    upcoming,
+    withdrawn,
 )
-from trackspread.plans.moments import NOTICE_MS, PlanError
 
 from .fakes import run, until, world
 from .helpers import MS, arrival, backend, ended, full_list, plan, settings
@@ -32,31 +41,31 @@
 LESS = {"full": Figures(5.0, 10.0, ceiling_rate=8.0, ceiling_burst=12.0)}
 
 
-def _book(*changes: tuple[dict[str, Figures], int]) -> Book:
-    book = Book()
+def _registry(*changes: tuple[dict[str, Figures], int]) -> PlanRegistry:
+    registry = PlanRegistry()
     for plans, since in changes:
-        book = applied(book, plans, since, NOW, "")
-    return book
+        registry = applied(registry, plans, since, NOW, "")
+    return registry
 
 
-def test_versions_are_in_force_from_their_moment_on_and_stay_in_the_book() -> None:
-    book = _book((FULL, NOW + NOTICE_MS), (LESS, NOW + 60_000))
-    assert in_force(book, NOW) is None
-    first, second = in_force(book, NOW + NOTICE_MS), in_force(book, NOW + 60_000)
+def test_versions_are_in_force_from_their_moment_on_and_stay_in_the_registry() -> None:
+    registry = _registry((FULL, NOW + NOTICE_MS), (LESS, NOW + 60_000))
+    assert in_force(registry, NOW) is None
+    first, second = in_force(registry, NOW + NOTICE_MS), in_force(registry, NOW + 60_000)
     assert first is not None and second is not None and (first.number, second.number) == (1, 2)
-    assert upcoming(book, NOW + NOTICE_MS) == second and upcoming(book, NOW + 60_000) is None
-    assert SCHEMA.unpack(SCHEMA.pack(book), Book) == book
+    assert upcoming(registry, NOW + NOTICE_MS) == second and upcoming(registry, NOW + 60_000) is None
+    assert SCHEMA.unpack(SCHEMA.pack(registry), PlanRegistry) == registry
 
 
 def test_a_version_may_be_withdrawn_until_gateways_rely_on_it() -> None:
-    book = withdrawn(_book((FULL, NOW + 20_000), (LESS, NOW + 60_000)), 1, NOW)
-    assert in_force(book, NOW + 30_000) is None and len(book.versions) == 2
-    later = applied(book, FULL, NOW + 90_000, NOW, "again")
+    registry = withdrawn(_registry((FULL, NOW + 20_000), (LESS, NOW + 60_000)), 1, NOW)
+    assert in_force(registry, NOW + 30_000) is None and len(registry.versions) == 2
+    later = applied(registry, FULL, NOW + 90_000, NOW, "again")
     assert later.versions[-1].number == 3, "numbers are not used twice"
     with pytest.raises(PlanError, match="found 1, wanted one that stands"):
-        withdrawn(book, 1, NOW)
+        withdrawn(registry, 1, NOW)
     with pytest.raises(PlanError, match="in force within 5 s or already"):
-        withdrawn(book, 2, NOW + 58_000)
+        withdrawn(registry, 2, NOW + 58_000)
 
 
 @pytest.mark.parametrize(
@@ -73,7 +82,7 @@
 )
 def test_a_change_that_cannot_be_meant_is_one_line(plans: dict[str, Figures], since: int, line: str) -> None:
     with pytest.raises(PlanError) as caught:
-        applied(_book((LESS, NOW + 60_000)), plans, since, NOW, "", {"basic", "full"})
+        applied(_registry((LESS, NOW + 60_000)), plans, since, NOW, "", {"basic", "full"})
     assert str(caught.value).startswith(line)
 
 
@@ -89,18 +98,18 @@
 def test_gateways_take_a_version_up_within_what_their_clocks_differ_by(seed: int) -> None:
     """Each looks once a second, a look in ten fails, and clocks differ by up to a second."""
     rng = random.Random(f"plans:{seed}")
-    book, clocks = Book(), [rng.randint(-500, 500) for _ in range(5)]
-    uptakes, taken = [Uptake() for _ in clocks], [dict[int, int]() for _ in clocks]
+    registry, clocks = PlanRegistry(), [rng.randint(-500, 500) for _ in range(5)]
+    followers, taken = [VersionFollower() for _ in clocks], [dict[int, int]() for _ in clocks]
     for now in range(NOW, NOW + 40_000, 50):
-        if rng.random() < 0.01 and upcoming(book, now) is None:
-            book = applied(book, FULL, now + rng.randint(NOTICE_MS, 9_000), now, "")
-        for number, (uptake, clock) in enumerate(zip(uptakes, clocks, strict=True)):
+        if rng.random() < 0.01 and upcoming(registry, now) is None:
+            registry = applied(registry, FULL, now + rng.randint(NOTICE_MS, 9_000), now, "")
+        for number, (follower, clock) in enumerate(zip(followers, clocks, strict=True)):
             if (now + 200 * number) % 1000 == 0 and rng.random() < 0.9:
-                uptake.read(book)
-            if (due := uptake.due(now + clock)) is not None and due[0] is not None:
+                follower.read(registry)
+            if (due := follower.due(now + clock)) is not None and due[0] is not None:
                 taken[number][due[0].number] = now
-    assert book.versions
-    for version in book.versions:
+    assert registry.versions
+    for version in registry.versions:
         if version.since < NOW + 39_000:
             at = [versions[version.number] for versions in taken]
             assert max(at) - min(at) <= 1_050 and min(at) >= version.since - 500
@@ -161,21 +170,22 @@
 def test_an_operator_applies_compares_withdraws_and_reads_the_history(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    book, file = str(tmp_path / "plans.json"), tmp_path / "new.toml"
+    registry, file = str(tmp_path / "plans.json"), tmp_path / "new.toml"
     file.write_text("[plans.full]\nrate = 5\nburst = 10\n")
-    assert _words(capsys, "history", book) == (0, "no versions: the platform's figures hold\n")
-    assert _words(capsys, "diff", book, str(file)) == (1, "full: named\n")
-    status, told = _words(capsys, "apply", book, str(file), "--from", "+60", "--note", "winter")
+    assert _words(capsys, "history", registry) == (0, "no versions: the platform's figures hold\n")
+    assert _words(capsys, "diff", registry, str(file)) == (1, "full: named\n")
+    status, told = _words(capsys, "apply", registry, str(file), "--from", "+60", "--note", "winter")
     assert status == 0 and told.startswith("version 1 is in force from ")
-    status, told = _words(capsys, "apply", book, str(file), "--from", "+1")
-    assert status == 2 and "wanted at least 5 s" in told and told.startswith(f"trackspread: {book}: from: ")
-    assert "to come   winter" in _words(capsys, "history", book)[1]
-    assert _words(capsys, "withdraw", book, "1") == (0, "version 1 is withdrawn\n")
-    assert "withdrawn winter" in _words(capsys, "history", book)[1]
+    status, told = _words(capsys, "apply", registry, str(file), "--from", "+1")
+    assert status == 2 and "wanted at least 5 s" in told
+    assert told.startswith(f"trackspread: {registry}: from: ")
+    assert "to come   winter" in _words(capsys, "history", registry)[1]
+    assert _words(capsys, "withdraw", registry, "1") == (0, "version 1 is withdrawn\n")
+    assert "withdrawn winter" in _words(capsys, "history", registry)[1]
     file.write_text("[plans.full]\nrat = 5\n")
-    status, told = _words(capsys, "diff", book, str(file))
+    status, told = _words(capsys, "diff", registry, str(file))
     assert status == 2 and "unknown field `rat`" in told
-    status, told = _words(capsys, "apply", book, str(file), "--from", "soon")
+    status, told = _words(capsys, "apply", registry, str(file), "--from", "soon")
     assert status == 2
 
 
@@ -185,17 +195,17 @@
 
     async def body() -> None:
         async with world(operator) as made:
-            book = made.node.book
-            assert book is not None and book.version == 0
+            registry = made.node.book
+            assert registry is not None and registry.version == 0
             now = time.time_ns() // 1_000_000
             version = Version(1, now + 300, now, "", {"team": Figures(1.0, 2.0)})
-            path.write_bytes(SCHEMA.pack(Book((version,))))
-            await until(lambda: book.version == 1)
+            path.write_bytes(SCHEMA.pack(PlanRegistry((version,))))
+            await until(lambda: registry.version == 1)
             assert time.time_ns() // 1_000_000 >= version.since
             assert made.node.module.quota.s.plans[0].burst == 2.0
             path.write_bytes(b"broken")
             os.utime(path, ns=(1, 1))
             await asyncio.sleep(0)
-            assert book.version == 1, "a book that can't be read changes nothing"
+            assert registry.version == 1, "a registry that can't be read changes nothing"
 
     run(body)
--- a/trackspread/commands/plans.py
+++ b/trackspread/commands/plans.py
@@ -1,7 +1,7 @@
-"""`trackspread plans`: the plan book's history, what a file would change, and changes from a moment on.
+"""`trackspread plans`: the plan registry's history, what a file would change, and changes from a moment on.
 
-May know: files, the book's rules. Every operator's error is one plain line (`ConfigError`). The book is
-replaced whole, under a lock of its own: two who apply at once follow one another.
+May know: files, the registry's rules. Every operator's error is one plain line (`ConfigError`). The registry
+is replaced whole, under a lock of its own: two who apply at once follow one another.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
 
 from ..config import platform
 from ..config.addresses import ConfigError
-from ..plans.book import SCHEMA, Book, Plans, applied, check, differences, in_force, withdrawn
-from ..plans.moments import PlanError
+from ..plans.notice import PlanError
+from ..plans.registry import SCHEMA, PlanRegistry, Plans, applied, check, differences, in_force, withdrawn
 from ..storage.document import DocumentError
 from ..usage.senders import put
 
@@ -34,41 +34,43 @@
     now = time.time_ns() // 1_000_000
     match given.plans:
         case "history":
-            return _history(load_book(given.book), now)
+            return _history(load_registry(given.book), now)
         case "diff":
-            return _diff(load_book(given.book), _proposal(given.file, _names(given.config)), now)
+            return _diff(load_registry(given.book), _proposal(given.file, _names(given.config)), now)
         case "apply":
             plans, names = _proposal(given.file, _names(given.config)), _names(given.config)
-            since = moment(given.since, now)
-            book = change_book(given.book, lambda book: applied(book, plans, since, now, given.note, names))
-            print(f"version {book.versions[-1].number} is in force from {shown(since)} on")
+            since = parse_time(given.since, now)
+            registry = change_registry(
+                given.book, lambda registry: applied(registry, plans, since, now, given.note, names)
+            )
+            print(f"version {registry.versions[-1].number} is in force from {shown(since)} on")
             return 0
         case _:
-            change_book(given.book, lambda book: withdrawn(book, given.number, now))
+            change_registry(given.book, lambda registry: withdrawn(registry, given.number, now))
             print(f"version {given.number} is withdrawn")
             return 0
 
 
-def load_book(path: Path) -> Book:
-    """An empty book where there is none yet."""
+def load_registry(path: Path) -> PlanRegistry:
+    """An empty registry where there is none yet."""
     try:
-        return SCHEMA.unpack(path.read_bytes(), Book)
+        return SCHEMA.unpack(path.read_bytes(), PlanRegistry)
     except FileNotFoundError:
-        return Book()
+        return PlanRegistry()
     except (OSError, DocumentError) as error:
         raise ConfigError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
 
 
-def change_book(path: Path, change: Callable[[Book], Book]) -> Book:
-    """The book as it is afterwards, on the disk; raises `ConfigError`."""
+def change_registry(path: Path, change: Callable[[PlanRegistry], PlanRegistry]) -> PlanRegistry:
+    """The registry as it is afterwards, on the disk; raises `ConfigError`."""
     try:
         path.parent.mkdir(parents=True, exist_ok=True)
         lock = os.open(path.with_name(path.name + ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX)
-            book = change(load_book(path))
-            put(path.parent, path.name, SCHEMA.pack(book))
-            return book
+            registry = change(load_registry(path))
+            put(path.parent, path.name, SCHEMA.pack(registry))
+            return registry
         finally:
             os.close(lock)
     except PlanError as error:
@@ -95,7 +97,7 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-def moment(text: str, now: int, what: str = "--from") -> int:
+def parse_time(text: str, now: int, what: str = "--from") -> int:
     """Unix ms; a moment without a zone is UTC. Raises `ConfigError`."""
     try:
         if text.startswith("+"):
@@ -110,12 +112,12 @@
     return datetime.fromtimestamp(ms / 1000, UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
 
 
-def _history(book: Book, now: int) -> int:
-    current = in_force(book, now)
+def _history(registry: PlanRegistry, now: int) -> int:
+    current = in_force(registry, now)
     before: Plans = {}
-    if not book.versions:
+    if not registry.versions:
         print("no versions: the platform's figures hold")
-    for version in book.versions:
+    for version in registry.versions:
         state = "withdrawn" if version.withdrawn else "in force" if version is current else \
             "to come" if version.since > now else "past"
         print(f"{version.number:>4} from {shown(version.since)} {state:<9} {version.note}".rstrip())
@@ -125,9 +127,9 @@
     return 0
 
 
-def _diff(book: Book, plans: Plans, now: int) -> int:
+def _diff(registry: PlanRegistry, plans: Plans, now: int) -> int:
     """Exit status 1 where something differs, as `diff` has it."""
-    current = in_force(book, now)
+    current = in_force(registry, now)
     lines = differences(current.plans if current is not None else {}, plans)
     print("\n".join(lines) or "nothing would change")
     return 1 if lines else 0
--- a/trackspread/commands/reserve.py
+++ b/trackspread/commands/reserve.py
@@ -1,6 +1,6 @@
-"""`trackspread reserve`: allowance ahead, in the plan book's calendar.
+"""`trackspread reserve`: allowance ahead, in the plan registry's calendar.
 
-May know: the book, the calendar's rules. Every operator's error is one plain line (`ConfigError`).
+May know: the registry, the calendar's rules. Every operator's error is one plain line (`ConfigError`).
 """
 
 from __future__ import annotations
@@ -12,9 +12,9 @@
 import msgspec
 
 from ..config.addresses import ConfigError
-from ..plans.book import Book
 from ..plans.calendar import Fleet, admitted, cancelled, capacity, room
-from .plans import change_book, load_book, moment, shown
+from ..plans.registry import PlanRegistry
+from .plans import change_registry, load_registry, parse_time, shown
 
 _MEMBER = re.compile(r"[0-9a-fA-F]{16}")
 
@@ -26,17 +26,17 @@
         case "add":
             return _add(given, now)
         case "cancel":
-            change_book(given.book, lambda book: msgspec.structs.replace(
-                book, reservations=cancelled(book.reservations, given.number, now)
+            change_registry(given.book, lambda registry: msgspec.structs.replace(
+                registry, reservations=cancelled(registry.reservations, given.number, now)
             ))
             print(f"reservation {given.number} is given back")
         case "fleet":
             fleet = _fleet(given)
-            change_book(given.book, lambda book: msgspec.structs.replace(book, fleet=fleet))
+            change_registry(given.book, lambda registry: msgspec.structs.replace(registry, fleet=fleet))
             print(f"{capacity(fleet):.6g} units a second within {fleet.aim_ms:g} ms, "
                   f"{fleet.kept:g} of them kept")
         case _:
-            _list(load_book(given.book), now)
+            _list(load_registry(given.book), now)
     return 0
 
 
@@ -51,28 +51,28 @@
 def _add(given: argparse.Namespace, now: int) -> int:
     if not _MEMBER.fullmatch(given.member):
         raise ConfigError(f"reserve add: found member {given.member!r}, wanted 16 hexadecimal digits")
-    start, end = moment(given.since, now), moment(given.until, now, "--to")
+    start, end = parse_time(given.since, now), parse_time(given.until, now, "--to")
     rate = given.rate if given.rate is not None else given.units * 1000 / max(1, end - start)
     customer = int(given.member, 16)
 
-    def change(book: Book) -> Book:
-        made = admitted(book.fleet, book.reservations, customer, rate, start, end, now, given.note)
-        return msgspec.structs.replace(book, reservations=(*book.reservations, made))
+    def change(registry: PlanRegistry) -> PlanRegistry:
+        made = admitted(registry.fleet, registry.reservations, customer, rate, start, end, now, given.note)
+        return msgspec.structs.replace(registry, reservations=(*registry.reservations, made))
 
-    made = change_book(given.book, change).reservations[-1]
+    made = change_registry(given.book, change).reservations[-1]
     print(f"reservation {made.number}: {made.rate:.6g} units a second for {made.customer:016x} from "
           f"{shown(start)} to {shown(end)}")
     return 0
 
 
-def _list(book: Book, now: int) -> None:
-    for each in book.reservations:
+def _list(registry: PlanRegistry, now: int) -> None:
+    for each in registry.reservations:
         state = "given back" if each.cancelled else "over" if each.end <= now else \
             "in force" if each.start <= now else "to come"
         print(f"{each.number:>4} {each.customer:016x} {each.rate:.6g}/s {shown(each.start)} to "
               f"{shown(each.end)} {state} {each.note}".rstrip())
-    if book.fleet is None:
+    if registry.fleet is None:
         print("the fleet is not described: nothing can be reserved (`trackspread reserve fleet`)")
         return
-    fits = room(book.fleet, book.reservations, now, now + 1)
-    print(f"the fleet gives {capacity(book.fleet):.6g} units a second; {fits:.6g} can be reserved now")
+    fits = room(registry.fleet, registry.reservations, now, now + 1)
+    print(f"the fleet gives {capacity(registry.fleet):.6g} units a second; {fits:.6g} can be reserved now")
--- a/trackspread/commands/use.py
+++ b/trackspread/commands/use.py
@@ -106,7 +106,7 @@
     if not given.folder.is_dir():
         raise ConfigError(f"{given.folder}: found no folder, wanted a gateway's use.folder")
     try:
-        way = senders.told(url, use.secret, use.ca)
+        way = senders.configured_sender(url, use.secret, use.ca)
     except ValueError as error:
         raise ConfigError(f"--to: found {url!r}, {error}") from None
 
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -10,14 +10,14 @@
 
 def add_plans(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread plans` and its actions."""
-    own = commands.add_parser("plans", help="the plan book: history, compare, apply, withdraw")
+    own = commands.add_parser("plans", help="the plan registry: history, compare, apply, withdraw")
     group = own.add_subparsers(dest="plans", metavar="ACTION", title="actions", required=True)
     history = group.add_parser("history", help="every version: from when on, why, and what it changed")
     diff = group.add_parser("diff", help="what a file would change of what is in force")
     applies = group.add_parser("apply", help="add a version that is in force from a moment on")
     withdraws = group.add_parser("withdraw", help="take back a version that is not in force yet")
     for each in (history, diff, applies, withdraws):
-        each.add_argument("book", metavar="BOOK", type=Path, help="the plan book, as plans.book names it")
+        each.add_argument("book", metavar="BOOK", type=Path, help="the plan registry, as plans.book names it")
     for each in (diff, applies):
         each.add_argument("file", metavar="FILE", type=Path, help="TOML: a table [plans.NAME] for each plan")
         each.add_argument("--config", metavar="JSON", help="the platform's, for the plans that there are")
@@ -38,7 +38,7 @@
     lists = group.add_parser("list", help="all that were made, and the rate that still fits")
     fleets = group.add_parser("fleet", help="what the fleet is, for the model that admits")
     for each in (adds, cancels, lists, fleets):
-        each.add_argument("book", metavar="BOOK", type=Path, help="the plan book, as plans.book names it")
+        each.add_argument("book", metavar="BOOK", type=Path, help="the plan registry, as plans.book names it")
     adds.add_argument("member", metavar="MEMBER", help="16 hexadecimal digits")
     amount = adds.add_mutually_exclusive_group(required=True)
     amount.add_argument("--rate", type=float, help="units a second on top of the plan's")
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -71,7 +71,7 @@
 class PlanSource(_Table, frozen=True):
     """Where other figures for the platform's plans come from."""
 
-    book: str = ""  # a plan book, as `trackspread plans apply` writes it; empty: the platform's figures hold
+    book: str = ""  # a plan registry, as `trackspread plans apply` writes it; "": the platform's figures hold
 
 
 class Counter(_Table, frozen=True):
--- a/trackspread/node/planned.py
+++ b/trackspread/node/planned.py
@@ -1,7 +1,7 @@
-"""The gateway's side of the plan book: reads the file, waits for the moment, hands the module its figures.
+"""The gateway's side of the plan registry: reads the file, waits until it is time, gives the module figures.
 
-May know: the book, configuration, the loop. Decides nothing. A book that can't be read changes nothing and is
-told once; the figures in force hold.
+May know: the registry, configuration, the loop. Decides nothing. A registry that can't be read changes
+nothing and is told once; the figures in force hold.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 
 from ..config.platform import Config
 from ..decide.interface import Plan, PlansChanged
-from ..plans.book import SCHEMA, Book, Uptake, Version
 from ..plans.calendar import MEMBERS_BURST_S
+from ..plans.registry import SCHEMA, PlanRegistry, Version, VersionFollower
 from ..storage.document import DocumentError
 
 log = logging.getLogger(__name__)
@@ -32,7 +32,7 @@
         self._path, self._changed = path, changed
         self._names = [name.decode() for name in config.plans]
         self._own = self._plans = config.settings.plans
-        self._uptake = Uptake()
+        self._follower = VersionFollower()
         self._seen: tuple[int, int, int] | None = None
         self._told = ""
         self._timer: asyncio.TimerHandle | None = None
@@ -48,7 +48,7 @@
         """Once a second, and at the very moment of the next version."""
         self._read()
         now = time.time_ns() // 1_000_000
-        due, rates = self._uptake.due(now), self._uptake.reservations(now)
+        due, rates = self._follower.due(now), self._follower.reservations(now)
         if due is not None:
             self._take_up(*due)
         if rates is not None:
@@ -56,9 +56,9 @@
         if due is not None or rates is not None:
             self._changed(PlansChanged(self._plans, tuple(
                 (customer, rate, MEMBERS_BURST_S * rate)
-                for customer, rate in sorted(self._uptake.reserved.items())
+                for customer, rate in sorted(self._follower.reserved.items())
             )))
-        wait = self._uptake.wait(time.time_ns() // 1_000_000)
+        wait = self._follower.wait(time.time_ns() // 1_000_000)
         pause = LOOK if wait is None else min(LOOK, max(0.0, wait / 1000))
         self._timer = asyncio.get_running_loop().call_later(pause, self._look)
 
@@ -68,7 +68,7 @@
             seen = stat.st_mtime_ns, stat.st_size, stat.st_ino
             if seen == self._seen:
                 return
-            book = SCHEMA.unpack(self._path.read_bytes(), Book)
+            registry = SCHEMA.unpack(self._path.read_bytes(), PlanRegistry)
         except (OSError, DocumentError) as error:
             why = (error.strerror if isinstance(error, OSError) else None) or str(error)
             if why != self._told:
@@ -76,7 +76,7 @@
             self._told = why
             return
         self._seen, self._told = seen, ""
-        self._uptake.read(book)
+        self._follower.read(registry)
 
     def _take_up(self, version: Version | None, late: int) -> None:
         named = zip(self._own, self._names, strict=True)
--- a/trackspread/node/uses.py
+++ b/trackspread/node/uses.py
@@ -17,7 +17,7 @@
 from ..usage.host import UseHost
 from ..usage.ledger import Bounds
 from ..usage.record import Ending
-from ..usage.senders import Sender, told
+from ..usage.senders import Sender, configured_sender
 
 MEGABYTE = 1 << 20
 
@@ -33,7 +33,7 @@
     if not use.billing:
         return None
     try:
-        return told(use.billing, use.secret, use.ca)
+        return configured_sender(use.billing, use.secret, use.ca)
     except (OSError, ValueError) as error:
         raise ConfigError(f"use.secret, use.ca or use.billing: {error}") from None
 
--- a/trackspread/plans/calendar.py
+++ b/trackspread/plans/calendar.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from ..decide.model import mean_values
-from .moments import NOTICE_MS, PlanError
+from .notice import NOTICE_MS, PlanError
 
 IN_FLIGHT_MOST = 4_096  # requests in flight that the model is solved for: past it a queue is long saturated
 SPAN_MOST_MS = 92 * 86_400_000  # of one reservation
@@ -71,14 +71,14 @@
     return rates
 
 
-def moments(reservations: tuple[Reservation, ...]) -> list[int]:
+def change_times(reservations: tuple[Reservation, ...]) -> list[int]:
     """Those at which something begins or ends, in order."""
     return sorted({moment for each in reservations for moment in (each.start, each.ends())})
 
 
 def room(fleet: Fleet, reservations: tuple[Reservation, ...], start: int, end: int) -> float:
     """The rate that still fits over the whole of a span."""
-    points = [start, *(moment for moment in moments(reservations) if start < moment < end)]
+    points = [start, *(moment for moment in change_times(reservations) if start < moment < end)]
     taken = max(sum(reserved(reservations, point).values()) for point in points)
     return max(0.0, capacity(fleet) - fleet.kept - taken)
 
--- a/trackspread/plans/moments.py
+++ b/trackspread/plans/notice.py
@@ -1,8 +1,8 @@
-"""What the plan book and the calendar share: the notice that a change needs, and how a mistake is told."""
+"""What the plan registry and the calendar share: the notice that a change needs, and its error."""
 
 from __future__ import annotations
 
-NOTICE_MS = 5_000  # over twice the time between two looks at the book, and clocks that differ by a second
+NOTICE_MS = 5_000  # over twice the time between two looks at the registry, and clocks that differ by a second
 
 
 class PlanError(ValueError):
--- a/trackspread/plans/book.py
+++ b/trackspread/plans/registry.py
@@ -1,13 +1,13 @@
-"""The plan book: every version of the plans' figures, from when on each is in force, and why.
+"""The plan registry: every version of the plans' figures, from when on each is in force, and why.
 
 May know: figures, moments. May not know: files, clocks, the decision module. Rules:
 
 - A version is never changed and never taken out; one that is not in force yet may be withdrawn, and stays in
-  the book as that.
+  the registry as that.
 - Numbers count up by one, moments strictly forward, over those that were not withdrawn.
-- A version is made known at least `NOTICE_MS` before it is in force: who reads the book once a second has it
-  by then, and takes it up at the same moment as all others. Who reads it late says by how much.
-- Version 0 is the platform's settings: what a book does not name holds as the platform has it.
+- A version is made known at least `NOTICE_MS` before it is in force: who reads the registry once a second has
+  it by then, and takes it up at the same moment as all others. Who reads it late says by how much.
+- Version 0 is the platform's settings: what a registry does not name holds as the platform has it.
 """
 
 from __future__ import annotations
@@ -17,10 +17,10 @@
 import msgspec
 
 from ..storage.document import Schema
-from .calendar import Fleet, Reservation, moments, reserved
-from .moments import NOTICE_MS, PlanError
+from .calendar import Fleet, Reservation, change_times, reserved
+from .notice import NOTICE_MS, PlanError
 
-VERSIONS_MOST = 1_000  # in one book: a change a day for three years
+VERSIONS_MOST = 1_000  # in one registry: a change a day for three years
 SCHEMA = Schema("plan-book", 2, {1: lambda body: body | {"fleet": None, "reservations": []}})
 Figure = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
@@ -50,7 +50,7 @@
     withdrawn: int = 0  # when; 0: it was not
 
 
-class Book(msgspec.Struct, frozen=True):
+class PlanRegistry(msgspec.Struct, frozen=True):
     """`fleet`: what reservations are admitted against; None: none can be."""
 
     versions: tuple[Version, ...] = ()
@@ -58,50 +58,52 @@
     reservations: tuple[Reservation, ...] = ()
 
 
-def standing(book: Book) -> list[Version]:
-    return [version for version in book.versions if not version.withdrawn]
+def standing(registry: PlanRegistry) -> list[Version]:
+    return [version for version in registry.versions if not version.withdrawn]
 
 
-def in_force(book: Book, now: int) -> Version | None:
+def in_force(registry: PlanRegistry, now: int) -> Version | None:
     """The version at `now`; None for version 0."""
-    begun = [version for version in standing(book) if version.since <= now]
+    begun = [version for version in standing(registry) if version.since <= now]
     return begun[-1] if begun else None
 
 
-def upcoming(book: Book, now: int) -> Version | None:
+def upcoming(registry: PlanRegistry, now: int) -> Version | None:
     """The next one."""
-    return next((version for version in standing(book) if version.since > now), None)
+    return next((version for version in standing(registry) if version.since > now), None)
 
 
-def applied(book: Book, plans: Plans, since: int, now: int, note: str, names: set[str] | None = None) -> Book:
-    """The book with one version more; raises `PlanError`. `names`: the plans that there are, where known."""
+def applied(
+    registry: PlanRegistry, plans: Plans, since: int, now: int, note: str, names: set[str] | None = None
+) -> PlanRegistry:
+    """The registry with one version more; raises `PlanError`. `names`: the plans there are, where known."""
     check(plans, names)
-    last = max([version.since for version in standing(book)], default=0)
+    last = max([version.since for version in standing(registry)], default=0)
     if since < now + NOTICE_MS:
         raise PlanError(f"from: found a moment {(since - now) / 1000:.1f} s from now, wanted at least "
                         f"{NOTICE_MS / 1000:g} s: gateways have to read it first")
     if since <= last:
         raise PlanError("from: found a moment before that of a version that stands, wanted a later one "
                         "(or withdraw that one)")
-    if len(book.versions) >= VERSIONS_MOST:
-        raise PlanError(f"found {VERSIONS_MOST} versions, wanted a new book")
-    number = max([version.number for version in book.versions], default=0) + 1
+    if len(registry.versions) >= VERSIONS_MOST:
+        raise PlanError(f"found {VERSIONS_MOST} versions, wanted a new registry")
+    number = max([version.number for version in registry.versions], default=0) + 1
     return msgspec.structs.replace(
-        book, versions=(*book.versions, Version(number, since, now, note, plans))
+        registry, versions=(*registry.versions, Version(number, since, now, note, plans))
     )
 
 
-def withdrawn(book: Book, number: int, now: int) -> Book:
-    """The book with a version taken back that is not in force yet, in time for all to hear of it."""
-    version = next((each for each in book.versions if each.number == number), None)
+def withdrawn(registry: PlanRegistry, number: int, now: int) -> PlanRegistry:
+    """The registry with a version taken back that is not in force yet, in time for all to hear of it."""
+    version = next((each for each in registry.versions if each.number == number), None)
     if version is None or version.withdrawn:
         raise PlanError(f"version: found {number}, wanted one that stands")
     if version.since < now + NOTICE_MS:
         raise PlanError(f"version: {number} is in force within {NOTICE_MS / 1000:g} s or already, wanted a "
                         "later one: apply the former figures anew")
     changed = msgspec.structs.replace(version, withdrawn=now)
-    versions = tuple(changed if each is version else each for each in book.versions)
-    return msgspec.structs.replace(book, versions=versions)
+    versions = tuple(changed if each is version else each for each in registry.versions)
+    return msgspec.structs.replace(registry, versions=versions)
 
 
 def check(plans: Plans, names: set[str] | None) -> None:
@@ -138,21 +140,21 @@
     return lines
 
 
-class Uptake:
+class VersionFollower:
     """One gateway's: which version it has taken up, and when the next is due. The clock is handed in."""
 
     def __init__(self) -> None:
-        self.book = Book()
+        self.registry = PlanRegistry()
         self.number = 0
         self.reserved: dict[int, float] = {}
 
-    def read(self, book: Book) -> None:
-        self.book = book
+    def read(self, registry: PlanRegistry) -> None:
+        self.registry = registry
 
     def due(self, now: int) -> tuple[Version | None, int] | None:
         """The version that is to be taken up now (None: the platform's own figures), and how many ms late;
         None where nothing changes."""
-        version = in_force(self.book, now)
+        version = in_force(self.registry, now)
         number = version.number if version is not None else 0
         if number == self.number:
             return None
@@ -161,7 +163,7 @@
 
     def reservations(self, now: int) -> dict[int, float] | None:
         """By member, the rate that is reserved from now on; None where nothing changes."""
-        rates = reserved(self.book.reservations, now)
+        rates = reserved(self.registry.reservations, now)
         if rates == self.reserved:
             return None
         self.reserved = rates
@@ -169,7 +171,7 @@
 
     def wait(self, now: int) -> int | None:
         """ms until the next version or reservation begins, or one ends."""
-        version = upcoming(self.book, now)
-        coming = [moment for moment in moments(self.book.reservations) if moment > now]
+        version = upcoming(self.registry, now)
+        coming = [moment for moment in change_times(self.registry.reservations) if moment > now]
         coming += [version.since] if version is not None else []
         return min(coming) - now if coming else None
--- a/trackspread/usage/senders.py
+++ b/trackspread/usage/senders.py
@@ -61,7 +61,7 @@
     return Http(target)
 
 
-def told(url: str, secret: str, ca: str) -> Sender:
+def configured_sender(url: str, secret: str, ca: str) -> Sender:
     """As the operator's file has it, `secret` being a file's name; raises `OSError` and `ValueError`."""
     return sender(Target(url, Path(secret).read_bytes().strip() if secret else b"", ca))
 
