Handover: state exporter and importer, takeover, in place of testator, inheritance, succession

Renamed: node/estate.py to handover_state.py (Estate HandoverState, Testator StateExporter, Inheritance StateImporter, Told Progress), node/succession.py to takeover.py; in handover/ Elder and Heir are PredecessorSteps and SuccessorSteps, Happening and Act are Event and Action, Gathering is Reassembly, Place is Rendezvous, Kind.TOLD is Kind.PROGRESS.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,12 +21,24 @@
 from trackspread.decide.mail import pack_totals
 from trackspread.decide.state import Account, Mean
 from trackspread.handover import wire
-from trackspread.handover.states import Act, Actions, Elder, Happening, Heir
-from trackspread.handover.wire import Gathering, Kind, WireError
+from trackspread.handover.states import Action, Actions, Event, PredecessorSteps, SuccessorSteps
+from trackspread.handover.wire import Kind, Reassembly, WireError
+from trackspread.node.handover_state import HandoverState, Progress
 from trackspread.virtual.handed import World
 
 from .fakes import (
-    LOCAL, Agent, Backend, Connection, call, host, listening, listing, raw_config, run, served, soon,
+    LOCAL,
+    Agent,
+    Backend,
+    Connection,
+    call,
+    host,
+    listening,
+    listing,
+    raw_config,
+    run,
+    served,
+    soon,
 )
 from .helpers import MS, SECOND, arrival, backend, full_list, plan, settings
 from .test_control import CHECK, STATS, asked, figures, status
@@ -37,7 +49,7 @@
 # Steps.
 
 
-def test_the_word_passes_once_and_nobody_waits_long() -> None:
+def test_the_right_to_serve_passes_once_and_nobody_waits_long() -> None:
     for seed in range(200):
         world = World(seed)
         world.run()
@@ -47,7 +59,7 @@
 
 @pytest.mark.parametrize("what", ["killed", "silent"])
 @pytest.mark.parametrize("who", ["old", "new"])
-def test_whatever_befalls_one_side_the_other_serves_and_never_both_for_the_word(who: str, what: str) -> None:
+def test_whatever_befalls_one_side_the_other_serves_and_never_both_at_once(who: str, what: str) -> None:
     for seed in range(1500):
         world = World(seed)
         # Most of it happens in a few ms: as many moments there as elsewhere.
@@ -58,59 +70,59 @@
             assert world.old_grants and world.both == 0.0, seed
         elif who == "old" and what == "killed":
             assert world.new_grants, seed
-        elif who == "new":  # silent: the old one serves on, unless the word had passed already
-            assert world.old_grants or world.heir.step in ("serving", "cold"), seed
+        elif who == "new":  # silent: the old one serves on, unless it had handed over already
+            assert world.old_grants or world.successor.step in ("serving", "cold"), seed
             assert world.both == 0.0, seed
-        else:  # the old one is silent: it holds the word, if it had not given it, and the platform ends it
+        else:  # the old one is silent: it serves, if it had not handed over, and the platform ends it
             assert world.new_grants, seed
         assert world.none < 3.0, seed
 
 
-def test_planted_an_old_process_that_never_takes_the_word_back_is_convicted() -> None:
-    class Stubborn(Elder):
-        def handle(self, what: Happening) -> Actions:
-            return [each for each in super().handle(what) if each[0] is not Act.RESUME]
+def test_planted_an_old_process_that_never_serves_again_is_convicted() -> None:
+    class Stubborn(PredecessorSteps):
+        def handle(self, what: Event) -> Actions:
+            return [each for each in super().handle(what) if each[0] is not Action.RESUME]
 
     stuck = 0
     for seed in range(300):
-        world = World(seed, elder=Stubborn())
+        world = World(seed, predecessor=Stubborn())
         world.befall(random.Random(seed).uniform(0, 0.7), "new", "killed")
         world.run()
         stuck += not world.old_grants
     assert stuck
 
 
-def test_planted_a_new_process_that_does_not_look_whether_its_word_was_written_is_convicted() -> None:
-    class Rash(Heir):
+def test_planted_a_new_process_that_does_not_look_whether_taken_was_written_is_convicted() -> None:
+    class Rash(SuccessorSteps):
         def took(self, written: bool) -> Actions:
             return super().took(True)
 
-    def both(heir: Heir) -> float:
-        world = World(1, heir=heir)
+    def both(successor: SuccessorSteps) -> float:
+        world = World(1, successor=successor)
         deaf = world._to_new  # what is given comes after the old process has given up waiting
 
-        def late(what: Happening) -> None:
-            if what is Happening.GIVEN:
+        def late(what: Event) -> None:
+            if what is Event.GIVEN:
                 world.later(1.5, lambda: world._new(what))
             else:
                 deaf(what)
 
         world._to_new = late  # type: ignore[method-assign]
-        if isinstance(heir, Rash):
+        if isinstance(successor, Rash):
             world._break = lambda other: setattr(world, "link", False)  # type: ignore[method-assign]
         world.run()
-        return float(world.heir.step == "serving" and world.old_grants)
+        return float(world.successor.step == "serving" and world.old_grants)
 
-    assert both(Rash()) and not both(Heir())
+    assert both(Rash()) and not both(SuccessorSteps())
 
 
 def test_a_stranger_or_a_repeat_changes_nothing() -> None:
-    elder = Elder()
-    assert elder.handle(Happening.ASKED) == [] == elder.handle(Happening.TAKEN)
-    assert elder.handle(Happening.STRANGE) == [(Act.DROP, 0.0)] and elder.step == "serving"
-    heir = Heir()
-    heir.found(True)
-    assert [act for act, _ in heir.handle(Happening.STRANGE)] == [Act.DROP, Act.COLD]
+    predecessor = PredecessorSteps()
+    assert predecessor.handle(Event.ASKED) == [] == predecessor.handle(Event.TAKEN)
+    assert predecessor.handle(Event.STRANGE) == [(Action.DROP, 0.0)] and predecessor.step == "serving"
+    successor = SuccessorSteps()
+    successor.found(True)
+    assert [act for act, _ in successor.handle(Event.STRANGE)] == [Action.DROP, Action.COLD]
 
 
 # Packets.
@@ -132,18 +144,32 @@
     whole = random.Random(1).randbytes(3 * wire.PIECE + 5)
     packets = [wire.unpack(packet) for packet in wire.pieces(whole)]
     end = wire.unpack(wire.given(whole)).body
-    gathered = Gathering()
+    gathered = Reassembly()
     for packet in packets:
         gathered.add(packet.body)
     assert gathered.whole(end) == whole
     for wrong in (packets[1:], packets[::-1], [*packets, packets[0]]):
-        gathered = Gathering()
+        gathered = Reassembly()
         for packet in wrong:
             gathered.add(packet.body)
         with pytest.raises(WireError):
             gathered.whole(end)
 
 
+def test_messages_have_the_bytes_that_older_processes_write_and_read() -> None:
+    """Bytes of version 0.1.0: a process of another version is at the other end of the connection."""
+    assert [kind.value for kind in Kind] == [1, 2, 3, 4, 5, 6, 7]
+    assert Kind(7) is Kind.PROGRESS
+    progress = Progress("ended", 5, 1, 2, 3, 4, (0.5,), "charge", "full", 7, 2.0)
+    assert wire.pack(Kind.PROGRESS, wire.encode(progress)).hex() == (
+        "7473686f0107000087b419828ba477686174a5656e646564a77265717565737405a7617474656d707401a76261636b656e6402"
+        "a76f7574636f6d6503a7656c617073656404a67265706f727491cb3fe0000000000000a3636c73a6636861726765a4706c616e"
+        "a466756c6ca8637573746f6d657207a5756e697473cb4000000000000000")
+    state = HandoverState({"out": []}, 6, [(5, b"\1")], 9, 1, 2)
+    assert wire.encode(state).hex() == (
+        "86a66d6f64756c6581a36f757490a46261736506a3696473919205c40101a46e65787409a7636c69656e747301a56c696e6b7302")
+
+
 # The module.
 
 NAMES = ("read", "submit", "charge")
--- a/trackspread/handover/link.py
+++ b/trackspread/handover/link.py
@@ -114,7 +114,7 @@
         os.close(descriptor)
 
 
-class Place:
+class Rendezvous:
     """The name in the common folder where whoever serves listens. The folder's path may be longer than a
     socket's name can be, so it is reached through its descriptor."""
 
--- a/trackspread/handover/states.py
+++ b/trackspread/handover/states.py
@@ -1,8 +1,8 @@
 """What the old process and the new one do at each step of a handover, whatever becomes of the other.
 
 May know: steps, waits in seconds. May not know: sockets, clocks, what is carried over. Events in, actions
-out: the same code runs on sockets and in virtual time. Whoever holds the word serves; it passes from the old
-process to the new one with the single message TAKEN: before it is written the old one serves on, from then
+out: the same code runs on sockets and in virtual time. The right to serve passes from the old process
+to the new one with the single message TAKEN: before it is written the old one serves on, from then
 on the new one alone.
 """
 
@@ -13,25 +13,25 @@
 PROTOCOL = 1  # of the messages between both; a process that speaks another one is a stranger: a cold start
 GREETING_MOST = 2.5  # s until the old process answers; it may be busy with another newcomer first
 READY_MOST = 6.0  # s that the platform gives a new process; one that has not asked by then never will
-GIVING_MOST = 1.0  # s from the old process's word until TAKEN: nobody is served meanwhile
+GIVING_MOST = 1.0  # s from the state's first byte until TAKEN: nobody is served meanwhile
 ASKING_MOST = 2.0  # s from the asking on: over the giving, so that the old process decides first
 TRIES = 2  # rounds of a newcomer before it starts cold
 
 
-class Happening(Enum):
+class Event(Enum):
     """What befalls either side."""
 
     MET = auto()  # the other side said hello, in this protocol
     STRANGE = auto()  # it said so in another one, or nothing that can be read
     READY = auto()  # new: this process has its list and could serve
-    ASKED = auto()  # old: the new one can serve and asks for the word
+    ASKED = auto()  # old: the new one can serve and asks to take over
     GIVEN = auto()  # new: all that is carried over has come, and checks
-    TAKEN = auto()  # old: the new one has the word
+    TAKEN = auto()  # old: the new one serves
     LOST = auto()  # the connection to the other has ended
     LATE = auto()  # the wait that was asked for last has passed
 
 
-class Act(Enum):
+class Action(Enum):
     """What a side does then."""
 
     GREET = auto()  # say hello
@@ -45,42 +45,42 @@
     DROP = auto()  # end the connection to the other
 
 
-Actions = list[tuple[Act, float]]  # with the wait from then on, in seconds, 0 for none
+Actions = list[tuple[Action, float]]  # with the wait from then on, in seconds, 0 for none
 
 
-class Elder:
+class PredecessorSteps:
     """The old process, towards one newcomer at a time."""
 
     def __init__(self) -> None:
         self.step = "serving"
 
-    def handle(self, what: Happening) -> Actions:
+    def handle(self, what: Event) -> Actions:
         match self.step, what:
-            case "serving", Happening.MET:
+            case "serving", Event.MET:
                 self.step = "met"
-                return [(Act.GREET, READY_MOST)]
-            case "met", Happening.ASKED:
+                return [(Action.GREET, READY_MOST)]
+            case "met", Event.ASKED:
                 self.step = "giving"
-                return [(Act.GIVE, GIVING_MOST)]
-            case "giving", Happening.TAKEN:
+                return [(Action.GIVE, GIVING_MOST)]
+            case "giving", Event.TAKEN:
                 self.step = "handed"
-                return [(Act.PASS, 0.0)]
-            case ("giving" | "handed"), Happening.LOST:
-                # It died with the word, or before it: nobody serves but this process.
+                return [(Action.PASS, 0.0)]
+            case ("giving" | "handed"), Event.LOST:
+                # It died after TAKEN, or before it: nobody serves but this process.
                 self.step = "serving"
-                return [(Act.DROP, 0.0), (Act.RESUME, 0.0)]
-            case "giving", (Happening.LATE | Happening.STRANGE):
+                return [(Action.DROP, 0.0), (Action.RESUME, 0.0)]
+            case "giving", (Event.LATE | Event.STRANGE):
                 self.step = "serving"
-                return [(Act.DROP, 0.0), (Act.RESUME, 0.0)]
+                return [(Action.DROP, 0.0), (Action.RESUME, 0.0)]
             case "handed", _:
                 return []
-            case _, (Happening.LATE | Happening.LOST | Happening.STRANGE):
+            case _, (Event.LATE | Event.LOST | Event.STRANGE):
                 self.step = "serving"
-                return [(Act.DROP, 0.0)]
+                return [(Action.DROP, 0.0)]
         return []  # out of turn: a repeat
 
 
-class Heir:
+class SuccessorSteps:
     """The new process."""
 
     def __init__(self) -> None:
@@ -93,32 +93,32 @@
         if not there:
             return self._cold()
         self.step = "greeting"
-        return [(Act.GREET, GREETING_MOST)]
+        return [(Action.GREET, GREETING_MOST)]
 
     def _cold(self) -> Actions:
         self.step = "cold"
-        return [(Act.DROP, 0.0), (Act.COLD, 0.0)]
+        return [(Action.DROP, 0.0), (Action.COLD, 0.0)]
 
-    def handle(self, what: Happening) -> Actions:
-        if what is Happening.READY:
+    def handle(self, what: Event) -> Actions:
+        if what is Event.READY:
             self._ready = True
         match self.step, what:
-            case "greeting", Happening.MET:
+            case "greeting", Event.MET:
                 self.step = "met"
                 return self._ask()
-            case "met", Happening.READY:
+            case "met", Event.READY:
                 return self._ask()
-            case "asking", Happening.GIVEN:
+            case "asking", Event.GIVEN:
                 self.step = "taking"
-                return [(Act.TAKE, 0.0)]
-            case ("greeting" | "met" | "asking" | "taking"), Happening.LOST:
+                return [(Action.TAKE, 0.0)]
+            case ("greeting" | "met" | "asking" | "taking"), Event.LOST:
                 # It may have handed over to another newcomer meanwhile: that one is there now.
                 self._tries += 1
                 if self._tries >= TRIES:
                     return self._cold()
                 self.step = "seeking"
-                return [(Act.DROP, 0.0), (Act.SEEK, 0.0)]
-            case ("greeting" | "met" | "asking"), (Happening.LATE | Happening.STRANGE):
+                return [(Action.DROP, 0.0), (Action.SEEK, 0.0)]
+            case ("greeting" | "met" | "asking"), (Event.LATE | Event.STRANGE):
                 return self._cold()
         return []
 
@@ -126,13 +126,13 @@
         if not self._ready:
             return []
         self.step = "asking"
-        return [(Act.ASK, ASKING_MOST)]
+        return [(Action.ASK, ASKING_MOST)]
 
     def took(self, written: bool) -> Actions:
         """Whether TAKEN could be written: if not, the old process had given this one up."""
         if self.step != "taking":
             return []
         if not written:
-            return self.handle(Happening.LOST)
+            return self.handle(Event.LOST)
         self.step = "serving"
         return []
--- a/trackspread/handover/wire.py
+++ b/trackspread/handover/wire.py
@@ -32,7 +32,7 @@
     GIVEN = 4  # body: size and check of all pieces; with the datagram socket, if there is one
     TAKEN = 5
     CLIENT = 6  # body: the rest of what it has said; with its connection
-    TOLD = 7  # body: what became of an attempt or request that the old process had taken
+    PROGRESS = 7  # body: what became of an attempt or request that the old process had taken
 
 
 class WireError(ValueError):
@@ -86,7 +86,7 @@
     return pack(Kind.GIVEN, encode((len(whole), zlib.crc32(whole))))
 
 
-class Gathering:
+class Reassembly:
     """What has come of that which is carried over."""
 
     def __init__(self) -> None:
@@ -100,7 +100,7 @@
         self._parts.append(body)
 
     def whole(self, body: bytes) -> bytes:
-        """All of it, by the word of GIVEN; raises `WireError`."""
+        """All of it, if it is what GIVEN says; raises `WireError`."""
         size, check = decode(body, tuple[int, int])
         whole = b"".join(self._parts)
         if len(whole) != size or zlib.crc32(whole) != check:
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -27,14 +27,14 @@
     Topology,
 )
 from ..fronts.connections import Clients, PassOn
-from ..handover.link import Place
+from ..handover.link import Rendezvous
 from ..fronts.resp import RespFront
 from ..lists.agent import Discovery, parse_update
 from ..lists.seam import ListError, Update
 from ..peers.datagrams import Peers
-from .estate import Testator
+from .handover_state import StateExporter
 from .requests import SECOND, Requests
-from .succession import Predecessor, Successor
+from .takeover import Predecessor, Successor
 
 if TYPE_CHECKING:
     from .counted import Counted
@@ -187,7 +187,7 @@
         self._serving = True
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
 
-    def _place(self) -> Place | None:
+    def _place(self) -> Rendezvous | None:
         """Where an old process and a new one meet; none where the platform does not hold the clients'
         socket."""
         if not self.config.meeting:
@@ -196,7 +196,7 @@
             log.warning("handover: not possible with use records or a counter, the start is a cold one")
             return None
         try:
-            return Place(Path(self.config.meeting), self.config.name)
+            return Rendezvous(Path(self.config.meeting), self.config.name)
         except OSError as error:
             log.warning("handover: TMPDIR: %s, the start is a cold one", error.strerror)
             return None
@@ -228,7 +228,7 @@
             self.membered.close(leave=False)  # who takes over is the same gateway to the fleet
         return os.dup(self._datagrams) if self._datagrams is not None else None
 
-    def retire(self, testator: Testator) -> None:
+    def retire(self, testator: StateExporter) -> None:
         """Grant nothing more, and tell the other process of what is still out."""
         self.testator = testator
         for action in self.module.retire(self.now()):
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -51,7 +51,7 @@
 from ..lists.seam import ListError
 from ..peers.datagrams import Peers
 from ..usage.record import Ending
-from .estate import Testator
+from .handover_state import StateExporter
 
 if TYPE_CHECKING:
     from .counted import Counted
@@ -99,7 +99,7 @@
         self.requests: dict[int, Request] = {}
         self.ids: set[bytes] = set()  # of the requests that still owe an answer
         self.answer_by: int | None = None  # once stopping: when every request has to be answered
-        self.testator: Testator | None = None  # while another process has the word
+        self.testator: StateExporter | None = None  # while another process has the word
         self._numbers: Iterator[int] = count(1)
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
 
--- a/trackspread/node/succession.py
+++ b/trackspread/node/takeover.py
@@ -12,10 +12,10 @@
 from typing import TYPE_CHECKING
 
 from ..handover import wire
-from ..handover.link import Link, Place
-from ..handover.states import Act, Actions, Elder, Happening, Heir
-from ..handover.wire import Gathering, Kind, WireError
-from .estate import Inheritance, Testator
+from ..handover.link import Link, Rendezvous
+from ..handover.states import Action, Actions, Event, PredecessorSteps, SuccessorSteps
+from ..handover.wire import Kind, Reassembly, WireError
+from .handover_state import StateExporter, StateImporter
 
 if TYPE_CHECKING:
     from .gateway import Gateway
@@ -33,7 +33,7 @@
         self._link: Link | None = None
         self._timer: asyncio.TimerHandle | None = None
 
-    def _happened(self, what: Happening) -> None:
+    def _handle(self, what: Event) -> None:
         raise NotImplementedError
 
     def _packet(self, packet: wire.Packet, descriptor: int | None) -> None:
@@ -47,14 +47,14 @@
             log.warning("handover: %s", error)
             if descriptor is not None:
                 os.close(descriptor)
-            self._happened(Happening.STRANGE)
+            self._handle(Event.STRANGE)
 
     def _wait(self, seconds: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if seconds:
-            self._timer = self._loop.call_later(seconds, self._happened, Happening.LATE)
+            self._timer = self._loop.call_later(seconds, self._handle, Event.LATE)
 
     def _say(self, kind: Kind, body: bytes = b"", descriptor: int | None = None) -> bool:
         if self._link is None:
@@ -72,77 +72,77 @@
 class Successor(_Side):
     """The new process, until the old one is gone."""
 
-    def __init__(self, gateway: Gateway, place: Place) -> None:
+    def __init__(self, gateway: Gateway, rendezvous: Rendezvous) -> None:
         super().__init__(gateway)
-        self._place, self._heir = place, Heir()
-        self._gathering, self._whole = Gathering(), b""
-        self._inheritance = Inheritance(gateway)
+        self._rendezvous, self._steps = rendezvous, SuccessorSteps()
+        self._reassembly, self._whole = Reassembly(), b""
+        self._importer = StateImporter(gateway)
         self._decided = asyncio.Event()
         self._arriving: set[asyncio.Task[None]] = set()  # connections that are being taken over
         self.datagrams: int | None = None  # descriptor of the socket for peers, where one was handed over
         self.took = False
 
     def seek(self) -> None:
-        self._gathering = Gathering()
-        found = self._place.seek()
+        self._reassembly = Reassembly()
+        found = self._rendezvous.seek()
         if found is not None:
-            self._link = Link(found, self._received, lambda: self._happened(Happening.LOST))
-        self._do(self._heir.found(found is not None))
+            self._link = Link(found, self._received, lambda: self._handle(Event.LOST))
+        self._do(self._steps.found(found is not None))
 
     async def decided(self) -> None:
         """This process could serve now; returns once it is to, with what it took over or without."""
-        self._happened(Happening.READY)
+        self._handle(Event.READY)
         await self._decided.wait()
 
-    def _happened(self, what: Happening) -> None:
-        if self._heir.step == "serving":
-            if what is Happening.LOST:
+    def _handle(self, what: Event) -> None:
+        if self._steps.step == "serving":
+            if what is Event.LOST:
                 log.info("handover: the old process is gone")
                 self._drop()
-                self._inheritance.over()
+                self._importer.predecessor_gone()
             return
-        self._do(self._heir.handle(what))
+        self._do(self._steps.handle(what))
 
     def _do(self, actions: Actions) -> None:
         for act, wait in actions:
             self._wait(wait)
             match act:
-                case Act.GREET:
+                case Action.GREET:
                     self._say(Kind.HELLO, self._gateway.config.name.encode())
-                case Act.ASK:
+                case Action.ASK:
                     self._say(Kind.ASK)
-                case Act.TAKE:
+                case Action.TAKE:
                     self._take()
-                case Act.DROP:
+                case Action.DROP:
                     self._drop()
-                case Act.SEEK:
+                case Action.SEEK:
                     self.seek()
-                case Act.COLD:
+                case Action.COLD:
                     log.info("handover: nothing was taken over, a cold start")
                     self._decided.set()
 
     def _take(self) -> None:
         try:
-            self._inheritance.take(self._whole)
+            self._importer.restore(self._whole)
         except ValueError as error:  # `WireError` among them
             log.error("handover: %s", error)
-            return self._happened(Happening.LOST)
+            return self._handle(Event.LOST)
         self._whole = b""
         self.took = self._say(Kind.TAKEN)
-        self._do(self._heir.took(self.took))
+        self._do(self._steps.took(self.took))
         if self.took:
             self._decided.set()
 
     def _packet(self, packet: wire.Packet, descriptor: int | None) -> None:
         match packet.kind:
             case Kind.HELLO:
-                self._happened(Happening.MET)
+                self._handle(Event.MET)
             case Kind.PIECE:
-                self._gathering.add(packet.body)
+                self._reassembly.add(packet.body)
             case Kind.GIVEN:
-                self._whole = self._gathering.whole(packet.body)
+                self._whole = self._reassembly.whole(packet.body)
                 self.datagrams, descriptor = descriptor, None
-                self._happened(Happening.GIVEN)
+                self._handle(Event.GIVEN)
             case Kind.CLIENT if descriptor is not None:
                 if len(packet.body) > wire.REST_MOST:
                     raise WireError("a connection with too much of a rest")
@@ -150,8 +150,8 @@
                 self._arriving.add(task)
                 task.add_done_callback(self._arriving.discard)
                 descriptor = None
-            case Kind.TOLD:
-                self._inheritance.told(packet.body)
+            case Kind.PROGRESS:
+                self._importer.progressed(packet.body)
             case _:
                 raise WireError(f"{packet.kind.name} out of turn")
         if descriptor is not None:
@@ -161,29 +161,29 @@
 class Predecessor(_Side):
     """The process that serves, towards whoever comes to take over."""
 
-    def __init__(self, gateway: Gateway, place: Place, vacated: Callable[[], None]) -> None:
+    def __init__(self, gateway: Gateway, rendezvous: Rendezvous, vacated: Callable[[], None]) -> None:
         """`vacated` is called once another process serves and nothing is owed here any more."""
         super().__init__(gateway)
-        self._place, self._vacated = place, vacated
-        self._elder = Elder()
-        self._testator = Testator(gateway, self._tell)
+        self._rendezvous, self._vacated = rendezvous, vacated
+        self._steps = PredecessorSteps()
+        self._exporter = StateExporter(gateway, self._tell)
         self._looker: asyncio.TimerHandle | None = None
         self._resuming: asyncio.Task[None] | None = None
 
     def listen(self) -> None:
         try:
-            self._place.listen(self._came)
+            self._rendezvous.listen(self._came)
         except OSError as error:
             log.error("handover: no newer process can take over: %s", error)
 
     @property
     def handed(self) -> bool:
-        return self._elder.step == "handed"
+        return self._steps.step == "handed"
 
     def _came(self) -> None:
         """One newcomer at a time: the others wait where they are."""
-        if self._link is None and (came := self._place.accept()) is not None:
-            self._link = Link(came, self._received, lambda: self._happened(Happening.LOST))
+        if self._link is None and (came := self._rendezvous.accept()) is not None:
+            self._link = Link(came, self._received, lambda: self._handle(Event.LOST))
 
     def _tell(self, packet: bytes) -> None:
         if self._link is not None:
@@ -194,50 +194,50 @@
             os.close(descriptor)
         match packet.kind:
             case Kind.HELLO:
-                self._happened(Happening.MET)
+                self._handle(Event.MET)
             case Kind.ASK:
-                self._happened(Happening.ASKED)
+                self._handle(Event.ASKED)
             case Kind.TAKEN:
-                self._happened(Happening.TAKEN)
+                self._handle(Event.TAKEN)
             case _:
                 raise WireError(f"{packet.kind.name} out of turn")
 
-    def _happened(self, what: Happening) -> None:
-        if what is Happening.LATE and self._elder.step == "giving" and self._link is not None:
+    def _handle(self, what: Event) -> None:
+        if what is Event.LATE and self._steps.step == "giving" and self._link is not None:
             # Whoever writes TAKEN from here on finds that it can't; what was written before is read first.
             self._link.last()
-            if self._elder.step != "giving":
+            if self._steps.step != "giving":
                 return
-        self._do(self._elder.handle(what))
+        self._do(self._steps.handle(what))
 
     def _do(self, actions: Actions) -> None:
         for act, wait in actions:
             self._wait(wait)
             match act:
-                case Act.GREET:
+                case Action.GREET:
                     log.info("handover: a newer process has come")
                     self._say(Kind.HELLO, self._gateway.config.name.encode())
-                case Act.GIVE:
+                case Action.GIVE:
                     self._give()
-                case Act.PASS:
+                case Action.PASS:
                     log.info("handover: the newer process serves")
                     self._gateway.pass_on(lambda descriptor, rest: self._say(Kind.CLIENT, rest, descriptor))
                     self._look()
-                case Act.RESUME:
+                case Action.RESUME:
                     log.warning("handover: the newer process did not take over, this one serves on")
                     self._resume()
-                case Act.DROP:
+                case Action.DROP:
                     self._drop()
                     self._loop.call_soon(self._came)
 
     def _give(self) -> None:
         descriptor = self._gateway.freeze()
-        whole = self._testator.made()
+        whole = self._exporter.export()
         for packet in wire.pieces(whole):
             self._tell(packet)
         if self._link is not None:
             self._link.send(wire.given(whole), descriptor)
-        self._gateway.retire(self._testator)
+        self._gateway.retire(self._exporter)
 
     def _resume(self) -> None:
         if self._looker is not None:
@@ -256,4 +256,4 @@
             self._looker.cancel()
         self._wait(0.0)
         self._drop()
-        self._place.close()
+        self._rendezvous.close()
--- a/trackspread/virtual/handed.py
+++ b/trackspread/virtual/handed.py
@@ -11,27 +11,29 @@
 from collections.abc import Callable
 from itertools import count
 
-from ..handover.states import Act, Actions, Elder, Happening, Heir
+from ..handover.states import Action, Actions, Event, PredecessorSteps, SuccessorSteps
 
 LAG = 0.002  # s that a message takes at most
 SPAN = 12.0  # s of a run: over every wait of both sides together
 
 
 class World:
-    """One old process and one new one. `word` is who grants, for each moment at which that changes."""
+    """One old process and one new one. `old_grants` and `new_grants`: who serves."""
 
-    def __init__(self, seed: int, elder: Elder | None = None, heir: Heir | None = None) -> None:
+    def __init__(
+        self, seed: int, predecessor: PredecessorSteps | None = None, successor: SuccessorSteps | None = None
+    ) -> None:
         self.rng = random.Random(seed)
         self.now, self._order = 0.0, count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self.elder, self.heir = elder or Elder(), heir or Heir()
+        self.predecessor, self.successor = predecessor or PredecessorSteps(), successor or SuccessorSteps()
         self.old_grants, self.new_grants = True, False
         self.both = 0.0  # s for which both granted
         self.none = 0.0  # s for which neither of those alive did, though one could
         self.link = False
         self.alive = {"old": True, "new": True}
         self.silent = {"old": False, "new": False}
-        self.queued_for_old: list[Happening] = []
+        self.queued_for_old: list[Event] = []
         self._timers = {"old": 0, "new": 0}
         self._mark = 0.0
 
@@ -40,7 +42,7 @@
 
     def run(self) -> None:
         self.later(self.rng.uniform(0.0, 0.01), self._seek)
-        self.later(self.rng.uniform(0.0, 0.6), lambda: self._new(Happening.READY))
+        self.later(self.rng.uniform(0.0, 0.6), lambda: self._new(Event.READY))
         while self._events and self._events[0][0] <= SPAN:
             at, _, do = heapq.heappop(self._events)
             self._account(at)
@@ -75,7 +77,7 @@
     def _break(self, other: str) -> None:
         if self.link:
             self.link = False
-            self.later(0.0, lambda: (self._old if other == "old" else self._new)(Happening.LOST))
+            self.later(0.0, lambda: (self._old if other == "old" else self._new)(Event.LOST))
 
     # The two sides; a silent one takes nothing and says nothing, its sockets live on.
 
@@ -83,18 +85,18 @@
         if not self.alive["new"] or self.silent["new"]:
             return
         self.link = self.alive["old"]
-        self._do_new(self.heir.found(self.link))
+        self._do_new(self.successor.found(self.link))
 
-    def _old(self, what: Happening) -> None:
+    def _old(self, what: Event) -> None:
         if not self.alive["old"] or self.silent["old"]:
             return
-        if what is Happening.LATE and self.elder.step == "giving" and self.queued_for_old:
+        if what is Event.LATE and self.predecessor.step == "giving" and self.queued_for_old:
             what = self.queued_for_old.pop(0)  # what was written before the end of reading is read first
-        self._do_old(self.elder.handle(what))
+        self._do_old(self.predecessor.handle(what))
 
-    def _new(self, what: Happening) -> None:
+    def _new(self, what: Event) -> None:
         if self.alive["new"] and not self.silent["new"]:
-            self._do_new(self.heir.handle(what))
+            self._do_new(self.successor.handle(what))
 
     def _wait(self, who: str, seconds: float) -> None:
         self._timers[who] += 1
@@ -104,11 +106,11 @@
 
             def late() -> None:
                 if self._timers[who] == mine:
-                    side(Happening.LATE)
+                    side(Event.LATE)
 
             self.later(seconds, late)
 
-    def _to_old(self, what: Happening) -> bool:
+    def _to_old(self, what: Event) -> bool:
         if not (self.link and self.alive["old"]):
             return False
         self.queued_for_old.append(what)
@@ -121,7 +123,7 @@
         self.later(self.rng.uniform(0.0, LAG), read)
         return True
 
-    def _to_new(self, what: Happening) -> None:
+    def _to_new(self, what: Event) -> None:
         if self.link:
             self.later(self.rng.uniform(0.0, LAG), lambda: self._new(what))
 
@@ -129,31 +131,31 @@
         for act, wait in actions:
             self._wait("old", wait)
             match act:
-                case Act.GREET:
-                    self._to_new(Happening.MET)
-                case Act.GIVE:
+                case Action.GREET:
+                    self._to_new(Event.MET)
+                case Action.GIVE:
                     self.old_grants = False
-                    self._to_new(Happening.GIVEN)
-                case Act.RESUME:
+                    self._to_new(Event.GIVEN)
+                case Action.RESUME:
                     self.old_grants = True
-                case Act.DROP:
+                case Action.DROP:
                     self._break("new")
 
     def _do_new(self, actions: Actions) -> None:
         for act, wait in actions:
             self._wait("new", wait)
             match act:
-                case Act.GREET:
-                    self._to_old(Happening.MET)
-                case Act.ASK:
-                    self._to_old(Happening.ASKED)
-                case Act.TAKE:
-                    written = self._to_old(Happening.TAKEN)
+                case Action.GREET:
+                    self._to_old(Event.MET)
+                case Action.ASK:
+                    self._to_old(Event.ASKED)
+                case Action.TAKE:
+                    written = self._to_old(Event.TAKEN)
                     self.new_grants = written
-                    self._do_new(self.heir.took(written))
-                case Act.COLD:
+                    self._do_new(self.successor.took(written))
+                case Action.COLD:
                     self.new_grants = True
-                case Act.DROP:
+                case Action.DROP:
                     self._break("old")
-                case Act.SEEK:
+                case Action.SEEK:
                     self.later(0.0, self._seek)
