--- /dev/null
+++ b/benchmarks/scale/subjects.py
@@ -0,0 +1,287 @@
+"""What one gateway's decision module costs at one size of one factor: each subject runs in a fresh process.
+
+`python -m benchmarks.scale.subjects NAME SIZE` prints a JSON object of figures: seconds of this process's own
+CPU clock, bytes by the growth of its resident size. `module.py` starts these and takes medians.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import sys
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+from statistics import median
+
+from trackspread.decide.broker import EVERY_TICK, Broker
+from trackspread.decide.interface import (
+    Action, Arrival, AttemptEnded, Backend, Event, FleetChanged, Group, Health, ListKind, Outcome, Plan,
+    PlansChanged, Repeat, RequestClass, Send, Settings, TimerFired, Topology,
+)
+from trackspread.decide.model import TICK
+from trackspread.lists.agent import parse_update
+from trackspread.membership.slots import seat
+
+SECOND = 1_000_000_000
+START = 1000 * SECOND
+PAGE = os.sysconf("SC_PAGE_SIZE")
+REPEATS = 5  # of each timed step within one process
+SERVICE = 28  # backends of one service: 59,000 in 2,100
+MEMBERS = 40  # gateways of a subject whose factor is another one
+ARRIVALS_LEAST, ARRIVALS_WORK = 60, 400_000  # requests timed: so many backends looked at in all, or more
+ASKING = 60  # customers whose requests end in an ask to their homes
+KNOWN = 200  # customers that have come before, of those that arrive
+
+Figures = dict[str, float]
+
+CLASSES = (
+    RequestClass("read", SECOND, 3 * SECOND, 1.0, 0.0, Repeat.SAFE, Group.ALL, 5 * SECOND),
+    RequestClass("submit", SECOND, 3 * SECOND, 2.0, 0.0, Repeat.KEYED, Group.CELL, 2 * SECOND),
+)
+PLAN = Plan("plan", 50.0, 100.0, 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)
+
+
+def settings(gateways: int = MEMBERS, plans: tuple[Plan, ...] = (PLAN,)) -> Settings:
+    """What the module is told at its start; customers have homes, as in every fleet of over some six."""
+    return Settings(
+        classes=CLASSES, plans=plans, zone=0, position=0, gateways=gateways, report_names=("util",),
+        max_attempts=4, second_copies=True, may_cancel=True, may_probe=False, may_message=True,
+        retry_advice=True, max_retry_after=SECOND, counter=False, meter_period=0, largest=1.0,
+        messages_per_s=40.0, settled_after=False, ask_discovery=False, ask_within=10 * SECOND,
+        drain_grace=SECOND, fall_window=2 * SECOND, fall_multiple=3.0, start_capacity=0.2,
+        warm_up=20 * SECOND, cross_zone_price=0.01,
+    )
+
+
+def resident() -> int:
+    """Bytes that this process holds resident, after a collection."""
+    gc.collect()
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE
+
+
+def took(step: Callable[[], object]) -> float:
+    """Seconds of CPU that `step` used."""
+    began = time.process_time_ns()
+    step()
+    return (time.process_time_ns() - began) / SECOND
+
+
+def full_list(size: int, version: int) -> Topology:
+    """So many ready backends, in services of some 28; every call makes new entries, as a parsed line does."""
+    entries = tuple(
+        Backend(number, number % 12, 0, number // SERVICE, Health.READY, 1.0, 0)
+        for number in range(1, size + 1)
+    )
+    return Topology(ListKind.FULL, version, entries)
+
+
+class Driver:
+    """Feeds one module: requests that are answered at once, and time."""
+
+    def __init__(self, made: Settings) -> None:
+        self.now = START
+        self.broker = Broker(made, 7, self.now)
+        self._request = 0
+
+    def handle(self, event: Event) -> list[Action]:
+        return self.broker.handle(self.now, event)
+
+    def tick(self) -> None:
+        """The module's own beat."""
+        self.now += TICK
+        self.handle(TimerFired(EVERY_TICK))
+
+    def ask(self, customer: int, spread: int = 1, first: int = 0) -> list[Action]:
+        """One request of a customer, at this instant."""
+        self._request += 1
+        valid_until = self.now + 3 * SECOND
+        return self.handle(Arrival(self._request, 0, 0, customer, valid_until, 1.0, spread, first, 0))
+
+    def serve(self, customer: int) -> float:
+        """CPU seconds of one request from its arrival to its end; it must have been sent on."""
+        self.now += SECOND // 67
+        began = time.process_time_ns()
+        actions = self.ask(customer)
+        sent = [action for action in actions if isinstance(action, Send)]
+        for action in sent:
+            ended = AttemptEnded(action.request, True, 0, action.backend, 0, Outcome.OK, SECOND // 100, 0, ())
+            self.handle(ended)
+        used = time.process_time_ns() - began
+        if not sent:
+            raise RuntimeError(f"customer {customer}: not sent on, no fair work: {actions}")
+        return used / SECOND
+
+
+def local_customers(count: int, driver: Driver) -> list[int]:
+    """Customers whose requests go on at once, as this gateway is their home."""
+    quota, found = driver.broker.quota, list[int]()
+    customer = 1
+    while len(found) < count:
+        account = quota.account(driver.now, customer, 0, 1, 0)
+        if quota.at_home(account):
+            found.append(customer)
+        else:
+            del quota.accounts[customer]
+        customer += 1
+    return found
+
+
+def served(driver: Driver, customers: list[int], count: int) -> list[float]:
+    """CPU seconds of each of so many requests, of customers in turn."""
+    return [driver.serve(customers[number % len(customers)]) for number in range(count)]
+
+
+def arrivals(size: int) -> int:
+    """Requests to time where each looks at so many backends."""
+    return max(ARRIVALS_LEAST, ARRIVALS_WORK // max(1, size))
+
+
+def backends(size: int) -> Figures:
+    """A list of all backends of the fleet, in one module."""
+    driver = Driver(settings(gateways=1))
+    empty = resident()
+    listed = [full_list(size, 1)]
+    first = took(lambda: driver.handle(listed.pop()))
+    held = resident() - empty
+    again = []
+    for version in range(2, 2 + REPEATS):
+        made = full_list(size, version)
+        again.append(took(partial(driver.handle, made)))
+    beats = [took(driver.tick) for _ in range(REPEATS)]
+    requests = served(driver, local_customers(KNOWN, driver), arrivals(size))
+    return {
+        "memory": held, "list_first": first, "list": median(again),
+        "beat": median(beats) * SECOND / TICK, "arrival": median(requests),
+    }
+
+
+def candidates(size: int) -> Figures:
+    """A request that sees the backends of its own service alone."""
+    driver = Driver(settings(gateways=1))
+    driver.handle(full_list(size, 1))
+    customers = local_customers(KNOWN, driver)
+    served(driver, customers, KNOWN)
+    return {"arrival": median(served(driver, customers, 4000))}
+
+
+def line(size: int) -> Figures:
+    """Discovery's whole list on the wire, and what its parsing costs."""
+    hosts = [
+        {"host": f"s-{number:08x}", "dial": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:6379",
+         "site": f"zone-{number % 12}", "class": "m1", "block": number // SERVICE, "health": "in_service",
+         "share": 1.0, "born_ms": 1_764_000_000_000 + number}
+        for number in range(1, size + 1)
+    ]
+    text = json.dumps({"seq": 1, "whole": True, "hosts": hosts}, separators=(",", ":")).encode()
+    del hosts
+    zones = tuple(f"zone-{number}" for number in range(12))
+    steps = [took(lambda: parse_update(json.loads(text), zones, ("m1",))) for _ in range(REPEATS)]
+    return {"bytes": len(text), "parse": median(steps)}
+
+
+def plans(size: int) -> Figures:
+    """Figures of so many plans, as where each tenant has its own; then all of them changed at once."""
+    empty = resident()
+    driver = Driver(settings(plans=tuple(replace(PLAN, name=f"plan-{n}") for n in range(size))))
+    held = resident() - empty
+    changes = []
+    for number in range(REPEATS):
+        made = tuple(replace(PLAN, name=f"plan-{n}", rate=51.0 + number) for n in range(size))
+        changed = PlansChanged(made)
+        changes.append(took(partial(driver.handle, changed)))
+    return {"memory": held, "change": median(changes)}
+
+
+def reservations(size: int) -> Figures:
+    """So many tenants with a reservation of their own on top of a common plan; then all changed at once."""
+    driver = Driver(settings())
+    empty = resident()
+    made = [PlansChanged((PLAN,), tuple((customer, 5.0, 10.0) for customer in range(size)))]
+    driver.handle(made.pop())
+    held = resident() - empty
+    changes = []
+    for number in range(REPEATS):
+        reserved = tuple((customer, 6.0 + number, 10.0) for customer in range(size))
+        changed = PlansChanged((PLAN,), reserved)
+        changes.append(took(partial(driver.handle, changed)))
+    return {"memory": held, "change": median(changes)}
+
+
+def customers(size: int) -> Figures:
+    """So many customers with a request under way; beats of two seconds, in which each is evaluated once."""
+    driver = Driver(settings(gateways=1))
+    driver.handle(full_list(SERVICE, 1))
+    empty = resident()
+    for customer in range(size):
+        driver.ask(customer)
+    held = resident() - empty
+    open_now = len(driver.broker.open)
+    if open_now < size:
+        raise RuntimeError(f"{open_now} of {size} requests under way: no fair work")
+    calm = [took(lambda: _beats(driver, 20)) / 2.0 for _ in range(REPEATS)]
+    return {"memory": held, "beat": median(calm)}
+
+
+def pressed(size: int) -> Figures:
+    """So many customers under way while answers come late: each commitment is solved beside all others."""
+    driver = Driver(settings(gateways=1))
+    driver.handle(full_list(SERVICE, 1))
+    for customer in range(size):
+        driver.ask(customer)
+    broker = driver.broker
+    for account in broker.active.values():
+        account.in_flight.add(driver.now, 1.0)
+    broker.model.risen = True
+    broker.model.times = [0.01 * SECOND * n for n in range(64)]
+    driver.now += 3 * SECOND
+    return {"evaluation": took(partial(broker._evaluate_all, driver.now))}
+
+
+def members(size: int) -> Figures:
+    """The view as the module has it: a change of it, and requests after one. Nearly all customers' homes are
+    other gateways, so that a request ends in an ask; its cost is that of the arrival alone."""
+    driver = Driver(settings(gateways=size))
+    driver.handle(full_list(SERVICE, 1))
+    made = [view(size, gone) for gone in range(1, 1 + REPEATS)]
+    changes = [took(partial(driver.handle, each)) for each in made]
+    asking = range(1, 1 + ASKING)
+    first = [took(partial(driver.ask, customer, size)) for customer in asking]
+    driver.now += SECOND
+    later = [took(partial(driver.ask, customer, size)) for customer in asking]
+    return {"change": median(changes), "first": median(first), "arrival": median(later)}
+
+
+def view(size: int, gone: int) -> FleetChanged:
+    """A view of so many members, but for one; this gateway and every other has one part in `size`."""
+    others = tuple(number for number in range(1, size) if number != gone)
+    seats = tuple(seat((number, size)) for number in range(size))
+    slots = seats[0] or 1
+    return FleetChanged(
+        me=0, others=others, homes=(0, *others), seats=seats, slots=slots,
+        theirs=tuple(seats[number] for number in others), until=2 * START, ends=2 * START,
+    )
+
+
+def _beats(driver: Driver, count: int) -> None:
+    for _ in range(count):
+        driver.tick()
+
+
+SUBJECTS: dict[str, Callable[[int], Figures]] = {
+    subject.__name__: subject
+    for subject in (backends, candidates, line, plans, reservations, customers, pressed, members)
+}
+
+
+def main(words: Iterable[str]) -> int:
+    name, size = words
+    print(json.dumps(SUBJECTS[name](int(size))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
