--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,274 @@
+"""The page of capacity: page, file of slopes and command agree, and the arithmetic is what it says."""
+
+from __future__ import annotations
+
+import math
+import re
+from pathlib import Path
+
+import pytest
+
+from benchmarks import capacity
+from benchmarks.scale import demand, faults, latency, reckon, roles, slopes
+from benchmarks.scale.page import PROGRAM, Page, amount, present
+from benchmarks.scale.slopes import Measurement, Run, Slopes, measurement
+from benchmarks.scale.sums import Line, SumError, Worked, figure, work
+
+RUN = Run(date="2026-12-02T05:10Z", command="python -m benchmarks.scale", commit="abc1234")
+ROW = roles.Row("memory: all", "cost", "gateways", "decide/fleet.py", "a mend")
+FIGURES = {"gateways": 7200.0, "calls": 10.0, "memory": 64e6, "share": 0.018, "budget": 5000.0}
+LINES = [line for _, lines in demand.SECTIONS for line in lines]
+
+
+def slope(
+    base: float = 0.0, per: float = 2.0, held: float = 1600.0, limit: float | None = 5000.0,
+    void: bool = False,
+) -> Measurement:
+    """A line through sizes 100 to 400 with a hold-out at 800."""
+    points = [(size, base + per * size) for size in (100.0, 200.0, 300.0, 400.0)]
+    return measurement("cost", "gateways", "bytes", points, (800.0, held), RUN, limit=limit, void=void)
+
+
+def one(found: Measurement | None, row: roles.Row = ROW, size: float = 7200.0) -> reckon.Reckoned:
+    """The row worked out at a size."""
+    kept = Slopes((found,) if found is not None else ())
+    return reckon.reckon(row, kept, FIGURES | {"gateways": size}, lambda mechanism: True)
+
+
+# Page, file and command.
+
+
+def test_the_page_is_what_the_command_makes_of_the_file() -> None:
+    text = capacity.PAGE.read_text()
+    assert capacity.written(text, capacity.generated()) == text, "run `python -m benchmarks.capacity --write`"
+
+
+def test_a_page_without_a_part_or_with_one_twice_is_named() -> None:
+    text, parts = capacity.PAGE.read_text(), capacity.generated()
+    for broken in (text.replace("<!-- capacity: breaks -->", ""), text + text):
+        with pytest.raises(capacity.PageError, match="markers"):
+            capacity.written(broken, parts)
+
+
+@pytest.fixture
+def copied(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    """The command works on a copy of the page."""
+    page = tmp_path / "CAPACITY.md"
+    page.write_text(capacity.PAGE.read_text())
+    monkeypatch.setattr(capacity, "PAGE", page)
+    return page
+
+
+def command(monkeypatch: pytest.MonkeyPatch, *words: str) -> int:
+    monkeypatch.setattr("sys.argv", ["capacity", *words])
+    return capacity.main()
+
+
+def test_a_figure_that_was_changed_by_hand_fails_the_check(
+    copied: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert command(monkeypatch, "--check") == 0
+    copied.write_text(copied.read_text().replace("480,000 / 7,200", "480,000 / 7,201"))
+    assert command(monkeypatch, "--check") == 1
+    assert "--write" in capsys.readouterr().err
+    assert command(monkeypatch, "--write") == 0
+    assert command(monkeypatch, "--check") == 0
+
+
+def test_a_spoilt_file_of_slopes_is_one_line(
+    copied: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def spoilt() -> dict[str, str]:
+        raise slopes.SlopesError(Path("slopes.json"), "measurements[0].unit", "text is wanted")
+
+    monkeypatch.setattr(capacity, "generated", spoilt)
+    assert command(monkeypatch, "--check") == 2
+    assert capsys.readouterr().err == "slopes.json: measurements[0].unit: text is wanted\n"
+
+
+def test_every_measurement_of_the_file_is_on_the_page() -> None:
+    text = capacity.PAGE.read_text()
+    for found in slopes.load().measurements:
+        assert f"| {found.name} |" in text
+
+
+# The arithmetic.
+
+
+@pytest.mark.parametrize("worked", work(LINES, demand.figures()), ids=lambda worked: worked.line.name)
+def test_the_sum_that_is_shown_comes_to_the_value_beside_it(worked: Worked) -> None:
+    plain = re.sub(r"(?<=\d),(?=\d)", "", worked.shown).replace(" x ", " * ")
+    value = eval(compile(plain, "sum", "eval"), {"__builtins__": {}, "min": min})
+    assert value == pytest.approx(worked.value, rel=0.01)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("requests_gateway", 66.67), ("requests_region", 88.89), ("attempts", 528_000.0),
+        ("backends_service", 28.1), ("mesh", 424_800_000.0), ("tenants_active", 8000.0),
+        ("changes_s", 0.243), ("restarts_s", 0.2546), ("rack_gateways", 120.0), ("zone_cells", 25.0),
+        ("cells", 300.0), ("gateways_control", 378.9), ("cores", 129.6),
+    ],
+)
+def test_lines_worked_out_by_hand(name: str, value: float) -> None:
+    by_name = {each.line.name: each.value for each in work(LINES, demand.figures())}
+    assert by_name[name] == pytest.approx(value, rel=0.001)
+
+
+def test_what_a_gateway_carries_fits_its_descriptors() -> None:
+    by_name = {each.line.name: each.value for each in work(LINES, demand.figures())}
+    assert by_name["links_gateway"] <= by_name["links_most"]
+
+
+@pytest.mark.parametrize("wrong", ["a ** 2", "b", "a if a else 0", "print(a)", "'a'"])
+def test_a_sum_of_anything_else_is_refused(wrong: str) -> None:
+    with pytest.raises(SumError, match="are wanted"):
+        work([Line("x", "what", wrong, "")], {"a": 1.0})
+
+
+def test_a_line_needs_a_name_of_its_own() -> None:
+    with pytest.raises(SumError, match="a name of its own"):
+        work([Line("a", "what", "a + 1", "")], {"a": 1.0})
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [(480_000.0, "480,000"), (66.67, "66.7"), (4.0, "4"), (0.0255, "0.0255"), (0.0, "0"), (1e-7, "1.00e-07")],
+)
+def test_figures_for_people(value: float, text: str) -> None:
+    assert figure(value) == text
+
+
+@pytest.mark.parametrize(
+    ("value", "unit", "text"),
+    [(5e6, "bytes", "5 MB"), (620.0, "bytes/s", "620 bytes/s"), (4.5e6, "bytes/s", "4.5 MB/s"),
+     (0.0043, "s", "4.3 ms"), (0.25, "share of a core", "25% of a core"), (3.0, "cells", "3 cells")],
+)
+def test_amounts_for_people(value: float, unit: str, text: str) -> None:
+    assert amount(value, unit) == text
+
+
+# Rows.
+
+
+def test_a_row_without_a_run_has_no_figure() -> None:
+    told = one(None)
+    assert (told.state, told.value, told.room) == (reckon.State.NOT_MEASURED, None, None)
+
+
+def test_a_row_of_a_void_run_has_no_figure() -> None:
+    told = one(slope(void=True))
+    assert (told.state, told.value) == (reckon.State.VOID, None)
+
+
+def test_a_row_whose_fit_missed_has_no_figure_but_at_the_size_that_was_measured() -> None:
+    assert one(slope(held=3000.0)).state is reckon.State.WRONG
+    there = one(slope(held=3000.0), size=800.0)
+    assert (there.state, there.value) == (reckon.State.MEASURED, 3000.0)
+
+
+def test_a_row_by_fit_says_its_room_and_where_it_breaks() -> None:
+    told = one(slope())
+    assert told.value == pytest.approx(14400.0)
+    assert told.room == pytest.approx(5000.0 / 14400.0)
+    assert told.breaks_at == pytest.approx(2500.0)
+
+
+def test_a_wrong_fit_breaks_between_the_measured_sizes_around_the_limit() -> None:
+    told = one(slope(held=3000.0, limit=1900.0), size=800.0)
+    assert told.breaks_at == pytest.approx(400 + 400 * (1900 - 800) / (3000 - 800))
+
+
+def test_a_limit_that_is_passed_at_the_least_size_breaks_there_at_the_latest() -> None:
+    told = one(slope(base=4000.0, per=20.0, held=20_000.0, limit=3000.0))
+    assert told.breaks_at == 100.0
+
+
+def test_below_the_least_size_the_cost_there_is_not_passed() -> None:
+    told = one(slope(base=-190.0, held=1410.0), size=24.0)
+    assert (told.state, told.value) == (reckon.State.AT_MOST, 10.0)
+
+
+def test_a_row_times_another_figure_has_no_limit_of_its_own() -> None:
+    told = one(slope(), roles.Row("bytes: all", "cost", "gateways", "decide/fleet.py", by="calls"))
+    assert told.value == pytest.approx(144_000.0)
+    assert (told.limit, told.breaks_at) == (None, None)
+
+
+def test_rows_of_a_kind_are_added_up_and_those_without_a_figure_told() -> None:
+    role = roles.Role("a role", "state", (), added_up=True)
+    twice = roles.Row("memory: the same", "cost", "gateways", "decide/fleet.py", counted=False)
+    (total,) = reckon.totals(role, [one(slope()), one(None), one(slope(), twice)], FIGURES)
+    assert (total.kind, total.missing, total.limit) == ("memory", 1, 64e6)
+    assert total.value == pytest.approx(14400.0)
+    (nothing,) = reckon.totals(role, [one(None)], FIGURES)
+    assert (nothing.value, nothing.missing) == (None, 1)
+
+
+def test_what_breaks_stands_in_order_and_what_holds_does_not() -> None:
+    bound = roles.Bound("slots", "slots", "gateways", "membership/slots.py", "cells")
+    holds = roles.Bound("more", "more", "gateways", "membership/slots.py", "cells")
+    found = reckon.breaks(
+        [one(slope()), one(slope(limit=1e9))], (bound, holds), {"gateways": 7200, "slots": 1024, "more": 8000}
+    )
+    assert [each.what for each in found] == ["slots", "memory: all"]
+    assert found[0].share == pytest.approx(1024 / 7200)
+
+
+def test_a_mechanism_that_is_not_in_the_program_is_missing() -> None:
+    assert present("decide/fleet.py")
+    assert not present("no/such.py")
+    assert not present("")
+    page = Page(Slopes(), here=lambda mechanism: mechanism.startswith("decide/"))
+    table = page.parts()["roles"]
+    assert "| **missing** |" in table
+    assert "`decide/fleet.py`" in table
+    assert "`membership/people.py`" not in table
+
+
+def test_without_runs_every_row_says_so() -> None:
+    parts = Page(Slopes()).parts()
+    assert parts["latency"] == parts["slopes"] == parts["faults"] == "**not measured**"
+    rows = [row for role in roles.ROLES for row in role.rows]
+    sums = sum(len(roles.TOTALS) for role in roles.ROLES if role.added_up)
+    assert parts["roles"].count("| **not measured** |") == len(rows) + sums
+
+
+def test_rows_name_sizes_that_there_are_and_modules_of_the_program_as_it_was_or_will_be() -> None:
+    page = Page(Slopes())
+    planned = {"services", "cells", "distribution", "regions"}
+    for role in roles.ROLES:
+        for row in role.rows:
+            assert row.at in page.figures
+            assert (PROGRAM / row.mechanism).exists() or row.mechanism.split("/")[0] in planned
+
+
+def test_latency_says_whether_it_keeps_the_limit() -> None:
+    def told(added: float, void: bool) -> str:
+        made = latency.Latency(RUN, void, 4000, 448, 60, (0.001, 0.002), (0.0015, 0.002 + added), 0.001, 1.0)
+        return Page(Slopes(), made).parts()["latency"]
+
+    assert "within the limit" in told(0.004, False)
+    assert "**over the limit**" in told(0.005, False)
+    assert "**void**" in told(0.004, True)
+
+
+def test_percentiles_of_one_to_a_hundred() -> None:
+    low, high = latency.percentiles([float(number) for number in range(101)])
+    assert (low, high) == (50.0, 99.0)
+
+
+def test_faults_are_told_with_those_that_did_not_settle() -> None:
+    struck = (faults.Fault("zone", 240, 20, 3.5, 24_000.0, 0), faults.Fault("region", 240, 60, None, 9e4, 1))
+    report = faults.Report("2026-12-02T05:10Z", "python -m benchmarks.scale", "abc1234", True, "flat", struck)
+    table = Page(Slopes(), report=report).parts()["faults"]
+    assert "| zone | 20 of 240 | 3.5 s | 24 KB/s | 0 |" in table
+    assert "not settled" in table
+    assert "**Void**" in table
+
+
+def test_a_room_without_end() -> None:
+    points = [(float(size), 0.0) for size in (1, 2, 3, 4)]
+    flat = measurement("cost", "gateways", "bytes", points, (8.0, 0.0), RUN, limit=1.0)
+    assert one(flat).room == math.inf
