--- a/benchmarks/scale/demand.py
+++ b/benchmarks/scale/demand.py
@@ -4,7 +4,7 @@
 
 from trackspread.backends.pools import RETIRE
 from trackspread.counter.commands import MOST_FIELDS
-from trackspread.counter.terms import BEAT
+from trackspread.counter.terms import HEARTBEAT
 from trackspread.decide.broker import FORGET, IDLE, RETRY_SHARE
 from trackspread.decide.state import SECOND
 from trackspread.lists.turns import SPREAD_MOST
@@ -24,7 +24,7 @@
 BOUNDS: dict[str, float] = {
     "descriptors": 1_024, "descriptors_kept": RESERVED + DESCRIPTORS, "backends_part": 0.5,
     "retry_share": RETRY_SHARE, "idle_s": IDLE / SECOND, "forget_s": FORGET / SECOND,
-    "rest_s": 30 * RETIRE, "spread_s": SPREAD_MOST, "partitions": 8, "counter_beat_s": BEAT / SECOND,
+    "rest_s": 30 * RETIRE, "spread_s": SPREAD_MOST, "partitions": 8, "counter_beat_s": HEARTBEAT / SECOND,
     "share": 0.018, "budget": 5_000, "memory": 64e6,
     "slots": SLOTS, "fleet_most": 4_096, "counter_most": MOST_FIELDS,
 }
