Virtual time in folders by concern: counter, usage, planning and handover

Nothing but imports and paths changed. The view's worlds (membered*), those of the decision module (fleet, host, schedules, mutants) and booked stay flat while they are in other work.

--- a/benchmarks/convict.py
+++ b/benchmarks/convict.py
@@ -56,7 +56,7 @@
     # Imported here alone: children that plant mutants run this file's top first, and must not have the
     # modules.
     from trackspread.virtual.explorer import explore
-    from trackspread.virtual.small_planning import SmallWorld, elected, one_slot
+    from trackspread.virtual.planning.small import SmallWorld, elected, one_slot
 
     start = {"empty": SmallWorld, "elected": elected}[job[0]]
     with one_slot():
--- a/benchmarks/counter.py
+++ b/benchmarks/counter.py
@@ -24,8 +24,8 @@
 from trackspread.standins.counter import Shard
 from trackspread.standins.counter_server import CounterServer
 from trackspread.standins.scene import Scene
-from trackspread.virtual.counted_mutants import MUTANTS, convict
-from trackspread.virtual.counted_schedules import calm_world, deaf_world, make, play, tight_world
+from trackspread.virtual.counter.mutants import MUTANTS, convict
+from trackspread.virtual.counter.schedules import calm_world, deaf_world, make, play, tight_world
 
 from .cost import Work, gateway, spawn
 
--- a/benchmarks/export.py
+++ b/benchmarks/export.py
@@ -38,8 +38,8 @@
 from trackspread.usage.record import Ending
 from trackspread.usage.senders import Target, put, sender
 from trackspread.virtual import booked
-from trackspread.virtual.used_mutants import MUTANTS, convict
-from trackspread.virtual.used_schedules import make, play
+from trackspread.virtual.usage.mutants import MUTANTS, convict
+from trackspread.virtual.usage.schedules import make, play
 
 SCHEDULES_QUICK, SCHEDULES = 1_400, 10_000  # some four crashes each
 KILLS_QUICK, KILLS = 12, 100
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -29,9 +29,9 @@
 )
 from trackspread.decide.interface import Plan
 from trackspread.standins.counter import Cluster, Failure, Shard, slot_of
-from trackspread.virtual.counted import Plant, World
-from trackspread.virtual.counted_mutants import KINDS, shows
-from trackspread.virtual.counted_schedules import FAULTS, calm_world, deaf_world, make, play, tight_world
+from trackspread.virtual.counter.world import Plant, World
+from trackspread.virtual.counter.mutants import KINDS, shows
+from trackspread.virtual.counter.schedules import FAULTS, calm_world, deaf_world, make, play, tight_world
 
 TERMS = Terms(10.0, 1.0, 0.1, (0, 1, 2))
 
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -19,6 +19,7 @@
 DONE = (
     "config", "control", "counter", "handover", "mutation", "node/handover_state.py", "node/takeover.py",
     "peers", "plans", "simulator", "storage", "usage",
+    "virtual/handover", "virtual/usage",
 )
 
 
--- a/tests/test_small_planning.py
+++ b/tests/test_small_planning.py
@@ -9,8 +9,8 @@
 
 from trackspread.virtual.explorer import explore
 from trackspread.virtual.patches import held
-from trackspread.virtual.planned_mutants import MUTANTS
-from trackspread.virtual.small_planning import SmallWorld, elected, one_slot
+from trackspread.virtual.planning.mutants import MUTANTS
+from trackspread.virtual.planning.small import SmallWorld, elected, one_slot
 
 STATES = 2500  # in CI; benchmarks.convict goes further
 SHORTEST = {  # each mutant's trace is no longer than this
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -20,7 +20,7 @@
     HEAD, PAYLOAD, SLOT, Head, Scan, SegmentError, pack_head, pack_slot, place, scan, seed_of, unpack_head,
     written,
 )
-from trackspread.virtual.disk import Disk, VirtualFiles
+from trackspread.virtual.usage.disk import Disk, VirtualFiles
 
 
 class Thing(msgspec.Struct):
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -20,9 +20,9 @@
 from trackspread.usage.meter import Meter, month_start
 from trackspread.usage.record import NANO, Ending, Kind, Use, nano, unpack
 from trackspread.usage.record import pack as pack_use
-from trackspread.virtual.used import MILLISECOND, SECOND, World
-from trackspread.virtual.used_schedules import ENDS, TROUBLES, make, play
-from trackspread.virtual.disk import Disk
+from trackspread.virtual.usage.world import MILLISECOND, SECOND, World
+from trackspread.virtual.usage.schedules import ENDS, TROUBLES, make, play
+from trackspread.virtual.usage.disk import Disk
 
 BOUNDS = Bounds(16, 8, 10 * MILLISECOND, 100 * MILLISECOND, "fold")
 USE = Use(Kind.USE, Ending.SERVED, 1, 2, 3, 4, 1, 1_700_000_000_123, 0x1FFFFFFFF, nano(2.25))
--- a/trackspread/mutation/checks.py
+++ b/trackspread/mutation/checks.py
@@ -38,13 +38,13 @@
 
 
 def _planned(seeds: Iterable[int]) -> bool:
-    from ..virtual.planned_schedules import make, play
+    from ..virtual.planning.schedules import make, play
 
     return any(play(make(seed)).broken for seed in seeds)
 
 
 def _saturated(seeds: Iterable[int]) -> bool:
-    from ..virtual.planned_saturated import make, play
+    from ..virtual.planning.saturated import make, play
 
     return any(play(make(seed)).broken for seed in seeds)
 
@@ -56,7 +56,7 @@
 
 
 def _used(seeds: Iterable[int]) -> bool:
-    from ..virtual.used_schedules import make, play
+    from ..virtual.usage.schedules import make, play
 
     return any(play(make(seed))[0] for seed in seeds)
 
@@ -68,7 +68,7 @@
 
 
 def _counted(seeds: Iterable[int]) -> bool:
-    from ..virtual.counted_mutants import KINDS
+    from ..virtual.counter.mutants import KINDS
 
     return any(play(seed) for seed in seeds for play in KINDS.values())
 
--- a/trackspread/standins/counter.py
+++ b/trackspread/standins/counter.py
@@ -1,7 +1,7 @@
 """A stand-in for the shared counter: a subset of Redis' commands, and what goes wrong with such servers.
 
 Written from Redis' published protocol and cluster specification. Without I/O and clocks: `counter_server.py`
-puts it on sockets, `virtual/counted.py` into virtual time.
+puts it on sockets, `virtual/counter/world.py` into virtual time.
 
 May know: commands, who calls. May not know: the gateways' rules.
 """
--- a/trackspread/storage/seam.py
+++ b/trackspread/storage/seam.py
@@ -1,8 +1,8 @@
 """What state that outlives a process needs of a disk: a handful of calls, each of which may fail.
 
 May know: bytes and names. May not know: what they mean, threads, loops. The real thing is `directory.py`;
-`virtual/disk.py` is one that forgets, tears and fills up. Every call but `Area.write` may block and belongs
-off the loop; every call may raise `OSError`.
+`virtual/usage/disk.py` is one that forgets, tears and fills up. Every call but `Area.write` may block and
+belongs off the loop; every call may raise `OSError`.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/trackspread/virtual/counter/__init__.py
@@ -0,0 +1,1 @@
+"""Gateways that share a counter, in virtual time."""
--- a/trackspread/virtual/counted_schedules.py
+++ b/trackspread/virtual/counter/schedules.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from functools import partial
 
-from ..counter.terms import MILLISECOND, SECOND
-from .clock import START
-from .counted import TOLD_MS, Plant, World
+from ...counter.terms import MILLISECOND, SECOND
+from ..clock import START
+from .world import TOLD_MS, Plant, World
 
 SPAN = 24 * SECOND  # of a schedule: trouble of up to 8 s, and time to be back, many times any burst
 CALM = 8 * SECOND  # of a calm world, before members move and again from when they are to be followed
--- a/trackspread/virtual/counted.py
+++ b/trackspread/virtual/counter/world.py
@@ -14,12 +14,12 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from ..counter.commands import CounterError, Refused, commands, reply
-from ..counter.quota_client import Action as CounterAction
-from ..counter.quota_client import QuotaClient
-from ..counter.terms import MILLISECOND, SECOND, Call
-from ..decide.broker import Broker
-from ..decide.interface import (
+from ...counter.commands import CounterError, Refused, commands, reply
+from ...counter.quota_client import Action as CounterAction
+from ...counter.quota_client import QuotaClient
+from ...counter.terms import MILLISECOND, SECOND, Call
+from ...decide.broker import Broker
+from ...decide.interface import (
     Action,
     Arrival,
     AttemptEnded,
@@ -36,9 +36,9 @@
     Topology,
     WantRights,
 )
-from ..standins.counter import Failure, Shard
-from .clock import START, Clock
-from .plain import plain_settings
+from ...standins.counter import Failure, Shard
+from ..clock import START, Clock
+from ..plain import plain_settings
 
 ROUNDING = 1e-6  # of a share; units: sums of floats
 CLOCK_PART = 0.01  # by which a gateway's clock runs fast or slow at most here: two differ by the stated 2%
--- /dev/null
+++ b/trackspread/virtual/handover/__init__.py
@@ -0,0 +1,1 @@
+"""A handover between two processes in virtual time."""
--- a/trackspread/virtual/planned_mutants.py
+++ b/trackspread/virtual/planning/mutants.py
@@ -10,16 +10,16 @@
 from typing import Any
 from unittest.mock import patch
 
-from ..planning import book, planner
-from ..planning.book import Book
-from ..planning.election import Election
-from ..planning.holder import KEPT, Holder
-from ..planning.placement import slot
-from ..planning.planner import Planner
-from ..planning.terms import LEASE, Ask, Grant
-from . import planned_saturated as saturated
-from . import planned_schedules as schedules
-from .patches import held
+from ...planning import book, planner
+from ...planning.book import Book
+from ...planning.election import Election
+from ...planning.holder import KEPT, Holder
+from ...planning.placement import slot
+from ...planning.planner import Planner
+from ...planning.terms import LEASE, Ask, Grant
+from . import saturated
+from . import schedules
+from ..patches import held
 
 
 def _no_learning() -> list[Any]:
--- a/trackspread/virtual/planned_saturated.py
+++ b/trackspread/virtual/planning/saturated.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from ..planning.terms import SECOND, Limit, places
-from .planned import UNIT, Plan, World
-from .planned_schedules import FAULTS, PlannedSchedule, begun
+from ...planning.terms import SECOND, Limit, places
+from .world import UNIT, Plan, World
+from .schedules import FAULTS, PlannedSchedule, begun
 
 Kind = Literal["calm", "mended", "wild"]
 KINDS: tuple[Kind, ...] = ("calm", "mended", "wild")
--- a/trackspread/virtual/planned_schedules.py
+++ b/trackspread/virtual/planning/schedules.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from functools import partial
 
-from ..planning.terms import SECOND, Limit
-from ..standins.crowd import draw_weights
-from .planned import MS, Plan, World
+from ...planning.terms import SECOND, Limit
+from ...standins.crowd import draw_weights
+from .world import MS, Plan, World
 
 SPAN = 12 * SECOND  # of a schedule: a term, the learning after it, faults, and time to be back
 LARGE = 50  # every so many schedules one is of the full size
--- a/trackspread/virtual/small_planning.py
+++ b/trackspread/virtual/planning/small.py
@@ -19,14 +19,14 @@
 from typing import Self
 from unittest.mock import patch
 
-from ..planning import placement, planner
-from ..planning.election import ACCEPTED, TERM, Out, Word
-from ..planning.forwarder import Forwarder
-from ..planning.planner import Planner
-from ..planning.terms import BEAT, LEASE, SECOND, Ask, Cap, Grant, Limit
+from ...planning import placement, planner
+from ...planning.election import ACCEPTED, TERM, Out, Word
+from ...planning.forwarder import Forwarder
+from ...planning.planner import Planner
+from ...planning.terms import BEAT, LEASE, SECOND, Ask, Cap, Grant, Limit
 from .account import CapAccount
-from .patches import held
-from .planned_saturated import DRIFT_STATED
+from ..patches import held
+from .saturated import DRIFT_STATED
 
 MEMBER = 1
 CAP = Cap(Limit(4.0, 4.0), 1.0, False)
--- a/trackspread/virtual/planned.py
+++ b/trackspread/virtual/planning/world.py
@@ -11,16 +11,16 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from ..judge.judge import Store
-from ..planning.book import Book
-from ..planning.election import Out, Word
-from ..planning.forwarder import Forwarder
-from ..planning.placement import even_part
-from ..planning.planner import Planner
-from ..planning.terms import BEAT, SECOND, Ask, Cap, Grant, Limit
-from ..standins.crowd import draw_weights
+from ...judge.judge import Store
+from ...planning.book import Book
+from ...planning.election import Out, Word
+from ...planning.forwarder import Forwarder
+from ...planning.placement import even_part
+from ...planning.planner import Planner
+from ...planning.terms import BEAT, SECOND, Ask, Cap, Grant, Limit
+from ...standins.crowd import draw_weights
 from .account import ROUNDING, CapAccount
-from .clock import Clock
+from ..clock import Clock
 
 MS = 1_000_000
 TICK = 100 * MS  # ns between a planner's ticks
--- /dev/null
+++ b/trackspread/virtual/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Use records on virtual disks, and their export, in virtual time."""
--- a/trackspread/virtual/used_schedules.py
+++ b/trackspread/virtual/usage/schedules.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass
 from functools import partial
 
-from ..storage.slots import HEAD, SLOT
-from ..usage.ledger import Bounds, State
-from ..usage.record import Ending, Kind
+from ...storage.slots import HEAD, SLOT
+from ...usage.ledger import Bounds, State
+from ...usage.record import Ending, Kind
 from .disk import Disk
-from .used import MILLISECOND, SECOND, Life, World
+from .world import MILLISECOND, SECOND, Life, World
 
 LIVES_MOST = 6
 SPAN_MOST = 3 * SECOND  # of one life; its segments hold a fraction of a second
