--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -30,6 +30,7 @@
 SERVICE_BACKENDS = 28  # 59,000 in 2,100 services
 MEGABYTE = 1e6
 MEMORY = 64 * MEGABYTE  # bytes that all control together may take in a gateway
+BYTES = 5_000.0  # bytes/s that all control together may take of a gateway
 SHARE = 0.018  # of a core that all control together may take in a gateway
 ADDED = 0.0043  # s that may be added to a request, for 99 in 100
 LINE = 4 << 20  # bytes of a list's line that a gateway takes (lists/agent.py)
@@ -52,8 +53,10 @@
     factor: str
     held_out: int
     kinds: dict[str, Kind]
-    # Of subjects.py; its own name unless told.
+    # In subjects.py; its own name unless told.
     function: str = ""
+    # The module that has it.
+    program: str = "subjects"
 
     @property
     def sizes(self) -> tuple[int, ...]:
@@ -105,6 +108,13 @@
         "first": Kind("s", ADDED, "the first request of a customer after a change of the view"),
         "arrival": Kind("s", ADDED, "a later request"),
     }),
+    Subject("asks", "requests a second at a gateway", 134, {
+        "bytes": Kind("bytes/s", BYTES, "payload, sent or received, where each customer's home is elsewhere"),
+    }, program="words"),
+    Subject("counter_beats", "gateways at one counter", 3_600, {
+        "bytes": Kind("bytes/s", BYTES, "payload received, 8 partitions"),
+        "cpu": Kind("share of a core", SHARE, "beats alone, without words on members"),
+    }, program="words"),
 )
 
 
@@ -138,9 +148,9 @@
     return (high - low) / middle if middle else 0.0
 
 
-def child(name: str, size: int) -> dict[str, float]:
+def child(name: str, size: int, program: str = "subjects") -> dict[str, float]:
     """One fresh process. Raises ChildError."""
-    command = [sys.executable, "-m", "benchmarks.scale.subjects", name, str(size)]
+    command = [sys.executable, "-m", f"benchmarks.scale.{program}", name, str(size)]
     try:
         ended = subprocess.run(command, capture_output=True, text=True, timeout=CHILD_MOST, check=False)
     except subprocess.TimeoutExpired as error:
@@ -155,7 +165,8 @@
     """The medians of so many processes; all of them once more if any figure spreads."""
     outcome = Outcome({}, {})
     for _ in range(TRIES):
-        told = [child(subject.function or subject.name, size) for _ in range(repeats)]
+        name = subject.function or subject.name
+        told = [child(name, size, subject.program) for _ in range(repeats)]
         columns = {key: [each[key] for each in told] for key in subject.kinds}
         outcome = Outcome(
             {key: median(values) for key, values in columns.items()},
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -69,6 +69,9 @@
         Row("CPU: beat, commitments under way", "module.customers.beat", "tenants_ten", "decide/broker.py"),
         Row("CPU: one flat view", "membership.flat.cpu", "gateways", "membership/member.py", CELLS),
         Row("bytes: one flat view", "membership.flat.bytes", "gateways", "membership/rumours.py", CELLS),
+        Row("bytes: asks to homes of customers", "module.asks.bytes", "requests_gateway", "decide/quota.py",
+            HOMES),
+        Row("memory: routes", "module.routes.memory", "routes", "services/", NUMBERED),
         Row("added: a request that sees all backends", "module.backends.arrival", "backends",
             "decide/fleet.py", SUBSETS),
         Row("added: a customer's first request after a change of the view", "module.members.first",
@@ -107,6 +110,8 @@
             "services/"),
         Row("CPU: view of its cell", "membership.flat.cpu", "cell", "cells/gateway.py"),
         Row("bytes: view of its cell", "membership.flat.bytes", "cell", "cells/gateway.py"),
+        Row("bytes: asks to homes of customers", "module.asks.bytes", "requests_gateway", "decide/quota.py",
+            HOMES),
         Row("added: a request that sees its service's backends", "module.candidates.arrival",
             "backends_service", "services/"),
         Row("added: the same where it sees all that the gateway carries", "module.carried.arrival",
@@ -192,9 +197,9 @@
     "Off unless `counter.servers` is set. Each gateway beats in every partition and reads all others' beats "
     "with it: the sums above are its load, and grow with the square of the fleet.",
     (
-        Row("CPU of a gateway for its beats", "counter.gateway_cpu", "gateways", "counter/tier.py",
+        Row("CPU of a gateway for its beats", "module.counter_beats.cpu", "gateways", "counter/tier.py",
             "a counter for each cell, or grants by cell from control machines"),
-        Row("bytes of a gateway for its beats", "counter.gateway_bytes", "gateways", "counter/tier.py",
+        Row("bytes of a gateway for its beats", "module.counter_beats.bytes", "gateways", "counter/tier.py",
             "a counter for each cell, or grants by cell from control machines"),
     ),
 )
--- a/benchmarks/scale/subjects.py
+++ b/benchmarks/scale/subjects.py
@@ -11,7 +11,7 @@
 import os
 import sys
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -279,11 +279,16 @@
 }
 
 
-def main(words: Iterable[str]) -> int:
+def print_figures(named: Mapping[str, Callable[[int], Figures]], words: Iterable[str]) -> int:
+    """The command: a subject's name and a size. Exit status."""
     name, size = words
-    print(json.dumps(SUBJECTS[name](int(size))))
+    print(json.dumps(named[name](int(size))))
     return 0
 
 
+def main(words: Iterable[str]) -> int:
+    return print_figures(SUBJECTS, words)
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/benchmarks/scale/words.py
@@ -0,0 +1,140 @@
+"""What a gateway says for its customers' limits at one size: asks to homes, a shared counter's beats.
+
+`python -m benchmarks.scale.words NAME SIZE`, as `subjects.py`.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable
+from dataclasses import replace
+from functools import partial
+from itertools import cycle
+from statistics import median
+
+import hiredis
+
+from trackspread.counter.commands import TOKEN, reply
+from trackspread.counter.terms import BEAT, Beat, Call, pack_beat
+from trackspread.counter.tier import Tier
+from trackspread.decide.interface import Action, AttemptEnded, FleetChanged, Outcome, PeerMessage, Send, Tell
+from trackspread.decide.quota import home_of
+from trackspread.membership.slots import WHOLE, seat, to_bytes
+from trackspread.membership.terms import Letter, Words
+from trackspread.membership.wire import Keys, Wire
+
+from .subjects import (
+    MEMBERS, REPEATS, SECOND, SERVICE, START, Driver, Figures, full_list, print_figures, settings, took,
+)
+
+ASKER, HOME = 0, 1  # gateways by number
+CUSTOMERS = 40  # of which the home is the other one
+SPAN = 5  # s that are counted
+PARTITIONS = 8  # of a counter, its default
+
+
+def fleet(me: int, size: int = MEMBERS) -> FleetChanged:
+    """The view of so many as one of them has it; each has its even part."""
+    seats = tuple(seat((number, size)) for number in range(size))
+    others = tuple(number for number in range(size) if number != me)
+    return FleetChanged(
+        me=me, others=others, homes=tuple(range(size)), seats=seats, slots=seats[me],
+        theirs=tuple(seats[number] for number in others), until=2 * START, ends=2 * START,
+    )
+
+
+class Pair:
+    """A gateway that asks and the home of its customers, with all bytes that they say to one another."""
+
+    def __init__(self) -> None:
+        self.drivers = [Driver(replace(settings(), position=number)) for number in (ASKER, HOME)]
+        self.bytes = self.sent = 0
+        self._wire = Wire("rating-eu", Keys(b"k" * 32), MEMBERS)
+        self._part = to_bytes(seat((0, MEMBERS)) & WHOLE)
+        for number, driver in enumerate(self.drivers):
+            driver.handle(fleet(number))
+            driver.handle(full_list(SERVICE, 1))
+
+    def request(self, customer: int) -> None:
+        """One from its arrival to its end."""
+        self._do(ASKER, self.drivers[ASKER].ask(customer, MEMBERS))
+
+    def pause(self, span: int) -> None:
+        """So many ns go by."""
+        for driver in self.drivers:
+            driver.now += span
+
+    def _do(self, number: int, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Tell(to=to, data=data) if to == 1 - number:
+                    body = Words(data, self._part)
+                    letter = Letter("rating-eu", f"gateway-{number:04}", START, body, 1 << 62)
+                    self.bytes += len(self._wire.pack(letter))
+                    self._do(to, self.drivers[to].handle(PeerMessage(number, data)))
+                case Send(request=request, backend=backend):
+                    self.sent += 1
+                    ended = AttemptEnded(request, True, 0, backend, 0, Outcome.OK, SECOND // 100, 0, ())
+                    self._do(number, self.drivers[number].handle(ended))
+
+
+def asks(size: int) -> Figures:
+    """So many requests a second whose customers' homes are other gateways. What one sends as asker and as
+    home of others' customers is what it receives, as all are alike."""
+    pair = Pair()
+    homes = tuple(range(MEMBERS))
+    customers = [each for each in range(1, 200 * CUSTOMERS) if home_of(each, homes) == HOME][:CUSTOMERS]
+    turns = cycle(customers)
+    for _ in range(size * SPAN):
+        pair.request(next(turns))
+        pair.pause(SECOND // size)
+    if pair.sent < size * SPAN:
+        raise RuntimeError(f"{pair.sent} of {size * SPAN} sent on: no fair work")
+    return {"bytes": pair.bytes / SPAN}
+
+
+def counter_beats(size: int) -> Figures:
+    """A gateway's beats in all partitions of a counter that so many share, for one second."""
+    tier = Tier(0, size, PARTITIONS, 1, 7, START, lambda member: (0.0, 0.0))
+    now, taken, read = START, list[float](), 0
+    for beat in range(2 * REPEATS):
+        raw = _beats(size, beat)
+        now += BEAT
+        calls = [out for out in tier.tick(now) if isinstance(out, Call)]
+        used = sum(took(partial(_answer, tier, now, call, raw)) for call in calls)
+        taken.append(used)
+        read = len(raw)
+    each_second = SECOND / BEAT
+    return {"bytes": PARTITIONS * read * each_second, "cpu": median(taken) * each_second}
+
+
+def _beats(size: int, beat: int) -> bytes:
+    """The counter's replies to one beat: the write's, all fields, the name's life, the time."""
+    fields = [(TOKEN, b"t" * 8)]
+    clock = 1_000_000 + beat * BEAT // 1_000_000
+    fields += [(b"%d" % slot, pack_beat(Beat(slot + 1, beat + 1, clock))) for slot in range(size)]
+    words = b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for pair in fields for word in pair)
+    time = [b"%d" % (clock // 1000), b"%d" % (clock % 1000 * 1000)]
+    told = b"*2\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in time)
+    return b":0\r\n:0\r\n*%d\r\n%b:1\r\n%b" % (2 * len(fields), words, told)
+
+
+def _answer(tier: Tier, now: int, call: Call, raw: bytes) -> None:
+    """As the host does it: parse, read, take in."""
+    reader = hiredis.Reader()
+    reader.feed(raw)
+    results = []
+    while (part := reader.gets()) is not False:
+        results.append(part)
+    tier.answered(now, call.number, reply(call, results))
+
+
+SUBJECTS = {subject.__name__: subject for subject in (asks, counter_beats)}
+
+
+def main(words: Iterable[str]) -> int:
+    return print_figures(SUBJECTS, words)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_scale_module.py
+++ b/tests/test_scale_module.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from benchmarks.scale import module, subjects
+from benchmarks.scale import module, subjects, words
 from benchmarks.scale.slopes import Run
 
 RUN = Run(date="2026-12-02T05:10Z", command="test", commit="abc1234")
 
 
 def test_each_subject_has_a_measurement_for_each_of_its_figures() -> None:
-    named = {subject.function or subject.name for subject in module.SUBJECTS}
-    assert named == set(subjects.SUBJECTS)
+    functions = subjects.SUBJECTS | words.SUBJECTS
+    assert {subject.function or subject.name for subject in module.SUBJECTS} == set(functions)
     for subject in module.SUBJECTS:
-        told = set(subjects.SUBJECTS[subject.function or subject.name](30))
+        told = set(functions[subject.function or subject.name](30))
         assert set(subject.kinds) == told or (subject.function and set(subject.kinds) < told)
 
 
@@ -49,7 +49,7 @@
 
 
 def test_repeats_become_one_fit_and_its_hold_out(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(module, "child", lambda name, size: {"bytes": 3.0 * size})
+    monkeypatch.setattr(module, "child", lambda name, size, program: {"bytes": 3.0 * size})
     (made,) = module.measure_subject(SUBJECT, RUN, 3)
     assert (made.name, made.shape, made.limit) == ("module.line.bytes", "linear", 100.0)
     assert made.holdout.predicted == pytest.approx(480.0)
@@ -60,7 +60,7 @@
 def test_repeats_that_spread_make_it_void_after_another_try(monkeypatch: pytest.MonkeyPatch) -> None:
     told = []
 
-    def child(name: str, size: int) -> dict[str, float]:
+    def child(name: str, size: int, program: str) -> dict[str, float]:
         told.append(size)
         return {"bytes": size * (1.0 + len(told) % 3)}
 
@@ -69,3 +69,14 @@
     assert made.void
     assert made.wrong
     assert len(told) == 5 * 3 * module.TRIES
+
+
+def test_asks_cost_bytes_by_the_request() -> None:
+    slow, fast = words.asks(10)["bytes"], words.asks(20)["bytes"]
+    assert slow > 10 * 2 * 150  # an ask and its answer at least, each with what it travels in
+    assert fast == pytest.approx(2 * slow, rel=0.1)
+
+
+def test_a_beat_brings_those_of_all_gateways_and_is_taken_in() -> None:
+    few, many = words.counter_beats(100)["bytes"], words.counter_beats(200)["bytes"]
+    assert many - few == pytest.approx(100 * 8 * 2.5 * 40, rel=0.1)
