Capacity: what breaks, in order, and grouped by the mechanism that mends it

The ordered list told a limit that is passed at the least measured size by an extrapolated one; it now says so ('or fewer'), tells each slope once and adds what mends which.

--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -9,7 +9,7 @@
 from .demand import ASKED, SECTIONS, figures
 from .faults import Report
 from .latency import LIMIT, Latency
-from .reckon import Break, Reckoned, State, Total, breaks, reckon, totals
+from .reckon import Break, Reckoned, State, Total, breaks, mends, reckon, totals
 from .roles import BOUNDS, ROLES, Role
 from .slopes import Measurement, Run, Slopes
 from .sums import Worked, figure, work
@@ -19,7 +19,8 @@
     "cell": "gateways in a cell", "links_gateway": "backends of its services",
     "tenants_active": "customers active", "tenants_ten": "commitments",
     "backends_service": "backends of a service", "routes_gateway": "routes of its services",
-    "gateways_control": "gateways of a control machine",
+    "gateways_control": "gateways of a control machine", "requests_gateway": "requests/s at a gateway",
+    "changes": "changes a day",
 }
 
 
@@ -80,7 +81,7 @@
         return (
             row.what, row.when, f"{figure(each.size)} {NAMED.get(row.at, row.at)}", value,
             amount(each.limit, unit) if each.limit is not None else "-", _room(each.room),
-            _size_text(each.breaks_at), _mechanism(each), self._run(found),
+            _size_text(each.breaks_at, each.at_the_latest), _mechanism(each), self._run(found),
         )
 
     def _run(self, found: Measurement | None) -> str:
@@ -115,11 +116,19 @@
 
     def _order(self) -> str:
         rows = [
-            (str(number), each.what, f"{_size_text(each.breaks_at)} of {figure(each.size)} "
-             f"{NAMED.get(each.at, each.at)}", f"{each.share:.3f}", f"`{each.mechanism}`", each.mend or "-")
+            (str(number), each.what, f"{_size_text(each.breaks_at, each.at_the_latest)} of "
+             f"{figure(each.size)} {NAMED.get(each.at, each.at)}", f"{each.share:.3f}", f"`{each.mechanism}`")
             for number, each in enumerate(self.breaks(), 1)
         ]
-        return _table(("", "what", "breaks at", "share of the size", "today", "mended by"), rows)
+        ranks = {each: str(number) for number, each in enumerate(self.breaks(), 1)}
+        mended = [
+            (str(number), mend or "-", f"{found[0].share:.3f}", ", ".join(ranks[each] for each in found))
+            for number, (mend, found) in enumerate(mends(self.breaks()), 1)
+        ]
+        return (
+            _table(("", "what", "breaks at", "share of the size", "today"), rows)
+            + "\n\n" + _table(("", "mended by", "first share", "of the list above"), mended)
+        )
 
     def _measured(self) -> str:
         rows = [
@@ -200,10 +209,11 @@
     return f"{figure(room)} times" if room >= 1.0 else f"**{figure(room)} times**"
 
 
-def _size_text(size: float | None) -> str:
+def _size_text(size: float | None, at_the_latest: bool = False) -> str:
     if size is None:
         return "-"
-    return "never, by this fit" if math.isinf(size) else figure(math.floor(size) if size >= 1.0 else 0.0)
+    text = "never, by this fit" if math.isinf(size) else figure(math.floor(size) if size >= 1.0 else 0.0)
+    return f"{text} or fewer" if at_the_latest else text
 
 
 def _coefficients(each: Measurement) -> str:
--- a/benchmarks/scale/reckon.py
+++ b/benchmarks/scale/reckon.py
@@ -44,6 +44,11 @@
     # Whether the mechanism is in the program.
     present: bool = False
 
+    @property
+    def at_the_latest(self) -> bool:
+        """Whether it breaks below all that was measured: `breaks_at` is then the least size."""
+        return self.found is not None and self.breaks_at == self.found.points[0][0]
+
     @property
     def room(self) -> float | None:
         """The limit as a multiple of the value."""
@@ -72,6 +77,7 @@
     size: float
     mechanism: str
     mend: str
+    at_the_latest: bool = False
 
     @property
     def share(self) -> float:
@@ -111,10 +117,13 @@
 def breaks(
     reckoned: list[Reckoned], bounds: tuple[Bound, ...], figures: dict[str, float]
 ) -> list[Break]:
-    """All that breaks before the size asked for, the smallest share of that size first."""
+    """All that breaks before the size asked for, the smallest share of that size first; a slope that stands
+    in several roles at one size is told once."""
+    once = {(each.row.slope, each.size): each for each in reversed(reckoned)}
     found = [
-        Break(each.row.what, each.row.at, each.breaks_at, each.size, each.row.mechanism, each.row.mend)
-        for each in reckoned if each.breaks_at is not None and each.breaks_at < each.size
+        Break(each.row.what, each.row.at, each.breaks_at, each.size, each.row.mechanism, each.row.mend,
+              each.at_the_latest)
+        for each in once.values() if each.breaks_at is not None and each.breaks_at < each.size
     ]
     found += [
         Break(bound.what, bound.at, figures[bound.most], figures[bound.at], bound.mechanism, bound.mend)
@@ -133,6 +142,14 @@
             return found.fit.predict(size)
 
 
+def mends(found: list[Break]) -> list[tuple[str, list[Break]]]:
+    """What breaks by what mends it, the mend of what breaks first first."""
+    by_mend: dict[str, list[Break]] = {}
+    for each in found:
+        by_mend.setdefault(each.mend, []).append(each)
+    return sorted(by_mend.items(), key=lambda item: item[1][0].share)
+
+
 def _state(found: Measurement, size: float) -> State:
     if found.void:
         return State.VOID
@@ -147,10 +164,11 @@
     """By the fit; where that is wrong, by the line between the two measured sizes around the limit."""
     if limit is None:
         return None
+    least, there = found.points[0]
+    if there >= limit:
+        return least  # at the latest: below it nothing was measured
     if not found.holdout.wrong:
-        # Below the least size that was fitted a fit may go anywhere: it breaks there at the latest.
-        reached = found.fit.breaks_at(limit)
-        return max(reached, found.points[0][0]) if found.points[0][1] >= limit else reached
+        return found.fit.breaks_at(limit)
     points = [*found.points, (found.holdout.size, found.holdout.measured)]
     for (low, under), (high, over) in pairwise(points):
         if under <= limit < over:
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -51,6 +51,7 @@
 NUMBERED = ("numbered changes handed down by control machines, to each gateway those of the services that it "
             "carries")
 HOMES = "homes of customers within the cell or region, with grants for a span in place of an ask a request"
+COUNTERS = "a counter for each cell, or grants by cell from control machines"
 BUSY = "sums kept from evaluation to evaluation in place of a look at all other commitments for each"
 
 GATEWAY = Role(
@@ -197,10 +198,10 @@
     "Off unless `counter.servers` is set. Each gateway beats in every partition and reads all others' beats "
     "with it: the sums above are its load, and grow with the square of the fleet.",
     (
-        Row("CPU of a gateway for its beats", "module.counter_beats.cpu", "gateways", "counter/tier.py",
-            "a counter for each cell, or grants by cell from control machines"),
-        Row("bytes of a gateway for its beats", "module.counter_beats.bytes", "gateways", "counter/tier.py",
-            "a counter for each cell, or grants by cell from control machines"),
+        Row("counter: CPU of a gateway for its beats", "module.counter_beats.cpu", "gateways",
+            "counter/tier.py", COUNTERS),
+        Row("counter: bytes of a gateway for its beats", "module.counter_beats.bytes", "gateways",
+            "counter/tier.py", COUNTERS),
     ),
 )
 TOOLS = Role(
@@ -220,7 +221,7 @@
     Bound("places that get a slot of what all share", "slots", "gateways", "membership/slots.py", CELLS),
     Bound("members that `fleet.most` may be set to", "fleet_most", "gateways", "config/operator.py", CELLS),
     Bound("fields that a counter's name may hold, one a gateway", "counter_most", "gateways",
-          "counter/commands.py", "a counter for each cell"),
+          "counter/commands.py", COUNTERS),
     Bound("backends that a gateway can hold a connection to", "links_most", "backends", "backends/pools.py",
           SUBSETS),
 )
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -181,8 +181,9 @@
 
 
 def test_a_limit_that_is_passed_at_the_least_size_breaks_there_at_the_latest() -> None:
-    told = one(slope(base=4000.0, per=20.0, held=20_000.0, limit=3000.0))
-    assert told.breaks_at == 100.0
+    for held in (20_000.0, 80_000.0):  # a fit that holds, and one that is wrong
+        told = one(slope(base=4000.0, per=20.0, held=held, limit=3000.0), size=800.0)
+        assert told.breaks_at == 100.0
 
 
 def test_below_the_least_size_the_cost_there_is_not_passed() -> None:
@@ -216,6 +217,15 @@
     assert found[0].share == pytest.approx(1024 / 7200)
 
 
+def test_what_breaks_is_told_once_and_grouped_by_what_mends_it() -> None:
+    bound = roles.Bound("slots", "slots", "gateways", "membership/slots.py", "cells")
+    other = roles.Row("bytes: again", "cost", "gateways", "decide/fleet.py", "a mend")
+    figures = {"gateways": 7200.0, "slots": 1024.0}
+    found = reckon.breaks([one(slope()), one(slope(), other)], (bound,), figures)
+    assert [each.what for each in found] == ["slots", "memory: all"]
+    assert [mend for mend, _ in reckon.mends(found)] == ["cells", "a mend"]
+
+
 def test_a_mechanism_that_is_not_in_the_program_is_missing() -> None:
     assert present("decide/fleet.py")
     assert not present("no/such.py")
