--- a/benchmarks/scale/demand.py
+++ b/benchmarks/scale/demand.py
@@ -128,9 +128,9 @@
     Line("cores", "cores that all gateways may spend on control", "gateways * share", ""),
     Line("calls_start", "calls to discovery while all gateways start at once",
          "gateways / spread_s", "/s", "`lists/turns.py` spreads them over 9 s at most"),
-    Line("counter_beats", "calls of a shared counter's beat",
+    Line("counter_heartbeats", "calls of a shared counter's beat",
          "gateways * partitions / counter_beat_s", "/s"),
-    Line("counter_fields", "fields read with them, one a gateway", "counter_beats * gateways", "/s",
+    Line("counter_fields", "fields read with them, one a gateway", "counter_heartbeats * gateways", "/s",
          "the square of the fleet; a counter's name holds 4,096 fields at most"),
 )
 SECTIONS: tuple[tuple[str, tuple[Line, ...]], ...] = (
--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -110,11 +110,11 @@
     }),
     Subject("asks", "requests a second at a gateway", 134, {
         "bytes": Kind("bytes/s", BYTES, "payload, sent or received, where each customer's home is elsewhere"),
-    }, program="words"),
-    Subject("counter_beats", "gateways at one counter", 3_600, {
+    }, program="quota_traffic"),
+    Subject("counter_heartbeats", "gateways at one counter", 3_600, {
         "bytes": Kind("bytes/s", BYTES, "payload received, 8 partitions"),
         "cpu": Kind("share of a core", SHARE, "beats alone, without words on members"),
-    }, program="words"),
+    }, program="quota_traffic"),
 )
 
 
--- a/benchmarks/scale/words.py
+++ b/benchmarks/scale/quota_traffic.py
@@ -1,6 +1,6 @@
 """What a gateway says for its customers' limits at one size: asks to homes, a shared counter's beats.
 
-`python -m benchmarks.scale.words NAME SIZE`, as `subjects.py`.
+`python -m benchmarks.scale.quota_traffic NAME SIZE`, as `subjects.py`.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 import hiredis
 
 from trackspread.counter.commands import TOKEN, reply
-from trackspread.counter.terms import BEAT, Beat, Call, pack_beat
-from trackspread.counter.tier import Tier
+from trackspread.counter.lease_manager import LeaseManager
+from trackspread.counter.terms import HEARTBEAT, Call, Heartbeat, pack_heartbeat
 from trackspread.decide.interface import Action, AttemptEnded, FleetChanged, Outcome, PeerMessage, Send, Tell
 from trackspread.decide.quota import home_of
 from trackspread.membership.slots import WHOLE, seat, to_bytes
@@ -93,43 +93,43 @@
     return {"bytes": pair.bytes / SPAN}
 
 
-def counter_beats(size: int) -> Figures:
+def counter_heartbeats(size: int) -> Figures:
     """A gateway's beats in all partitions of a counter that so many share, for one second."""
-    tier = Tier(0, size, PARTITIONS, 1, 7, START, lambda member: (0.0, 0.0))
+    leases = LeaseManager(0, size, PARTITIONS, 1, 7, START, lambda member: (0.0, 0.0))
     now, taken, read = START, list[float](), 0
     for beat in range(2 * REPEATS):
         raw = _beats(size, beat)
-        now += BEAT
-        calls = [out for out in tier.tick(now) if isinstance(out, Call)]
-        used = sum(took(partial(_answer, tier, now, call, raw)) for call in calls)
+        now += HEARTBEAT
+        calls = [out for out in leases.tick(now) if isinstance(out, Call)]
+        used = sum(took(partial(_answer, leases, now, call, raw)) for call in calls)
         taken.append(used)
         read = len(raw)
-    each_second = SECOND / BEAT
+    each_second = SECOND / HEARTBEAT
     return {"bytes": PARTITIONS * read * each_second, "cpu": median(taken) * each_second}
 
 
 def _beats(size: int, beat: int) -> bytes:
     """The counter's replies to one beat: the write's, all fields, the name's life, the time."""
     fields = [(TOKEN, b"t" * 8)]
-    clock = 1_000_000 + beat * BEAT // 1_000_000
-    fields += [(b"%d" % slot, pack_beat(Beat(slot + 1, beat + 1, clock))) for slot in range(size)]
+    clock = 1_000_000 + beat * HEARTBEAT // 1_000_000
+    fields += [(b"%d" % slot, pack_heartbeat(Heartbeat(slot + 1, beat + 1, clock))) for slot in range(size)]
     words = b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for pair in fields for word in pair)
     time = [b"%d" % (clock // 1000), b"%d" % (clock % 1000 * 1000)]
     told = b"*2\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in time)
     return b":0\r\n:0\r\n*%d\r\n%b:1\r\n%b" % (2 * len(fields), words, told)
 
 
-def _answer(tier: Tier, now: int, call: Call, raw: bytes) -> None:
+def _answer(leases: LeaseManager, now: int, call: Call, raw: bytes) -> None:
     """As the host does it: parse, read, take in."""
     reader = hiredis.Reader()
     reader.feed(raw)
     results = []
     while (part := reader.gets()) is not False:
         results.append(part)
-    tier.answered(now, call.number, reply(call, results))
+    leases.answered(now, call.number, reply(call, results))
 
 
-SUBJECTS = {subject.__name__: subject for subject in (asks, counter_beats)}
+SUBJECTS = {subject.__name__: subject for subject in (asks, counter_heartbeats)}
 
 
 def main(words: Iterable[str]) -> int:
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -62,7 +62,7 @@
         Row("memory: list of all backends", "module.backends.memory", "backends", "decide/fleet.py", SUBSETS),
         Row("memory: a plan for each tenant", "module.plans.memory", "tenants", "decide/quota.py", NUMBERED),
         Row("memory: the same as reservations on one plan", "module.reservations.memory", "tenants",
-            "plans/book.py", NUMBERED, counted=False),
+            "plans/registry.py", NUMBERED, counted=False),
         Row("memory: accounts of customers", "module.customers.memory", "tenants_active", "decide/quota.py"),
         Row("memory: one flat view", "membership.flat.memory", "gateways", "membership/people.py", CELLS),
         Row("CPU: beat, looks at all backends", "module.backends.beat", "backends",
@@ -195,13 +195,13 @@
 )
 COUNTER = Role(
     "A shared counter",
-    "Off unless `counter.servers` is set. Each gateway beats in every partition and reads all others' beats "
-    "with it: the sums above are its load, and grow with the square of the fleet.",
+    "Off unless `counter.servers` is set. Each gateway sends a heartbeat to every partition and reads "
+    "all others' with it: the sums above are its load, and grow with the square of the fleet.",
     (
-        Row("counter: CPU of a gateway for its beats", "module.counter_beats.cpu", "gateways",
-            "counter/tier.py", COUNTERS),
-        Row("counter: bytes of a gateway for its beats", "module.counter_beats.bytes", "gateways",
-            "counter/tier.py", COUNTERS),
+        Row("counter: CPU of a gateway for its heartbeats", "module.counter_heartbeats.cpu", "gateways",
+            "counter/lease_manager.py", COUNTERS),
+        Row("counter: bytes of a gateway for its heartbeats", "module.counter_heartbeats.bytes", "gateways",
+            "counter/lease_manager.py", COUNTERS),
     ),
 )
 TOOLS = Role(
--- a/tests/test_scale_module.py
+++ b/tests/test_scale_module.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from benchmarks.scale import module, subjects, words
+from benchmarks.scale import module, quota_traffic, subjects
 from benchmarks.scale.slopes import Run
 
 RUN = Run(date="2026-12-02T05:10Z", command="test", commit="abc1234")
 
 
 def test_each_subject_has_a_measurement_for_each_of_its_figures() -> None:
-    functions = subjects.SUBJECTS | words.SUBJECTS
+    functions = subjects.SUBJECTS | quota_traffic.SUBJECTS
     assert {subject.function or subject.name for subject in module.SUBJECTS} == set(functions)
     for subject in module.SUBJECTS:
         told = set(functions[subject.function or subject.name](30))
@@ -72,11 +72,11 @@
 
 
 def test_asks_cost_bytes_by_the_request() -> None:
-    slow, fast = words.asks(10)["bytes"], words.asks(20)["bytes"]
+    slow, fast = quota_traffic.asks(10)["bytes"], quota_traffic.asks(20)["bytes"]
     assert slow > 10 * 2 * 150  # an ask and its answer at least, each with what it travels in
     assert fast == pytest.approx(2 * slow, rel=0.1)
 
 
 def test_a_beat_brings_those_of_all_gateways_and_is_taken_in() -> None:
-    few, many = words.counter_beats(100)["bytes"], words.counter_beats(200)["bytes"]
+    few, many = quota_traffic.counter_heartbeats(100)["bytes"], quota_traffic.counter_heartbeats(200)["bytes"]
     assert many - few == pytest.approx(100 * 8 * 2.5 * 40, rel=0.1)
