No attempt begins for a client that has left: the kernel is asked before each

A client that closes its connection has gone, and an attempt, first or further, that begins over 0.1 s later breaks the rule. Its end was noticed when the loop read it: behind whatever came before it in the same turn, behind bytes not read yet, and every 0.1 s where its connection is not read. Real processes, stopped until what the request waits for and the end of its client lie in the kernel in that order, sent on all the same in each place but one: a failed, refused or spoilt attempt (a second one began), a connection that came up, a command read behind its client's end, a client that is not read, a home's grant, a home that does not answer, the counter's answer. Held commands were asked about already.

Also, an end is told to the requests when it is read: with answers that the client had not taken the transport closed only once they were out, and what waited could be sent on until then.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -228,13 +228,14 @@
 
 
 def call(
-    cls: str = "look up", number: int = 1, wait_ms: int = 5000, body: bytes | None = None, extra: str = ""
+    cls: str = "look up", number: int = 1, wait_ms: int = 5000, body: bytes | None = None, extra: str = "",
+    customer: bytes = CUSTOMER,
 ) -> bytes:
     """A command as a client sends it."""
     name = b"CALL.GET" if cls == "look up" else b"CALL.POST"
     key = ",k=5c0f6e1a2b3d4c59" if cls == "submit" else ""
     pairs = f"c={cls},t=team,d={wait_ms}{key},units=1,spread=2,first=0{extra}"
-    words = (name, CUSTOMER, b"%016x" % number, pairs.encode()) + (() if body is None else (body,))
+    words = (name, customer, b"%016x" % number, pairs.encode()) + (() if body is None else (body,))
     return hiredis.pack_command(words)  # type: ignore[no-any-return,arg-type]
 
 
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -219,6 +219,24 @@
     run(test)
 
 
+def test_client_that_ends_with_answers_unread_is_told_as_gone_before_they_are_out() -> None:
+    """Its transport closes once they are: what waits could be sent on until then."""
+
+    async def test() -> None:
+        async with world(Operator(clients=ClientBounds(unread_s=3600.0))) as w:
+            client = await unread(w)
+            s = script(w, lambda a: [])
+            client.send(call(number=999))
+            await until(lambda: len(s.of(Arrival)) == 1)
+            client.writer.write_eof()
+            await until(lambda: len(s.of(ClientLeft)) == 1)
+            _, transport = server_of(w)
+            assert transport.get_write_buffer_size() and not w.node.requests
+            client.abort()
+
+    run(test)
+
+
 @pytest.mark.parametrize("how", HOW)
 def test_body_that_waits_for_room_is_dropped_with_its_client(how: str) -> None:
     """Nothing is read of it meanwhile, and so nothing tells that its client has left."""
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -41,6 +41,9 @@
     def attempt_ended(self, attempt: Attempt, *end: Any) -> None:
         self.ends.put_nowait((attempt.request, *end))
 
+    def wanted(self, attempt: Attempt) -> bool:
+        return True
+
     def attempt_written(self) -> None:
         self.written += 1
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -57,11 +57,14 @@
 
 
 @asynccontextmanager
-async def started(folder: Path, agent: Agent) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path]]:
-    """The program as `run` starts it, from its first moment on, and its configuration."""
+async def started(
+    folder: Path, agent: Agent, config: dict[str, Any] | None = None, operator: str = ""
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path]]:
+    """The program as `run` starts it, from its first moment on, and its configuration. `operator`: the text
+    of the operator's file."""
     path, own = folder / "config.json", folder / "own.toml"
-    own.touch()
-    path.write_text(json.dumps(raw_config(agent.port)))
+    own.write_text(operator)
+    path.write_text(json.dumps(config or raw_config(agent.port)))
     process = await asyncio.create_subprocess_exec(
         *COMMAND, "run", "--file", str(own), stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}"},
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -305,6 +305,9 @@
             # Rule 2: decided within the window for repeats, but up too late.
             self.owner.withdraw(attempt)
             return
+        if attempt.call is not None and not self.owner.hearer.wanted(attempt):
+            self.owner.withdraw(attempt)
+            return
         link.write(attempt, now)
 
     def release(self, link: _Link) -> None:
--- a/trackspread/backends/seam.py
+++ b/trackspread/backends/seam.py
@@ -38,6 +38,9 @@
     ) -> None:
         """Once for each; a value that was passed on as it came is empty."""
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether anybody still waits for the attempt, asked once its connection has come up."""
+
     def attempt_written(self) -> None:
         """Once for each request whose last byte has gone out."""
 
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -87,15 +87,16 @@
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = ("_before", "_blocked", "_ending", "_half", "_late", "_lingering", "_long", "_owner",
-                 "_read_on", "_reading", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "front",
-                 "roomless", "said", "seen", "slots")
+    __slots__ = ("_before", "_blocked", "_end_poll", "_ending", "_half", "_late", "_lingering", "_long",
+                 "_owner", "_read_on", "_reading", "_rest", "_rest_at", "_taking", "_transport", "_unsent",
+                 "front", "roomless", "said", "seen", "slots")
 
     def __init__(self, owner: Clients, front: Front, before: bytes = b"") -> None:
         """`before`: what another process had read of it."""
         self._owner, self.front, self._before = owner, front, before
         self._reading = self.front.reading()
         self._transport: asyncio.Transport | None = None
+        self._end_poll = select.poll()  # asks the kernel whether the other side sends nothing more
         self._ending = False  # nothing more is taken; closed once all that was taken is answered
         self._lingering = 0.0  # when reading on ends, once the last answer is written
         self._late = 0  # bytes read on since then
@@ -114,6 +115,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=self._owner.buffer)
+        self._end_poll.register(self._transport.get_extra_info("socket").fileno(), ENDED)
         self._owner.came(self)
         before, self._before = self._before, b""
         if before and not self._transport.is_closing():
@@ -194,12 +196,14 @@
 
     def gone(self) -> bool:
         """Whether the client has left, which nothing tells where its connection is not read."""
-        transport = cast(asyncio.Transport, self._transport)
-        if self._read_on or transport.is_closing():
+        if self._read_on or cast(asyncio.Transport, self._transport).is_closing():
             return False
-        look = select.poll()
-        look.register(transport.get_extra_info("socket").fileno(), ENDED)
-        return bool(look.poll(0))
+        return self.ended()
+
+    def ended(self) -> bool:
+        """Whether the connection is over, by the kernel's word: its end may lie behind bytes that are not
+        read yet, or have come in this turn of the loop."""
+        return cast(asyncio.Transport, self._transport).is_closing() or bool(self._end_poll.poll(0))
 
     def room(self, there: bool) -> None:
         """Whether there is room for more of the long body that is coming."""
@@ -364,10 +368,19 @@
         """s for which a client may take nothing: a slow one that moves is not a dead one."""
         return max(self._owner.bounds.unread_s, LONG_UNREAD if self._long else 0.0)
 
+    def eof_received(self) -> None:
+        """The client has gone, though the transport closes only once its last answers are out: it may take
+        none of them."""
+        self._abandon()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._owner.went(self)
         self._owner.bodies.left(self)
         self._release()
+        self._abandon()
+
+    def _abandon(self) -> None:
+        """Nobody waits for what is owed here any more."""
         slots, self.slots = self.slots, deque()
         for slot in slots:
             self._owner.bodies.gone(slot)
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -170,6 +170,11 @@
             self._fail(number, request, "out of time")
             self.handle(ClientLeft(number))
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether somebody still waits for what this attempt is to bring."""
+        request = self.requests.get(attempt.request)
+        return request is not None and not request.closed and not request.slot.client.ended()
+
     # Answers.
 
     def _close(self, number: int, request: Request, ending: Ending) -> None:
@@ -332,6 +337,11 @@
         if request.closed or now >= request.valid_until:
             self._moot(action, index, request.closed)
             return
+        if request.slot.client.ended():
+            # The loop has not come to that yet; nothing is sent on for a client that has left.
+            self._loop.call_soon(self.left, action.request)
+            self._moot(action, index, True)
+            return
         left = request.valid_until - now
         timeout = action.timeout / SECOND if 0 < action.timeout < left else None
         expires = now + (action.timeout if timeout is not None else left)
