--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -226,6 +226,7 @@
         async with world(Operator(clients=ClientBounds(unread_s=3600.0))) as w:
             client = await unread(w)
             s = script(w, lambda a: [])
+            w.node.time_is_up = lambda number: None  # type: ignore[method-assign]
             client.send(call(number=999))
             await until(lambda: len(s.of(Arrival)) == 1)
             client.writer.write_eof()
