--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -51,6 +51,7 @@
 NUMBERED = ("numbered changes handed down by control machines, to each gateway those of the services that it "
             "carries")
 HOMES = "homes of customers within the cell or region, with grants for a span in place of an ask a request"
+COUNTERS = "a counter for each cell, or grants by cell from control machines"
 BUSY = "sums kept from evaluation to evaluation in place of a look at all other commitments for each"
 
 GATEWAY = Role(
@@ -61,7 +62,7 @@
         Row("memory: list of all backends", "module.backends.memory", "backends", "decide/fleet.py", SUBSETS),
         Row("memory: a plan for each tenant", "module.plans.memory", "tenants", "decide/quota.py", NUMBERED),
         Row("memory: the same as reservations on one plan", "module.reservations.memory", "tenants",
-            "plans/book.py", NUMBERED, counted=False),
+            "plans/registry.py", NUMBERED, counted=False),
         Row("memory: accounts of customers", "module.customers.memory", "tenants_active", "decide/quota.py"),
         Row("memory: one flat view", "membership.flat.memory", "gateways", "membership/people.py", CELLS),
         Row("CPU: beat, looks at all backends", "module.backends.beat", "backends",
@@ -69,6 +70,9 @@
         Row("CPU: beat, commitments under way", "module.customers.beat", "tenants_ten", "decide/broker.py"),
         Row("CPU: one flat view", "membership.flat.cpu", "gateways", "membership/member.py", CELLS),
         Row("bytes: one flat view", "membership.flat.bytes", "gateways", "membership/rumours.py", CELLS),
+        Row("bytes: asks to homes of customers", "module.asks.bytes", "requests_gateway", "decide/quota.py",
+            HOMES),
+        Row("memory: routes", "module.routes.memory", "routes", "services/", NUMBERED),
         Row("added: a request that sees all backends", "module.backends.arrival", "backends",
             "decide/fleet.py", SUBSETS),
         Row("added: a customer's first request after a change of the view", "module.members.first",
@@ -107,6 +111,8 @@
             "services/"),
         Row("CPU: view of its cell", "membership.flat.cpu", "cell", "cells/gateway.py"),
         Row("bytes: view of its cell", "membership.flat.bytes", "cell", "cells/gateway.py"),
+        Row("bytes: asks to homes of customers", "module.asks.bytes", "requests_gateway", "decide/quota.py",
+            HOMES),
         Row("added: a request that sees its service's backends", "module.candidates.arrival",
             "backends_service", "services/"),
         Row("added: the same where it sees all that the gateway carries", "module.carried.arrival",
@@ -189,13 +195,13 @@
 )
 COUNTER = Role(
     "A shared counter",
-    "Off unless `counter.servers` is set. Each gateway beats in every partition and reads all others' beats "
-    "with it: the sums above are its load, and grow with the square of the fleet.",
+    "Off unless `counter.servers` is set. Each gateway sends a heartbeat to every partition and reads "
+    "all others' with it: the sums above are its load, and grow with the square of the fleet.",
     (
-        Row("CPU of a gateway for its beats", "counter.gateway_cpu", "gateways", "counter/tier.py",
-            "a counter for each cell, or grants by cell from control machines"),
-        Row("bytes of a gateway for its beats", "counter.gateway_bytes", "gateways", "counter/tier.py",
-            "a counter for each cell, or grants by cell from control machines"),
+        Row("counter: CPU of a gateway for its heartbeats", "module.counter_heartbeats.cpu", "gateways",
+            "counter/lease_manager.py", COUNTERS),
+        Row("counter: bytes of a gateway for its heartbeats", "module.counter_heartbeats.bytes", "gateways",
+            "counter/lease_manager.py", COUNTERS),
     ),
 )
 TOOLS = Role(
@@ -215,7 +221,7 @@
     Bound("places that get a slot of what all share", "slots", "gateways", "membership/slots.py", CELLS),
     Bound("members that `fleet.most` may be set to", "fleet_most", "gateways", "config/operator.py", CELLS),
     Bound("fields that a counter's name may hold, one a gateway", "counter_most", "gateways",
-          "counter/commands.py", "a counter for each cell"),
+          "counter/commands.py", COUNTERS),
     Bound("backends that a gateway can hold a connection to", "links_most", "backends", "backends/pools.py",
           SUBSETS),
 )
