--- a/trackspread/counter/commands.py
+++ b/trackspread/counter/commands.py
@@ -27,6 +27,7 @@
 
     @property
     def code(self) -> str:
+        """First word of the error: which one it is."""
         return self.text.partition(" ")[0]
 
 
--- a/trackspread/counter/failure_detector.py
+++ b/trackspread/counter/failure_detector.py
@@ -62,6 +62,7 @@
         return Heartbeat(self.incarnation, self.number, self.clock(now))
 
     def failed(self) -> None:
+        """A call on this partition's heartbeats had no answer: a read comes before the next write."""
         self.trusting = False
 
     def answered(self, now: int, sent: int, wrote: bool, reply: Reply) -> None:
--- a/trackspread/counter/host.py
+++ b/trackspread/counter/host.py
@@ -40,17 +40,20 @@
         self._asked_at = -REFRESH
 
     def start(self) -> None:
+        """Connect to the servers that are known, and begin to tick."""
         for server in self.routes.servers:
             self._link(server)
         self._tick()
 
     async def close(self) -> None:
+        """End the ticks and all connections."""
         if self._timer is not None:
             self._timer.cancel()
         for link in self._links.values():
             await link.close()
 
     def do(self, actions: list[Action]) -> None:
+        """Send the calls to the counter, hand the module its changed rights."""
         for action in actions:
             if isinstance(action, Call):
                 server = self.routes.server(action.partition)
--- a/trackspread/counter/lease.py
+++ b/trackspread/counter/lease.py
@@ -96,6 +96,7 @@
     # What is asked for.
 
     def ask(self, now: int, units: float) -> None:
+        """A request of so many units has come."""
         self.asked, self.last, self._since = self.asked + units, now, self._since + units
         if self._since >= self.terms.burst * REPORT_AFTER and self.known:
             self.due = min(self.due, self.read_at + SHORT)
@@ -113,6 +114,7 @@
         return self.want
 
     def idle(self, now: int) -> bool:
+        """Whether no request has come for so long that the lease is given back."""
         return now - self.last > IDLE
 
     # What the claims of others leave.
--- a/trackspread/counter/lease_manager.py
+++ b/trackspread/counter/lease_manager.py
@@ -140,6 +140,7 @@
     # From the clock.
 
     def tick(self, now: int) -> list[Output]:
+        """What is due at `now`, ns: calls without an answer fail, heartbeats and claims go out."""
         out: list[Output] = []
         self.due = now + TICK
         for number in [n for n, sent in self._sent.items() if now - sent.at >= TIMEOUT]:
@@ -218,6 +219,7 @@
     # From the counter.
 
     def answered(self, now: int, number: int, reply: Reply) -> list[Output]:
+        """The counter's reply to call `number`."""
         sent = self._sent.get(number)
         if sent is None or now - sent.at >= TIMEOUT:
             return self.failed(now, number)  # also after this process stood still: what it says is old
--- a/trackspread/counter/link.py
+++ b/trackspread/counter/link.py
@@ -110,10 +110,12 @@
         self.connects = 0
 
     def start(self) -> None:
+        """Connect, and again whenever the connection is lost."""
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._keep())
 
     async def close(self) -> None:
+        """End the connection for good."""
         if self._task is not None:
             self._task.cancel()
         if self._line is not None and self._line.transport is not None:
@@ -121,6 +123,7 @@
 
     @property
     def ready(self) -> bool:
+        """Whether a call could be sent now."""
         return self._line is not None
 
     def send(self, commands: Sequence[Command], done: Done) -> None:
@@ -150,6 +153,7 @@
             self._line.send(b"".join(data for data, _, _ in batch) if not number else b"", count, done)
 
     def gone(self, line: _Line) -> None:
+        """The connection `line` is lost: what was sent on it has failed."""
         if self._line is line:
             self._line = None
             self._lost()
--- a/trackspread/counter/quota_client.py
+++ b/trackspread/counter/quota_client.py
@@ -47,6 +47,7 @@
 
     @property
     def due(self) -> int:
+        """When `tick` is to be called next, ns."""
         return self.manager.due
 
     def replan(self, plans: tuple[Plan, ...]) -> None:
@@ -70,15 +71,19 @@
         return self._actions(self.manager.asked(now, customer, terms, units))
 
     def wanted(self, now: int, customer: int) -> list[Action]:
+        """The module has too little for a request of this customer that it holds."""
         return self._actions(self.manager.short(now, customer))
 
     def tick(self, now: int) -> list[Action]:
+        """What is due at `now`, ns."""
         return self._actions(self.manager.tick(now))
 
     def answered(self, now: int, number: int, reply: Reply) -> list[Action]:
+        """The counter's reply to call `number`."""
         return self._actions(self.manager.answered(now, number, reply))
 
     def failed(self, now: int, number: int) -> list[Action]:
+        """Call `number` had no answer, or none that can be read."""
         return self._actions(self.manager.failed(now, number))
 
     def _actions(self, out: list[Output]) -> list[Action]:
--- a/trackspread/counter/terms.py
+++ b/trackspread/counter/terms.py
@@ -80,6 +80,7 @@
 
 
 def pack_claim(claim: Claim) -> bytes:
+    """The claim as bytes of a field on the counter."""
     return _CLAIM.pack(claim.incarnation, claim.number, claim.share, claim.want, claim.spent, claim.level,
                        claim.clock)
 
@@ -94,10 +95,12 @@
 
 
 def pack_heartbeat(beat: Heartbeat) -> bytes:
+    """The heartbeat as bytes of a field on the counter."""
     return _HEARTBEAT.pack(beat.incarnation, beat.number, beat.clock)
 
 
 def unpack_heartbeat(data: bytes) -> Heartbeat | None:
+    """None for anything that is no heartbeat."""
     return Heartbeat(*_HEARTBEAT.unpack(data)) if len(data) == _HEARTBEAT.size else None
 
 
@@ -140,6 +143,7 @@
 
 
 def partition_of(member: int, partitions: int) -> int:
+    """Which partition a member's name is in."""
     return xxhash.xxh3_64_intdigest(member.to_bytes(8, "little")) % partitions
 
 
--- a/trackspread/handover/link.py
+++ b/trackspread/handover/link.py
@@ -88,6 +88,7 @@
             self._lost()
 
     def close(self) -> None:
+        """End the connection; descriptors that were not sent are closed."""
         if self._closed:
             return
         self._closed = True
--- a/trackspread/handover/states.py
+++ b/trackspread/handover/states.py
@@ -55,6 +55,7 @@
         self.step = "serving"
 
     def handle(self, what: Event) -> Actions:
+        """What is to be done after `what`, and the next step taken."""
         match self.step, what:
             case "serving", Event.MET:
                 self.step = "met"
@@ -100,6 +101,7 @@
         return [(Action.DROP, 0.0), (Action.COLD, 0.0)]
 
     def handle(self, what: Event) -> Actions:
+        """What is to be done after `what`, and the next step taken."""
         if what is Event.READY:
             self._ready = True
         match self.step, what:
--- a/trackspread/handover/wire.py
+++ b/trackspread/handover/wire.py
@@ -40,11 +40,14 @@
 
 
 class Packet(NamedTuple):
+    """One packet as it was read."""
+
     kind: Kind
     body: bytes
 
 
 def pack(kind: Kind, body: bytes = b"") -> bytes:
+    """The packet's bytes."""
     return _HEAD.pack(MAGIC, PROTOCOL, kind, zlib.crc32(body)) + body
 
 
@@ -66,6 +69,7 @@
 
 
 def encode(value: Any) -> bytes:
+    """A plain value as msgpack."""
     return msgspec.msgpack.encode(value)
 
 
@@ -83,6 +87,7 @@
 
 
 def given(whole: bytes) -> bytes:
+    """The packet that ends the state: its size and checksum."""
     return pack(Kind.GIVEN, encode((len(whole), zlib.crc32(whole))))
 
 
@@ -94,6 +99,7 @@
         self._size = 0
 
     def add(self, body: bytes) -> None:
+        """One more piece; raises `WireError` past the bound."""
         self._size += len(body)
         if self._size > CARRIED_MOST:
             raise WireError("too much is carried over")
--- a/trackspread/node/handover_state.py
+++ b/trackspread/node/handover_state.py
@@ -117,16 +117,19 @@
         self._tell(wire.pack(wire.Kind.PROGRESS, wire.encode(progress)))
 
     def sent(self, attempt: Attempt) -> None:
+        """An attempt was sent here after the state was exported."""
         if (call := attempt.call) is not None:
             names, plans = self._table.class_names(), self._table.module.s.plans
             self._send(Progress("sent", attempt.request, attempt.index, attempt.backend, cls=names[call.cls],
                            plan=plans[call.plan].name, customer=call.customer, units=call.units))
 
     def ended(self, event: AttemptEnded) -> None:
+        """An attempt that was still out has ended."""
         self._send(Progress("ended", event.request, event.attempt, event.backend, int(event.outcome),
                        event.elapsed, event.report))
 
     def closed(self, number: int) -> None:
+        """A request that was open has its final answer."""
         self._send(Progress("closed", number))
 
 
--- a/trackspread/node/takeover.py
+++ b/trackspread/node/takeover.py
@@ -102,6 +102,7 @@
         self.took = False
 
     def seek(self) -> None:
+        """Look for an old process, once more after one that was lost."""
         self._reassembly = Reassembly()
         found = self._rendezvous.seek()
         if found is not None:
@@ -190,6 +191,7 @@
         self._resuming: asyncio.Task[None] | None = None
 
     def listen(self) -> None:
+        """Be found by a newer process; without a place for it, serve on alone."""
         try:
             self._rendezvous.listen(self._came)
         except OSError as error:
@@ -197,6 +199,7 @@
 
     @property
     def handed(self) -> bool:
+        """Whether a newer process serves."""
         return self._steps.step == "handed"
 
     def _came(self) -> None:
@@ -271,6 +274,7 @@
         self._looker = self._loop.call_later(VACATE_LOOK, self._look)
 
     def close(self) -> None:
+        """End the connection and the search for newer processes."""
         if self._looker is not None:
             self._looker.cancel()
         self._wait(0.0)
--- a/trackspread/plans/registry.py
+++ b/trackspread/plans/registry.py
@@ -59,6 +59,7 @@
 
 
 def standing(registry: PlanRegistry) -> list[Version]:
+    """The versions that were not withdrawn, in order."""
     return [version for version in registry.versions if not version.withdrawn]
 
 
@@ -149,6 +150,7 @@
         self.reserved: dict[int, float] = {}
 
     def read(self, registry: PlanRegistry) -> None:
+        """The registry as it was just read."""
         self.registry = registry
 
     def due(self, now: int) -> tuple[Version | None, int] | None:
--- a/trackspread/usage/batch.py
+++ b/trackspread/usage/batch.py
@@ -66,6 +66,7 @@
 
 
 def rows(scan: Scan, names: Names) -> tuple[Row, ...]:
+    """The rows of a batch, in order of places; what can't be read has none."""
     return tuple(
         _row(sequence, use, names)
         for sequence, payload in sorted(scan.payloads.items()) if (use := unpack(payload)) is not None
@@ -83,6 +84,7 @@
 
 
 def encode(batch: Batch) -> bytes:
+    """The body of the call to billing."""
     return msgspec.json.encode(batch)
 
 
@@ -92,6 +94,7 @@
 
 
 def digest(body: bytes) -> str:
+    """SHA-256 in hexadecimal digits."""
     return hashlib.sha256(body).hexdigest()
 
 
@@ -101,4 +104,5 @@
 
 
 def signed(body: bytes, key: str, secret: bytes, told: str) -> bool:
+    """Whether `told` is the body's signature, in constant time."""
     return hmac.compare_digest(signature(body, key, secret).encode(), told.encode())
--- a/trackspread/usage/control.py
+++ b/trackspread/usage/control.py
@@ -94,6 +94,7 @@
 
 
 def pack(control: Control) -> bytes:
+    """The document's bytes."""
     return SCHEMA.pack(control)
 
 
--- a/trackspread/usage/host.py
+++ b/trackspread/usage/host.py
@@ -54,6 +54,7 @@
         self._look = min(LOOK_MOST, max(LOOK_LEAST, bounds.commit / 2e9))
 
     def start(self) -> None:
+        """Begin to look at what the ledger wants."""
         self._pump()
 
     def count(
--- a/trackspread/usage/segments.py
+++ b/trackspread/usage/segments.py
@@ -81,9 +81,11 @@
         self.saved = {epoch: stream.acked for epoch, stream in control.streams.items()}
 
     def add(self, epoch: int, index: int) -> None:
+        """A segment was created."""
         self._segments.add((epoch, index))
 
     def room(self) -> bool:
+        """Whether another segment may be created."""
         return len(self._segments) < self._most and not self.short
 
     def next(self, control: Control, journal: Journal | None) -> Step | None:
--- a/trackspread/usage/senders.py
+++ b/trackspread/usage/senders.py
@@ -37,9 +37,10 @@
 
 
 class Sender(Protocol):
-    """Raises `SendError`, `OSError` or `TimeoutError`."""
+    """A way to billing."""
 
-    async def send(self, post: Post) -> Reply: ...
+    async def send(self, post: Post) -> Reply:
+        """Billing's reply; raises `SendError`, `TimeoutError` and `OSError`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +78,7 @@
         self._tls = ssl.create_default_context(cafile=target.ca or None) if parts.scheme == "https" else None
 
     async def send(self, post: Post) -> Reply:
+        """Billing's reply; raises `SendError`, `TimeoutError` and `OSError`."""
         async with asyncio.timeout(PATIENCE):
             reader, writer = await asyncio.open_connection(self._host, self._port, ssl=self._tls)
             try:
@@ -142,6 +144,7 @@
         self._in, self._out = folder / "in", folder / "out"
 
     async def send(self, post: Post) -> Reply:
+        """Billing's reply; raises `SendError`, `TimeoutError` and `OSError`."""
         name = post.key.replace(":", "_") + ".json"
         await asyncio.to_thread(put, self._in, name, post.body)
         async with asyncio.timeout(PATIENCE):
--- a/trackspread/usage/totals.py
+++ b/trackspread/usage/totals.py
@@ -42,18 +42,22 @@
         self.rows: dict[tuple[int, int, int], tuple[int, int]] = {}
 
     def add(self, customer: int, day: int, ending: int, count: int, units: int) -> None:
+        """Add requests and billionths of units to one row."""
         held = self.rows.get((customer, day, ending), (0, 0))
         self.rows[customer, day, ending] = held[0] + count, held[1] + units
 
     def uses(self, uses: Iterable[Use]) -> Totals:
+        """Add each record; gives these totals."""
         for use in uses:
             self.add(use.customer, use.time // DAY_MS, use.ending, use.requests, use.units)
         return self
 
     def lines(self) -> tuple[TotalsRow, ...]:
+        """All rows, sorted."""
         return tuple(TotalsRow(*key, count, str(units)) for key, (count, units) in sorted(self.rows.items()))
 
     def add_rows(self, lines: Iterable[TotalsRow]) -> Totals:
+        """Add each row; gives these totals."""
         for line in lines:
             self.add(line.customer, line.day, line.ending, line.count, int(line.units))
         return self
@@ -64,8 +68,10 @@
 
 
 def sum_name(epoch: int, index: int) -> str:
+    """File name of one segment's totals."""
     return f"sum-{epoch:08d}-{index:06d}.json"
 
 
 def pack(totals: SegmentTotals) -> bytes:
+    """The document's bytes."""
     return SCHEMA.pack(totals)
