Capacity: changes of the list, one by one, and the operator's view of a fleet

Two costs were not on the page: a change of the list counts all backends anew (decide/fleet.py, learn), so a zone whose backends go one by one costs their number times all; and trackspread fleet view reads every gateway's word on every member.

--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -71,6 +71,7 @@
         "memory": Kind("bytes", MEMORY),
         "list_first": Kind("s", ADDED, STALL),
         "list": Kind("s", ADDED, STALL),
+        "change": Kind("s", ADDED, "one backend drains: its change alone, without its parsing"),
         "beat": Kind("share of a core", SHARE, "the module's ten beats a second"),
         "arrival": Kind("s", ADDED, REQUEST),
     }),
@@ -78,11 +79,13 @@
     Subject("line", "backends in a full list", 59_008, {
         "bytes": Kind("bytes", LINE, "a longer line is taken for no list"),
         "parse": Kind("s", ADDED, STALL),
+        "change_bytes": Kind("bytes", None, "one backend's change"),
     }),
     # The same at the backends of some 16 services.
     Subject("carried", "backends of its services", 896, {
         "list_first": Kind("s", ADDED, STALL),
         "list": Kind("s", ADDED, STALL),
+        "change": Kind("s", ADDED, "one backend drains: its change alone, without its parsing"),
         "beat": Kind("share of a core", SHARE, "the module's ten beats a second"),
         "arrival": Kind("s", ADDED, REQUEST),
     }, "backends"),
@@ -113,8 +116,12 @@
     }, program="quota_traffic"),
     Subject("counter_heartbeats", "gateways at one counter", 3_600, {
         "bytes": Kind("bytes/s", BYTES, "payload received, 8 partitions"),
-        "cpu": Kind("share of a core", SHARE, "beats alone, without words on members"),
+        "cpu": Kind("share of a core", SHARE, "heartbeats alone, without claims"),
     }, program="quota_traffic"),
+    Subject("fleet_view", "gateways asked, each of which tells of all", 800, {
+        "bytes": Kind("bytes", None, "all answers"),
+        "cpu": Kind("s", None, "read and compared, without the asking"),
+    }, program="operator_tools"),
 )
 
 
--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -76,7 +76,7 @@
 
     def _cells(self, each: Reckoned) -> tuple[str, ...]:
         row, found = each.row, each.found
-        unit = found.unit + ("" if not row.by else " /s") if found is not None else ""
+        unit = row.unit or (found.unit if found is not None else "")
         value = _no_figure(each) if each.value is None else f"{amount(each.value, unit)} ({each.state.value})"
         return (
             row.what, row.when, f"{figure(each.size)} {NAMED.get(row.at, row.at)}", value,
--- a/benchmarks/scale/reckon.py
+++ b/benchmarks/scale/reckon.py
@@ -95,10 +95,9 @@
     if state in (State.VOID, State.WRONG):
         return Reckoned(row, state, size, found, present=present)
     times = figures[row.by] if row.by else 1.0
-    limit = None if row.by else found.limit
-    return Reckoned(
-        row, state, size, found, _value(found, state, size) * times, limit, _breaks_at(found, limit), present
-    )
+    limit = figures.get(row.limit) if row.by else found.limit
+    breaks_at = _breaks_at(found, None if limit is None else limit / times)
+    return Reckoned(row, state, size, found, _value(found, state, size) * times, limit, breaks_at, present)
 
 
 def totals(role: Role, reckoned: list[Reckoned], figures: dict[str, float]) -> list[Total]:
@@ -119,7 +118,7 @@
 ) -> list[Break]:
     """All that breaks before the size asked for, the smallest share of that size first; a slope that stands
     in several roles at one size is told once."""
-    once = {(each.row.slope, each.size): each for each in reversed(reckoned)}
+    once = {(each.row.slope, each.row.by, each.size): each for each in reversed(reckoned)}
     found = [
         Break(each.row.what, each.row.at, each.breaks_at, each.size, each.row.mechanism, each.row.mend,
               each.at_the_latest)
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -23,6 +23,9 @@
     when: str = "at rest"
     # Whether it counts in the role's totals; not where another row stands for the same.
     counted: bool = True
+    # Of the product, where `by` is set: its unit, and the name of the figure that bounds it.
+    unit: str = ""
+    limit: str = ""
 
 
 class Bound(msgspec.Struct, frozen=True):
@@ -70,6 +73,12 @@
         Row("CPU: beat, commitments under way", "module.customers.beat", "tenants_ten", "decide/broker.py"),
         Row("CPU: one flat view", "membership.flat.cpu", "gateways", "membership/member.py", CELLS),
         Row("bytes: one flat view", "membership.flat.bytes", "gateways", "membership/rumours.py", CELLS),
+        Row("CPU: changes of the list", "module.backends.change", "backends", "decide/fleet.py", SUBSETS,
+            by="list_changes", unit="share of a core", limit="share"),
+        Row("bytes: changes of the list", "module.line.change_bytes", "backends", "lists/agent.py", SUBSETS,
+            by="list_changes", unit="bytes/s", limit="budget"),
+        Row("stall: a zone's backends go, each by a change of its own", "module.backends.change", "backends",
+            "decide/fleet.py", SUBSETS, when="at the peak", by="backends_zone", unit="s", limit="change_s"),
         Row("bytes: asks to homes of customers", "module.asks.bytes", "requests_gateway", "decide/quota.py",
             HOMES),
         Row("memory: routes", "module.routes.memory", "routes", "services/", NUMBERED),
@@ -109,6 +118,8 @@
         Row("memory: view of its cell", "membership.flat.memory", "cell", "cells/gateway.py"),
         Row("CPU: beat, looks at its services' backends", "module.carried.beat", "links_gateway",
             "services/"),
+        Row("CPU: changes of its services' lists", "module.carried.change", "links_gateway", "services/",
+            by="list_changes_gateway", unit="share of a core", limit="share"),
         Row("CPU: view of its cell", "membership.flat.cpu", "cell", "cells/gateway.py"),
         Row("bytes: view of its cell", "membership.flat.bytes", "cell", "cells/gateway.py"),
         Row("bytes: asks to homes of customers", "module.asks.bytes", "requests_gateway", "decide/quota.py",
@@ -188,9 +199,9 @@
     (
         Row("bytes a second while all gateways start within 9 s", "module.line.bytes", "backends",
             "lists/turns.py", "a relay tier on control machines that holds one watch and hands lists on by "
-            "service", by="calls_start", when="at the peak"),
+            "service", by="calls_start", when="at the peak", unit="bytes/s"),
         Row("the same by service", "module.carried_line.bytes", "links_gateway", "services/",
-            by="calls_start", when="at the peak"),
+            by="calls_start", when="at the peak", unit="bytes/s"),
     ),
 )
 COUNTER = Role(
@@ -209,7 +220,11 @@
     "`trackspread fleet` asks each door that it is given, one by one; `trackspread plans` writes a file that "
     "has to be brought to every gateway.",
     (
-        Row("s to ask the whole fleet", "tools.fleet_s", "gateways", "commands/fleet.py",
+        Row("bytes of all answers of the whole fleet", "module.fleet_view.bytes", "gateways",
+            "commands/fleet.py", "one question to the control tier that answers for all cells"),
+        Row("CPU s to read and compare them", "module.fleet_view.cpu", "gateways", "commands/fleet.py",
+            "one question to the control tier that answers for all cells"),
+        Row("s to ask the whole fleet, one by one", "tools.fleet_s", "gateways", "commands/fleet.py",
             "one question to the control tier that answers for all cells"),
         Row("s to bring a plan book to every gateway", "tools.plans_s", "gateways",
             "distribution/serving.py"),
--- a/benchmarks/scale/subjects.py
+++ b/benchmarks/scale/subjects.py
@@ -80,6 +80,11 @@
     return Topology(ListKind.FULL, version, entries)
 
 
+def drain(number: int) -> Topology:
+    """Discovery's word that one backend drains."""
+    return Topology(ListKind.DELTA, 100, (Backend(number, number % 12, 0, 0, Health.DRAINING, 1.0, 0),))
+
+
 class Driver:
     """Feeds one module: requests that are answered at once, and time."""
 
@@ -152,10 +157,11 @@
     for version in range(2, 2 + REPEATS):
         made = full_list(size, version)
         again.append(took(partial(driver.handle, made)))
+    changes = [took(partial(driver.handle, drain(number))) for number in range(1, 1 + REPEATS)]
     beats = [took(driver.tick) for _ in range(REPEATS)]
     requests = served(driver, local_customers(KNOWN, driver), arrivals(size))
     return {
-        "memory": held, "list_first": first, "list": median(again),
+        "memory": held, "list_first": first, "list": median(again), "change": median(changes),
         "beat": median(beats) * SECOND / TICK, "arrival": median(requests),
     }
 
@@ -178,10 +184,11 @@
         for number in range(1, size + 1)
     ]
     text = json.dumps({"seq": 1, "whole": True, "hosts": hosts}, separators=(",", ":")).encode()
+    change = json.dumps({"seq": 2, "whole": False, "hosts": hosts[:1]}, separators=(",", ":")).encode()
     del hosts
     zones = tuple(f"zone-{number}" for number in range(12))
     steps = [took(lambda: parse_update(json.loads(text), zones, ("m1",))) for _ in range(REPEATS)]
-    return {"bytes": len(text), "parse": median(steps)}
+    return {"bytes": len(text), "parse": median(steps), "change_bytes": len(change)}
 
 
 def plans(size: int) -> Figures:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -197,6 +197,14 @@
     assert (told.limit, told.breaks_at) == (None, None)
 
 
+def test_a_row_times_another_figure_is_held_against_the_limit_that_it_names() -> None:
+    row = roles.Row("bytes: all", "cost", "gateways", "decide/fleet.py", by="calls", limit="budget")
+    told = one(slope(), row)
+    assert told.limit == 5000.0
+    assert told.room == pytest.approx(5000 / 144_000)
+    assert told.breaks_at == pytest.approx(5000 / 10 / 2)
+
+
 def test_rows_of_a_kind_are_added_up_and_those_without_a_figure_told() -> None:
     role = roles.Role("a role", "state", (), added_up=True)
     twice = roles.Row("memory: the same", "cost", "gateways", "decide/fleet.py", counted=False)
