Capacity: changes of the list measured; a void measurement takes no place of one that counts

A second run of module.carried was void in four of its figures (load 14 to 16 on 8 cores) and had put itself in place of the first one, which counts: merging keeps that now.

--- a/benchmarks/scale/demand.py
+++ b/benchmarks/scale/demand.py
@@ -71,6 +71,8 @@
     Line("carried", "services that a gateway carries, as this page reckons", "carried_by_choice", "",
          "**missing**: nothing in the program says of which service a request is, nor who carries it"),
     Line("links_gateway", "connections a gateway then holds", "carried * backends_service", ""),
+    Line("descriptors_gateway", "descriptors then held, with as many clients as there is room for",
+         "links_gateway + links_most + descriptors_kept", "", "of 1,024"),
     Line("gateways_service", "gateways a service, and connections a backend",
          "gateways * carried / services", ""),
     Line("gateways_service_zone", "the same in one zone", "gateways_service / zones", ""),
--- a/tests/test_scale_fit.py
+++ b/tests/test_scale_fit.py
@@ -118,6 +118,15 @@
     assert load(path).find("c") is None
 
 
+def test_a_void_measurement_takes_no_place_of_one_that_counts() -> None:
+    points = made(Shape.LINEAR, 1.0, 2.0)
+    counts = measurement("a", "gateways", "s", points, (800, 1600), RUN)
+    void = measurement("a", "gateways", "s", points, (800, 1500), RUN, void=True)
+    assert Slopes((counts,)).with_all([void]) == Slopes((counts,))
+    assert Slopes((void,)).with_all([counts]) == Slopes((counts,))
+    assert Slopes().with_all([void]) == Slopes((void,))
+
+
 def spoil(path: Path, key: str, value: object) -> None:
     """Sets one key of the first measurement of a file."""
     document = json.loads(path.read_text())
