Scale run: hollow members of the view on real sockets, costs fitted and held out, faults

Cause: nothing measured what the fleet's view costs beyond some dozens of gateways, and figures by hand can't be held against a size of 7,200.

`python -m benchmarks.scale` starts processes of hollow members (the view's own core, wire and host on UDP and TCP of loopback) and real gateways under load beside them, measures CPU, bytes and memory a member and the coordinator's bytes at four sizes, predicts at twice the largest and measures there; and strikes a rack, a zone, a region that is cut off, restarts and the coordinator. A guard keeps it to 200 processes and 12 GB; loops that lagged make a run void.

--- /dev/null
+++ b/benchmarks/scale/beside.py
@@ -0,0 +1,102 @@
+"""Real gateways beside the hollow ones: members of the same view, under load, decided on by the judge.
+
+May know: the harness's fleets, where the view's seeds are. May not know: hollow processes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+
+import msgspec
+
+from trackspread.harness.fleet import Fleet
+from trackspread.judge.beliefs import Reader
+from trackspread.judge.verdict import Verdict
+from trackspread.standins.loopback import Address, Ports
+from trackspread.standins.scene import Scene
+
+from .bounds import Guard
+from .messages import Who
+from .view import Number, View, digest
+
+MEMBER_PORT = 7400
+LOAD = 0.15  # of what the rating nodes can do
+
+
+class Record:
+    """What one gateway has recorded of itself and its view; what was read once is not read again."""
+
+    def __init__(self, path: Path) -> None:
+        self._reader, self._read = Reader([path]), 0
+        self.who: Who = ("", 0)
+        self.view = View(0, (0, -1, 0))
+
+    def look(self) -> bool:
+        """Whether it has begun."""
+        found = self._reader.all()
+        for each in found[self._read:]:
+            if each.kind == "started":
+                self.who = each.who
+            elif each.kind == "view":
+                members = msgspec.convert(each.about["members"], tuple[Who, ...])
+                self.view = View(digest(members), msgspec.convert(each.about["number"], Number))
+        self._read = len(found)
+        return bool(self.who[0])
+
+
+class RealGateways:
+    """Use as `async with`: they serve from its beginning to `verdict`."""
+
+    def __init__(
+        self, count: int, seeds: Sequence[str], most: int, guard: Guard, fleet: str, nodes: int = 6
+    ) -> None:
+        """`seeds`: `host:port` of the view's; `most`: members at most; `fleet`: the view's name."""
+        guard.admit(count)
+        self._ports = Ports()
+        self._at: dict[str, Address] = {f"n{n}": (self._ports.host(), MEMBER_PORT) for n in range(count)}
+        self._seeds, self._most, self._name = seeds, most, fleet
+        scene = Scene(gateways=count, nodes=nodes, load=LOAD, seed=49)
+        self._fleet = Fleet(scene, own=self._table)
+        self._records = [Record(self._record(name)) for name in self._at]
+
+    async def __aenter__(self) -> RealGateways:
+        await self._fleet.__aenter__()
+        self._fleet.ask()
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self._fleet.__aexit__(kind, error, trace)
+        self._ports.close()
+
+    def _record(self, name: str) -> Path:
+        return self._fleet.folder / f"{name}.view"
+
+    def _table(self, name: str) -> str:
+        """The operator's table of one."""
+        seeds = ", ".join(f'"{seed}"' for seed in self._seeds)
+        host, port = self._at[name]
+        return (f'\n[fleet]\nname = "{self._name}"\nlisten = "{host}:{port}"\nseeds = [{seeds}]\n'
+                f'most = {self._most}\nrecord = "{self._record(name)}"\n')
+
+    def running(self) -> list[Who]:
+        """The members that they are, by their records."""
+        return [record.who for record in self._records if record.look()]
+
+    def views(self) -> set[View]:
+        """What each of them holds now, by its record: the digest of the view's members, and its number."""
+        return {record.view for record in self._records if record.look()}
+
+    def memory(self) -> int:
+        """Bytes that the largest of them held at most."""
+        for gateway in self._fleet.gateways:
+            gateway.measure()
+        return max(gateway.peak for gateway in self._fleet.gateways)
+
+    async def verdict(self) -> Verdict:
+        """No more is asked; all that was is seen to its end, and the judge decides."""
+        await self._fleet.settle()
+        return self._fleet.verdict()
--- /dev/null
+++ b/benchmarks/scale/hollow.py
@@ -0,0 +1,282 @@
+"""A process of hollow members: the real core, wire and host of the view, on real sockets, that serve nothing.
+
+Reads one command a line from standard input and answers each on standard output (`messages.py`); ends when
+standard input does. May know: the view's host. May not know: what the run makes of its figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import sys
+import time
+from collections import deque
+from collections.abc import Coroutine, Iterable
+
+import msgspec
+import uvloop
+
+from trackspread.membership.host import Host, born_now
+from trackspread.membership.member import ENTROPY
+from trackspread.membership.terms import Action, Exchange, Number, Say, Settings, Table, Told
+from trackspread.membership.wire import Keys, Wire
+
+from .bounds import resident
+from .lag import LagWatch
+from .messages import (
+    Begin, Command, Crash, Cut, DeadVerdict, Done, End, Held, Life, Look, Measure, Measured, Reply, Settle,
+    Setup, Traffic, Who,
+)
+from .placement import Address, Partition, name_of
+from .view import digest
+
+VERDICTS_MOST = 20_000  # kept between two questions; more are not counted one by one
+SECOND = 1.0  # s over which a member's peak is counted
+LINE_MOST = 64 << 20  # bytes of a command
+
+
+class CountingWire(Wire):
+    """Counts the bytes of tables; datagrams are counted by the host, at its socket."""
+
+    sent = received = 0
+
+    def pack_table(self, table: Table) -> bytes:
+        made = super().pack_table(table)
+        self.sent += len(made)
+        return made
+
+    def unpack_table(self, data: bytes) -> Table | None:
+        self.received += len(data)
+        return super().unpack_table(data)
+
+
+class HollowHost(Host):
+    """One hollow member."""
+
+    def __init__(self, settings: Settings, wire: CountingWire, seed: int, process: HollowProcess) -> None:
+        super().__init__(settings, settings.address, wire, seed, time.monotonic_ns)
+        self._process, self._tables = process, wire
+        self._last_second = (0, 0)
+        self._suspected: dict[Who, int] = {}  # since when each is held for suspect
+
+    def came(self, data: bytes, source: Address) -> None:
+        if self._process.partition.passes(source, self.settings.address):
+            super().came(data, source)
+
+    def _do(self, actions: Iterable[Action]) -> None:
+        super()._do(each for each in actions if self._goes(each))
+
+    def _goes(self, action: Action) -> bool:
+        """No table goes over a cut way, nor a datagram to a gateway that does not drop it itself."""
+        match action:
+            case Exchange(to):
+                return self._process.partition.passes(self.settings.address, to)
+            case Say(to, _):
+                return self._process.hollow(to) or self._process.partition.passes(self.settings.address, to)
+        return True
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A hollow member does not begin what is cut; a real gateway knows nothing of the cut."""
+        source = writer.get_extra_info("peername") or ("", 0)
+        passes = self._process.partition.passes((source[0], 0), self.settings.address)
+        if not passes and not self._process.hollow(source):
+            writer.close()
+            return
+        try:
+            await super()._serve(reader, writer)
+        except asyncio.CancelledError:  # the process ends
+            writer.close()
+
+    def _told(self, told: Told) -> None:
+        super()._told(told)
+        if told.kind == "member":
+            self._judged(told.about["who"], str(told.about["state"]), str(told.about["by"]))  # type: ignore[arg-type]
+
+    def _judged(self, who: Who, state: str, teller: str) -> None:
+        now = time.monotonic_ns()
+        if state == "SUSPECT":
+            self._suspected.setdefault(who, now)
+            return
+        since = self._suspected.pop(who, now)
+        if state == "DEAD":
+            own = teller == self.settings.name
+            self._process.verdicts.append(DeadVerdict(now, self.settings.name, who, own, since))
+
+    def traffic(self) -> Traffic:
+        sent = self.counts["bytes sent"] + self._tables.sent
+        return Traffic(self.settings.name, sent, self.counts["bytes received"] + self._tables.received)
+
+    def last_second(self) -> int:
+        """Bytes since the last call, the greater of sent and received."""
+        traffic, before = self.traffic(), self._last_second
+        self._last_second = traffic.sent, traffic.received
+        return max(traffic.sent - before[0], traffic.received - before[1])
+
+    def spread_entropy(self, rng: random.Random) -> None:
+        """Its next exchange of tables with one at random, at any moment of the interval between two."""
+        self.core._entropy_at = time.monotonic_ns() + int(ENTROPY * rng.random())
+
+    def crash(self) -> None:
+        """Nothing is said any more; both sockets close."""
+        self.core.gone = True
+        self.close()
+
+
+class HollowProcess:
+    """All hollow members of one process, and what the run asks of them."""
+
+    def __init__(self, setup: Setup) -> None:
+        self.setup = setup
+        self.partition = Partition(setup.placement)
+        self._hosts: dict[int, HollowHost] = {}
+        self._ended = (0, 0, 0)  # datagrams, bytes sent, bytes received of members that have ended
+        self._lives: dict[Who, Life] = {}
+        self.verdicts: deque[DeadVerdict] = deque(maxlen=VERDICTS_MOST)
+        self._peak, self._peak_name = 0, ""
+        self._rng = random.Random(f"hollow:{setup.process}")
+        self._watch = LagWatch()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._digests: dict[Number, tuple[tuple[Who, ...], int]] = {}
+
+    def start(self) -> None:
+        self._watch.start()
+        self._keep(self._every_second())
+
+    async def close(self) -> None:
+        self._watch.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        for host in self._hosts.values():
+            host.crash()
+
+    def hollow(self, address: Address) -> bool:
+        """Whether a host is a hollow process's."""
+        return address[0] in self.setup.placement.hosts
+
+    async def do(self, command: Command) -> Reply:
+        match command:
+            case Begin():
+                await self._begin(command)
+            case Crash():
+                for number in command.numbers:
+                    self._crash(number)
+            case Cut():
+                self.partition.cut(command.regions)
+            case Settle():
+                for host in self._hosts.values():
+                    host.spread_entropy(self._rng)
+            case Look():
+                return self._look()
+            case Measure():
+                return self._measure()
+        return Done(time.monotonic_ns())
+
+    # Members.
+
+    async def _begin(self, command: Begin) -> None:
+        each = command.spread / max(1, len(command.numbers))
+        for number in command.numbers:
+            await self._start(number)
+            await asyncio.sleep(each)
+
+    async def _start(self, number: int) -> None:
+        setup, place = self.setup, self.setup.placement
+        settings = Settings(
+            setup.fleet, name_of(number), born_now(), place.address(number),
+            tuple(place.address(seed) for seed in setup.seeds), "hollow", most=setup.most,
+        )
+        wire = CountingWire(setup.fleet, Keys(), setup.most)
+        host = HollowHost(settings, wire, self._rng.getrandbits(60), self)
+        await host.start()
+        self._hosts[number] = host
+        self._lives[settings.who] = Life(settings.who, time.monotonic_ns())
+
+    def _crash(self, number: int) -> None:
+        host = self._hosts.pop(number)
+        traffic, ended, who = host.traffic(), self._ended, host.settings.who
+        self._ended = ended[0] + host.counts["sent"], ended[1] + traffic.sent, ended[2] + traffic.received
+        self._lives[who] = Life(who, self._lives[who].since, time.monotonic_ns())
+        host.crash()
+
+    # What they hold and have used.
+
+    def _look(self) -> Held:
+        distinct, telling, without = set(), 0, 0
+        now = time.monotonic_ns()
+        for host in self._hosts.values():
+            core = host.core
+            members = self._digest(core.number(), core.view.members) if core.view is not None else 0
+            distinct.add((core.people.digest(), members, core.number()))
+            telling += len(core.rumours)
+            without += not core.part(now)
+        running = tuple(host.settings.who for host in self._hosts.values())
+        return Held(tuple(distinct), running, telling, without)
+
+    def _digest(self, number: Number, members: tuple[Who, ...]) -> int:
+        """Of a view's members; made once for all that hold the same."""
+        kept = self._digests.get(number)
+        if kept is None or kept[0] != members:
+            self._digests = {n: each for n, each in self._digests.items() if n[:2] == number[:2]}
+            kept = self._digests[number] = members, digest(members)
+        return kept[1]
+
+    def _measure(self) -> Measured:
+        hosts = self._hosts.values()
+        traffics = [host.traffic() for host in hosts]
+        now = time.monotonic_ns()
+        leading = tuple(host.traffic() for host in hosts if host.core.owns(now))
+        verdicts = tuple(self.verdicts)
+        self.verdicts.clear()
+        peak, name, self._peak, self._peak_name = self._peak, self._peak_name, 0, ""
+        return Measured(
+            now, time.process_time(), resident(os.getpid()), len(traffics),
+            self._ended[0] + sum(host.counts["sent"] for host in hosts),
+            self._ended[1] + sum(each.sent for each in traffics),
+            self._ended[2] + sum(each.received for each in traffics),
+            leading, name, peak, self._watch.take(), tuple(self._lives.values()), verdicts,
+        )
+
+    async def _every_second(self) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            due += SECOND
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            for host in self._hosts.values():
+                if (sent := host.last_second()) > self._peak:
+                    self._peak, self._peak_name = sent, host.settings.name
+
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def serve() -> None:
+    """Commands from standard input, one after the other, until it ends."""
+    reader = asyncio.StreamReader(limit=LINE_MOST)
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    decode = msgspec.json.Decoder(Command).decode
+    process: HollowProcess | None = None
+    while line := await reader.readline():
+        command = decode(line)
+        if isinstance(command, Setup):
+            process = HollowProcess(command)
+            process.start()
+            reply: Reply = Done(time.monotonic_ns())
+        elif process is None:
+            raise SystemExit("the first command has to be a Setup")
+        else:
+            reply = await process.do(command)
+        sys.stdout.buffer.write(msgspec.json.encode(reply) + b"\n")
+        sys.stdout.buffer.flush()
+        if isinstance(command, End):
+            break
+    if process is not None:
+        await process.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(serve())
--- /dev/null
+++ b/benchmarks/scale/hollows.py
@@ -0,0 +1,154 @@
+"""The run's side of its hollow processes: starts them, asks them, ends them.
+
+May know: processes, messages. May not know: what is measured for what.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import time
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from trackspread.harness.process import END_MOST
+from trackspread.standins.loopback import Ports
+
+from .bounds import Guard
+from .messages import (
+    Begin, Command, Crash, Cut, Done, End, Held, Look, Measure, Measured, Reply, Settle, Setup,
+)
+from .placement import Placement
+
+ANSWER_MOST = 60.0  # s for one answer: a process that takes longer is stuck
+LINE_MOST = 64 << 20  # bytes of one answer
+
+
+class HollowFailed(Exception):
+    """A hollow process has ended, or does not answer."""
+
+
+class Child:
+    """One hollow process."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self._process = process
+        self._decoder = msgspec.json.Decoder[Reply](Reply)
+        self._one = asyncio.Lock()
+
+    @classmethod
+    async def start(cls) -> Child:
+        return cls(await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "benchmarks.scale.hollow", stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, limit=LINE_MOST, env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        ))
+
+    async def ask(self, command: Command, more: float = 0.0) -> Reply:
+        """`more`: s that the command itself takes. Raises `HollowFailed`."""
+        reader, writer = self._process.stdout, self._process.stdin
+        if reader is None or writer is None:
+            raise HollowFailed("a hollow process has no pipes")
+        async with self._one:
+            try:
+                async with asyncio.timeout(ANSWER_MOST + more):
+                    writer.write(msgspec.json.encode(command) + b"\n")
+                    await writer.drain()
+                    line = await reader.readline()
+            except (OSError, TimeoutError) as error:
+                raise HollowFailed(f"no answer to {type(command).__name__}: {error!r}") from None
+        if not line:
+            raise HollowFailed(f"ended before it answered to {type(command).__name__}")
+        reply: Reply = self._decoder.decode(line)
+        return reply
+
+    async def close(self) -> None:
+        if self._process.returncode is not None:
+            return
+        try:
+            async with asyncio.timeout(END_MOST):
+                if self._process.stdin is not None:
+                    self._process.stdin.close()
+                await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+
+
+class HollowFleet:
+    """Use as `async with HollowFleet(...) as hollow`; no member runs at first."""
+
+    def __init__(self, processes: int, seeds: Sequence[int], most: int, guard: Guard, fleet: str) -> None:
+        """`seeds`: numbers of the members that are the view's seeds; `most`: members at most."""
+        self._count, self._seeds, self._most, self._guard = processes, tuple(seeds), most, guard
+        self._fleet = fleet
+        self._ports = Ports()
+        self.placement = Placement(tuple(self._ports.host() for _ in range(processes)))
+        self.children: list[Child] = []
+        self.running: set[int] = set()
+
+    async def __aenter__(self) -> HollowFleet:
+        self._guard.admit(self._count)
+        try:
+            self.children = list(await asyncio.gather(*(Child.start() for _ in range(self._count))))
+            await asyncio.gather(*(
+                child.ask(Setup(n, self.placement, self._fleet, self._seeds, self._most))
+                for n, child in enumerate(self.children)
+            ))
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        await asyncio.gather(*(child.close() for child in self.children))
+        self._ports.close()
+
+    def seeds(self) -> list[str]:
+        """As `host:port`, for a real gateway's file."""
+        return ["{}:{}".format(*self.placement.address(seed)) for seed in self._seeds]
+
+    def _dealt(self, numbers: Iterable[int]) -> list[tuple[Child, tuple[int, ...]]]:
+        dealt: dict[int, list[int]] = {}
+        for number in numbers:
+            dealt.setdefault(self.placement.process(number), []).append(number)
+        return [(self.children[process], tuple(mine)) for process, mine in dealt.items()]
+
+    async def begin(self, numbers: Iterable[int], spread: float = 0.0) -> int:
+        """Start these, the last of them `spread` s after the first; ns of the clock when all had begun."""
+        chosen = sorted(set(numbers) - self.running)
+        replies = await asyncio.gather(
+            *(child.ask(Begin(mine, spread), spread) for child, mine in self._dealt(chosen)))
+        self.running |= set(chosen)
+        return max((each.at for each in replies if isinstance(each, Done)), default=time.monotonic_ns())
+
+    async def crash(self, numbers: Iterable[int]) -> int:
+        """End these without a word; ns of the clock when the last had ended."""
+        chosen = sorted(set(numbers) & self.running)
+        replies = await asyncio.gather(*(child.ask(Crash(mine)) for child, mine in self._dealt(chosen)))
+        self.running -= set(chosen)
+        return max((each.at for each in replies if isinstance(each, Done)), default=time.monotonic_ns())
+
+    async def cut(self, regions: Iterable[int]) -> int:
+        """Cut these regions off from all others, none to make it whole; ns when all knew."""
+        replies = await self._all(Cut(tuple(regions)))
+        return max(each.at for each in replies if isinstance(each, Done))
+
+    async def spread_entropy(self) -> None:
+        await self._all(Settle())
+
+    async def look(self) -> list[Held]:
+        return [each for each in await self._all(Look()) if isinstance(each, Held)]
+
+    async def measure(self) -> list[Measured]:
+        return [each for each in await self._all(Measure()) if isinstance(each, Measured)]
+
+    async def end(self) -> None:
+        await self._all(End())
+
+    async def _all(self, command: Command) -> list[Reply]:
+        return list(await asyncio.gather(*(child.ask(command) for child in self.children)))
--- /dev/null
+++ b/tests/test_scale_run.py
@@ -0,0 +1,281 @@
+"""The scale run: its bounds, its verdicts on lag and on the dead, its JSON, and one small run on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import msgspec
+import pytest
+import uvloop
+
+from benchmarks.scale import report, slopes
+from benchmarks.scale.bounds import Guard, OverBound, ProcessEntry, Use, tree
+from benchmarks.scale.hollows import HollowFleet
+from benchmarks.scale.lag import LATE, WORST_MOST, Lag, LagWatch, together
+from benchmarks.scale.messages import DeadVerdict, Held, Life, Measured, Traffic
+from benchmarks.scale.placement import (
+    PORT, RACKS, REGIONS, ZONES, Partition, Placement, name_of, number_of, of_rack, of_zone, region_of,
+)
+from benchmarks.scale.verdicts import Cutoff, hearsay, wrong
+from benchmarks.scale.view import View, digest, settled
+from benchmarks.scale.viewed import Cost, Outcome, ViewedFleet, cost
+
+MB = 1 << 20
+PLACED = Placement(("127.192.0.1", "127.192.0.2"))
+
+
+# Bounds.
+
+
+def entries(children: int, memory: int) -> list[ProcessEntry]:
+    """A run with so many children of so many bytes each, beside processes that are not its own."""
+    own = [ProcessEntry(100, 1, 10 * MB), *(ProcessEntry(200 + n, 100, memory) for n in range(children))]
+    return [*own, ProcessEntry(300, 200, memory), ProcessEntry(400, 1, 1 << 40)]
+
+
+def test_a_tree_counts_all_descendants_and_nothing_else() -> None:
+    assert tree(100, entries(2, MB)) == Use(4, 13 * MB)
+
+
+def test_the_guard_refuses_to_start_more_processes_than_its_bound() -> None:
+    guard = Guard(processes_most=10, look=lambda: entries(4, MB), root=100)
+    guard.admit(4)
+    with pytest.raises(OverBound, match="processes: 11 would run, wanted at most 10"):
+        guard.admit(5)
+
+
+def test_the_guard_ends_a_run_that_passes_its_bounds_and_remembers_the_most() -> None:
+    children = [2, 4, 1]
+    guard = Guard(processes_most=5, memory_most=16 * MB, look=lambda: entries(children[0], MB), root=100)
+    guard.check()
+    children[0] = 4
+    with pytest.raises(OverBound, match="processes: found 6, wanted at most 5"):
+        guard.check()
+    children[0] = 1
+    guard.check()
+    assert guard.most == Use(6, 15 * MB)
+    heavy = Guard(processes_most=5, memory_most=16 * MB, look=lambda: entries(1, 4 * MB), root=100)
+    with pytest.raises(OverBound, match="memory"):
+        heavy.check()
+
+
+def test_the_guard_sees_this_very_process() -> None:
+    use = Guard().check()
+    assert use.processes >= 1 and use.memory > MB
+
+
+# Lag.
+
+
+def test_a_span_is_void_by_one_long_lag_or_by_many_short_ones() -> None:
+    assert not Lag(1000, 10, LATE + 0.01).void
+    assert Lag(1000, 11, LATE + 0.01).void
+    assert Lag(100_000, 1, WORST_MOST + 0.01).void
+    assert together([Lag(10, 0, 0.01), Lag(10, 0, WORST_MOST + 0.1)]).void
+    assert not together([]).void
+
+
+def test_a_watch_counts_beats_and_begins_anew_when_it_is_read() -> None:
+    watch = LagWatch()
+    for late in (-0.001, 0.02, LATE + 0.05):
+        watch.note(late)
+    assert watch.take() == Lag(3, 1, LATE + 0.05)
+    assert watch.take() == Lag()
+
+
+def test_a_loop_that_stands_still_is_seen() -> None:
+    async def stand_still() -> Lag:
+        watch = LagWatch()
+        watch.start()
+        await asyncio.sleep(0.05)
+        time.sleep(WORST_MOST + 0.1)
+        await asyncio.sleep(0.05)
+        watch.stop()
+        return watch.take()
+
+    assert uvloop.run(stand_still()).void
+
+
+# Where members are, and what a cut drops.
+
+
+def test_each_number_has_an_address_of_its_own_that_leads_back_to_it() -> None:
+    assert {PLACED.number(PLACED.address(number)) for number in range(50)} == set(range(50))
+    assert PLACED.number(("127.0.0.1", PORT)) is None
+    assert PLACED.number(("127.192.0.1", PORT - 1)) is None
+    assert number_of(name_of(7)) == 7 and number_of("n7") is None
+
+
+def test_racks_lie_in_zones_and_zones_in_regions() -> None:
+    numbers = range(10 * RACKS)
+    assert len(of_rack(7, numbers)) == 10 and len(of_zone(5, numbers)) == 10 * RACKS // ZONES
+    for rack in range(RACKS):
+        mine = of_rack(rack, numbers)
+        assert len({number % ZONES for number in mine}) == 1
+        assert len({region_of(number) for number in mine}) == 1
+
+
+def test_a_cut_drops_what_goes_between_regions_in_both_directions_and_heals() -> None:
+    partition = Partition(PLACED)
+    region_3, region_0, real = PLACED.address(3), PLACED.address(4), ("127.200.0.1", 7400)
+    assert partition.passes(region_3, region_0)
+    partition.cut([3])
+    assert not partition.passes(region_3, region_0) and not partition.passes(region_0, region_3)
+    assert not partition.passes(region_3, real) and not partition.passes(real, region_3)
+    assert partition.passes(region_3, PLACED.address(3 + REGIONS)) and partition.passes(region_0, real)
+    partition.cut([])
+    assert partition.passes(region_3, region_0)
+
+
+# Verdicts on the dead.
+
+WHO = (name_of(3), 1)
+LIVES = [Life(WHO, 100, 500), Life((name_of(4), 1), 100)]
+
+
+def dead(at: int, by: int, of: int, own: bool = True, suspected: int | None = None) -> DeadVerdict:
+    return DeadVerdict(at, name_of(by), (name_of(of), 1), own, at if suspected is None else suspected)
+
+
+def test_only_a_process_that_ran_was_called_dead_by_mistake() -> None:
+    mistaken, late, unknown = dead(499, 1, 3), dead(500, 1, 3), dead(300, 1, 99)
+    assert wrong([mistaken, late, unknown], LIVES) == [mistaken]
+
+
+def test_who_is_cut_off_is_called_dead_rightly_also_where_the_suspicion_outlasts_the_cut() -> None:
+    cut = [Cutoff(3, 200, 300)]
+    during, after = dead(250, 4, 3), dead(400, 4, 3, suspected=310)
+    outlasting = dead(320, 4, 3, suspected=290)
+    same_side = dead(250, 7, 3)
+    assert wrong([during, outlasting, after, same_side], LIVES, cut) == [after, same_side]
+    assert wrong([during], LIVES, [Cutoff(3, 200)]) == []
+
+
+def test_what_others_told_is_counted_apart() -> None:
+    told = dead(250, 7, 3, own=False)
+    assert wrong([told], LIVES) == [] and hearsay([told], LIVES) == {WHO}
+
+
+# Whether all hold the same.
+
+
+def test_a_fleet_is_settled_when_all_hold_one_view_of_just_those_that_run() -> None:
+    running = ((name_of(0), 1), (name_of(1), 1))
+    real = [("n0", 5)]
+    wanted, number = digest(sorted([*running, *real])), (3, 0, 1)
+    whole = Held(((wanted, wanted, number),), running, 0)
+    assert settled([whole], real, {View(wanted, number)})
+    assert not settled([whole], real, {View(wanted, (3, 0, 2))})
+    assert not settled([whole], [], set())
+    assert not settled([Held(((wanted, 7, number),), running, 0)], real, {View(wanted, number)})
+    assert not settled([Held(((7, wanted, number),), running, 0)], real, {View(wanted, number)})
+
+
+# Costs.
+
+
+def measured(at: int, cpu: float, sent: int, leading: int | None = None, members: int = 10) -> Measured:
+    led = () if leading is None else (Traffic(name_of(0), leading, leading // 2),)
+    lag = Lag(100, 0, 0.01)
+    return Measured(at, cpu, 30 * MB, members, sent // 100, sent, 2 * sent, led, "", 0, lag, (), ())
+
+
+def test_a_cost_is_by_member_and_second_and_the_coordinator_is_told_apart() -> None:
+    second = 1_000_000_000
+    before = [measured(0, 1.0, 0, 0), measured(0, 2.0, 0)]
+    after = [measured(2 * second, 1.4, 10_000, 6_000), measured(2 * second, 2.2, 30_000)]
+    found = cost(before, after, 40 * MB, 23, Lag())
+    assert (found.members, found.sent, found.received, found.bytes) == (23, 1000.0, 2000.0, 2000.0)
+    assert found.cpu == pytest.approx((0.2 + 0.1) / 20)
+    assert found.memory == 1 * MB
+    assert (found.coordinator_sent, found.coordinator_received) == (3000.0, 1500.0)
+    assert found.coordinator_cpu == pytest.approx(0.2 - 9 * 0.1 / 10)
+
+
+# The JSON object.
+
+RUN = slopes.Run("2026-12-02T05:10Z", "python -m benchmarks.scale --quick", "abc1234")
+KEYS = {
+    "sizes", "holdout_error_worst", "gateway_cpu_share_at_size", "gateway_memory_mb_at_size",
+    "gateway_bytes_s_at_size", "busiest_control_bytes_s_at_size", "control_machines_at_size",
+    "change_s_worst", "settle_s_zone", "settle_s_region_heal", "false_dead", "added_p99_ms", "hollow",
+    "processes", "memory_gb", "violations", "void", "not_run", "limits_kept",
+}
+
+
+def priced(members: int, cpu: float, lag: Lag | None = None) -> Cost:
+    return Cost(members, cpu, 2000.0, 2100.0, 10.0, 1e5, 600.0 * members, 600.0 * members, 0.1,
+                lag or Lag(100, 0, 0.01), Lag())
+
+
+def fitted(held_out: float, lag: Lag | None = None) -> report.Report:
+    sizes = [16, 32, 48, 64]
+    costs = [priced(size, 0.0001 * size) for size in sizes]
+    last = priced(128, held_out, lag)
+    made = report.Report(command="", commit="", date="")
+    report.put_costs(made, [*costs, last])
+    report.put_flat(made, report.flat_measurements(costs, last, RUN))
+    return made
+
+
+def test_the_object_has_all_keys_and_says_which_limits_are_kept() -> None:
+    made = fitted(0.0128)
+    report.put_limits(made, full=True)
+    told = json.loads(msgspec.json.encode(made))
+    assert set(told) >= KEYS
+    assert told["sizes"] == [16, 32, 48, 64, 128] and told["hollow"] == 128
+    assert told["gateway_cpu_share_at_size"] == pytest.approx(0.72)
+    assert told["busiest_control_bytes_s_at_size"] == pytest.approx(600 * report.SIZE)
+    kept = told["limits_kept"]
+    assert kept["gateway_cpu_share_at_size"] is False and kept["gateway_bytes_s_at_size"] is True
+    assert kept["change_s_worst"] is None and kept["hollow"] is False
+
+
+def test_a_fit_that_missed_gives_no_figure_and_says_so() -> None:
+    made = fitted(0.02)
+    assert made.gateway_cpu_share_at_size is None and made.holdout_error_worst == pytest.approx(0.36)
+    assert any("membership.flat.cpu" in line for line in made.not_run)
+    report.put_limits(made, full=False)
+    assert made.limits_kept["holdout_error_worst"] is False
+
+
+def test_a_lag_in_any_span_makes_the_run_void() -> None:
+    assert not fitted(0.0128).void
+    made = fitted(0.0128, Lag(100, 0, WORST_MOST + 0.1))
+    assert made.void and made.lag_ms_worst == pytest.approx(1000 * (WORST_MOST + 0.1))
+
+
+def test_faults_give_their_times_and_one_that_never_settled_gives_none() -> None:
+    def outcome(fault: str, settle: float | None, mistaken: int = 0) -> Outcome:
+        return Outcome(fault, 63, 5, settle, 1000, mistaken, 0, Lag(100, 0, 0.01), Lag())
+
+    made = report.Report(command="", commit="", date="")
+    report.put_failures(made, [outcome("zone", 3.5, 2), outcome("region", None, 1)], 12.0)
+    assert made.settle_s_zone == 3.5 and made.settle_s_region_heal is None and made.false_dead == 3
+    assert made.not_run == ["region: not settled within 12 s"]
+
+
+# On sockets.
+
+
+@pytest.mark.processes
+def test_hollow_members_in_two_processes_settle_and_settle_again_after_a_crash() -> None:
+    async def run() -> tuple[Outcome, int, int]:
+        guard = Guard()
+        async with HollowFleet(2, (0, 1, 2), 32, guard, "small") as hollow:
+            fleet = ViewedFleet(hollow, None, guard)
+            await fleet.open()
+            await hollow.begin(range(8), 0.1)
+            assert await fleet.until_settled(20.0) is not None
+            outcome = await fleet.crash("crash", [5, 6], 20.0)
+            fleet.close()
+            measured = await hollow.measure()
+            return outcome, sum(each.members for each in measured), guard.most.processes
+
+    outcome, members, processes = uvloop.run(run())
+    assert outcome.settle_s is not None and outcome.settle_s > 0.5  # it takes periods to call one dead
+    assert outcome.struck == 2 and outcome.members == 8 and members == 6
+    assert outcome.peak_bytes_s > 0 and outcome.lag.beats > 0
+    assert processes >= 3
