Scale run: quotas that real gateways share with hollow ones, so that they serve something

The quotas are now as many times larger as there are members for each real gateway; customers ask for as much as before.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -90,6 +90,7 @@
     if verdict.state == "void":
         lagged = verdict.figures.lag / 1e6
         report.put_void(made, f"no verdict of the judge: stand-ins lagged by {lagged:.0f} ms")
+    made.requests, made.served = verdict.figures.tries, verdict.figures.served
     made.violations += len(verdict.violations)
     for violation in verdict.violations[:3]:
         say(f"BROKEN: {violation.rule}: {violation.text}")
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from benchmarks.scale import report, slopes
+from benchmarks.scale.beside import shared_scene
 from benchmarks.scale.bounds import Guard, OverBound, ProcessEntry, Use, tree
 from benchmarks.scale.hollows import HollowFleet
 from benchmarks.scale.lag import LATE, WORST_MOST, Lag, LagWatch, together
@@ -21,6 +22,7 @@
 from benchmarks.scale.verdicts import Cutoff, hearsay, wrong
 from benchmarks.scale.view import View, digest, settled
 from benchmarks.scale.viewed import Cost, Outcome, ViewedFleet, cost
+from trackspread.standins.scene import Scene
 
 MB = 1 << 20
 PLACED = Placement(("127.192.0.1", "127.192.0.2"))
@@ -257,6 +259,14 @@
     assert made.not_run == ["region: not settled within 12 s"]
 
 
+def test_quotas_are_shared_by_all_members_while_customers_ask_for_as_much() -> None:
+    usual = Scene(gateways=3, nodes=6, load=0.15, greedy=0.0, seed=49)
+    shared = shared_scene(usual, 63)
+    assert shared.plans["basic"].rate == pytest.approx(21 * usual.plans["basic"].rate)
+    assert shared.world().plans["full"].ceiling_burst == pytest.approx(21 * usual.plans["full"].ceiling_burst)
+    assert shared.crowd().customers == usual.crowd().customers
+
+
 # On sockets.
 
 
