--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -11,8 +11,6 @@
 import sys
 import time
 from collections.abc import Awaitable
-from datetime import UTC, datetime
-from pathlib import Path
 from typing import TypeVar
 
 import msgspec
@@ -21,28 +19,17 @@
 from benchmarks.common import say
 from trackspread.judge.verdict import Verdict
 
-from . import flat, report, slopes
+from . import faults, flat, latency, report, slopes
 from .bounds import Guard, OverBound
 from .fit import FEWEST_POINTS
 from .hollows import HollowFailed
+from .module import this_run
 from .viewed import NotSettled, Outcome
 
 T = TypeVar("T")
 Failed = tuple[list[Outcome], Verdict, int]
 
 
-def commit() -> str:
-    """The short hash of the commit that is checked out; empty outside a checkout."""
-    git = Path(__file__).resolve().parents[2] / ".git"
-    try:
-        head = (git / "HEAD").read_text().strip()
-        if not head.startswith("ref: "):
-            return head[:7]
-        return (git / head.removeprefix("ref: ")).read_text().strip()[:7]
-    except OSError:
-        return ""
-
-
 async def measure(full: bool, made: report.Report, guard: Guard) -> list[slopes.Measurement]:
     """All of it; what fails is told under `not_run`."""
     plan = flat.FULL if full else flat.QUICK
@@ -60,10 +47,20 @@
         measurements = _put_costs(made, costs, run)
     if failed is not None:
         _put_failures(made, plan, failed)
-    made.not_run += ["changes of configuration: nothing distributes them", "added latency"]
+    made.not_run.append("changes of configuration: nothing distributes them")
+    await _added_latency(made, full)
     return measurements
 
 
+async def _added_latency(made: report.Report, full: bool) -> None:
+    """Measured in a full run; else that of the last run that was kept."""
+    found = await latency.measure(latency.SPAN) if full else latency.load()
+    if found is None:
+        made.not_run.append("added latency: no run of it was kept")
+        return
+    report.put_latency(made, found)
+
+
 def _put_costs(
     made: report.Report, costs: flat.Costs, run: slopes.Run
 ) -> list[slopes.Measurement]:
@@ -112,7 +109,8 @@
     full = not parser.parse_args().quick
     began = time.monotonic()
     command = "python -m benchmarks.scale" + ("" if full else " --quick")
-    made = report.Report(command=command, commit=commit(), date=datetime.now(UTC).strftime("%Y-%m-%dT%H:%MZ"))
+    run = this_run(command)
+    made = report.Report(command=command, commit=run.commit, date=run.date)
     guard = Guard()
     say(f"bounds: at most {guard.processes_most} processes and {guard.memory_most >> 30} GB")
     gc.disable()  # a collection over the ledger would be a lag of the stand-ins
@@ -124,8 +122,9 @@
     made.processes, made.memory_gb = guard.most.processes, round(guard.most.memory / 2**30, 2)
     report.put_limits(made, full)
     made.seconds = round(time.monotonic() - began, 1)
-    if full and measurements and not made.void:
+    if full and not made.void:
         slopes.merge(measurements)
+        faults.REPORT.write_bytes(msgspec.json.format(msgspec.json.encode(made), indent=2) + b"\n")
     if made.void:
         say("VOID: the machine lagged; these figures say more of it than of the program")
     print(msgspec.json.encode(made).decode())
--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .lag import Lag
+from .latency import Latency
 from .slopes import Measurement, Run, measurement
 from .viewed import Cost, Outcome
 
@@ -53,6 +54,7 @@
     settle_s_region_heal: float | None = None
     false_dead: int | None = None
     added_p99_ms: float | None = None
+    added_p99_run: str = ""  # which run gave it
     hollow: int = 0
     processes: int = 0
     memory_gb: float = 0.0
@@ -151,6 +153,14 @@
         put_void(report, f"{what}: {lag.late} of {lag.beats} beats late, {lag.worst * 1000:.0f} ms at worst")
 
 
+def put_latency(report: Report, found: Latency) -> None:
+    """What a gateway adds to a request, of this run or of one that was kept."""
+    report.added_p99_ms = round(1000 * found.added_p99, 3)
+    report.added_p99_run = f"{found.run.command}, {found.run.date}, {found.run.commit}"
+    if found.void:
+        put_void(report, f"added latency: the measuring loop was late by {1000 * found.lag_p99:.1f} ms")
+
+
 def put_limits(report: Report, full: bool) -> None:
     """Which limits what was measured keeps; null for what was not measured."""
     kept: dict[str, bool | None] = {}
