Scale run: a figure at 7,200 is the most that no measured size refutes

Cause: on 12 to 96 members a logarithm fitted the view's CPU and bytes, held at the held-out size (13% off) and gave 0.0077 of a core and 4.0 KB/s at 7,200, seventy-five times the largest size; a straight line holds there as well (18% off) and gives 0.2 of a core. By hand 400 members take 0.0142 already. A limit counts as kept only where every shape keeps it that fits about as well and did not miss the held-out size; the range is told.

--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .extrapolation import extrapolate
 from .lag import Lag
 from .latency import Latency
 from .slopes import Measurement, Run, measurement
@@ -35,7 +36,8 @@
 
 
 class Report(msgspec.Struct, kw_only=True):
-    """The JSON object. What is measured at a size and carried on to 7,200 gateways ends in `_at_size`."""
+    """The JSON object. What is carried on to 7,200 gateways ends in `_at_size`: the most that the measured
+    sizes do not refute."""
 
     command: str
     commit: str
@@ -44,6 +46,7 @@
     extrapolated_times: float | None = None  # what is asked for over the largest size measured
     holdout_error_worst: float | None = None
     holdout_errors: dict[str, float] = {}
+    at_size_ranges: dict[str, tuple[float, float]] = {}  # by all shapes that are not refuted
     gateway_cpu_share_at_size: float | None = None
     gateway_memory_mb_at_size: float | None = None
     gateway_bytes_s_at_size: float | None = None
@@ -118,12 +121,15 @@
 
 
 def _at_size(report: Report, found: Measurement, digits: int, unit: float = 1.0) -> float | None:
-    """What the fit says of the size asked for; nothing by a fit that missed what was held out."""
-    if found.holdout.wrong:
+    """The most that measurements do not refute at the size asked for; nothing by a fit that missed what was
+    held out."""
+    there = extrapolate(found, SIZE)
+    if there is None:
         report.not_run.append(f"{found.name} at {SIZE}: the fit missed {found.holdout.size:.0f} by "
                               f"{found.holdout.error:.0%}")
         return None
-    return round(found.fit.predict(SIZE) / unit, digits)
+    report.at_size_ranges[found.name] = (round(there.least / unit, digits), round(there.most / unit, digits))
+    return round(there.most / unit, digits)
 
 
 def put_failures(report: Report, outcomes: Sequence[Outcome], settle_most: float) -> None:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -13,6 +13,8 @@
 from benchmarks.scale import report, slopes
 from benchmarks.scale.beside import shared_scene
 from benchmarks.scale.bounds import Guard, OverBound, ProcessEntry, Use, tree
+from benchmarks.scale.extrapolation import extrapolate
+from benchmarks.scale.fit import Shape
 from benchmarks.scale.hollows import HollowFleet
 from benchmarks.scale.lag import LATE, WORST_MOST, Lag, LagWatch, together
 from benchmarks.scale.messages import DeadVerdict, Held, Life, Measured, Traffic
@@ -235,6 +237,20 @@
     assert kept["change_s_worst"] is None and kept["hollow"] is False
 
 
+def test_a_figure_far_off_is_the_most_that_is_not_refuted() -> None:
+    points = [(12.0, 0.0013), (24.0, 0.0019), (36.0, 0.0026), (48.0, 0.0025)]
+    found = slopes.measurement("x", "gateways", "", points, (96.0, 0.0039), RUN)
+    assert found.shape is Shape.LOG and found.fit.predict(7200) < 0.01
+    there = extrapolate(found, 7200)
+    assert there is not None and there.least < 0.01 and there.most > 0.15
+    straight = slopes.measurement("x", "", "", [(n, 600.0 * n) for n in (10, 20, 30, 40)], (80, 48_000), RUN)
+    assert extrapolate(straight, 7200) == pytest.approx((4_320_000, 4_320_000))
+    flat = slopes.measurement("x", "", "", [(n, 3e3) for n in (100, 200, 300, 400)], (800, 3e3), RUN)
+    assert extrapolate(flat, 7200) == pytest.approx((3e3, 3e3))
+    wrong = slopes.measurement("x", "", "", [(n, 3e3) for n in (100, 200, 300, 400)], (800, 4e3), RUN)
+    assert extrapolate(wrong, 7200) is None
+
+
 def test_a_fit_that_missed_gives_no_figure_and_says_so() -> None:
     made = fitted(0.02)
     assert made.gateway_cpu_share_at_size is None and made.holdout_error_worst == pytest.approx(0.36)
