--- a/trackspread/counter/lease.py
+++ b/trackspread/counter/lease.py
@@ -258,17 +258,8 @@
             return
         self._share_out(detector)
         room = self.free(detector)
-        before = self.claimed
-        if said > before + EPSILON:
-            self.claimed = max(before, min(said, room))
-            if self.claimed > before + EPSILON:
-                if len(self._steps) >= STEPS_MOST:
-                    self._steps.pop()
-                self._steps.append(Step(self.claimed, now, detector.marks()))
-        if min(self.claimed, self.proving) <= room + EPSILON:
-            self.proven = max(self.proven, min(self.claimed, self.proving))
-            while self._steps and self._steps[0].share <= self.proven + EPSILON:
-                self._steps.popleft()
+        self._raise(now, said, room, detector)
+        self._prove(room)
         if said > room + EPSILON and self.claimed > self.proven:
             # More is claimed than there is: who has not proven his part gives way.
             self._lower("claimed", max(self.proven, min(self.claimed, room)))
@@ -278,6 +269,24 @@
         if self.wanting(now):
             self.due = min(self.due, now + SHORT)
 
+    def _raise(self, now: int, said: float, room: float, detector: FailureDetector) -> None:
+        """What was claimed counts as far as there is room, and begins its proof."""
+        before = self.claimed
+        if said <= before + EPSILON:
+            return
+        self.claimed = max(before, min(said, room))
+        if self.claimed > before + EPSILON:
+            if len(self._steps) >= STEPS_MOST:
+                self._steps.pop()
+            self._steps.append(Step(self.claimed, now, detector.marks()))
+
+    def _prove(self, room: float) -> None:
+        """What the answered call was to prove is proven, if all claims still fit."""
+        if min(self.claimed, self.proving) <= room + EPSILON:
+            self.proven = max(self.proven, min(self.claimed, self.proving))
+            while self._steps and self._steps[0].share <= self.proven + EPSILON:
+                self._steps.popleft()
+
     def _share_out(self, detector: FailureDetector) -> None:
         """What each would have of the quota if nobody heard of anybody from now on: a part even, which those
         have too who are new, and the rest as it is asked for. All know nearly the same wants."""
