A connection that is closed at rest is half-closed first, and read on: no reset

A request may come in the very moment in which the gateway closes a connection: after the last look for bytes and before the close. To close over unread bytes is to reset, and the answer just written may go with it. Forced by tests: the client wrote between the look and the close, at an idle close, while stopping, and with the last answer: a reset each time (3 of 3 red). Client.close now ends the sending, drops what is still read, and closes at the client's end or after 0.75 s, as it did already behind what can't be read; whoever is in that state makes room for a newcomer first.

--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -193,6 +193,7 @@
             self._read_on, transport = read_on, cast(asyncio.Transport, self._transport)
             if not transport.is_closing():
                 (transport.resume_reading if read_on else transport.pause_reading)()
+                self._owner.reads(self, read_on)
 
     def gone(self) -> bool:
         """Whether the client has left, which nothing tells where its connection is not read."""
@@ -314,6 +315,12 @@
         self._ending = True
         cast(asyncio.Transport, self._transport).close()
 
+    def close(self) -> None:
+        """Take nothing more, and end once all is written. Bytes that come in this very moment are read and
+        dropped: the client sees an end with no answer, and sends its request once more elsewhere."""
+        self._ending = True
+        self._linger()
+
     def _linger(self) -> None:
         """Half-close: to close on bytes that came unread is to reset, and a reset may take answers along that
         the client has not read yet."""
@@ -388,8 +395,9 @@
                 self._owner.requests.left(slot.request)
 
     def gives_way(self) -> bool:
-        """Whether its descriptor is free once it is closed: nothing is owed, and nothing waits to be read."""
-        return self.resting() and not cast(asyncio.Transport, self._transport).get_write_buffer_size()
+        """Whether its descriptor is free once it is aborted: nothing is owed, and nothing waits unread."""
+        over = self._lingering > 0.0 or self.resting()
+        return over and not cast(asyncio.Transport, self._transport).get_write_buffer_size()
 
     def resting(self) -> bool:
         """Between requests, with nothing unread in the socket; what is unwritten goes out before a close."""
@@ -400,8 +408,5 @@
         waiting = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
         return bool(struct.unpack("i", waiting)[0] == 0)
 
-    def close(self) -> None:
-        cast(asyncio.Transport, self._transport).close()
-
     def abort(self) -> None:
         cast(asyncio.Transport, self._transport).abort()
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -27,7 +27,7 @@
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
-GONE_LOOK = 0.1  # s between looks whether who is not read has left: what waits is not sent on 0.3 s later
+GONE_LOOK = 0.02  # s between looks whether who is not read has left: 0.1 s later nothing of it may go out
 LOOK = 0.25  # s between looks at all connections for those that have had their time
 CROWDED = 0.75  # part of the bound on connections from which they count as few
 BODIES_PART = 0.2  # of the memory, for long bodies; one more than fits, and its copy when whole, come on top
@@ -70,7 +70,8 @@
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
         self._servers: list[asyncio.Server] = []
-        self._gone_looker: asyncio.TimerHandle | None = None
+        self._unread: set[Client] = set()  # those that are not read for the time being
+        self._gone_looker: asyncio.TimerHandle | None = None  # while there are any
         self._looker: Later | None = None
         self._last_came = 0.0
         self.closing = False
@@ -80,7 +81,6 @@
     async def start(self) -> None:
         await self.open_door()
         self._look()
-        self._look_gone()
 
     async def open_door(self) -> None:
         loop = asyncio.get_running_loop()
@@ -139,11 +139,20 @@
         # What has come, or has been read, while this process lagged counts before a look does.
         self._looker = Later(self._loop, LOOK, self._look)
 
+    def reads(self, client: Client, read_on: bool) -> None:
+        """Whether the client's connection is read from now on; nothing else tells of its end meanwhile."""
+        if read_on:
+            self._unread.discard(client)
+        else:
+            self._unread.add(client)
+            if self._gone_looker is None:
+                self._gone_looker = self._later(GONE_LOOK, self._look_gone)
+
     def _look_gone(self) -> None:
-        for client in [*self._fresh, *self._clients]:
+        for client in list(self._unread):
             if client.gone():
                 client.abort()
-        self._gone_looker = self._later(GONE_LOOK, self._look_gone)
+        self._gone_looker = self._later(GONE_LOOK, self._look_gone) if self._unread else None
 
     @property
     def port(self) -> int:
@@ -157,11 +166,11 @@
             # gateway may close between requests. Where nobody rests the new one can't be kept.
             for other in chain(self._fresh, self._clients):
                 if other.gives_way():
-                    other.close()
+                    other.abort()
                     self.went(other)
                     break
             else:
-                client.close()
+                client.abort()
                 return
         self._fresh[client] = None
 
@@ -177,6 +186,7 @@
     def went(self, client: Client) -> None:
         self._fresh.pop(client, None)
         self._clients.pop(client, None)
+        self._unread.discard(client)
 
     async def drain(self, end: float) -> None:
         """Take what comes until new connections cease, answer all of it, close what rests. `end`: when, s of
