Scale: more repeats of short steps, whose slopes were void for their spread

Steps that are short by their size are now repeated up to 300 times a process. tests/test_scale_module.py, test_scale_fit.py, test_capacity.py passed; measured next.

--- a/benchmarks/scale/subjects.py
+++ b/benchmarks/scale/subjects.py
@@ -29,7 +29,8 @@
 SECOND = 1_000_000_000
 START = 1000 * SECOND
 PAGE = os.sysconf("SC_PAGE_SIZE")
-REPEATS = 9  # of each timed step within one process
+REPEATS = 9  # of each timed step within one process, at least
+REPEATS_MOST, REPEATS_WORK = 300, 60_000  # and where the step is short, by its size
 VIEWS = 41  # changes of the view, each of well under 1 ms
 SERVICE = 28  # backends of one service: 59,000 in 2,100
 MEMBERS = 40  # gateways of a subject whose factor is another one
@@ -146,6 +147,11 @@
     return max(ARRIVALS_LEAST, ARRIVALS_WORK // max(1, size))
 
 
+def repeats(size: int) -> int:
+    """Of a step whose cost grows with `size`: small ones are short, and need more for a sound median."""
+    return max(REPEATS, min(REPEATS_MOST, REPEATS_WORK // max(1, size)))
+
+
 def backends(size: int) -> Figures:
     """A list of all backends of the fleet, in one module."""
     driver = Driver(settings(gateways=1))
@@ -154,11 +160,11 @@
     first = took(lambda: driver.handle(listed.pop()))
     held = resident() - empty
     again = []
-    for version in range(2, 2 + REPEATS):
+    for version in range(2, 2 + repeats(size)):
         made = full_list(size, version)
         again.append(took(partial(driver.handle, made)))
-    changes = [took(partial(driver.handle, drain(number))) for number in range(1, 1 + REPEATS)]
-    beats = [took(driver.tick) for _ in range(REPEATS)]
+    changes = [took(partial(driver.handle, drain(1))) for _ in range(repeats(size))]
+    beats = [took(driver.tick) for _ in range(repeats(size))]
     requests = served(driver, local_customers(KNOWN, driver), arrivals(size))
     return {
         "memory": held, "list_first": first, "list": median(again), "change": median(changes),
@@ -186,11 +192,15 @@
     text = json.dumps({"seq": 1, "whole": True, "hosts": hosts}, separators=(",", ":")).encode()
     change = json.dumps({"seq": 2, "whole": False, "hosts": hosts[:1]}, separators=(",", ":")).encode()
     del hosts
-    zones = tuple(f"zone-{number}" for number in range(12))
-    steps = [took(lambda: parse_update(json.loads(text), zones, ("m1",))) for _ in range(REPEATS)]
+    parse = partial(_parse, text, tuple(f"zone-{number}" for number in range(12)))
+    steps = [took(parse) for _ in range(repeats(size))]
     return {"bytes": len(text), "parse": median(steps), "change_bytes": len(change)}
 
 
+def _parse(text: bytes, zones: tuple[str, ...]) -> None:
+    parse_update(json.loads(text), zones, ("m1",))
+
+
 def plans(size: int) -> Figures:
     """Figures of so many plans, as where each tenant has its own; then all of them changed at once."""
     empty = resident()
