--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -40,12 +40,15 @@
     """Exit status: 1 where the page differs, 2 where a file can't be used."""
     parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
     parser.add_argument("--measure", nargs="*", metavar="SUBJECT", help="measure first: all, or those named")
+    parser.add_argument(
+        "--repeats", type=int, default=module.REPEATS, help="fresh processes a size, %(default)s unless told"
+    )
     parser.add_argument("--write", action="store_true", help="put the tables into docs/CAPACITY.md")
     parser.add_argument("--check", action="store_true", help="fail when docs/CAPACITY.md differs")
     given = parser.parse_args()
     try:
         if given.measure is not None:
-            slopes.merge(module.measure(given.measure))
+            slopes.merge(module.measure(given.measure, given.repeats))
         parts = generated()
         if not (given.write or given.check):
             print("\n\n".join(parts.values()))
--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -202,7 +202,9 @@
 
 def measure(names: Iterable[str] = (), repeats: int = REPEATS) -> list[Measurement]:
     """All subjects, or those named; progress goes to standard error."""
-    chosen, this = set(names), this_run("python -m benchmarks.capacity --measure")
+    chosen = set(names)
+    words = " ".join(["python -m benchmarks.capacity --measure", *sorted(chosen)])
+    this = this_run(words if repeats == REPEATS else f"{words} --repeats {repeats}")
     made = []
     for subject in SUBJECTS:
         if chosen and subject.name not in chosen:
