Capacity: beyond what was measured, the most that no measured size refutes

The page told one shape's figure at sizes far beyond the largest measured, while a logarithm and a line fit a few sizes alike.

--- a/benchmarks/scale/extrapolation.py
+++ b/benchmarks/scale/extrapolation.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from .fit import Shape, fit_shape, hold_out
+from .fit import Fit, Shape, fit_shape, hold_out
 from .slopes import Measurement
 
 AS_WELL_TIMES = 2.0  # the least leave-one-out error: up to so much a shape fits about as well
@@ -27,14 +27,19 @@
     """At `size`; None where the fit itself missed the held-out size: then nothing is known of another."""
     if found.holdout.wrong:
         return None
+    values = [each.predict(size) for each in unrefuted(found)]
+    return Range(max(0.0, min(values)), max(values))
+
+
+def unrefuted(found: Measurement) -> list[Fit]:
+    """The shapes that the measured sizes do not refute, fitted on all of them, the held-out one as well."""
     points = [*found.points, (found.holdout.size, found.holdout.measured)]
     fits = [fit_shape(points, shape) for shape in Shape]
     bound = max(AS_WELL_TIMES * min(each.error for each in fits), AS_WELL_SHARE)
-    values = [
-        each.predict(size) for each in fits
+    return [
+        each for each in fits
         if each.shape is found.shape or (each.error <= bound and not _refuted(found, each.shape))
     ]
-    return Range(max(0.0, min(values)), max(values))
 
 
 def _refuted(found: Measurement, shape: Shape) -> bool:
--- a/benchmarks/scale/reckon.py
+++ b/benchmarks/scale/reckon.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from .extrapolation import unrefuted
 from .roles import TOTALS, Bound, Role, Row
 from .slopes import Measurement, Slopes
 
@@ -24,6 +25,7 @@
 
     FITTED = "by fit"
     MEASURED = "measured there"
+    FURTHER = "the most that no measured size refutes"
     AT_MOST = "at most, as measured at the least size"
     NOT_MEASURED = "**not measured**"
     VOID = "**void**"
@@ -137,6 +139,8 @@
             return found.holdout.measured
         case State.AT_MOST:
             return found.points[0][1]
+        case State.FURTHER:
+            return max(each.predict(size) for each in unrefuted(found))
         case _:
             return found.fit.predict(size)
 
@@ -156,7 +160,9 @@
         return State.MEASURED
     if size < found.points[0][0]:
         return State.AT_MOST  # costs grow with size; below what was fitted a line may go anywhere
-    return State.WRONG if found.holdout.wrong else State.FITTED
+    if found.holdout.wrong:
+        return State.WRONG
+    return State.FURTHER if size > found.holdout.size else State.FITTED
 
 
 def _breaks_at(found: Measurement, limit: float | None) -> float | None:
@@ -167,7 +173,9 @@
     if there >= limit:
         return least  # at the latest: below it nothing was measured
     if not found.holdout.wrong:
-        return found.fit.breaks_at(limit)
+        reached = found.fit.breaks_at(limit)
+        further = [each.breaks_at(limit) for each in unrefuted(found)]
+        return reached if reached <= found.holdout.size else max(found.holdout.size, min(further))
     points = [*found.points, (found.holdout.size, found.holdout.measured)]
     for (low, under), (high, over) in pairwise(points):
         if under <= limit < over:
