--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,6 +10,7 @@
 
 from benchmarks import capacity
 from benchmarks.scale import demand, faults, latency, reckon, roles, slopes
+from benchmarks.scale.extrapolation import unrefuted
 from benchmarks.scale.page import PROGRAM, Page, amount, present
 from benchmarks.scale.slopes import Measurement, Run, Slopes, measurement
 from benchmarks.scale.sums import Line, SumError, Worked, figure, work
@@ -175,6 +176,16 @@
     assert told.breaks_at == pytest.approx(2500.0)
 
 
+def test_far_beyond_what_was_measured_the_most_counts_that_is_not_refuted() -> None:
+    points = [(100.0, 101.0), (200.0, 103.0), (300.0, 102.0), (400.0, 104.0)]
+    found = measurement("cost", "gateways", "bytes", points, (800.0, 107.0), RUN, limit=115.0)
+    told = one(found)
+    assert told.state is reckon.State.FURTHER
+    assert told.value == max(each.predict(7200.0) for each in unrefuted(found))
+    assert told.breaks_at == min(each.breaks_at(115.0) for each in unrefuted(found))
+    assert len(unrefuted(found)) > 1
+
+
 def test_a_wrong_fit_breaks_between_the_measured_sizes_around_the_limit() -> None:
     told = one(slope(held=3000.0, limit=1900.0), size=800.0)
     assert told.breaks_at == pytest.approx(400 + 400 * (1900 - 800) / (3000 - 800))
