--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,4 +1,4 @@
-"""The directory of cells: who is sent where, how cells are split and merged, what a new leader makes of it."""
+"""The directory of cells: who is sent where, how cells are split and merged, what a new leader knows."""
 
 from __future__ import annotations
 
--- a/trackspread/cells/terms.py
+++ b/trackspread/cells/terms.py
@@ -3,8 +3,8 @@
 A cell is a group of gateways of one zone with a view of its own (`membership/`); its seeds are control
 machines. The control machines are one more such group; who coordinates its view leads, and keeps the
 directory of cells. Whatever the directory says is numbered by the leader's epoch and a count in it: of two
-words the greater holds. Times are integer nanoseconds on each process's own monotonic clock and never travel. Nothing
-here decides.
+words the greater holds. Times are integer nanoseconds on each process's own monotonic clock and never
+travel. Nothing here decides.
 """
 
 from __future__ import annotations
