View: a member can be a witness, which votes and holds no part

Control machines are to be the seeds of cells of gateways; as members they would be granted slots that nobody acts on. A witness (a place of its own) elects, coordinates, is in views and asks for its part no oftener than one that has it.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -225,6 +225,9 @@
     entry = next(iter(fleet.directory.entries.values()))
     entry.cell = cell(entry.cell.name, (17, 1, 400), closing=True)
     directory, now = fleet.directory, fleet.now
+    assert directory.tick(now + PACE, LIVE) == [], "the cell that is to take them has no view yet"
+    fleet.report()
+    now += PACE
     first = directory.tick(now + PACE, LIVE)
     assert len(first) == MOVES
     late = directory.tick(now + PACE + AGAIN, LIVE)
--- a/trackspread/cells/directory.py
+++ b/trackspread/cells/directory.py
@@ -6,6 +6,7 @@
 - A cell above `most` gives half of its gateways to others with room, or to a new one. One of `least` or fewer
   that fits into another is closed, and so is one that has lost a seed for `REPLACE` while its region has
   others: a closing cell's gateways are sent elsewhere; once it has been empty for `EMPTY`, it is given up.
+- A gateway is moved only to a cell that has a view already, as its seeds report.
 - One change of this kind at a time in a zone, `MOVES` gateways a second at most: a move costs its gateway the
   time of a join.
 - All of it is soft state. A leader begins with nothing and waits `REBUILD` for what control machines report
@@ -24,7 +25,7 @@
 
 from msgspec import structs
 
-from ..membership.terms import Address, Epoch, Number, Who
+from ..membership.terms import NO_NUMBER, Address, Epoch, Number, Who
 from .terms import SECOND, SEEDS, Cell, ControlMachine, Locate, Placement, Policy, Zone
 
 REBUILD = 3 * SECOND  # ns from the first moment of a leader, in which control machines report
@@ -60,7 +61,7 @@
 
     cell: Cell
     since: int  # when it came to be known here
-    view: Number = (0, -1, 0)
+    view: Number = NO_NUMBER
     members: dict[str, int] = field(default_factory=dict)  # name: born
     coming: dict[str, int] = field(default_factory=dict)  # sent here, by name: until when that counts
     small_since: int | None = None
@@ -278,20 +279,21 @@
     def _emptied(self, now: int, closing: list[Entry]) -> Iterator[MoveWanted]:
         staying = [(e, name) for e in closing for name in sorted(e.members) if name not in self._moving]
         for entry, name in staying[:MOVES]:
-            if (to := self._room(now, entry.cell.place)) is not None:
+            if (to := self._room(now, entry.cell.place)) is not None and to.view != NO_NUMBER:
                 yield self._move(now, entry, name, to)
 
     def _split(self, now: int, zone: Zone) -> Iterator[MoveWanted]:
         waiting = self._to_split[zone]
         for _ in range(min(MOVES, len(waiting))):
-            name, cell = waiting.pop()
+            name, cell = waiting[-1]
             entry = self.entries.get(cell)
-            if entry is None or name not in entry.members or name in self._moving:
-                continue
-            others = [e for e in self._open(zone) if e is not entry and e.count() < self.policy.target]
-            to = max(others, key=Entry.count) if others else self._opened(now, zone)
-            if to is not None:
+            if entry is not None and name in entry.members and name not in self._moving:
+                others = [e for e in self._open(zone) if e is not entry and e.count() < self.policy.target]
+                to = max(others, key=Entry.count) if others else self._opened(now, zone)
+                if to is None or to.view == NO_NUMBER:
+                    return
                 yield self._move(now, entry, name, to)
+            waiting.pop()
 
     def _move(self, now: int, entry: Entry, name: str, to: Entry) -> MoveWanted:
         placement = Placement(self._next(), to.cell)
--- a/trackspread/cells/terms.py
+++ b/trackspread/cells/terms.py
@@ -88,8 +88,9 @@
 
 
 class Located(Body, frozen=True):
-    """The answer to a gateway, or unasked when it is to move."""
+    """The answer to a gateway, or unasked when it is to move. `to`: just this process of its name."""
 
+    to: Who
     placement: Placement
 
 
@@ -103,6 +104,7 @@
 class Placed(Body, frozen=True):
     """The leader's answer to `Forwarded`, to be passed on to the gateway at `address`."""
 
+    to: Who
     address: Address
     placement: Placement
 
--- a/trackspread/membership/asking.py
+++ b/trackspread/membership/asking.py
@@ -10,7 +10,7 @@
 
 from .parts import SPAN, TOUCH, Holding
 from .slots import from_bytes, to_bytes
-from .terms import Epoch, Grant, Number, Place, Renew
+from .terms import WITNESS, Epoch, Grant, Number, Place, Renew
 
 RENEW = SPAN // 5  # ns between questions for one's part
 WANTING = RENEW // 4  # ns between them for who holds nothing yet: others' parts shrink within that time
@@ -29,7 +29,8 @@
         """The question for the coordinator of this epoch, where it is due."""
         if now < self.at:
             return None
-        self.at = now + (RENEW if self.holding.part(now) else WANTING)
+        settled = self._place == WITNESS or bool(self.holding.part(now))
+        self.at = now + (RENEW if settled else WANTING)
         if not self.holding.ask(now, epoch):
             return None
         fresh = self.holding.first in (None, epoch)
--- a/trackspread/membership/coordinating.py
+++ b/trackspread/membership/coordinating.py
@@ -6,7 +6,8 @@
 - A member is in the view that is live and asks for its part: one that the coordinator can't hear, or that
   can't hear it, holds nothing whoever else reaches it.
 - A view names its parent: the newest that the coordinator knows of, its own or a predecessor's.
-- Those in a view are granted their own place's slots, and even shares of the rest (`slots.py`).
+- Those in a view are granted their own place's slots, and even shares of the rest (`slots.py`); a
+  witness is granted none.
 
 | a member is | and | in the next view |
 | --- | --- | --- |
@@ -22,7 +23,7 @@
 
 from .parts import SPAN, Parts
 from .slots import WHOLE, assign, from_bytes
-from .terms import MS, NO_NUMBER, Epoch, Number, Place, Renew, View, Who
+from .terms import MS, NO_NUMBER, WITNESS, Epoch, Number, Place, Renew, View, Who
 
 FIRST = 600 * MS  # ns from being elected until the first view: members ask anew within it
 GAP = 150 * MS  # ns between views: what happens together makes one
@@ -91,5 +92,6 @@
         free = WHOLE & ~self.parts.elsewhere(now, view.members)
         places = tuple(self._places.get(each, (-1, 0)) for each in view.members)
         if self._shares[0] != (by := (view.number, free, places)):
-            self._shares = by, assign(view.members, self._places, self.parts.held(now), free)
+            bearing = [w for w, place in zip(view.members, places, strict=True) if place != WITNESS]
+            self._shares = by, assign(bearing, self._places, self.parts.held(now), free)
         return self._shares[1].get(who, 0)
--- a/trackspread/membership/terms.py
+++ b/trackspread/membership/terms.py
@@ -21,6 +21,7 @@
 Address = tuple[str, int]
 Who = tuple[str, int]  # name, and wall clock at its start in ms: which process under that name
 Place = tuple[int, int]  # of the platform's list of gateways: number and of how many; (-1, 0): none
+WITNESS: Place = (-2, 0)  # of a member that may vote and coordinate and is in views, but holds no part
 Epoch = tuple[int, int]  # round of the ballot that won, and the seed that won it
 Number = tuple[int, int, int]  # a view's: epoch and count in it; the greater is the newer
 NO_NUMBER: Number = (0, -1, 0)
--- a/trackspread/virtual/membered.py
+++ b/trackspread/virtual/membered.py
@@ -78,7 +78,7 @@
         self._start = self.clock.now
         self._drift = drift
         self._encode = msgspec.msgpack.Encoder().encode
-        self._places = {f"n{number}": (number, count) for number in range(count)}  # who joins has none
+        self.places = {f"n{number}": (number, count) for number in range(count)}  # who joins has none
         for number in range(count):
             self.add(number)
 
@@ -109,7 +109,7 @@
         process.begun, process.halted_until = self.clock.now, 0
         process.waiting.clear()
         born = WALL + self.true // MS
-        place = self._places.get(process.name, (-1, 0))
+        place = self.places.get(process.name, (-1, 0))
         settings = Settings("fleet", process.name, born, process.address, self._seeds, "1", place=place,
                             **self._settings)  # type: ignore[arg-type]
         seed = self.rng.getrandbits(60)
