--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from trackspread.cells.directory import (
-    AGAIN, COMING, EMPTY, HOLD, MOVES, PACE, REBUILD, REPLACE, Directory, MoveWanted,
+    AGAIN, COMING, EMPTY, MOVES, PACE, REBUILD, Directory, MoveWanted,
 )
 from trackspread.cells.terms import SECOND, Cell, ControlMachine, Locate, Placement, Policy, Zone
 from trackspread.membership.terms import Number
@@ -180,7 +180,7 @@
     for number in range(34, 48):
         fleet.end(f"g{number:03d}")
     assert fleet.sizes() == [5, 10]
-    fleet.step(HOLD // SECOND - 2)
+    fleet.step(POLICY.hold // SECOND - 2)
     assert fleet.sizes() == [5, 10]
     fleet.step(2 * EMPTY // SECOND + 10)
     assert fleet.sizes() == [15] and len(fleet.directory.entries) == len(fleet.directory.given_up) == 1
@@ -194,7 +194,7 @@
 def test_a_zone_that_is_lost_has_its_cells_given_up_one_after_another_and_is_placed_anew() -> None:
     fleet = zoned(100)
     fleet.placed.clear()
-    fleet.step(HOLD // SECOND + 12 * len(fleet.directory.entries))
+    fleet.step(POLICY.hold // SECOND + 12 * len(fleet.directory.entries))
     assert not fleet.directory.entries
     for number in range(100):
         fleet.ask(f"g{number:03d}")
@@ -205,14 +205,14 @@
 def test_a_seed_that_stays_away_has_its_cells_replaced_and_a_region_that_is_cut_off_is_left_alone() -> None:
     fleet = zoned(48)
     fleet.live = LIVE - {m.name for m in MACHINES if m.region == "r0"}
-    fleet.step(2 * REPLACE // SECOND)
+    fleet.step(2 * POLICY.replace // SECOND)
     assert not fleet.moves
     fleet.live = LIVE
     fleet.step()
     gone = BY_ADDRESS[fleet.placed["g000"].cell.seeds[0]]
     with_it = {e.cell.name for e in fleet.directory.entries.values() if gone.address in e.cell.seeds}
     fleet.live = LIVE - {gone.name}
-    fleet.step(REPLACE // SECOND - 2)
+    fleet.step(POLICY.replace // SECOND - 2)
     assert not fleet.moves, "a restart takes less"
     fleet.step(60)
     assert fleet.sizes() == [24, 24] and not with_it & fleet.directory.entries.keys()
--- a/trackspread/cells/directory.py
+++ b/trackspread/cells/directory.py
@@ -4,7 +4,7 @@
 - A gateway is sent to the fullest cell of its zone that is below `target`; to the one it was in before, where
   that is known: there its former self's part is free at once. Where there is none, a cell is opened.
 - A cell above `most` gives half of its gateways to others with room, or to a new one. One of `least` or fewer
-  that fits into another is closed, and so is one that has lost a seed for `REPLACE` while its region has
+  that fits into another is closed, and so is one that has lost a seed for `replace` while its region has
   others: a closing cell's gateways are sent elsewhere; once it has been empty for `EMPTY`, it is given up.
 - A gateway is moved only to a cell that has a view already, as its seeds report.
 - One change of this kind at a time in a zone, `MOVES` gateways a second at most: a move costs its gateway the
@@ -30,9 +30,7 @@
 
 REBUILD = 3 * SECOND  # ns from the first moment of a leader, in which control machines report
 COMING = 8 * SECOND  # ns for which somebody that was sent to a cell counts there before it is reported
-HOLD = 30 * SECOND  # ns for which a cell has to be small, or without gateways, before it is closed
 EMPTY = 5 * SECOND  # ns for which a closing cell has to be without gateways before it is given up
-REPLACE = 120 * SECOND  # ns without a seed after which its cells are closed: a restart takes less
 PACE = 1 * SECOND  # ns between two rounds of moves in one zone
 MOVES = 4  # gateways in one round
 AGAIN = 3 * SECOND  # ns after which a gateway that is still where it was is told again to move
@@ -138,6 +136,11 @@
             if name not in self._moving and self._newer(name, entry):
                 self._where[name] = cell.name
 
+    def known_given_up(self, name: str) -> None:
+        """A seed remembers that a former leader gave this cell up: its gateways are placed anew."""
+        if (entry := self.entries.get(name)) is not None:
+            self._give_up(entry)
+
     def _newer(self, name: str, entry: Entry) -> bool:
         """Whether a gateway that two cells report is to be looked for in this one."""
         other = self.entries.get(self._where.get(name, ""))
@@ -216,7 +219,7 @@
 
     def _without_seed(self, now: int, entry: Entry) -> bool:
         """Whether a seed has been gone for long, and its region has others to take its place."""
-        lost = [s for s in entry.cell.seeds if now - self._lost.get(s, now) >= REPLACE]
+        lost = [s for s in entry.cell.seeds if now - self._lost.get(s, now) >= self.policy.replace]
         if not lost:
             return False
         spare = [m for m in self._machines.values() if m.region == entry.cell.region
@@ -316,7 +319,7 @@
 
     def _spare(self, now: int, entry: Entry, entries: list[Entry]) -> bool:
         """Whether it has been small for long, and its gateways fit into another; or it has none."""
-        if entry.small_since is None or now - max(entry.small_since, entry.since) < HOLD:
+        if entry.small_since is None or now - max(entry.small_since, entry.since) < self.policy.hold:
             return False
         count = entry.count()
         return not count or any(other is not entry and other.count() + count <= self.policy.merged
--- a/trackspread/cells/terms.py
+++ b/trackspread/cells/terms.py
@@ -71,6 +71,8 @@
     least: int = 8  # up to which it is merged with another
     merged: int = 20  # that both may have together
     gateways: int = 8_192  # in the fleet at most; more are not placed
+    hold: int = 30 * SECOND  # ns for which a cell has to be small, or without gateways, before it is closed
+    replace: int = 120 * SECOND  # ns without a seed after which its cells are closed: a restart takes less
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -116,7 +118,8 @@
 
 
 class Retire(Body, frozen=True):
-    """The leader has given a cell up: it is empty, and no longer to be seeded."""
+    """The leader has given a cell up: it is empty, and no longer to be seeded. A control machine's word, too,
+    to a leader that came later and wants it seeded."""
 
     name: str
     number: Number
--- a/trackspread/virtual/membered.py
+++ b/trackspread/virtual/membered.py
@@ -1,82 +1,43 @@
 """A fleet's view in virtual time: many members' cores, a network that fails, and invariants at each step.
 
-Every process has a clock of its own that runs fast or slow; what it says takes time, gets lost, doubled or
-cut; it may stand still, die, and start anew under its name. Nothing here decides: the cores do. May know:
-what every process holds, true time.
+Nothing here decides: the cores do. May know: what every process holds, true time.
 """
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from functools import partial
 
 import msgspec
 
-from ..membership.member import TICK, Member
+from ..membership.member import Member
+from ..membership.slots import SLOTS, WHOLE
 from ..membership.terms import (
-    MS, SECOND, Action, Address, Exchange, Letter, Number, Say, Settings, Table, Told, View,
+    MS, SECOND, Address, Exchange, Letter, Number, Say, Settings, Table, Told, View,
 )
-from ..membership.slots import SLOTS, WHOLE
-from .clock import Clock
+from . import stage
+from .stage import Broken as Broken
+from .stage import Stage
 
-WALL = 1_790_000_000_000  # ms of wall clock at the beginning of every world
-RTT = (200_000, 2 * MS)  # ns that a way takes, from and to
-CONNECT = 250 * MS  # ns after which a connection over a cut way is given up
 KEEP = 2 * SECOND  # that a silent member keeps its part for, unless the settings say otherwise
-LATE_MOST = 5 * MS  # ns by which a tick comes late on a machine that is busy with others
-
-
-class Broken(Exception):
-    """An invariant does not hold; the text says which, and when."""
-
-
-@dataclass(slots=True)
-class Weather:
-    """Of all ways between processes."""
-
-    loss: float = 0.0
-    twice: float = 0.0
-    jitter: int = 0  # ns
 
+Process = stage.Process[Member]
 
-@dataclass(slots=True)
-class Process:
-    """One name, and the process under it, if any."""
 
-    name: str
-    address: Address
-    rate: float  # of its clock over true time
-    core: Member | None = None
-    starts: int = 0
-    halted_until: int = 0  # true time
-    waiting: list[Callable[[], None]] = field(default_factory=list)  # what came while it stood still
-    begun: int = 0  # true time of its start
-
-    def now(self, true: int) -> int:
-        return int(true * self.rate)
-
-
-class World:
+class World(Stage[Member]):
     """`processes` by name; `step` runs on to a true time, relative to the beginning."""
 
     def __init__(
         self, seed: int, count: int, seeds: int = 3, drift: float = 0.0,
         settings: dict[str, object] | None = None,
     ) -> None:
-        self.rng, self.clock, self.weather = random.Random(f"members:{seed}"), Clock(), Weather()
+        super().__init__(f"members:{seed}", drift)
         self._settings = {"keep": KEEP, **(settings or {})}
         self._seeds = tuple((f"10.0.0.{n}", 7000) for n in range(seeds))
-        self.processes: dict[str, Process] = {}
-        self._by_address: dict[Address, Process] = {}
-        self.cut: dict[tuple[str, str], int] = {}  # directions, by how many faults cut them
         self.views: dict[Number, View] = {}
         self.issued: dict[Number, str] = {}
         self.bytes: dict[str, int] = {}  # sent, by name
         self.told: list[tuple[int, str, Told]] = []  # true time, name
-        self._start = self.clock.now
-        self._drift = drift
         self._encode = msgspec.msgpack.Encoder().encode
         self.places = {f"n{number}": (number, count) for number in range(count)}  # who joins has none
         for number in range(count):
@@ -86,40 +47,20 @@
         name = f"n{number}"
         others = f"10.1.{number >> 8}.{number & 255}", 7000
         address = self._seeds[number] if number < len(self._seeds) else others
-        rate = 1.0 + self._drift * self.rng.uniform(-1.0, 1.0)
-        made = self.processes[name] = self._by_address[address] = Process(name, address, rate)
-        return made
-
-    @property
-    def true(self) -> int:
-        """ns since the beginning."""
-        return self.clock.now - self._start
-
-    def step(self, until: int) -> None:
-        self.clock.run(self._start + until)
-
-    def at(self, when: int, call: Callable[[], object]) -> None:
-        self.clock.at(self._start + when, call)
+        return self._added(name, address)
 
     # Processes.
 
     def start(self, process: Process) -> None:
         """A new process under the name, from nothing."""
-        process.starts += 1
-        process.begun, process.halted_until = self.clock.now, 0
-        process.waiting.clear()
-        born = WALL + self.true // MS
+        born = self._begun(process)
         place = self.places.get(process.name, (-1, 0))
         settings = Settings("fleet", process.name, born, process.address, self._seeds, "1", place=place,
                             **self._settings)  # type: ignore[arg-type]
         seed = self.rng.getrandbits(60)
         core = process.core = Member(settings, process.now(self.clock.now), seed)
         self._do(process, core.start(process.now(self.clock.now)))
-        self.clock.after(self.rng.randint(0, TICK), partial(self._tick, process, core))
-
-    def kill(self, process: Process) -> None:
-        process.core = None
-        process.waiting.clear()
+        self._ticking(process, core)
 
     def leave(self, process: Process) -> None:
         core = process.core
@@ -127,55 +68,9 @@
             self._do(process, core.leave(process.now(self.clock.now)))
             process.core = None
 
-    def halt(self, process: Process, span: int) -> None:
-        process.halted_until = max(process.halted_until, self.clock.now + span)
-        self.clock.after(span, partial(self._wake, process))
-
-    def _wake(self, process: Process) -> None:
-        if self.clock.now >= process.halted_until:
-            came, process.waiting = process.waiting, []
-            for call in came:
-                call()
-
-    def _on(self, process: Process, core: Member, call: Callable[[], Iterable[Action]]) -> None:
-        """Now, or once the process goes on; never for a process that is gone."""
-        if process.core is not core:
-            return
-        if self.clock.now < process.halted_until:
-            process.waiting.append(partial(self._on, process, core, call))
-            return
-        self._do(process, call())
-
-    def _tick(self, process: Process, core: Member) -> None:
-        if process.core is not core:
-            return
-        if self.clock.now < process.halted_until:
-            process.waiting.append(partial(self._tick, process, core))
-            return
-        self._do(process, core.tick(process.now(self.clock.now)))
-        self.clock.after(TICK + self.rng.randint(0, LATE_MOST), partial(self._tick, process, core))
-
     # The network.
 
-    def part(self, some: Iterable[str], others: Iterable[str], both: bool = True) -> list[tuple[str, str]]:
-        """Cuts what goes from the ones to the others, and back; to be handed to `heal`."""
-        others = list(others)
-        ways = [way for a in some for b in others if a != b for way in ((a, b), (b, a))[: 1 + both]]
-        for way in ways:
-            self.cut[way] = self.cut.get(way, 0) + 1
-        return ways
-
-    def heal(self, ways: Iterable[tuple[str, str]]) -> None:
-        for way in ways:
-            self.cut[way] -= 1
-            if not self.cut[way]:
-                del self.cut[way]
-
-    def _late(self) -> int:
-        jitter = self.weather.jitter
-        return self.rng.randint(*RTT) + (self.rng.randint(0, jitter) if jitter else 0)
-
-    def _do(self, process: Process, actions: Iterable[Action]) -> None:
+    def _do(self, process: Process, actions: Iterable[object]) -> None:
         for action in actions:
             match action:
                 case Say(to, letter):
@@ -216,7 +111,7 @@
         if other is None or cut or process.core is not core:
             return
 
-        def there() -> Iterable[Action]:
+        def there() -> Iterable[object]:
             now = target.now(self.clock.now)
             back = other.table(now)
             self.clock.after(self._late(), lambda: self._on(
