--- a/trackspread/membership/wire.py
+++ b/trackspread/membership/wire.py
@@ -78,6 +78,10 @@
     def unpack_table(self, data: bytes) -> Table | None:
         return self._read(data, _table)
 
+    def ours(self, fleet: str) -> bool:
+        """Whether words of this fleet are to be believed here."""
+        return fleet == self.fleet
+
     def _read(self, data: bytes, decoder: msgspec.msgpack.Decoder[Read]) -> Read | None:
         payload = self._opened(data)
         if payload is None:
@@ -87,21 +91,21 @@
         except (msgspec.DecodeError, RecursionError):
             self.dropped["spoilt"] += 1
             return None
-        if made.fleet != self.fleet:
+        if not self.ours(made.fleet):
             self.dropped["another fleet"] += 1
             return None
         return made
 
-    def _sealed(self, payload: bytes) -> bytes:
-        return MARK + self.keys.sign(payload) + payload
+    def _sealed(self, payload: bytes, mark: bytes = MARK) -> bytes:
+        return mark + self.keys.sign(payload) + payload
 
-    def _opened(self, data: bytes) -> bytes | None:
-        head = len(MARK) + DIGEST
-        if len(data) <= head or not data.startswith(MARK):
+    def _opened(self, data: bytes, mark: bytes = MARK) -> bytes | None:
+        head = len(mark) + DIGEST
+        if len(data) <= head or not data.startswith(mark):
             self.dropped["foreign"] += 1
             return None
         payload = data[head:]
-        if not self.keys.fits(data[len(MARK):head], payload):
+        if not self.keys.fits(data[len(mark):head], payload):
             self.dropped["digest"] += 1
             return None
         return payload
