--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,120 @@
+"""Handing configuration down: log, replicas and gateways in virtual time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trackspread.distribution.log import Log, Snapshot, fitting
+from trackspread.distribution.terms import BEGINNING, NOTHING, VALUE_MOST, Cursor, Entry, Epoch, Version
+
+FIRST: Epoch = (1, 0)
+
+
+def entry(sequence: int, key: str = "k", value: bytes | None = b"v", epoch: Epoch = FIRST,
+          service: str = "s") -> Entry:
+    return Entry(Version(1, epoch, sequence), service, key, value)
+
+
+def filled(count: int, recent: int = 100, epoch: Epoch = FIRST) -> Log:
+    """With entries 1 to `count`, all of them pending."""
+    log = Log(recent)
+    for sequence in range(1, count + 1):
+        log.append(entry(sequence, f"k{sequence}", epoch=epoch))
+    return log
+
+
+def versions(entries: list[Entry] | None) -> list[int] | None:
+    return [each.version.sequence for each in entries] if entries is not None else None
+
+
+def test_an_entry_that_does_not_follow_the_last_is_an_error() -> None:
+    log = filled(2)
+    for wrong in (entry(2), entry(4), entry(3, epoch=(0, 0))):
+        with pytest.raises(ValueError, match="does not follow"):
+            log.append(wrong)
+
+
+def test_what_is_pending_changes_no_value_until_it_is_committed() -> None:
+    log = filled(3)
+    assert (len(log), log.committed, log.last.sequence) == (0, NOTHING, 3)
+    assert versions(log.commit(Version(1, FIRST, 2))) == [1, 2]
+    assert (len(log), log.committed.sequence, len(log.pending)) == (2, 2, 1)
+    assert log.commit(Version(1, FIRST, 1)) == [], "never taken back"
+    assert versions(log.commit(Version(1, FIRST, 9))) == [3], "nothing beyond the last"
+
+
+def test_a_key_that_is_deleted_is_gone_and_its_service_with_the_last() -> None:
+    log = Log(10)
+    changes = [("a", b"1"), ("b", b"2"), ("a", None), ("b", None), ("x", None)]
+    for sequence, (key, value) in enumerate(changes, 1):
+        log.append(entry(sequence, key, value))
+        log.commit(log.last)
+        pieces, end = log.piece(BEGINNING, lambda service: True)
+        assert end and [each.key for each in pieces] == [["a"], ["a", "b"], ["b"], [], []][sequence - 1]
+    assert log.snapshot == {} and len(log) == 0
+
+
+def test_entries_are_accepted_behind_a_version_that_both_have_and_replace_what_is_pending_alone() -> None:
+    log, newer = filled(4), (2, 1)
+    log.commit(Version(1, FIRST, 2))
+    assert not log.accept(Version(1, newer, 4), [entry(5, epoch=newer)])
+    assert not log.accept(Version(1, FIRST, 5), [entry(6, epoch=newer)])
+    assert log.accept(Version(1, FIRST, 3), [entry(4, "other", epoch=newer)])
+    assert log.last == Version(1, newer, 4) and [each.key for each in log.pending] == ["k3", "other"]
+    assert log.accept(Version(1, FIRST, 3), []), "a word that comes late takes nothing away"
+    assert log.accept(Version(1, FIRST, 2), [entry(3, "k3")]) and log.last == Version(1, newer, 4)
+
+
+def test_only_so_many_committed_entries_are_kept() -> None:
+    log = filled(10, recent=3)
+    log.commit(Version(1, FIRST, 8))
+    assert versions(log.committed_after(Version(1, FIRST, 5))) == [6, 7, 8]
+    assert log.committed_after(Version(1, FIRST, 4)) is None and log.after(Version(1, FIRST, 4)) is None
+    assert versions(log.after(Version(1, FIRST, 6))) == [7, 8, 9, 10]
+    assert versions(log.after(Version(1, FIRST, 9))) == [10]
+    assert [n for n in range(1, 12) if log.holds(Version(1, FIRST, n))] == [5, 6, 7, 8, 9, 10]
+    assert not log.holds(NOTHING) and not log.holds(Version(1, (1, 1), 7))
+
+
+def test_a_snapshot_takes_the_place_of_a_log_unless_that_has_its_version() -> None:
+    snapshot: Snapshot = {"s": {"z": entry(7, "z")}}
+    short = filled(5)
+    short.install(snapshot, Version(1, FIRST, 7))
+    assert short.committed == short.last == Version(1, FIRST, 7) and short.snapshot == snapshot
+    assert short.after(short.committed) == [] and short.holds(short.committed) and not short.pending
+    long = filled(9)
+    long.install(snapshot, Version(1, FIRST, 7))
+    assert (long.committed.sequence, long.last.sequence) == (7, 9), "what it has accepted it keeps"
+    assert len(long) == 7
+
+
+def test_a_datagram_takes_entries_from_the_first_on_and_one_at_least() -> None:
+    large = [entry(n, value=b"x" * VALUE_MOST) for n in range(1, 4)]
+    assert fitting(large) == ((large[0],), True)
+    assert fitting(large[:1]) == ((large[0],), False)
+    assert fitting([]) == ((), False)
+
+
+@given(st.randoms(use_true_random=False), st.integers(0, 120))
+@settings(max_examples=60, deadline=None)
+def test_pieces_together_are_the_snapshot_of_the_services_wanted(rng: random.Random, count: int) -> None:
+    log = Log(10)
+    for sequence in range(1, count + 1):
+        value = rng.choice([None, rng.randbytes(rng.randint(0, VALUE_MOST))])
+        log.append(entry(sequence, rng.choice("abcdefgh"), value, service=rng.choice(["s", "t", "u"])))
+        log.commit(log.last)
+    wanted, cursor, made, end = {"s", "u"}, BEGINNING, list[Entry](), False
+    while not end:
+        piece, end = log.piece(cursor, wanted.__contains__)
+        made += piece
+        if piece:
+            cursor = Cursor(piece[-1].service, piece[-1].key)
+    expected = {s: keys for s, keys in log.snapshot.items() if s in wanted}
+    found: Snapshot = {}
+    for each in made:
+        found.setdefault(each.service, {})[each.key] = each
+    assert found == expected and len(made) == sum(map(len, expected.values()))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,8 @@
 # From the lowest up; a package imports from those before it only.
 ORDER = ("judge", "call", "clock", "lag", "logs", "storage", "usage", "decide", "counter", "plans",
          "simulator", "config", "control", "handover", "framing", "peers", "lists", "planning", "membership",
-         "backends", "fronts", "node", "standins", "virtual", "harness", "mutation", "commands", "cli")
+         "distribution", "backends", "fronts", "node", "standins", "virtual", "harness", "mutation",
+         "commands", "cli")
 TESTBED = {"judge", "standins", "virtual", "harness", "mutation"}
 
 
