--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,8 +12,8 @@
 # From the lowest up; a package imports from those before it only.
 ORDER = ("judge", "call", "clock", "lag", "logs", "storage", "usage", "decide", "counter", "plans",
          "simulator", "config", "control", "handover", "framing", "peers", "lists", "planning", "membership",
-         "cells", "backends", "fronts", "node", "standins", "virtual", "harness", "mutation", "commands",
-         "cli")
+         "cells", "distribution", "backends", "fronts", "node", "standins", "virtual", "harness", "mutation",
+         "commands", "cli")
 # Modules that still import one another in a circle, by package: this only gets shorter.
 CIRCLES = {"backends": {"pools", "seam"}, "fronts": {"client", "connections"}}
 TESTBED = {"judge", "standins", "virtual", "harness", "mutation"}
