--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -30,10 +30,10 @@
 from trackspread.standins import faults
 from trackspread.standins.faults import Cut, Duty, Fault, Rough, Schedule, draw
 from trackspread.standins.scene import Scene
-from trackspread.virtual.membered import Broken, World
-from trackspread.virtual.membered_mutants import MUTANTS, convict
-from trackspread.virtual.membered_schedules import make
-from trackspread.virtual.membered_schedules import play as play_virtual
+from trackspread.virtual.membership.world import Broken, World
+from trackspread.virtual.membership.mutants import MUTANTS, convict
+from trackspread.virtual.membership.schedules import make
+from trackspread.virtual.membership.schedules import play as play_virtual
 
 PROCESSES, MORE = 24, 40  # gateways of a quick run, and of a full one
 SMALL = 5  # gateways with a planted fault
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,9 +28,9 @@
 )
 from trackspread.membership.wire import DATAGRAM, Keys, Wire
 from trackspread.node.membered import keys
-from trackspread.virtual.membered import KEEP, World
-from trackspread.virtual.membered_mutants import MUTANTS, WORLDS, convict
-from trackspread.virtual.membered_schedules import make, play
+from trackspread.virtual.membership.world import KEEP, World
+from trackspread.virtual.membership.mutants import MUTANTS, WORLDS, convict
+from trackspread.virtual.membership.schedules import make, play
 
 ME = Rumour("me", 10, 0, State.ALIVE, "127.0.0.1", 1)
 
--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -13,7 +13,7 @@
 from ..judge.verdict import Rule
 from ..node import serve
 from ..node.gateway import Gateway
-from ..virtual import membered_mutants
+from ..virtual.membership import mutants as membered_mutants
 from ..virtual.mutants import MUTANTS
 from ..virtual.patches import held
 
--- /dev/null
+++ b/trackspread/virtual/cells/__init__.py
@@ -0,0 +1,1 @@
+"""Gateways that are placed in cells, in virtual time."""
--- a/trackspread/virtual/celled_mutants.py
+++ b/trackspread/virtual/cells/mutants.py
@@ -9,20 +9,20 @@
 
 from msgspec import structs
 
-from ..cells import gateway
-from ..cells.controller import Controller
-from ..cells.directory import Directory, Entry
-from ..cells.gateway import Gateway
-from ..cells.leading import Leading
-from ..cells.seeding import Seeding
-from ..cells.terms import (
+from ...cells import gateway
+from ...cells.controller import Controller
+from ...cells.directory import Directory, Entry
+from ...cells.gateway import Gateway
+from ...cells.leading import Leading
+from ...cells.seeding import Seeding
+from ...cells.terms import (
     Cell, CellReport, CellsAction, Left, Locate, Located, Message, Placement, Zone,
 )
-from ..membership.asking import Asking
-from ..membership.terms import SECOND, Address, Epoch, Renew, Who
-from .celled_worlds import WORLDS
-from .patches import held
-from .stage import Broken
+from ...membership.asking import Asking
+from ...membership.terms import SECOND, Address, Epoch, Renew, Who
+from .worlds import WORLDS
+from ..patches import held
+from ..stage import Broken
 
 
 def _any_word() -> list[Any]:
--- a/trackspread/virtual/celled_schedules.py
+++ b/trackspread/virtual/cells/schedules.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from ..cells.terms import Left, Policy
-from ..membership.terms import MS, SECOND
-from .celled import KEEP, CelledWorld, Process
-from .stage import Broken
+from ...cells.terms import Left, Policy
+from ...membership.terms import MS, SECOND
+from .world import KEEP, CelledWorld, Process
+from ..stage import Broken
 
 SETTLED = 30 * SECOND  # ns from the last fault's end: elections, a rebuild, the longest wait of one that asks
 CALM = 10 * SECOND  # ns without any move that follow
--- a/trackspread/virtual/celled.py
+++ b/trackspread/virtual/cells/world.py
@@ -12,17 +12,17 @@
 
 import msgspec
 
-from ..cells.controller import Controller, ControlSettings
-from ..cells.gateway import Gateway, GatewaySettings
-from ..cells.terms import (
+from ...cells.controller import Controller, ControlSettings
+from ...cells.gateway import Gateway, GatewaySettings
+from ...cells.terms import (
     Cell, ControlMachine, InCell, Joined, Leads, Left, Locate, Located, Message, Noticed, Placement, Policy,
     Send, Zone,
 )
-from ..membership.member import Member
-from ..membership.slots import WHOLE
-from ..membership.terms import SECOND, Address, Exchange, Letter, Number, Say, Table, Told, View, Who
-from . import stage
-from .stage import Broken, Stage
+from ...membership.member import Member
+from ...membership.slots import WHOLE
+from ...membership.terms import SECOND, Address, Exchange, Letter, Number, Say, Table, Told, View, Who
+from .. import stage
+from ..stage import Broken, Stage
 
 Core = Controller | Gateway
 Process = stage.Process[Core]
--- a/trackspread/virtual/celled_worlds.py
+++ b/trackspread/virtual/cells/worlds.py
@@ -1,6 +1,6 @@
 """Worlds of cells that are built for one hard case each; each raises `Broken` where it ends badly.
 
-They are smaller and harsher than the drawn schedules (`celled_schedules.py`): what is looked at is known.
+They are smaller and harsher than the drawn schedules (`schedules.py`): what is looked at is known.
 """
 
 from __future__ import annotations
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 from functools import partial
 
-from ..cells.controller import Controller
-from ..cells.gateway import ASK_MOST, REFRESH, Gateway
-from ..cells.terms import Left, Policy
-from ..membership.terms import MS, SECOND
-from .celled import CelledWorld
-from .celled_schedules import SMALL, play
-from .stage import Broken
+from ...cells.controller import Controller
+from ...cells.gateway import ASK_MOST, REFRESH, Gateway
+from ...cells.terms import Left, Policy
+from ...membership.terms import MS, SECOND
+from .world import CelledWorld
+from .schedules import SMALL, play
+from ..stage import Broken
 
 START = 20 * SECOND  # ns until all are settled that start at once
 RESTLESS = Policy(6, 8, 2, 4, 4_096, 60 * SECOND, 600 * SECOND)  # nothing is merged or replaced meanwhile
--- /dev/null
+++ b/trackspread/virtual/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The view of a fleet in virtual time."""
--- a/trackspread/virtual/membered_mutants.py
+++ b/trackspread/virtual/membership/mutants.py
@@ -11,17 +11,17 @@
 from typing import Any
 from unittest.mock import patch
 
-from ..membership import parts
-from ..membership.coordinating import Coordinating
-from ..membership.member import Member
-from ..membership.parts import Holding, Parts
-from ..membership.people import People, Person
-from ..membership.probing import Probing
-from ..membership.terms import MS, SECOND, Address, Epoch, Leader, Rumour, View, Who
-from ..planning.election import Election
-from .membered import Broken, World
-from .membered_schedules import make, play
-from .patches import held
+from ...membership import parts
+from ...membership.coordinating import Coordinating
+from ...membership.member import Member
+from ...membership.parts import Holding, Parts
+from ...membership.people import People, Person
+from ...membership.probing import Probing
+from ...membership.terms import MS, SECOND, Address, Epoch, Leader, Rumour, View, Who
+from ...planning.election import Election
+from .world import Broken, World
+from .schedules import make, play
+from ..patches import held
 
 
 _PARTS_INIT = Parts.__init__
--- a/trackspread/virtual/membered_schedules.py
+++ b/trackspread/virtual/membership/schedules.py
@@ -13,9 +13,9 @@
 from itertools import count
 from collections.abc import Iterator
 
-from ..membership.terms import MS, SECOND
-from ..standins.faults import AWAY, Calm, Cut, Duty, Fault, Halt, Loop, Restart, Rough, Schedule, draw
-from .membered import KEEP, Broken, Process, World
+from ...membership.terms import MS, SECOND
+from ...standins.faults import AWAY, Calm, Cut, Duty, Fault, Halt, Loop, Restart, Rough, Schedule, draw
+from .world import KEEP, Broken, Process, World
 
 SETTLED = 8 * SECOND  # ns from the last fault's end: a term, an election, the longest look for those gone
 LEAD = 6.0  # s for a fleet to start and settle before anything goes wrong
--- a/trackspread/virtual/membered.py
+++ b/trackspread/virtual/membership/world.py
@@ -10,14 +10,14 @@
 
 import msgspec
 
-from ..membership.member import Member
-from ..membership.slots import SLOTS, WHOLE
-from ..membership.terms import (
+from ...membership.member import Member
+from ...membership.slots import SLOTS, WHOLE
+from ...membership.terms import (
     MS, SECOND, Address, Exchange, Letter, Number, Say, Settings, Table, Told, View,
 )
-from . import stage
-from .stage import Broken as Broken
-from .stage import Stage
+from .. import stage
+from ..stage import Broken as Broken
+from ..stage import Stage
 
 KEEP = 2 * SECOND  # that a silent member keeps its part for, unless the settings say otherwise
 
