Capacity: what the cores of cells and of handed-down configuration hold and spend

The directory of cells and the replicas' log are in the program as cores; benchmarks/scale/control_state.py measures them by size in fresh processes (a replica's log and polls by routes, a gateway that follows routes, the leader's directory by gateways), without sockets and encoding, which the rows say.

--- /dev/null
+++ b/benchmarks/scale/control_state.py
@@ -0,0 +1,177 @@
+"""What the cores of a control machine and of a gateway that follows it hold and spend at one size.
+
+Cores alone, without sockets and without encoding. `python -m benchmarks.scale.control_state NAME SIZE`, as
+`subjects.py`.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable
+from functools import partial
+from itertools import count
+from statistics import median
+
+from trackspread.cells.directory import REBUILD, Directory
+from trackspread.cells.leading import LOOK
+from trackspread.cells.terms import ControlMachine, Locate, Policy, Zone
+from trackspread.distribution.log import Log
+from trackspread.distribution.serving import Serving, digest
+from trackspread.distribution.subscriber import Subscriber
+from trackspread.distribution.terms import (
+    Delta, Entry, Poll, ReplicaSettings, Send, Subscribe, SubscriberSettings, Version,
+)
+from trackspread.membership.terms import Who
+
+from .demand import ASKED, CARRIED
+from .subjects import REPEATS, SECOND, START, Figures, print_figures, resident, took
+
+VALUE = 200  # bytes of one route as this page reckons; an entry's bound is 640
+ROUTES = int(ASKED["routes"] / ASKED["services"])  # of one service
+REPEATED = 20 * REPEATS  # steps of some 10 us
+AT_ONCE = 4  # entries of one delta
+COPIES = 8  # directories alike, for their memory: one of a few hundred gateways is under some pages
+REPLICA, GATEWAY = ("10.0.0.1", 7500), ("10.1.0.1", 7500)
+EPOCH = (1, 0)
+REGIONS, ZONES, MACHINES = int(ASKED["regions"]), int(ASKED["zones"]), int(ASKED["control"])
+
+
+def entry(sequence: int, route: int) -> Entry:
+    """A change of one route under this sequence."""
+    value = (b"%d:" % sequence).ljust(VALUE, b"v")
+    return Entry(Version(1, EPOCH, sequence), service(route // ROUTES), f"route-{route:06}", value)
+
+
+def service(number: int) -> str:
+    """A service's name."""
+    return f"service-{number:04}"
+
+
+def logged(routes: int) -> Log:
+    """A replica's log in which each of so many routes was set once."""
+    log = Log(ReplicaSettings(0, 1, (REPLICA,)).recent)
+    for route in range(routes):
+        change(log, entry(route + 1, route))
+    return log
+
+
+def change(log: Log, made: Entry) -> None:
+    """One change, appended and committed."""
+    log.append(made)
+    log.commit(made.version)
+
+
+def routes(size: int) -> Figures:
+    """A replica that holds so many routes; one change more; a gateway's poll that finds nothing, and one."""
+    empty = resident()
+    log = logged(size)
+    held = resident() - empty
+    changes = [entry(size + number, number % size) for number in range(1, 1 + REPEATED)]
+    took_changes = [took(partial(change, log, made)) for made in changes]
+    serving = Serving(log, 10**6)
+    carried = tuple(service(number) for number in range(CARRIED))
+    subscription = digest(carried)
+    serving.subscriptions.take(GATEWAY, Subscribe(subscription, 0, 1, carried))
+    now, numbers = count(START, SECOND), count(1)
+    newest, before = log.committed, changes[-2].version
+
+    def poll(version: Version) -> float:
+        asked = Poll(next(numbers), version, subscription)
+        answers = list[object]()
+        moment = next(now)
+        used = took(lambda: answers.extend(serving.answer(moment, asked, moment)))
+        if not isinstance(answers[0], Delta):
+            raise RuntimeError(f"{answers}: no delta, no fair work")
+        return used
+
+    return {
+        "memory": held, "change": median(took_changes),
+        "poll": median(poll(newest) for _ in range(REPEATED)),
+        "delta": median(poll(before) for _ in range(REPEATED)),
+    }
+
+
+def subscribed(size: int) -> Figures:
+    """A gateway that follows so many routes, told of them by deltas; then one change of one of them."""
+    empty = resident()
+    subscriber = Subscriber(SubscriberSettings((REPLICA,), None), START, 1)
+    now = count(START + 2 * subscriber.settings.period, 2 * subscriber.settings.period)
+    for first in range(0, size, AT_ONCE):
+        some = tuple(entry(at + 1, at) for at in range(first, min(size, first + AT_ONCE)))
+        _told(subscriber, next(now), some)
+    held = resident() - empty
+    changes = [
+        _told(subscriber, next(now), (entry(size + number, number % size),))
+        for number in range(1, 1 + REPEATED)
+    ]
+    return {"memory": held, "change": median(changes)}
+
+
+def _told(subscriber: Subscriber, now: int, entries: tuple[Entry, ...]) -> float:
+    """CPU seconds of a delta that answers the next poll."""
+    sent = [each.body for each in subscriber.tick(now) if isinstance(each, Send)]
+    if not sent or not isinstance(sent[0], Poll):
+        raise RuntimeError(f"{sent}: no poll, no fair work")
+    delta = Delta(sent[0].number, entries[-1].version, 0, entries, False)
+    used = took(partial(subscriber.received, now, delta, REPLICA))
+    if subscriber.version != delta.version:
+        raise RuntimeError(f"{delta.version} is not acted on: no fair work")
+    return used
+
+
+def machines() -> tuple[ControlMachine, ...]:
+    """The control machines, over all regions and zones."""
+    return tuple(
+        ControlMachine(f"control-{number:02}", f"region-{number % REGIONS}", f"zone-{number % ZONES}",
+                       (f"10.9.0.{number + 1}", 7400))
+        for number in range(MACHINES)
+    )
+
+
+def place(gateway: int) -> Zone:
+    """Where a gateway runs."""
+    zone = gateway % ZONES
+    return Zone(f"region-{zone % REGIONS}", f"zone-{zone}")
+
+
+def directory(size: int) -> Figures:
+    """The leader's directory of so many gateways: a gateway's question, a seed's report, its looks."""
+    empty = resident()
+    asked, reports, alike = list[float](), list[float](), list[Directory]()
+    for _ in range(COPIES):
+        alike.append(made := Directory(START, EPOCH, Policy(gateways=2 * size), machines()))
+        asked += [took(partial(_locate, made, START + REBUILD, gateway)) for gateway in range(size)]
+        reports += _reported(made)
+    held = (resident() - empty) / COPIES
+    live = frozenset(machine.name for machine in machines())
+    moments = range(START + REBUILD, START + REBUILD + REPEATED * SECOND, SECOND)
+    beats = [took(partial(made.tick, now, live)) for now in moments]
+    return {"memory": held, "locate": median(asked), "report": median(reports),
+            "looks": median(beats) * SECOND / LOOK}
+
+
+def _reported(made: Directory) -> list[float]:
+    """CPU seconds of a seed's report of each cell, after which all that were sent there are in it."""
+    used = []
+    for known in made.entries.values():
+        inside: list[Who] = [(name, 1) for name in known.coming]
+        used.append(took(partial(made.reported, START + REBUILD, known.cell, (1, 0, 1), inside)))
+    return used
+
+
+def _locate(made: Directory, now: int, gateway: int) -> None:
+    zone = place(gateway)
+    where = Locate(zone.region, zone.zone, (f"10.{gateway >> 8}.{gateway & 255}.1", 7400))
+    if made.locate(now, (f"gateway-{gateway:04}", 1), where) is None:
+        raise RuntimeError(f"gateway {gateway}: not placed, no fair work")
+
+
+SUBJECTS = {subject.__name__: subject for subject in (routes, subscribed, directory)}
+
+
+def main(words: Iterable[str]) -> int:
+    return print_figures(SUBJECTS, words)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/benchmarks/scale/demand.py
+++ b/benchmarks/scale/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from trackspread.backends.pools import RETIRE
+from trackspread.cells.seeding import FRESHEN, FRESHEN_OTHERS
 from trackspread.counter.commands import MOST_FIELDS
 from trackspread.counter.terms import HEARTBEAT
 from trackspread.decide.broker import FORGET, IDLE, RETRY_SHARE
@@ -26,6 +27,7 @@
     "retry_share": RETRY_SHARE, "idle_s": IDLE / SECOND, "forget_s": FORGET / SECOND,
     "rest_s": 30 * RETIRE, "spread_s": SPREAD_MOST, "partitions": 8, "counter_beat_s": HEARTBEAT / SECOND,
     "share": 0.018, "budget": 5_000, "memory": 64e6,
+    "report_s": FRESHEN / SECOND, "report_others_s": FRESHEN_OTHERS / SECOND,
     "slots": SLOTS, "fleet_most": 4_096, "counter_most": MOST_FIELDS,
 }
 # What a gateway would carry if requests were dealt out by service: see the lines on connections.
@@ -94,6 +96,7 @@
     Line("changes_gateways", "the same told to every gateway", "changes_s * gateways", "/s"),
     Line("changes_gateway", "changes a day for one gateway's services alone",
          "changes * carried / services", ""),
+    Line("changes_gateway_s", "the same a second", "changes_gateway / day", "/s"),
     Line("changes_carried", "changes told, to those gateways alone that carry the service",
          "changes_s * gateways_service", "/s"),
     Line("machines", "machines that are restarted or fail", "gateways + backends", "",
@@ -125,6 +128,9 @@
     Line("cells_control", "cells a control machine", "cells / control", ""),
     Line("gateways_control", "gateways a control machine", "gateways / control", ""),
     Line("gateways_control_one", "the same while one is lost", "gateways / (control - 1)", ""),
+    Line("reports_s", "reports of all cells to the leader, while nothing changes",
+         "cells / report_s + 2 * cells / report_others_s", "/s",
+         "a coordinator's each 10 s, two other seeds' each 30 s: `cells/seeding.py`"),
     Line("bytes_control", "bytes a control machine, if all gateways spend all on it",
          "gateways * budget / control", "B/s"),
     Line("cores", "cores that all gateways may spend on control", "gateways * share", ""),
--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -118,6 +118,22 @@
         "bytes": Kind("bytes/s", BYTES, "payload received, 8 partitions"),
         "cpu": Kind("share of a core", SHARE, "heartbeats alone, without claims"),
     }, program="quota_traffic"),
+    Subject("routes", "routes at a replica", 62_000, {
+        "memory": Kind("bytes", None, "200 bytes a route, log and snapshot"),
+        "change": Kind("s", None, "one change, appended and committed by the core alone"),
+        "poll": Kind("s", None, "a gateway's poll that finds nothing new, the core alone"),
+        "delta": Kind("s", None, "a gateway's poll that finds one change, the core alone"),
+    }, program="control_state"),
+    Subject("subscribed", "routes that a gateway follows", 62_000, {
+        "memory": Kind("bytes", MEMORY, "200 bytes a route"),
+        "change": Kind("s", ADDED, "one change, the core alone"),
+    }, program="control_state"),
+    Subject("directory", "gateways in the directory of cells", 7_200, {
+        "memory": Kind("bytes", None),
+        "locate": Kind("s", None, "a new gateway's question where it is to be, the core alone"),
+        "report": Kind("s", None, "a seed's report of a cell, the core alone"),
+        "looks": Kind("share of a core", None, "the leader's four looks a second"),
+    }, program="control_state"),
     Subject("fleet_view", "gateways asked, each of which tells of all", 800, {
         "bytes": Kind("bytes", None, "all answers"),
         "cpu": Kind("s", None, "read and compared, without the asking"),
--- a/tests/test_scale_module.py
+++ b/tests/test_scale_module.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks.scale import module, operator_tools, quota_traffic, subjects
+from benchmarks.scale import control_state, module, operator_tools, quota_traffic, subjects
 from benchmarks.scale.slopes import Run
 
 RUN = Run(date="2026-12-02T05:10Z", command="test", commit="abc1234")
@@ -12,6 +12,7 @@
 
 def test_each_subject_has_a_measurement_for_each_of_its_figures() -> None:
     functions = subjects.SUBJECTS | quota_traffic.SUBJECTS | operator_tools.SUBJECTS
+    functions |= control_state.SUBJECTS
     assert {subject.function or subject.name for subject in module.SUBJECTS} == set(functions)
     for subject in module.SUBJECTS:
         told = set(functions[subject.function or subject.name](30))
