--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -4,17 +4,16 @@
 
 import math
 from collections.abc import Callable, Iterable
-from pathlib import Path
 
 from .demand import ASKED, SECTIONS, figures
 from .faults import Report
 from .latency import LIMIT, Latency
+from .presence import Presence, presence
 from .reckon import Break, Reckoned, State, Total, breaks, mends, reckon, totals
 from .roles import BOUNDS, ROLES, Role
 from .slopes import Measurement, Run, Slopes
 from .sums import Worked, figure, work
 
-PROGRAM = Path(__file__).resolve().parents[2] / "trackspread"
 NAMED: dict[str, str] = {
     "cell": "gateways in a cell", "links_gateway": "backends of its services",
     "tenants_active": "customers active", "tenants_ten": "commitments",
@@ -25,16 +24,15 @@
 
 
 class Page:
-    """All generated parts by name; `here` tells whether a mechanism's module is in the program."""
+    """All generated parts by name; `here` tells how far a mechanism has come."""
 
     def __init__(
         self, slopes: Slopes, latency: Latency | None = None, report: Report | None = None,
-        here: Callable[[str], bool] | None = None,
+        here: Callable[[str], Presence] = presence,
     ) -> None:
         self._slopes, self._latency, self._report = slopes, latency, report
         self.worked = work([line for _, lines in SECTIONS for line in lines], figures())
         self.figures = figures() | {each.line.name: each.value for each in self.worked}
-        here = here or present
         self.reckoned = {
             role.title: [reckon(row, slopes, self.figures, here) for row in role.rows] for role in ROLES
         }
@@ -148,11 +146,6 @@
         return _table(("run", "date", "command", "commit"), rows) if rows else "none"
 
 
-def present(mechanism: str) -> bool:
-    """Whether that path below trackspread/ is in the program."""
-    return bool(mechanism) and (PROGRAM / mechanism).exists()
-
-
 def amount(value: float, unit: str) -> str:
     """A value with its unit, as people read it."""
     kind, per, rest = unit.partition("/s")
@@ -198,7 +191,9 @@
 
 
 def _mechanism(each: Reckoned) -> str:
-    return f"`{each.row.mechanism}`" if each.present else "**missing**"
+    if each.presence is Presence.MISSING:
+        return str(each.presence.value)
+    return ", ".join(filter(None, (f"`{each.row.mechanism}`", each.presence.value)))
 
 
 def _room(room: float | None) -> str:
--- a/benchmarks/scale/reckon.py
+++ b/benchmarks/scale/reckon.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from .extrapolation import unrefuted
+from .presence import Presence, presence
 from .roles import TOTALS, Bound, Role, Row
 from .slopes import Measurement, Slopes
 
@@ -43,8 +44,8 @@
     limit: float | None = None
     # The size at which the limit is reached; None where it can't be told.
     breaks_at: float | None = None
-    # Whether the mechanism is in the program.
-    present: bool = False
+    # How far the mechanism has come.
+    presence: Presence = Presence.MISSING
 
     @property
     def at_the_latest(self) -> bool:
@@ -87,19 +88,21 @@
         return self.breaks_at / self.size
 
 
-def reckon(row: Row, slopes: Slopes, figures: dict[str, float], here: Callable[[str], bool]) -> Reckoned:
-    """The row at the size that it names; `here` tells whether a mechanism's module is in the program."""
-    size, present = figures[row.at], here(row.mechanism)
+def reckon(
+    row: Row, slopes: Slopes, figures: dict[str, float], here: Callable[[str], Presence] = presence
+) -> Reckoned:
+    """The row at the size that it names; `here` tells how far a mechanism has come."""
+    size, there = figures[row.at], here(row.mechanism)
     found = slopes.find(row.slope) if row.slope else None
     if found is None:
-        return Reckoned(row, State.NOT_MEASURED, size, present=present)
+        return Reckoned(row, State.NOT_MEASURED, size, presence=there)
     state = _state(found, size)
     if state in (State.VOID, State.WRONG):
-        return Reckoned(row, state, size, found, present=present)
+        return Reckoned(row, state, size, found, presence=there)
     times = figures[row.by] if row.by else 1.0
     limit = figures.get(row.limit) if row.by else found.limit
     breaks_at = _breaks_at(found, None if limit is None else limit / times)
-    return Reckoned(row, state, size, found, _value(found, state, size) * times, limit, breaks_at, present)
+    return Reckoned(row, state, size, found, _value(found, state, size) * times, limit, breaks_at, there)
 
 
 def totals(role: Role, reckoned: list[Reckoned], figures: dict[str, float]) -> list[Total]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,8 @@
 from benchmarks import capacity
 from benchmarks.scale import demand, faults, latency, reckon, roles, slopes
 from benchmarks.scale.extrapolation import unrefuted
-from benchmarks.scale.page import PROGRAM, Page, amount, present
+from benchmarks.scale.page import Page, amount
+from benchmarks.scale.presence import PROGRAM, Presence, presence, started
 from benchmarks.scale.slopes import Measurement, Run, Slopes, measurement
 from benchmarks.scale.sums import Line, SumError, Worked, figure, work
 
@@ -33,7 +34,7 @@
 def one(found: Measurement | None, row: roles.Row = ROW, size: float = 7200.0) -> reckon.Reckoned:
     """The row worked out at a size."""
     kept = Slopes((found,) if found is not None else ())
-    return reckon.reckon(row, kept, FIGURES | {"gateways": size}, lambda mechanism: True)
+    return reckon.reckon(row, kept, FIGURES | {"gateways": size}, lambda mechanism: Presence.STARTED)
 
 
 # Page, file and command.
@@ -246,14 +247,20 @@
 
 
 def test_a_mechanism_that_is_not_in_the_program_is_missing() -> None:
-    assert present("decide/fleet.py")
-    assert not present("no/such.py")
-    assert not present("")
-    page = Page(Slopes(), here=lambda mechanism: mechanism.startswith("decide/"))
+    assert presence("decide/fleet.py") is Presence.STARTED
+    assert presence("no/such.py") is presence("") is Presence.MISSING
+    known = {"decide": Presence.STARTED, "membership": Presence.CORE}
+    page = Page(Slopes(), here=lambda path: known.get(path.split("/")[0], Presence.MISSING))
     table = page.parts()["roles"]
     assert "| **missing** |" in table
-    assert "`decide/fleet.py`" in table
-    assert "`membership/people.py`" not in table
+    assert "| `decide/fleet.py` |" in table
+    assert "| `membership/people.py`, a core that nothing starts yet |" in table
+    assert "`counter/lease_manager.py`" not in table
+
+
+def test_what_operators_start_brings_in_the_gateway_and_nothing_of_the_testbed() -> None:
+    assert {"node", "decide", "backends", "fronts", "lists", "membership"} <= started()
+    assert not started() & {"virtual", "harness", "standins", "judge", "mutation"}
 
 
 def test_without_runs_every_row_says_so() -> None:
