Cells in the operator's file: trackspread control, fleet cells, fleet view by cell; on processes

fleet.control names the control machines, fleet.region and fleet.zone where a gateway runs, fleet.gateways how many there may be; without them all is as before. Such a gateway is in a cell, says so at its door (/fleet), and goes on sharing limits as without a view: a cell's slots are its own, what a cell may have of the whole is not built. trackspread control runs one control machine, trackspread fleet cells asks their leader which cells there are. What contradicts itself (seeds beside control machines, one named twice, an unknown region) is one line.

--- /dev/null
+++ b/tests/test_cells_file.py
@@ -0,0 +1,80 @@
+"""Cells in the operator's file, and the commands that read it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from trackspread.cli import main
+from trackspread.config.addresses import ConfigError
+from trackspread.config.operator import Fleet, parse
+from trackspread.node.celled import Celled, machines
+from trackspread.node.controlling import made
+
+GATEWAY = '[fleet]\nname = "f"\nlisten = "127.0.0.1:7400"\n'
+PLACED = GATEWAY + 'region = "r"\nzone = "z"\n'
+
+
+def seat(number: int, port: int | None = None, region: str = "r", zone: str = "z") -> str:
+    return (f'[[fleet.control]]\nname = "c{number}"\nregion = "{region}"\nzone = "{zone}"\n'
+            f'address = "127.0.0.1:{number if port is None else port}"\n')
+
+
+def fleet(text: str) -> Fleet:
+    return parse(text, "f").fleet
+
+
+@pytest.mark.parametrize("text, wanted", [
+    ('[fleet]\nregion = "r"', "fleet.name: found nothing, wanted a name: fleet.region is set"),
+    (f"[fleet]\n{seat(1)}", "fleet.name: found nothing, wanted a name: fleet.control is set"),
+    (PLACED, "fleet.control: found nothing, wanted control machines: fleet.region or fleet.zone is set"),
+    (PLACED.replace('listen = "127.0.0.1:7400"', "") + seat(1), "fleet.listen: found nothing, wanted host"),
+    (f'{PLACED}seeds = ["127.0.0.1:1"]\n{seat(1)}', "fleet.seeds: found 1, wanted none: the control"),
+    (PLACED + seat(1) + seat(1, 2), "fleet.control[1].name: found 'c1' twice, wanted once each"),
+    (PLACED + seat(1) + seat(2, 1), "fleet.control[1].address: found '127.0.0.1:1' twice, wanted once each"),
+    (PLACED + seat(1, 0), "fleet.control[0].address: found port 0, wanted 1 to 65535"),
+    (PLACED + seat(1).replace("127.0.0.1", "0.0.0.0"), "wanted an address that others can reach"),
+    (PLACED + seat(1).replace("127.0.0.1", "control"), "wanted an address and a port, as 127.0.0.1:7500"),
+    (PLACED + seat(1, region=""), "fleet.control[0].region: found nothing, wanted the region that it is in"),
+    (PLACED + seat(1, region="s"), "fleet.region: found 'r', wanted one that has control machines: s"),
+    (PLACED.replace('zone = "z"\n', "") + seat(1), "fleet.zone: found nothing, wanted the zone that this"),
+    (PLACED + seat(1, zone="z z"), "fleet.control[0].zone: found 'z z'"),
+    (f"{PLACED}gateways = 1\n{seat(1)}", "fleet.gateways: found 1, wanted int >= 2"),
+])
+def test_a_mistake_is_one_line(text: str, wanted: str) -> None:
+    with pytest.raises(ConfigError, match=r"^f: ") as found:
+        parse(text, "f")
+    assert wanted in str(found.value) and "\n" not in str(found.value)
+
+
+def test_one_file_serves_gateways_and_control_machines() -> None:
+    both = fleet(PLACED + seat(1) + seat(2))
+    assert [machine.name for machine in machines(both)] == ["c1", "c2"]
+    host = made("c2", both)
+    assert host.core.who[0] == "c2"
+    assert Celled("g", both, lambda: 0).report() is None
+
+
+def test_names_that_contradict_the_file_are_one_line() -> None:
+    with pytest.raises(ConfigError, match=r"NAME: found 'c9', wanted a control machine's: c1, c2$"):
+        made("c9", fleet(PLACED + seat(1) + seat(2)))
+    with pytest.raises(ConfigError, match=r"name: found 'c1', which fleet.control has too"):
+        Celled("c1", fleet(PLACED + seat(1)), lambda: 0)
+    with pytest.raises(ConfigError, match=r"fleet.region: found nothing, wanted this gateway's"):
+        Celled("g", fleet(GATEWAY + seat(1)), lambda: 0)
+
+
+def test_the_commands_say_what_is_wrong(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = tmp_path / "own.toml"
+    file.write_text(PLACED + seat(9))
+    assert main(["control", "c1", "--file", str(file)]) == 2
+    assert "NAME: found 'c1', wanted a control machine's: c9" in capsys.readouterr().err
+    assert main(["fleet", "cells", "--file", str(file)]) == 2
+    assert "fleet.control: no leader answered" in capsys.readouterr().err
+    assert main(["fleet", "forget", "g", "--file", str(file)]) == 2
+    assert "wanted a fleet without cells" in capsys.readouterr().err
+    file.write_text("")
+    assert main(["fleet", "cells", "--file", str(file)]) == 2
+    assert "fleet.control: found nothing, wanted a fleet's that has cells" in capsys.readouterr().err
+    assert main(["check", str(file)]) == 0
--- /dev/null
+++ b/tests/test_cells_process.py
@@ -0,0 +1,184 @@
+"""Cells on processes: gateways that serve, control machines, faults between; judged by their records."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from trackspread.harness import viewed
+from trackspread.harness.celled import CelledFleet, whole_cells
+from trackspread.membership.terms import MS
+from trackspread.standins.scene import Scene
+
+pytestmark = pytest.mark.processes
+
+GATEWAYS, CONTROL = 6, 4
+START, SETTLED = 25.0, 25.0  # s until all are in cells that are whole; a cold control tier rebuilds first
+LOOK = 0.2  # s between looks at the records
+KEPT = Path(tempfile.gettempdir()) / "trackspread-kept"  # ledger, logs and records of a run that failed
+MOST = 150.0  # s: only a hang reaches it
+TRIES = 4  # of a run whose rig lagged: such a run has no verdict
+
+Work = Callable[[CelledFleet], Awaitable[None]]
+
+
+async def settled(fleet: CelledFleet, most: float = SETTLED) -> None:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + most
+    while amiss := whole_cells(fleet):
+        assert loop.time() < end, f"{amiss}; {[c.tail(2) for c in fleet.control.values()]}"
+        await asyncio.sleep(LOOK)
+
+
+async def until(holds: Callable[[], bool], most: float = SETTLED) -> None:
+    async with asyncio.timeout(most):
+        while not holds():
+            await asyncio.sleep(LOOK)
+
+
+def play(work: Work, keys: str = "keep_s = 3.0") -> None:
+    """The rules, and all records, are decided on after it; a run in which the rig lagged is played again."""
+
+    async def once() -> bool:
+        scene = Scene(gateways=GATEWAYS, nodes=6, load=0.15, seed=7, tolerance=200 * MS)
+        async with CelledFleet(scene, CONTROL, keys) as fleet:
+            await settled(fleet, START)
+            fleet.ask()
+            await work(fleet)
+            await fleet.settle()
+            amiss = fleet.amiss_in_cells()
+            verdict = fleet.verdict()
+            if verdict.state == "void" and not amiss:
+                return False
+            if verdict.state == "broken" or amiss:
+                viewed.keep(fleet, KEPT)
+            assert amiss == []
+            assert verdict.state == "kept", verdict.violations
+            return True
+
+    for _ in range(TRIES):
+        if uvloop.run(asyncio.wait_for(once(), MOST)):
+            return
+    raise AssertionError(f"the rig lagged in each of {TRIES} runs")
+
+
+def moves(fleet: CelledFleet, since: int) -> list[str]:
+    return [each.name for each in fleet.beliefs() if each.at > since and each.kind == "parted"]
+
+
+def cut(fleet: CelledFleet, some: list[str], others: list[str], hole: bool) -> None:
+    """What the ones say to the others."""
+    for a in some:
+        for b in others:
+            fleet.wire.between(a, b, "udp").hole = fleet.wire.between(a, b, "tcp").hole = hole
+
+
+async def command(*words: str) -> tuple[int | None, str]:
+    """Exit status and what it prints."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "trackspread", *words, stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    out, _ = await process.communicate()
+    return process.returncode, out.decode()
+
+
+def direct(fleet: CelledFleet, name: str) -> Path:
+    """A control machine's file with the addresses themselves: the wire knows no stranger's questions."""
+    text = fleet.table(name)
+    for each in fleet.control_names:
+        text = text.replace("{}:{}".format(*fleet.reached[each]), "{}:{}".format(*fleet.members[each]))
+    (fleet.folder / "direct.toml").write_text(text)
+    return fleet.folder / "direct.toml"
+
+
+def names(fleet: CelledFleet) -> list[str]:
+    return [gateway.name for gateway in fleet.gateways]
+
+
+def test_a_leader_and_coordinators_end_and_the_operator_sees_the_cells() -> None:
+    async def work(fleet: CelledFleet) -> None:
+        doors = ["{}:{}".format(*fleet.doors[name]) for name in names(fleet)]
+        status, out = await command("fleet", "view", *doors, "--wait", "10")
+        assert status == 0, out
+        assert out.count("cell r.z0.") == out.count("cell r.z1.") == GATEWAYS // 2
+        leader = fleet.leader()
+        await fleet.control[leader].kill()  # it coordinates some cell too, or its seat there is lost
+        await until(lambda: fleet.leader() not in ("", leader))
+        await settled(fleet)
+        await fleet.end([4])
+        await settled(fleet)
+        await fleet.begin([4])
+        await settled(fleet)
+        await fleet.control[leader].start()
+        file = str(direct(fleet, leader))
+
+        async def listed() -> str:
+            return (await command("fleet", "cells", "--file", file))[1]
+
+        async with asyncio.timeout(SETTLED):
+            while f"2 cells, {GATEWAYS} gateways" not in await listed():
+                await asyncio.sleep(LOOK)
+        other = next(name for name in fleet.control_names if name not in (leader, fleet.leader()))
+        assert await fleet.control[other].end() == 0
+
+    play(work)
+
+
+def test_half_of_the_fleet_starts_anew_and_a_stopped_one_wakes_with_an_old_lease() -> None:
+    async def work(fleet: CelledFleet) -> None:
+        before = fleet.cells()
+        await fleet.restart([0, 1, 2], 0.2)
+        await settled(fleet)
+        assert fleet.cells() == before, "all come back to the cells that they were in"
+        fleet.gateways[5].halt()
+        await asyncio.sleep(6.0)  # over the life of what it holds
+        fleet.gateways[5].resume()
+        await settled(fleet)
+
+    play(work)
+
+
+def test_two_that_believe_they_lead_and_control_machines_that_all_start_anew() -> None:
+    async def work(fleet: CelledFleet) -> None:
+        since = fleet.beliefs()[-1].at
+        leader = fleet.leader()
+        fleet.control[leader].signal(signal.SIGSTOP)
+        await until(lambda: fleet.leader() not in ("", leader))
+        fleet.control[leader].signal(signal.SIGCONT)
+        await settled(fleet)
+        for control in fleet.control.values():
+            await control.kill()
+        for control in fleet.control.values():
+            await control.start()
+        await until(lambda: fleet.leader() != "" and any(
+            each.kind == "control leads" and each.name == fleet.leader() for each in fleet.beliefs()))
+        await settled(fleet, 40.0)
+        assert moves(fleet, since) == []
+
+    play(work)
+
+
+def test_cells_that_reach_no_control_machine_or_one_way_only_go_on_and_heal_without_a_move() -> None:
+    async def work(fleet: CelledFleet) -> None:
+        since = fleet.beliefs()[-1].at
+        cut(fleet, names(fleet), fleet.control_names, True)
+        cut(fleet, fleet.control_names, names(fleet), True)
+        await asyncio.sleep(6.0)
+        cut(fleet, names(fleet), fleet.control_names, False)
+        cut(fleet, fleet.control_names, names(fleet), False)
+        await settled(fleet)
+        cut(fleet, names(fleet)[:2], fleet.control_names, True)
+        await asyncio.sleep(5.0)
+        cut(fleet, names(fleet)[:2], fleet.control_names, False)
+        await settled(fleet)
+        assert moves(fleet, since) == []
+
+    play(work)
--- /dev/null
+++ b/tests/test_cells_records.py
@@ -0,0 +1,25 @@
+"""What the records of gateways in cells say, made by hand."""
+
+from __future__ import annotations
+
+from trackspread.harness.celled import backward, together
+from trackspread.judge.beliefs import Belief
+
+
+def joined(at: int, cell: str, count: int, name: str = "g", born: int = 1) -> Belief:
+    return Belief(at, name, born, "joined", {"cell": cell, "number": [5, 0, count]})
+
+
+def parted(at: int, cell: str) -> Belief:
+    return Belief(at, "g", 1, "parted", {"cell": cell})
+
+
+def test_one_that_leaves_before_it_joins_by_newer_words_is_in_order() -> None:
+    told = [joined(1, "a", 1), parted(2, "a"), joined(2, "b", 2), joined(3, "a", 1, "h")]
+    assert not backward(told) and not together(told)
+    assert not backward([joined(1, "a", 4), joined(2, "a", 1, born=2)]), "another process knows nothing of it"
+
+
+def test_one_that_goes_back_or_is_in_two_cells_is_told() -> None:
+    assert [each.at for each in backward([joined(1, "a", 2), parted(2, "a"), joined(3, "b", 1)])] == [3]
+    assert [each.at for each in together([joined(1, "a", 1), joined(2, "b", 2)])] == [2]
--- a/trackspread/cells/controller.py
+++ b/trackspread/cells/controller.py
@@ -29,8 +29,9 @@
 from .leading import Leading
 from .seeding import Seeding
 from .terms import (
-    MS, SECOND, Bodies, Cell, CellReport, CellsAction, ControlMachine, Forwarded, InCell, Leads, Locate,
-    Located, Message, Move, Noted, Noticed, Placed, Placement, Policy, Retire, Seed, Send, Zone,
+    MS, SECOND, Bodies, Cell, CellReport, CellsAction, ControlMachine, Describe, Described, Forwarded, InCell,
+    Leads, Locate, Located, Message, Move, Noted, Noticed, Placed, Placement, Policy, Retire, Seed, Send,
+    Zone,
 )
 
 VOTERS = 7  # of the control machines: an election among more has more to wait for than it gains
@@ -210,6 +211,8 @@
         body = message.body
         if isinstance(body, Locate):
             self._locate(now, message.who, body)
+        elif isinstance(body, Describe):
+            self._describe(now, body.page, source)
         elif message.name not in self._names:
             return  # only control machines say the rest
         elif message.epoch is not None:
@@ -223,8 +226,11 @@
         """As the leader."""
         match body:
             case Forwarded():
+                refused = leading.directory.refused
                 if (placed := leading.placed(now, body)) is not None:
                     self._say(now, machine.address, placed, leading.epoch)
+                elif leading.directory.refused > refused:
+                    self._out.append(Noticed("full", {"gateways": self.settings.policy.gateways}))
             case CellReport():
                 for told in leading.reported(now, machine, body):
                     self._say(now, machine.address, told, leading.epoch)
@@ -282,6 +288,13 @@
                 word = held.rumour
                 self._say(now, word.address, Located(word.who, move.placement))
 
+    def _describe(self, now: int, page: int, source: Address) -> None:
+        """For an operator."""
+        if self.leading is not None and self.tier.owns(now):
+            self._say(now, source, self.leading.described(page, self.me.address))
+        else:
+            self._say(now, source, Described(self._leader(), page, 0, 0, ()))
+
     # Gateways' questions.
 
     def _locate(self, now: int, who: Who, locate: Locate) -> None:
--- a/trackspread/cells/host.py
+++ b/trackspread/cells/host.py
@@ -137,5 +137,9 @@
         self._line(kind, {"cell": cell, "number": action.placement.number})
 
     def _noticed(self, kind: str, about: dict[str, object]) -> None:
-        of_note.info("control: %s %s", kind, about)
+        if kind == "full":
+            log.warning("fleet.gateways: found more than %s gateways, wanted at most that: one is not placed",
+                        about["gateways"])
+        else:
+            of_note.info("control: %s %s", kind, about)
         self._line(f"control {kind}", about)
--- a/trackspread/cells/leading.py
+++ b/trackspread/cells/leading.py
@@ -16,12 +16,14 @@
 from ..membership.terms import MS, Address, Epoch, Number, Who
 from .directory import Directory, MoveWanted
 from .terms import (
-    SECOND, Bodies, CellReport, ControlMachine, Forwarded, Move, Noted, Placed, Policy, Retire, Seed,
+    SECOND, Bodies, CellReport, CellRow, ControlMachine, Described, Forwarded, Move, Noted, Placed, Policy,
+    Retire, Seed,
 )
 
 LOOK = 250 * MS  # ns between two looks at what is to be told
 TELL = 1 * SECOND  # ns after which a seed that has not reported an entry is told it again
 PAGES_MOST = 64  # pages of one report: a cell has far fewer gateways
+ROWS = 8  # cells of one page of the directory, with the longest names
 WAITING_MOST = 1_024  # reports of which pages are missing
 
 Told = list[tuple[Address, Bodies]]
@@ -67,6 +69,14 @@
         noted = Noted(name, report.cell.number, report.view)
         return [noted, Seed(entry.cell)] if entry.cell.number > report.cell.number else [noted]
 
+    def described(self, page: int, address: Address) -> Described:
+        """One page of all cells; `address`: of the leader."""
+        entries = sorted(self.directory.entries.values(), key=lambda entry: entry.cell.name)
+        pages = max(1, -(-len(entries) // ROWS))
+        rows = tuple(CellRow(e.cell.name, len(e.members), e.cell.closing)
+                     for e in entries[page * ROWS: (page + 1) * ROWS]) if page >= 0 else ()
+        return Described(address, page, pages, self.directory.refused, rows)
+
     def _whole(self, machine: str, report: CellReport) -> tuple[Who, ...] | None:
         """All members, once all pages of one view have come."""
         if report.pages == 1:
--- a/trackspread/cells/terms.py
+++ b/trackspread/cells/terms.py
@@ -151,7 +151,33 @@
     view: Number
 
 
-Bodies = Locate | Located | Forwarded | Placed | Seed | Retire | Move | CellReport | Noted
+class Describe(Body, frozen=True):
+    """An operator asks for this page of the directory."""
+
+    page: int
+
+
+class CellRow(msgspec.Struct, frozen=True, array_like=True):
+    """One cell, for an operator."""
+
+    name: str
+    gateways: int
+    closing: bool
+
+
+class Described(Body, frozen=True):
+    """The leader's answer; another control machine's has no rows, and who it takes for the leader."""
+
+    leader: Address | None
+    page: int
+    pages: int
+    refused: int  # questions of gateways beyond what the fleet may have
+    rows: tuple[CellRow, ...]
+
+
+Bodies = (
+    Locate | Located | Forwarded | Placed | Seed | Retire | Move | CellReport | Noted | Describe | Described
+)
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,4 +1,5 @@
-"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`, `try`.
+"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`,
+`control`, `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
 """
@@ -67,6 +68,7 @@
     words.add_reserve(commands)
     words.add_quota(commands)
     words.add_fleet(commands)
+    words.add_control(commands)
     return parser
 
 
@@ -110,6 +112,10 @@
                 from .commands import fleet
 
                 return fleet.run(given)
+            case "control":
+                from .node import controlling
+
+                return controlling.run(given.name, Path(given.file))
             case "use":
                 from .commands import use
 
--- a/trackspread/commands/fleet.py
+++ b/trackspread/commands/fleet.py
@@ -14,12 +14,15 @@
 
 import msgspec
 
+from ..cells.terms import CellRow, Describe, Described, Message
+from ..cells.wire import CellsWire
 from ..config import operator
 from ..config.addresses import ConfigError, address
 from ..membership.report import Report
 from ..membership.slots import SLOTS
-from ..membership.terms import Forget, Forgotten, Letter
+from ..membership.terms import Address, Forget, Forgotten, Letter
 from ..membership.wire import DATAGRAM, Wire
+from ..node.celled import machines
 from ..node.membered import keys
 
 PATIENCE = 3.0  # s for one answer
@@ -28,7 +31,58 @@
 
 def run(given: argparse.Namespace) -> int:
     """Exit status; raises `ConfigError`."""
-    return forget(given.name, Path(given.file)) if given.fleet == "forget" else view(given)
+    match given.fleet:
+        case "forget":
+            return forget(given.name, Path(given.file))
+        case "cells":
+            return cells(Path(given.file))
+        case _:
+            return view(given)
+
+
+def cells(file: Path) -> int:
+    """Lists the cells, as the leader knows them."""
+    fleet = operator.load(file).fleet
+    if not fleet.control:
+        raise ConfigError(f"{file}: fleet.control: found nothing, wanted a fleet's that has cells")
+    wire = CellsWire(fleet.name, keys(fleet), fleet.most)
+    rows, refused, page, pages = list[CellRow](), 0, 0, 1
+    to = [machine.address for machine in machines(fleet)]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as line:
+        line.settimeout(AGAIN)
+        while page < pages:
+            answer = _described(line, wire, to, page)
+            if answer is None or answer.leader is None:
+                raise ConfigError(f"{file}: fleet.control: no leader answered within {PATIENCE:.0f} s; "
+                                  "wanted a majority of the control machines up, and the fleet's key")
+            rows += answer.rows
+            to, page, pages, refused = [answer.leader], page + 1, answer.pages, answer.refused
+    gateways = sum(row.gateways for row in rows)
+    print(f"fleet {fleet.name}: {len(rows)} cells, {gateways} gateways, {refused} questions refused")
+    for row in rows:
+        print(f"  {row.name:<40} {row.gateways:>4} gateways{', closing' if row.closing else ''}")
+    return 0
+
+
+def _described(
+    line: socket.socket, wire: CellsWire, to: Sequence[Address], page: int
+) -> Described | None:
+    """The leader's answer; whoever answers for it is not asked again."""
+    question = wire.pack_message(Message(wire.fleet, "", 0, Describe(page)))
+    end = time.monotonic() + PATIENCE
+    while time.monotonic() < end:
+        for each in to:
+            line.sendto(question, each)
+        again = time.monotonic() + AGAIN
+        while time.monotonic() < again:
+            try:
+                told = wire.read(line.recv(DATAGRAM))
+            except OSError:  # nobody yet, or nobody at one of the addresses
+                continue
+            body = told.body if isinstance(told, Message) else None
+            if isinstance(body, Described) and body.page == page and body.pages:
+                return body
+    return None
 
 
 def forget(name: str, file: Path) -> int:
@@ -36,6 +90,8 @@
     fleet = operator.load(file).fleet
     if not fleet.name:
         raise ConfigError(f"{file}: fleet.name: found nothing, wanted a gateway's that keeps a view")
+    if fleet.control:
+        raise ConfigError(f"{file}: fleet.control: found control machines, wanted a fleet without cells")
     wire = Wire(fleet.name, keys(fleet), fleet.most)
     word = wire.pack(Letter(fleet.name, "", 0, Forget(name), 0))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as line:
@@ -117,8 +173,10 @@
               for r in reports if r.differ]
     if len({r.fleet for r in reports}) > 1:
         found.append("these are of different fleets: " + ", ".join(sorted({r.fleet for r in reports})))
-    elif len({r.view for r in reports}) > 1:
-        found.append("; ".join(f"{r.name} holds view {_number(r.view)}" for r in reports))
+    for cell in sorted({r.cell for r in reports}):
+        inside = [r for r in reports if r.cell == cell]
+        if len({r.fleet for r in inside}) == 1 and len({r.view for r in inside}) > 1:
+            found.append("; ".join(f"{r.name} holds view {_number(r.view)}" for r in inside))
     return found
 
 
@@ -130,7 +188,8 @@
     """One gateway's answer, for a person."""
     leads = f"{report.leader or 'nobody'}{' (this one)' if report.leads else ''}"
     made = [
-        f"fleet {report.fleet} as {report.name} knows it: {report.standing}, view {_number(report.view)} of "
+        f"fleet {report.fleet}{f', cell {report.cell},' if report.cell else ''} as {report.name} knows it: "
+        f"{report.standing}, view {_number(report.view)} of "
         f"{report.members}, coordinator {leads}, part {report.part:.1%}, health {report.health}",
         f"  {'name':<20} {'state':<8} {'in view':<8} {'life':>4} {'since':>9}  {'version':<10} address",
     ]
@@ -139,6 +198,8 @@
             f"  {each.name:<20} {each.state:<8} {'yes' if each.in_view else 'no':<8} {each.life:>4} "
             f"{each.since_s:>7.1f} s  {each.version:<10} {each.address}"
         )
+    if report.answered_s is not None:
+        made.append(f"  a control machine answered {report.answered_s} s ago")
     if report.dropped:
         dropped = ", ".join(f"{why} {count}" for why, count in sorted(report.dropped.items()))
         made.append(f"  not believed: {dropped}")
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -74,6 +74,13 @@
     views.add_argument("--json", action="store_true", help="the answers as they came, a line each")
     views.add_argument("--wait", type=float, default=0.0, metavar="S",
                        help="ask again for up to S seconds until the exit status is 0")
+    cells = group.add_parser(
+        "cells", help="which cells there are and how many gateways each has, as their leader knows it",
+        description="Exit status: 0, or 2 where no leader answers.",
+    )
+    cells.add_argument("--file", metavar="FILE", required=True,
+                       help="the operator's file of any process of the fleet: its control machines and its "
+                       "key are used")
     goes = group.add_parser(
         "forget", help="a gateway is gone for good: what it kept of all that is shared is free at once",
         description="Say so only of one that is surely down: a gateway that is merely cut off would act on "
@@ -85,6 +92,17 @@
                       help="the operator's file of any gateway of the fleet: its seeds and its key are used")
 
 
+def add_control(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread control`."""
+    own = commands.add_parser(
+        "control", help="run one control machine of a fleet with cells, in the foreground",
+        description="Seeds cells of gateways, and keeps their directory where it leads. SIGTERM ends it in "
+        "good order, SIGHUP has the fleet's keys read again.",
+    )
+    own.add_argument("name", metavar="NAME", help="which of the file's [[fleet.control]] this is")
+    own.add_argument("--file", metavar="FILE", required=True, help="the operator's file")
+
+
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread use` and its actions."""
     own = commands.add_parser("use", help="use records: look, check, export, compare, repair")
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -89,14 +89,30 @@
     status: str = ""  # a Unix socket that answers `trackspread quota`; empty: none
 
 
+Label = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{0,24}$")]  # a region's or a zone's name
+
+
+class ControlSeat(_Table, frozen=True):
+    """One control machine, as all processes of the fleet name it."""
+
+    name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
+    region: Label
+    zone: Label
+    address: str  # host:port by which gateways and the others reach it
+
+
 class Fleet(_Table, frozen=True):
     """The view that gateways keep of their own fleet; off without a name, as the platform gives no address
-    for it."""
+    for it. With control machines it is a cell's: gateways of one zone, and these as its seeds."""
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{0,64}$")] = ""  # the fleet's own; "": no view
-    listen: str = ""  # host:port for datagrams and connections of other members alike
+    listen: str = ""  # host:port for datagrams and connections alike; a control machine's: "": its address
     advertise: str = ""  # host:port by which others reach it; "": listen
     seeds: tuple[str, ...] = ()  # host:port of some members, the same in the same order everywhere
+    region: Label = ""  # where this gateway runs; with control machines only
+    zone: Label = ""
+    control: tuple[ControlSeat, ...] = ()  # all, the same in the same order everywhere; none: no cells
+    gateways: Annotated[int, msgspec.Meta(ge=2, le=65_536)] = 8_192  # in all cells, at most
     key: str = ""  # file with the key that members sign with; "": digests are not keyed
     previous: str = ""  # file with the key before that, which still counts
     period_ms: Annotated[float, msgspec.Meta(ge=50.0, le=10_000.0)] = 300.0  # between probes of members
@@ -219,16 +235,22 @@
 
 def _check_fleet(fleet: Fleet, name: str) -> None:
     if not fleet.name:
-        for key in ("listen", "advertise", "seeds", "key", "previous", "record"):
+        for key in ("listen", "advertise", "seeds", "region", "zone", "control", "key", "previous",
+                    "record"):
             if getattr(fleet, key):
                 raise ConfigError(f"{name}: fleet.name: found nothing, wanted a name: fleet.{key} is set")
         return
-    if not fleet.listen:
+    if not fleet.listen and (fleet.region or not fleet.control):
         raise ConfigError(f"{name}: fleet.listen: found nothing, wanted host:port: fleet.name is set")
-    if not 1 <= len(fleet.seeds) <= SEEDS_MOST:
+    if fleet.control:
+        _check_control(fleet, name)
+    elif fleet.region or fleet.zone:
+        raise ConfigError(f"{name}: fleet.control: found nothing, wanted control machines: fleet.region or "
+                          "fleet.zone is set")
+    elif not 1 <= len(fleet.seeds) <= SEEDS_MOST:
         raise ConfigError(f"{name}: fleet.seeds: found {len(fleet.seeds)}, wanted 1 to {SEEDS_MOST} "
                           "addresses, best 3 or 5")
-    keys = [("listen", fleet.listen), *([("advertise", fleet.advertise)] if fleet.advertise else []),
+    keys = [*((key, text) for key in ("listen", "advertise") if (text := getattr(fleet, key))),
             *((f"seeds[{number}]", seed) for number, seed in enumerate(fleet.seeds))]
     for key, text in keys:
         host, _ = _literal(name, f"fleet.{key}", text, "127.0.0.1:7400")
@@ -240,6 +262,35 @@
         raise ConfigError(f"{name}: fleet.key: found nothing, wanted a file: fleet.previous is set")
 
 
+def _check_control(fleet: Fleet, name: str) -> None:
+    """Raises `ConfigError` unless cells can be made of it."""
+    if fleet.seeds:
+        raise ConfigError(f"{name}: fleet.seeds: found {len(fleet.seeds)}, wanted none: the control machines "
+                          "are the cells' seeds")
+    seen: dict[str, set[str]] = {"name": set(), "address": set()}
+    for number, seat in enumerate(fleet.control):
+        key = f"fleet.control[{number}]"
+        for each in ("region", "zone"):
+            if not getattr(seat, each):
+                raise ConfigError(f"{name}: {key}.{each}: found nothing, wanted the {each} that it is in")
+        host, _ = _literal(name, f"{key}.address", seat.address, "127.0.0.1:7500")
+        if ip_address(host).is_unspecified:
+            raise ConfigError(f"{name}: {key}.address: found {seat.address!r}, wanted an address that others "
+                              "can reach")
+        for each, values in seen.items():
+            if (value := getattr(seat, each)) in values:
+                raise ConfigError(f"{name}: {key}.{each}: found {value!r} twice, wanted once each")
+            values.add(value)
+    if bool(fleet.region) != bool(fleet.zone):
+        lacking = "zone" if fleet.region else "region"
+        raise ConfigError(f"{name}: fleet.{lacking}: found nothing, wanted the {lacking} that this gateway "
+                          "runs in")
+    regions = sorted({seat.region for seat in fleet.control})
+    if fleet.region and fleet.region not in regions:
+        raise ConfigError(f"{name}: fleet.region: found {fleet.region!r}, wanted one that has control "
+                          f"machines: {', '.join(regions)}")
+
+
 def _plain(error: Exception) -> str:
     return (error.strerror if isinstance(error, OSError) else None) or "not UTF-8 text"
 
--- /dev/null
+++ b/trackspread/harness/celled.py
@@ -0,0 +1,198 @@
+"""Fleets of processes in cells: gateways, and beside them control machines, each a process.
+
+All words between any two of them go over the wire, which can be cut. May know: fleets, records. May not know:
+how cells come to be.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ..judge.beliefs import Amiss, Belief, Reader, rights, views
+from ..judge.ledger import Ended, Killed
+from ..standins.scene import Scene
+from .fleet import MEMBER_PORT, Fleet
+from .process import BOUNDED
+
+SOCKETS = 1_024  # descriptors that a control machine may have
+END_MOST = 10.0  # s that one has to end after SIGTERM
+ZONES = 2  # of the one region
+
+
+class ControlProcess:
+    """One control machine; it never outlives whoever started it."""
+
+    def __init__(self, name: str, file: Path, log: Path) -> None:
+        self.name, self._file, self._log = name, file, log
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """From nothing."""
+        bounded = (sys.executable, "-I", "-S", "-c", BOUNDED, str(SOCKETS), sys.executable)
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *bounded, "-m", "trackspread", "control", self.name, "--file", str(self._file),
+                stdout=log, stderr=log, env=dict(os.environ),
+            )
+
+    async def kill(self) -> None:
+        """Outright."""
+        if self._process is not None and self.running:
+            self._process.kill()
+            await self._process.wait()
+
+    async def end(self) -> int | None:
+        """SIGTERM; its exit status."""
+        if self._process is None:
+            return None
+        if self.running:
+            self._process.terminate()
+            async with asyncio.timeout(END_MOST):
+                await self._process.wait()
+        return self._process.returncode
+
+    def signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self.running:
+            self._process.send_signal(number)
+
+    def tail(self, lines: int = 5) -> str:
+        return " | ".join(self._log.read_text(errors="replace").splitlines()[-lines:])
+
+
+class CelledFleet(Fleet):
+    """Use as `async with CelledFleet(scene, control) as fleet`; gateways n0, n1, ... by turns in the zones z0
+    and z1 of one region, control machines c0, c1, ... beside them."""
+
+    def __init__(self, scene: Scene, control: int, keys: str = "") -> None:
+        """`keys`: further ones of every table [fleet]."""
+        super().__init__(scene, viewed=keys)
+        self.control_names = [f"c{number}" for number in range(control)]
+        self.control: dict[str, ControlProcess] = {}
+
+    async def __aenter__(self) -> CelledFleet:
+        await super().__aenter__()
+        return self
+
+    async def _view(self, names: Sequence[str]) -> None:
+        every = [*names, *self.control_names]
+        self.members = {name: (self._ports.host(), MEMBER_PORT) for name in every}
+        self.reached = await self.wire.posts(self.members)
+        self._reader = Reader([self.record(name) for name in every])
+        for name in self.control_names:
+            file = self.folder / f"{name}.toml"
+            file.write_text(self.table(name))
+            self.control[name] = ControlProcess(name, file, self.folder / f"{name}.log")
+            await self.control[name].start()
+
+    def table(self, name: str) -> str:
+        """The table [fleet] of a gateway, or of a control machine."""
+        place = "" if name in self.control_names else (
+            f'advertise = "{_text(self.reached[name])}"\nregion = "r"\nzone = "z{int(name[1:]) % ZONES}"\n')
+        seats = "".join(
+            f'[[fleet.control]]\nname = "{each}"\nregion = "r"\nzone = "z{number % ZONES}"\n'
+            f'address = "{_text(self.reached[each])}"\n' for number, each in enumerate(self.control_names))
+        return (f'\n[fleet]\nname = "test"\nlisten = "{_text(self.members[name])}"\n{place}'
+                f'record = "{self.record(name)}"\n{self._viewed}\n{seats}')
+
+    async def _close(self) -> None:
+        for control in self.control.values():
+            await control.kill()
+        await super()._close()
+
+    # What the records say.
+
+    def cells(self) -> dict[str, str]:
+        """The cell that each gateway last joined and has not left, by its name."""
+        held: dict[str, str] = {}
+        for each in self.beliefs():
+            if each.kind == "joined":
+                held[each.name] = str(each.about["cell"])
+            elif each.kind == "parted":
+                held.pop(each.name, None)
+        return held
+
+    def of(self, cell: str) -> list[Belief]:
+        """What was believed in one cell's view."""
+        return [each for each in self.beliefs() if each.about.get("fleet") == cell]
+
+    def leader(self) -> str:
+        """The control machine that last began to lead and has not ceased; "" for none."""
+        found = ""
+        for each in self.beliefs():
+            if each.kind == "control leads":
+                found = each.name
+            elif each.kind == "control leads no more" and each.name == found:
+                found = ""
+        return found
+
+    def amiss_in_cells(self) -> list[Amiss]:
+        """What does not fit together in the records of every view, the control machines' own among them."""
+        gone = [(entry.at, entry.gateway) for entry in self.ledger.entries
+                if isinstance(entry, Killed | Ended)]
+        found: list[Amiss] = []
+        for cell in sorted({str(each.about["fleet"]) for each in self.beliefs() if "fleet" in each.about}):
+            told = self.of(cell)
+            found += views(told) + rights(told, gone)[0]
+        return sorted(found + backward(self.beliefs()) + together(self.beliefs()))
+
+
+def backward(beliefs: Iterable[Belief]) -> list[Amiss]:
+    """Gateways that went by an older word on their cell after a newer."""
+    newest: dict[tuple[str, int], tuple[int, ...]] = {}
+    found = []
+    for each in beliefs:
+        if each.kind != "joined":
+            continue
+        number = msgspec.convert(each.about["number"], tuple[int, ...])
+        if number < newest.get(each.who, ()):
+            found.append(Amiss(each.at, "view", f"{each.name} goes back to {number}"))
+        newest[each.who] = max(number, newest.get(each.who, ()))
+    return found
+
+
+def together(beliefs: Iterable[Belief]) -> list[Amiss]:
+    """Gateways that joined a cell before they had left another."""
+    inside: dict[tuple[str, int], str] = {}
+    found = []
+    for each in beliefs:
+        if each.kind == "joined":
+            if each.who in inside:
+                found.append(Amiss(each.at, "view", f"{each.name} is in two cells"))
+            inside[each.who] = str(each.about["cell"])
+        elif each.kind == "parted":
+            inside.pop(each.who, None)
+    return found
+
+
+def whole_cells(fleet: CelledFleet) -> str:
+    """Whether every gateway that runs is in a cell whose last view, at each of them, is of just the gateways
+    of that cell that run, beside control machines: nothing, or what is amiss."""
+    cells, running = fleet.cells(), {g.name for g in fleet.gateways if g.running}
+    if lacking := running - cells.keys():
+        return f"{sorted(lacking)} are in no cell"
+    for cell in {cells[name] for name in running}:
+        inside = {name for name in running if cells[name] == cell}
+        last = {each.name: each for each in fleet.of(cell) if each.kind == "view" and each.name in inside}
+        numbers = {str(each.about["number"]) for each in last.values()}
+        if last.keys() != inside or len(numbers) != 1:
+            return f"{cell}: {len(numbers)} views at {sorted(last)}"
+        for each in last.values():
+            members = {name for name, _ in each.about["members"]}  # type: ignore[attr-defined]
+            if members - set(fleet.control_names) != inside:
+                return f"{cell}: {each.name} holds a view of {sorted(members)}"
+    return ""
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -92,9 +92,7 @@
         heard_at = {name: self._ports.udp() for name in names}
         peers = await self.wire.datagrams(heard_at)
         if self._viewed is not None:
-            self.members = {name: (self._ports.host(), MEMBER_PORT) for name in names}
-            self.reached = await self.wire.posts(self.members)
-            self._reader = Reader([self.record(name) for name in names])
+            await self._view(names)
         for number, name in enumerate(names):
             told = [_text(heard_at[other] if other == name else peers[name, other]) for other in names]
             config = {
@@ -118,6 +116,12 @@
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
         self._beat = asyncio.get_running_loop().create_task(self._watch_lag())
 
+    async def _view(self, names: Sequence[str]) -> None:
+        """Where each of these listens for the others of the view, and how these reach it."""
+        self.members = {name: (self._ports.host(), MEMBER_PORT) for name in names}
+        self.reached = await self.wire.posts(self.members)
+        self._reader = Reader([self.record(name) for name in names])
+
     def table(self, name: str) -> str:
         """The table [fleet] of one gateway; nothing where no view is kept."""
         if self._viewed is None:
--- a/trackspread/membership/report.py
+++ b/trackspread/membership/report.py
@@ -1,13 +1,15 @@
 """What one gateway holds of its fleet, for operators.
 
-May know: the host and its core. Decides nothing.
+May know: the core, its host's counts. Decides nothing.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
-from .host import Host
+from .member import Member
 from .slots import SLOTS
 from .terms import SECOND, Rumour, State
 
@@ -43,10 +45,11 @@
     differ: tuple[str, ...]  # names that are live but not in the view, or in it but not live
     counts: dict[str, int]
     dropped: dict[str, int]
+    cell: str = ""  # where the fleet has cells: which one this view is of
+    answered_s: float | None = None  # since a control machine answered; none: never, or there are no cells
 
 
-def standing(now: int, host: Host) -> str:
-    core = host.core
+def standing(now: int, core: Member) -> str:
     if core.fenced:
         return "fenced"
     if core.gone:
@@ -58,9 +61,8 @@
     return "waiting" if now < core.holding.until else "parted"
 
 
-def report(now: int, host: Host) -> Report:
-    core, people = host.core, host.core.people
-    view = core.view
+def report(now: int, core: Member, counts: Mapping[str, int], dropped: Mapping[str, int]) -> Report:
+    people, view = core.people, core.view
     inside = set(view.members) if view is not None else set()
 
     def seen(word: Rumour, since: int) -> Seen:
@@ -72,9 +74,9 @@
     differ = {name for name, _ in inside ^ set(people.live())}
     leader = core.leader
     return Report(
-        core.settings.fleet, people.me.name, standing(now, host), view.number if view is not None else None,
+        core.settings.fleet, people.me.name, standing(now, core), view.number if view is not None else None,
         len(inside), round(core.part(now).bit_count() / SLOTS, 4),
         leader.who[0] if leader is not None else "", core.owns(now), core.probing.health,
         tuple(sorted(everybody, key=lambda each: each.name)), tuple(sorted(differ)),
-        dict(host.counts), dict(host.wire.dropped),
+        dict(counts), dict(dropped),
     )
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -38,6 +38,7 @@
 
 if TYPE_CHECKING:
     from .counted import Counted
+    from .celled import Celled
     from .membered import Membered
     from .planned import PlanBook
     from .uses import Uses
@@ -69,15 +70,15 @@
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
         self._told, self._began = asyncio.Event(), self._loop.time()
         self._teller: asyncio.TimerHandle | None = None
-        self.membered = self._membered()
+        self.membered, self.celled = self._membered(), self._celled()
         answers = {b"/healthcheck": self._health, b"/stats": self._stats}
-        if self.membered is not None:
-            answers[b"/fleet"] = self.membered.answer
+        if (viewed := self.membered or self.celled) is not None:
+            answers[b"/fleet"] = viewed.answer
         self.door = Door(config.control, answers) if config.control is not None else None
         self._serving = False  # whether the clients' door is open, and stays so
         reserved = RESERVED * (1 if config.accept_fd is None else 2)
-        if self.membered is not None:
-            reserved += self.membered.descriptors
+        if viewed is not None:
+            reserved += viewed.descriptors
         spare = max(16, config.sockets - reserved)
         settings, most = config.settings, int(spare * operator.backends.descriptor_part)
         grace = settings.drain_grace / SECOND * operator.backends.grace_part  # a loop may lag
@@ -139,13 +140,21 @@
 
     def _membered(self) -> Membered | None:
         """Where a view of the fleet is kept; raises `ConfigError`."""
-        if not self.operator.fleet.name:
+        if not self.operator.fleet.name or self.operator.fleet.control:
             return None
         from .membered import Membered  # not needed otherwise: it takes memory
 
         place = self.config.settings.position, self.config.settings.gateways
         return Membered(self.config.name, self.operator.fleet, self.now, place, self.handle, self.heard)
 
+    def _celled(self) -> Celled | None:
+        """Where this gateway is in a cell of a larger fleet; raises `ConfigError`."""
+        if not self.operator.fleet.control:
+            return None
+        from .celled import Celled  # not needed otherwise: it takes memory
+
+        return Celled(self.config.name, self.operator.fleet, self.now)
+
     def _replanned(self, event: PlansChanged) -> None:
         if self.counted is not None:
             self.counted.replan(event.plans)
@@ -183,6 +192,8 @@
         if self.membered is not None:
             await self.membered.start(HANDED if place is not None else 0.0)
             await self.membered.ready()
+        if self.celled is not None:
+            await self.celled.start(HANDED if place is not None else 0.0)
         await self.clients.start()
         self._serving = True
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
@@ -226,6 +237,8 @@
         self._datagrams = self.peers.leave()
         if self.membered is not None:
             self.membered.close(leave=False)  # who takes over is the same gateway to the fleet
+        if self.celled is not None:
+            self.celled.close(leave=False)
         return os.dup(self._datagrams) if self._datagrams is not None else None
 
     def retire(self, testator: StateExporter) -> None:
@@ -251,6 +264,8 @@
         await self._open_peers(given)
         if self.membered is not None:
             await self.membered.start(HANDED)
+        if self.celled is not None:
+            await self.celled.start(HANDED)
         await self.clients.unhand()
         self._serving = not self.clients.closing
 
@@ -279,6 +294,8 @@
         self.backends.close()
         if self.membered is not None:
             self.membered.close(leave=not handed)
+        if self.celled is not None:
+            self.celled.close(leave=not handed)
         if settings.may_message and settings.gateways > 1 and not handed and self.membered is None:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
@@ -320,9 +337,9 @@
         self.operator, self.clients.bounds = operator, operator.clients
         logging.getLogger("trackspread").setLevel(operator.log.level.upper())
         self.discovery.move(fresh.discovery)
-        if self.membered is not None:
+        if (viewed := self.membered or self.celled) is not None:
             try:
-                self.membered.rekey(operator.fleet)
+                viewed.rekey(operator.fleet)
             except ConfigError as error:
                 log.error("configuration: the fleet's keys are not taken, the old ones go on: %s", error)
         if self.uses is None:
--- a/trackspread/node/membered.py
+++ b/trackspread/node/membered.py
@@ -47,7 +47,8 @@
     return found
 
 
-def _version() -> str:
+def program_version() -> str:
+    """Of this program, for the others of the fleet."""
     try:
         return version("trackspread")
     except PackageNotFoundError:
@@ -143,8 +144,8 @@
     async def _start(self) -> None:
         fleet, listen = self._fleet, address(self._fleet.listen, "fleet.listen")
         reached = address(fleet.advertise, "fleet.advertise") if fleet.advertise else listen
-        settings = Settings(fleet.name, self._name, born_now(), reached, fleet.seed_addresses(), _version(),
-                            int(fleet.period_ms * MS), fleet.most, self._place,
+        settings = Settings(fleet.name, self._name, born_now(), reached, fleet.seed_addresses(),
+                            program_version(), int(fleet.period_ms * MS), fleet.most, self._place,
                             int(fleet.keep_s * SECOND))
         host = Host(
             settings, listen, Wire(fleet.name, self._keys, fleet.most), int.from_bytes(os.urandom(8)),
@@ -172,7 +173,9 @@
             self.host = None
 
     def report(self) -> Report | None:
-        return report(self._now(), self.host) if self.host is not None else None
+        if (host := self.host) is None:
+            return None
+        return report(self._now(), host.core, host.counts, host.wire.dropped)
 
     def answer(self) -> tuple[int, str]:
         """For the operators' door."""
