--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from trackspread.distribution.log import Log, Snapshot, fitting
-from trackspread.distribution.terms import BEGINNING, NOTHING, VALUE_MOST, Cursor, Entry, Epoch, Version
+from trackspread.distribution.terms import (
+    BEGINNING, NAME_MOST, NOTHING, VALUE_MOST, Cursor, Delta, Entry, Epoch, Letter, Poll, Prepare, Put,
+    Version,
+)
+from trackspread.distribution.wire import DATAGRAM, Wire
+from trackspread.membership.wire import Keys
 
 FIRST: Epoch = (1, 0)
 
@@ -118,3 +123,18 @@
     for each in made:
         found.setdefault(each.service, {})[each.key] = each
     assert found == expected and len(made) == sum(map(len, expected.values()))
+
+
+def test_datagrams_come_back_as_they_were_and_nothing_else_is_believed() -> None:
+    wire = Wire("fleet", Keys(b"a key of many bytes"))
+    largest = entry(1 << 40, "k" * NAME_MOST, b"x" * VALUE_MOST, (1 << 40, 18), "s" * NAME_MOST)
+    for body in (Delta(1 << 40, largest.version, 1 << 30, (largest,), True), Put(7, "s", "k", None),
+                 Poll(1, NOTHING, 1 << 55, Cursor("s", "k")), Prepare((3, 4), 2, True)):
+        data = wire.pack(Letter("fleet", 3, 1 << 42, body))
+        assert len(data) <= DATAGRAM
+        assert wire.unpack(data) == Letter("fleet", 3, 1 << 42, body)
+        assert wire.unpack(data[:-1]) is None and wire.unpack(b"x" + data) is None
+    assert Wire("fleet", Keys(b"another key, also long")).unpack(data) is None
+    assert Wire("other", wire.keys).unpack(data) is None
+    assert wire.unpack(wire.pack(Letter("fleet", 0, 0, Put(1, "s", "k", b"x" * DATAGRAM)))) is None
+    assert Wire("fleet", Keys(b"a new key, current now", b"a key of many bytes")).unpack(data) is not None
--- /dev/null
+++ b/tests/test_handing_down_process.py
@@ -0,0 +1,158 @@
+"""Replicas and gateways as processes, with SIGKILL, SIGSTOP and cuts, decided from their records."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from trackspread.distribution.terms import Version
+from trackspread.harness.configured import Configured
+from trackspread.virtual.distribution.judged import Broken
+
+pytestmark = pytest.mark.processes
+
+IN_FORCE = 9.0  # s
+MOST = 110.0  # s: only a hang reaches it
+
+Work = Callable[[Configured], Awaitable[None]]
+
+
+def play(work: Work, folder: Path, gateways: int = 30, mutant: str = "", recent: int = 8192) -> None:
+    """The records are decided on after it."""
+    async def once() -> None:
+        async with Configured(folder, gateways=gateways, mutant=mutant, recent=recent) as fleet:
+            await work(fleet)
+            fleet.judge()
+
+    uvloop.run(asyncio.wait_for(once(), MOST))
+
+
+async def burst(fleet: Configured, count: int, name: str = "key", patience: float = 5.0) -> list[Version]:
+    """So many changes at once; those that were committed."""
+    made = await asyncio.gather(*(
+        fleet.put(fleet.services[n % len(fleet.services)], f"{name}-{n % 37}", f"{name} {n} ".encode() * 12,
+                  patience)
+        for n in range(count)))
+    return [each for each in made if each is not None]
+
+
+async def settled(fleet: Configured, version: Version | None) -> None:
+    """All gateways act on it in time."""
+    if version is None:
+        raise Broken("not committed")
+    if await fleet.in_force(version, IN_FORCE) is None:
+        raise Broken(f"{version} is not in force everywhere after {IN_FORCE} s")
+
+
+async def put(fleet: Configured, value: bytes) -> Version | None:
+    return await fleet.put(fleet.services[0], "one", value)
+
+
+async def a_leader_is_killed(fleet: Configured) -> None:
+    """In the middle of a burst."""
+    under_way = asyncio.create_task(burst(fleet, 100, patience=9.0))
+    await asyncio.sleep(0.05)
+    await fleet.replicas[0].kill()
+    await asyncio.sleep(0.5)
+    fleet.appoint(1)
+    made = await under_way
+    if len(made) < 100:
+        raise Broken(f"{len(made)} of 100 changes are committed")
+    await settled(fleet, max(made))
+    await fleet.replicas[0].start()
+    await settled(fleet, await put(fleet, b"after"))
+    await becomes(fleet, 0, "follower")
+
+
+async def becomes(fleet: Configured, number: int, role: str) -> None:
+    """Within `IN_FORCE`."""
+    end = time.monotonic() + IN_FORCE
+    while (shown := await fleet.show(number)) is None or shown.role != role:
+        if time.monotonic() > end:
+            raise Broken(f"replica {number} is {shown and shown.role}, not {role}")
+        await asyncio.sleep(0.1)
+
+
+async def two_lead(fleet: Configured) -> None:
+    """The older one does not hear the newer one; both are asked."""
+    fleet.cut([2], [0], both=False)
+    fleet.appoint(2, former=False)
+    for turn in range(4):
+        await burst(fleet, 10, f"turn-{turn}", patience=2.0)
+    fleet.heal()
+    await settled(fleet, await put(fleet, b"one leader"))
+
+
+async def an_old_leader_wakes(fleet: Configured) -> None:
+    """It stood still for 3 s, and goes on by the lease that it had."""
+    under_way = asyncio.create_task(burst(fleet, 60, patience=9.0))
+    await asyncio.sleep(0.05)
+    fleet.replicas[0].signal(signal.SIGSTOP)
+    fleet.appoint(3, former=False)
+    await asyncio.sleep(3.0)
+    fleet.replicas[0].signal(signal.SIGCONT)
+    await under_way
+    await settled(fleet, await put(fleet, b"woken"))
+
+
+async def gateways_are_cut_off(fleet: Configured) -> None:
+    """They go on by what they have, and take up what they missed."""
+    await settled(fleet, await put(fleet, b"before"))
+    before = fleet.acted()
+    fleet.cut_gateways(True)
+    missed = await burst(fleet, 60)
+    await asyncio.sleep(12.0)
+    assert fleet.acted() == before
+    fleet.cut_gateways(False)
+    await settled(fleet, max(missed))
+
+
+async def followers_are_cut_off(fleet: Configured) -> None:
+    """Those of one region from the other replicas, not from the gateways, which go elsewhere."""
+    fleet.cut([1, 3], [0, 2, 4])
+    await settled(fleet, max(await burst(fleet, 30)))
+    fleet.heal()
+    await settled(fleet, await put(fleet, b"healed"))
+
+
+async def gateways_are_restarted(fleet: Configured) -> None:
+    made = await burst(fleet, 60)
+    await fleet.gateways.kill()
+    await fleet.gateways.start()
+    await settled(fleet, max(made))
+
+
+async def a_majority_is_lost(fleet: Configured) -> None:
+    """Nothing is committed until an operator begins a new history, and nothing is forgotten meanwhile."""
+    before = await put(fleet, b"kept")
+    await settled(fleet, before)
+    for number in (1, 2, 3):
+        await fleet.replicas[number].kill()
+    for number in (1, 2, 3):
+        await fleet.replicas[number].start()
+    fleet.appoint(1)
+    assert await fleet.put(fleet.services[0], "two", b"lost", patience=3.0) is None
+    version = await asyncio.to_thread(fleet.client().begin)
+    after = await put(fleet, b"anew")
+    assert before is not None and after is not None and after.history == version.history > before.history
+    await settled(fleet, after)
+
+
+async def a_tenth_is_lost(fleet: Configured) -> None:
+    fleet.lossy(0.1)
+    await settled(fleet, max(await burst(fleet, 100, patience=9.0)))
+
+
+@pytest.mark.parametrize("work", [
+    a_leader_is_killed, two_lead, an_old_leader_wakes, gateways_are_cut_off, followers_are_cut_off,
+    gateways_are_restarted, a_majority_is_lost, a_tenth_is_lost,
+], ids=lambda work: work.__name__)
+@pytest.mark.parametrize("recent", [8192, 20], ids=["deltas", "snapshots"])
+def test_all_hold_the_same_and_nothing_committed_is_lost(work: Work, recent: int, tmp_path: Path) -> None:
+    play(work, tmp_path, recent=recent)
--- a/trackspread/distribution/leading.py
+++ b/trackspread/distribution/leading.py
@@ -209,6 +209,8 @@
         """A change; who asks for it hears of its commit."""
         if not self.established:
             return [Send(source, NotLeader(number, -1))]
+        if any(each.to == source and each.number == number for each in self._waiting):
+            return []  # it asks again, as no answer has come yet
         if len(self.log.pending) >= self.settings.pending:
             return [Send(source, Refused(number, AGAIN))]
         version = self._number(self.log.last.history, service, key, value)
--- a/trackspread/distribution/log.py
+++ b/trackspread/distribution/log.py
@@ -12,11 +12,14 @@
 
 from __future__ import annotations
 
+import hashlib
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 
+import msgspec
+
 from .terms import ENTRIES_MOST, NOTHING, Cursor, Entry, Version
 
 Snapshot = dict[str, dict[str, Entry]]  # by service and key
@@ -156,6 +159,12 @@
         return (held[key] for key in islice(keys, start, None))
 
 
+def fingerprint(snapshot: Snapshot) -> str:
+    """The same for the same values in all processes."""
+    entries = [snapshot[service][key] for service in sorted(snapshot) for key in sorted(snapshot[service])]
+    return hashlib.blake2b(msgspec.msgpack.encode(entries), digest_size=8).hexdigest()
+
+
 def fitting(entries: Iterable[Entry]) -> tuple[tuple[Entry, ...], bool]:
     """Those from the first on that fit one datagram, and whether others follow."""
     made, size = list[Entry](), 0
--- a/trackspread/distribution/replica.py
+++ b/trackspread/distribution/replica.py
@@ -289,8 +289,8 @@
         if self.leading is None:
             return [Send(source, NotLeader(body.number, self.leader))]
         if isinstance(body, Begin):
-            if self.leading.established:
-                return [Send(source, Done(body.number, self.log.last))]
+            if self.leading.established and self.log.committed.epoch == self.leading.epoch:
+                return [Send(source, Done(body.number, self.log.committed))]
             self.leading.want_begin(now)
             return [Send(source, NotLeader(body.number, self.settings.number))]
         if not _fits(body):
--- a/trackspread/distribution/subscriber.py
+++ b/trackspread/distribution/subscriber.py
@@ -25,13 +25,13 @@
 import random
 from collections.abc import Iterable
 
+from .log import Snapshot
 from .serving import ALL, digest
 from .terms import (
     BEGINNING, MS, NOTHING, SECOND, SUBSCRIPTION_PART, TICK, Action, Address, Bodies, Cursor, Delta, Entry,
     NeedSnapshot, NeedSubscription, Piece, Poll, Refused, Send, Subscribe, SubscriberSettings, Told, Version,
 )
 
-Snapshot = dict[str, dict[str, Entry]]
 JITTER = 0.1  # of a wait: gateways that began together don't stay so
 OUT_OF_TOUCH = 3 * SECOND  # ns without a word of its leader after which another replica is asked as well
 HOME = 30 * SECOND  # ns after which those of its own region are tried again
@@ -92,6 +92,11 @@
         near = len(self._near)
         return self._near[self._place] if self._place < near else self._far[self._place - near]
 
+    @property
+    def due(self) -> int:
+        """When `tick` has something to do."""
+        return self._next if self._asked_at is None else self._asked_at + self.settings.patience
+
     def age(self, now: int) -> int | None:
         """ns for which others may hold something newer; None where nothing was ever had."""
         return now - self.fresh_at if self.fresh_at is not None else None
--- a/trackspread/distribution/terms.py
+++ b/trackspread/distribution/terms.py
@@ -244,7 +244,8 @@
 
 
 class Begin(Body, frozen=True):
-    """An operator's word: begin a new history with the best that is left. Nothing else ever does."""
+    """An operator's word: begin a new history with the best that is left. Nothing else ever does. Answered
+    once a majority has it, or where a leader goes on in the present one."""
 
     number: int
 
