--- a/trackspread/handover/link.py
+++ b/trackspread/handover/link.py
@@ -88,6 +88,7 @@
             self._lost()
 
     def close(self) -> None:
+        """End the connection; descriptors that were not sent are closed."""
         if self._closed:
             return
         self._closed = True
@@ -114,7 +115,7 @@
         os.close(descriptor)
 
 
-class Place:
+class Rendezvous:
     """The name in the common folder where whoever serves listens. The folder's path may be longer than a
     socket's name can be, so it is reached through its descriptor."""
 
