Gateways take handed-down configuration where their operator's file says so, and show it

What replicas commit reached hollow gateways alone. [configuration] in the operator's file (off without replicas, no line of run changes then) has a gateway pull the values of its services; /configuration at its door tells version, age and a digest of the values; trackspread configuration put, delete, show and begin ask the replicas. Bad input is one plain line.

--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,143 @@
+"""Configuration that replicas hand down: the operator's file, the command, and a gateway that takes it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from trackspread.cli import main
+from trackspread.config.addresses import ConfigError
+from trackspread.config.operator import DEFAULTS, parse
+from trackspread.distribution.host import ReplicaHost
+from trackspread.distribution.terms import ReplicaSettings
+from trackspread.distribution.wire import Wire
+from trackspread.membership.wire import Keys
+from trackspread.node.configured import Configured
+from trackspread.standins.loopback import Ports
+
+from .fakes import LOCAL, run, until, world
+
+FLEET = "[fleet]\nname = 'f'\nlisten = '127.0.0.1:7400'\nseeds = ['127.0.0.1:7400']\n"
+KEY = b"a key of many bytes"
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ("listen = '127.0.0.1:1'", "configuration.replicas: found nothing, wanted addresses: "),
+        ("replicas = ['here:1']", "configuration.replicas[0]: found 'here:1', wanted an address and a port"),
+        ("replicas = ['127.0.0.1:0']", "configuration.replicas[0]: found port 0, wanted 1 to 65535"),
+        ("replicas = ['0.0.0.0:1']", "configuration.replicas[0]: found '0.0.0.0:1', wanted an address that"),
+        ("replicas = ['127.0.0.1:1', '127.0.0.1:1']", "configuration.replicas: found one twice, wanted once"),
+        ("replicas = ['127.0.0.1:1']\nnear = ['127.0.0.1:2']", "configuration.near[0]: found '127.0.0.1:2'"),
+        ("replicas = ['127.0.0.1:1']\nservices = ['a', 'a']", "configuration.services: found one twice"),
+        ("replicas = ['127.0.0.1:1']\nservice = 3", "configuration.service: found an unknown key, did"),
+    ],
+)
+def test_a_mistake_is_one_line_with_file_key_found_and_wanted(text: str, line: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(f"{FLEET}[configuration]\n{text}", "own.toml")
+    assert str(caught.value).startswith(f"own.toml: {line}") and "\n" not in str(caught.value)
+
+
+def test_it_wants_the_fleet_s_name_and_is_off_without_replicas() -> None:
+    with pytest.raises(ConfigError, match=r"own.toml: fleet.name: found nothing, wanted a name: conf"):
+        parse("[configuration]\nreplicas = ['127.0.0.1:1']", "own.toml")
+    assert not DEFAULTS.configuration.listen
+
+    async def test() -> None:
+        async with world() as w:
+            assert w.node.configured is None
+
+    run(test)
+
+
+@asynccontextmanager
+async def replica() -> AsyncIterator[ReplicaHost]:
+    """The only one, which leads."""
+    address = Ports().udp()
+    settings = ReplicaSettings(0, time.time_ns() // 1_000_000, (address,))
+    host = ReplicaHost(settings, address, Wire("f", Keys(KEY)), 1, time.monotonic_ns, lambda: (1, 0))
+    await host.start()
+    try:
+        yield host
+    finally:
+        host.close()
+
+
+def operators_file(folder: Path, host: ReplicaHost) -> Path:
+    """Of a gateway that takes part."""
+    (folder / "key").write_bytes(KEY)
+    ports, path = Ports(), folder / "own.toml"
+    fleet = "{}:{}".format(*ports.udp())
+    path.write_text(
+        f"[fleet]\nname = 'f'\nlisten = '{fleet}'\nseeds = ['{fleet}']\nkey = '{folder / 'key'}'\n"
+        f"[configuration]\nreplicas = ['{'{}:{}'.format(*host.address)}']\n"
+        f"listen = '{'{}:{}'.format(*ports.udp())}'\nservices = ['rating', 'other']\n"
+    )
+    return path
+
+
+def test_a_change_is_put_taken_by_a_gateway_and_shown(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def command(*words: str) -> tuple[int, str, str]:
+        own = str(tmp_path / "own.toml")
+        status = await asyncio.to_thread(main, ["configuration", *words, "--file", own])
+        return status, *capsys.readouterr()
+
+    async def test() -> None:
+        async with replica() as host:
+            operator = parse(operators_file(tmp_path, host).read_text(), "own.toml")
+            status, out, _ = await command("show")
+            assert (status, "establishing" in out) == (1, True)
+            assert await command("begin") == (0, "history 1\n", "")
+            assert await command("put", "rating", "route-1", "a=1") == (0, "version 1.1.0.2\n", "")
+            assert await command("put", "unwanted", "route-2", "b") == (0, "version 1.1.0.3\n", "")
+            status, out, _ = await command("show", "--key", "rating/route-1")
+            assert status == 0 and "leader" in out and "rating/route-1 = 'a=1', since version 1.1.0.2" in out
+            async with world(operator) as w:
+                taken = w.node.configured
+                assert isinstance(taken, Configured) and taken.host is not None
+                await until(lambda: taken.host is not None and taken.host.core.version.sequence == 3)
+                assert taken.host.core.value("rating", "route-1") == b"a=1"
+                assert taken.host.core.value("unwanted", "route-2") is None
+                status, text = taken.answer()
+                told = json.loads(text)
+                assert (status, told["sequence"], told["keys"], told["services"]) == (200, 3, 1, 1)
+                assert told["age_s"] < 5.0
+                assert (await command("delete", "rating", "route-1"))[0] == 0
+                await until(lambda: taken.host is not None and not taken.host.core.snapshot)
+                taken.close()
+                assert taken.answer()[0] == 503
+                assert w.node.membered is not None
+                w.node.membered.close()
+
+    run(test)
+
+
+def test_an_operator_s_error_is_one_plain_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        async with replica() as host:
+            operators_file(tmp_path, host)
+
+    run(test)
+    path = str(tmp_path / "own.toml")
+    (tmp_path / "off.toml").write_text("")
+    for words, line in (
+        (["put", "s", "k", "v" * 641, "--file", path], "VALUE: found 641 bytes, wanted 640 at most"),
+        (["put", "", "k", "v", "--file", path], "SERVICE: found 0 characters, wanted 1 to 128"),
+        (["show", "--file", path], "configuration.replicas: none of them answers, wanted one that runs"),
+        (["show", "--file", str(tmp_path / "off.toml")], f"{tmp_path / 'off.toml'}: configuration.replicas"),
+        (["put", "s", "k", "v", "--file", path], f"{path}: configuration.replicas: no replica that"),
+        (["show", f"{LOCAL}:9", "--file", path], f"{LOCAL}:9: "),
+    ):
+        assert main(["configuration", *words]) == 2
+        told = capsys.readouterr().err
+        assert told.startswith(f"trackspread: {line}") and told.count("\n") == 1
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,4 +1,5 @@
-"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`, `try`.
+"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`,
+`configuration`, `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
 """
@@ -67,6 +68,7 @@
     words.add_reserve(commands)
     words.add_quota(commands)
     words.add_fleet(commands)
+    words.add_configuration(commands)
     return parser
 
 
@@ -110,6 +112,10 @@
                 from .commands import fleet
 
                 return fleet.run(given)
+            case "configuration":
+                from .commands import configuration
+
+                return configuration.run(given)
             case "use":
                 from .commands import use
 
--- a/trackspread/commands/fleet.py
+++ b/trackspread/commands/fleet.py
@@ -84,12 +84,12 @@
     return 1 if amiss else 0
 
 
-def ask(door: str) -> bytes:
-    """The answer of one gateway."""
+def ask(door: str, path: str = "/fleet", key: str = "fleet.name") -> bytes:
+    """The answer of one gateway; `key`: what has to be in its operator's file."""
     host, port = address(door, "HOST:PORT")
     line = http.client.HTTPConnection(host, port, timeout=PATIENCE)
     try:
-        line.request("GET", "/fleet")
+        line.request("GET", path)
         answer = line.getresponse()
         data = answer.read()
     except (OSError, http.client.HTTPException) as error:
@@ -97,7 +97,8 @@
     finally:
         line.close()
     if answer.status == 404:
-        raise ConfigError(f"{door}: keeps no view, wanted a gateway with fleet.name in its operator's file")
+        what = "view" if path == "/fleet" else path.removeprefix("/")
+        raise ConfigError(f"{door}: keeps no {what}, wanted a gateway with {key} in its operator's file")
     if answer.status != 200:
         raise ConfigError(f"{door}: {data.decode(errors='replace').strip()}")
     return data
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -85,6 +85,36 @@
                       help="the operator's file of any gateway of the fleet: its seeds and its key are used")
 
 
+def add_configuration(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread configuration` and its actions."""
+    own = commands.add_parser("configuration", help="configuration that replicas hand down to gateways")
+    group = own.add_subparsers(dest="configuration", metavar="ACTION", title="actions", required=True)
+    puts = group.add_parser("put", help="set a key's value; says the version under which it is committed")
+    deletes = group.add_parser("delete", help="take a key out")
+    shows = group.add_parser(
+        "show", help="what replicas hold, or gateways, and whether they agree",
+        description="Exit status: 0 where all that were asked hold one version, 1 where not, 2 where nobody "
+        "can be asked.",
+    )
+    begins = group.add_parser(
+        "begin", help="begin a new history: at first, or once a majority of replicas is lost for good",
+        description="Where a majority of replicas has lost what it held, this goes on with the most that any "
+        "of the others holds: a change that was committed on lost ones alone is gone then. Does nothing "
+        "where a leader goes on.",
+    )
+    for each in (puts, deletes, shows, begins):
+        each.add_argument("--file", metavar="FILE", required=True,
+                          help="the operator's file of any gateway: configuration.replicas and the fleet's "
+                          "key are used")
+    for each in (puts, deletes):
+        each.add_argument("service", metavar="SERVICE")
+        each.add_argument("key", metavar="KEY")
+    puts.add_argument("value", metavar="VALUE", help="text, 640 bytes at most")
+    shows.add_argument("door", metavar="HOST:PORT", nargs="*",
+                       help="gateways' doors, as `control` has them; none: the replicas are asked")
+    shows.add_argument("--key", metavar="SERVICE/KEY", default="", help="a value that replicas hold, too")
+
+
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread use` and its actions."""
     own = commands.add_parser("use", help="use records: look, check, export, compare, repair")
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -108,6 +108,20 @@
         return tuple(address(each, "fleet.seeds") for each in self.seeds)
 
 
+class Configuration(_Table, frozen=True):
+    """Configuration that control replicas hand down; off without replicas. The fleet's name and keys are used
+    for it."""
+
+    replicas: tuple[str, ...] = ()  # host:port of all replicas, the same in the same order everywhere
+    listen: str = ""  # host:port of this gateway, from which it asks them
+    near: tuple[str, ...] = ()  # those of its region, which are asked first; empty: any
+    services: tuple[str, ...] = ()  # whose configuration is wanted here; empty: all
+    record: str = ""  # file to which each version that came to be in force is appended; "": none
+
+    def addresses(self) -> tuple[Address, ...]:
+        return tuple(address(each, "configuration.replicas") for each in self.replicas)
+
+
 class Log(_Table, frozen=True):
     """The log, on standard error."""
 
@@ -127,6 +141,7 @@
     plans: PlanSource = PlanSource()
     counter: Counter = Counter()
     fleet: Fleet = Fleet()
+    configuration: Configuration = Configuration()
     log: Log = Log()
 
     def addresses(self) -> tuple[Address, ...]:
@@ -165,6 +180,7 @@
     _check_use(made.use, name)
     _check_counter(made.counter, name)
     _check_fleet(made.fleet, name)
+    _check_configuration(made, name)
     seen: set[Address] = set()
     for number, listener in enumerate(made.listeners):
         key = f"listeners[{number}].address"
@@ -240,6 +256,38 @@
         raise ConfigError(f"{name}: fleet.key: found nothing, wanted a file: fleet.previous is set")
 
 
+REPLICAS_MOST = 31  # a majority of more is waited for longer than it gains
+SERVICES_MOST = 4096  # whose configuration one gateway asks for
+
+
+def _check_configuration(made: Operator, name: str) -> None:
+    table = made.configuration
+    if not table.replicas:
+        for key in ("listen", "near", "services", "record"):
+            if getattr(table, key):
+                raise ConfigError(f"{name}: configuration.replicas: found nothing, wanted addresses: "
+                                  f"configuration.{key} is set")
+        return
+    if not made.fleet.name:
+        raise ConfigError(f"{name}: fleet.name: found nothing, wanted a name: configuration.replicas is set")
+    for key, most in (("replicas", REPLICAS_MOST), ("services", SERVICES_MOST)):
+        values = getattr(table, key)
+        if len(values) > most:
+            raise ConfigError(f"{name}: configuration.{key}: found {len(values)}, wanted {most} at most")
+        if len(set(values)) < len(values):
+            raise ConfigError(f"{name}: configuration.{key}: found one twice, wanted once each")
+    texts = [*((f"replicas[{number}]", text) for number, text in enumerate(table.replicas)),
+             *([("listen", table.listen)] if table.listen else [])]
+    for key, text in texts:
+        if ip_address(_literal(name, f"configuration.{key}", text, "127.0.0.1:7600")[0]).is_unspecified:
+            raise ConfigError(f"{name}: configuration.{key}: found {text!r}, wanted an address that others "
+                              "can reach")
+    for number, text in enumerate(table.near):
+        if text not in table.replicas:
+            raise ConfigError(f"{name}: configuration.near[{number}]: found {text!r}, wanted one of "
+                              "configuration.replicas")
+
+
 def _plain(error: Exception) -> str:
     return (error.strerror if isinstance(error, OSError) else None) or "not UTF-8 text"
 
--- /dev/null
+++ b/trackspread/node/configured.py
@@ -0,0 +1,77 @@
+"""The gateway's side of configuration that replicas hand down: the operator's table to a host.
+
+What is held is shown to operators; no setting of the gateway is taken from it yet. May know: configuration,
+the subscription. Decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from ..config.addresses import address
+from ..config.operator import Fleet, Operator
+from ..distribution.host import SubscriberHost
+from ..distribution.report import report
+from ..distribution.terms import SubscriberSettings
+from ..distribution.wire import Wire
+from ..membership.host import born_now
+from .membered import AGAIN, keys
+
+
+class Configured:
+    """What the gateway holds of it; a new host each time that it takes part."""
+
+    def __init__(self, name: str, operator: Operator, now: Callable[[], int]) -> None:
+        """Raises `ConfigError`."""
+        self._name, self._operator, self._now = name, operator, now
+        self._wire = Wire(operator.fleet.name, keys(operator.fleet))
+        self.host: SubscriberHost | None = None
+
+    async def start(self, patience: float = 0.0) -> None:
+        """Raises `OSError`. `patience`: s for which a process that goes may still hold the address."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + patience
+        while True:
+            host = self._made()
+            try:
+                await host.start()
+            except OSError:
+                host.close()
+                if loop.time() >= end:
+                    raise
+                await asyncio.sleep(AGAIN)
+            else:
+                self.host = host
+                return
+
+    def _made(self) -> SubscriberHost:
+        table = self._operator.configuration
+        replicas = table.addresses()
+        near = tuple(address(each, "configuration.near") for each in table.near) or replicas
+        others = tuple(each for each in replicas if each not in near)
+        services = frozenset(table.services) or None
+        return SubscriberHost(
+            self._name, SubscriberSettings(near, services, others),
+            address(table.listen, "configuration.listen"), self._wire, int.from_bytes(os.urandom(8)),
+            born_now(), self._now, record=Path(table.record) if table.record else None,
+        )
+
+    def rekey(self, fleet: Fleet) -> None:
+        """Keys that changed; raises `ConfigError`, and the old ones go on."""
+        self._wire.keys = keys(fleet)
+
+    def close(self) -> None:
+        if self.host is not None:
+            self.host.close()
+            self.host = None
+
+    def answer(self) -> tuple[int, str]:
+        """For the operators' door."""
+        if self.host is None:
+            return 503, "takes no configuration at this moment\n"
+        return 200, msgspec.json.encode(report(self._now(), self.host)).decode() + "\n"
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -38,6 +38,7 @@
 
 if TYPE_CHECKING:
     from .counted import Counted
+    from .configured import Configured
     from .membered import Membered
     from .planned import PlanBook
     from .uses import Uses
@@ -70,9 +71,12 @@
         self._told, self._began = asyncio.Event(), self._loop.time()
         self._teller: asyncio.TimerHandle | None = None
         self.membered = self._membered()
+        self.configured = self._configured()
         answers = {b"/healthcheck": self._health, b"/stats": self._stats}
         if self.membered is not None:
             answers[b"/fleet"] = self.membered.answer
+        if self.configured is not None:
+            answers[b"/configuration"] = self.configured.answer
         self.door = Door(config.control, answers) if config.control is not None else None
         self._serving = False  # whether the clients' door is open, and stays so
         reserved = RESERVED * (1 if config.accept_fd is None else 2)
@@ -146,6 +150,14 @@
         place = self.config.settings.position, self.config.settings.gateways
         return Membered(self.config.name, self.operator.fleet, self.now, place, self.handle, self.heard)
 
+    def _configured(self) -> Configured | None:
+        """Where configuration is taken from replicas; raises `ConfigError`."""
+        if not self.operator.configuration.listen:
+            return None
+        from .configured import Configured  # not needed otherwise: it takes memory
+
+        return Configured(self.config.name, self.operator, self.now)
+
     def _replanned(self, event: PlansChanged) -> None:
         if self.counted is not None:
             self.counted.replan(event.plans)
@@ -183,6 +195,8 @@
         if self.membered is not None:
             await self.membered.start(HANDED if place is not None else 0.0)
             await self.membered.ready()
+        if self.configured is not None:
+            await self.configured.start(HANDED if place is not None else 0.0)
         await self.clients.start()
         self._serving = True
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
@@ -226,6 +240,8 @@
         self._datagrams = self.peers.leave()
         if self.membered is not None:
             self.membered.close(leave=False)  # who takes over is the same gateway to the fleet
+        if self.configured is not None:
+            self.configured.close()
         return os.dup(self._datagrams) if self._datagrams is not None else None
 
     def retire(self, testator: StateExporter) -> None:
@@ -251,6 +267,8 @@
         await self._open_peers(given)
         if self.membered is not None:
             await self.membered.start(HANDED)
+        if self.configured is not None:
+            await self.configured.start(HANDED)
         await self.clients.unhand()
         self._serving = not self.clients.closing
 
@@ -279,6 +297,8 @@
         self.backends.close()
         if self.membered is not None:
             self.membered.close(leave=not handed)
+        if self.configured is not None:
+            self.configured.close()
         if settings.may_message and settings.gateways > 1 and not handed and self.membered is None:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
@@ -323,6 +343,8 @@
         if self.membered is not None:
             try:
                 self.membered.rekey(operator.fleet)
+                if self.configured is not None:
+                    self.configured.rekey(operator.fleet)
             except ConfigError as error:
                 log.error("configuration: the fleet's keys are not taken, the old ones go on: %s", error)
         if self.uses is None:
