Scale run: configuration handed down to hollow gateways, against gateways and changes a second

Cause: the cores that hand configuration down were shown in virtual time alone. The run starts a process for each control machine's replica and hollow gateways that pull, on real datagram sockets, puts changes, measures what a gateway and the busiest control machine spend, and when each change is in force everywhere; the leader is killed in the middle of a burst of 100.

The operator's commands found a dead leader again and again, as others still named it: they go on to the next replica now. Each part of the run is bounded in time; children start one after the other.

--- /dev/null
+++ b/benchmarks/scale/configuration.py
@@ -0,0 +1,106 @@
+"""What handing configuration down costs, against gateways and against changes a second, and what it takes.
+
+May know: the fleet of replicas and gateways, which sizes this run wants. May not know: how its figures are
+put together.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from benchmarks.common import say
+
+from .bounds import Guard
+from .handed import Change, HandedCost, HandingFleet
+
+
+class ConfigurationPlan(NamedTuple):
+    """What a run wants; the last of sizes and of rates is held out. Times in s."""
+
+    replicas: int
+    each: int  # hollow gateways in one process
+    sizes: tuple[int, ...]  # gateways
+    size_rate: float  # changes a second while these are measured
+    rates: tuple[float, ...]  # changes a second, at the largest size
+    span: float
+    burst: int
+    change_most: float  # that a change may take
+
+
+QUICK = ConfigurationPlan(3, 24, (24, 48, 72, 96, 192), 2.0, (2.0, 4.0, 6.0, 8.0, 16.0), 1.0, 100, 9.0)
+FULL = ConfigurationPlan(
+    19, 76, (152, 304, 456, 608, 1_216), 0.5, (0.25, 0.5, 0.75, 1.0, 2.0), 12.0, 100, 9.0)
+
+
+Priced = tuple[list[HandedCost], list[float | None]]
+
+
+class Waits(msgspec.Struct, frozen=True):
+    """s until changes were in force at every gateway, the worst of each kind; None: some never were."""
+
+    by_size: list[float | None]
+    by_rate: list[float | None]
+    burst: float | None
+    burst_without_leader: float | None  # the leader died meanwhile
+
+    def worst(self) -> float | None:
+        found = [*self.by_size, *self.by_rate, self.burst, self.burst_without_leader]
+        return None if None in found else max(each for each in found if each is not None)
+
+
+class Configured(NamedTuple):
+    """What was measured."""
+
+    by_size: list[HandedCost]
+    by_rate: list[HandedCost]
+    waits: Waits
+
+
+async def measure(plan: ConfigurationPlan, guard: Guard) -> Configured:
+    """Raises `NotHanded`, `NotDone`, `HollowFailed`."""
+    async with HandingFleet(plan.replicas, -(-plan.sizes[-1] // plan.each), plan.each, guard) as fleet:
+        by_size, size_waits = await _by_size(plan, fleet)
+        by_rate, rate_waits = await _by_rate(plan, fleet)
+        burst = await _worst(fleet, await fleet.burst(plan.burst), plan.change_most)
+        without = await _worst(fleet, await fleet.burst_without_leader(plan.burst), plan.change_most)
+        say(f"changes: a burst of {plan.burst} in force everywhere after {_text(burst)}, with the leader "
+            f"killed meanwhile {_text(without)}")
+        await fleet.end()
+        return Configured(by_size, by_rate, Waits(size_waits, rate_waits, burst, without))
+
+
+async def _by_size(plan: ConfigurationPlan, fleet: HandingFleet) -> Priced:
+    costs, waits = [], []
+    for size in plan.sizes:
+        await fleet.add(size)
+        cost, changes = await fleet.cost(plan.size_rate, plan.span)
+        waits.append(await _worst(fleet, changes, plan.change_most))  # before others join, who have none
+        costs.append(cost)
+        _tell(cost, waits[-1])
+    return costs, waits
+
+
+async def _by_rate(plan: ConfigurationPlan, fleet: HandingFleet) -> Priced:
+    found = [await fleet.cost(rate, plan.span) for rate in plan.rates]
+    waits = [await _worst(fleet, changes, plan.change_most) for _, changes in found]
+    for (cost, _), wait in zip(found, waits, strict=True):
+        _tell(cost, wait)
+    return [cost for cost, _ in found], waits
+
+
+async def _worst(fleet: HandingFleet, changes: list[Change], most: float) -> float | None:
+    waits = await fleet.everywhere(changes, most)
+    return None if None in waits else max(each for each in waits if each is not None)
+
+
+def _tell(cost: HandedCost, wait: float | None) -> None:
+    say(f"changes, {cost.gateways} gateways, {cost.rate:g} a second: in force after {_text(wait)}; "
+        f"{cost.cpu:.5f} of a core, {cost.bytes:.0f} B/s, {cost.memory / 2**20:.2f} MB a gateway; busiest of "
+        f"{cost.control} control machines {cost.control_cpu:.4f} of a core, {cost.control_bytes:.0f} B/s; "
+        f"lag {cost.lag.worst * 1000:.0f} ms")
+
+
+def _text(wait: float | None) -> str:
+    return "not in time" if wait is None else f"{wait:.2f} s"
--- /dev/null
+++ b/benchmarks/scale/handing.py
@@ -0,0 +1,204 @@
+"""A process of configuration handed down: a control machine's replica, or hollow gateways that pull.
+
+The cores and the wire are the program's own (`trackspread/distribution/`), on real datagram sockets. Reads
+one command a line from standard input and answers each (`handing_messages.py`). May know: these cores. May
+not know: what the run makes of its figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import time
+from collections.abc import Iterable
+
+import msgspec
+import uvloop
+
+from trackspread.distribution.replica import Replica
+from trackspread.distribution.subscriber import Subscriber
+from trackspread.distribution.terms import (
+    Action, Epoch, Letter, ReplicaSettings, Send, SubscriberSettings, Told,
+)
+from trackspread.distribution.wire import Wire
+from trackspread.membership.host import born_now
+from trackspread.membership.wire import Keys
+
+from .bounds import resident
+from .datagrams import CoreSocket
+from .handing_messages import Add, Ask, Handed, HandingCommand, Lead, SetGateways, SetReplica, Stop, Tier
+from .lag import LagWatch
+from .placement import PORT, REGIONS, Address
+
+LINE_MOST = 64 << 20  # bytes of a command
+PEAK_SPAN = 1.0  # s
+
+
+def service(number: int) -> str:
+    return f"service-{number}"
+
+
+def carried(tier: Tier, gateway: int) -> frozenset[str]:
+    """The services of one gateway: all are carried by about as many."""
+    first = gateway * tier.carried
+    return frozenset(service((first + n) % tier.services) for n in range(tier.carried))
+
+
+class DistributionSocket(CoreSocket):
+    """What both cores' sockets do alike. `number`: a replica's; -1 for a gateway."""
+
+    def __init__(self, name: str, address: Address, tier: Tier, number: int) -> None:
+        super().__init__(name, address)
+        self._wire, self._number, self._born = Wire(tier.fleet, Keys()), number, born_now()
+
+    def do(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(to, body):
+                    letter = Letter(self._wire.fleet, self._number, self._born, body)
+                    self.send(to, self._wire.pack(letter))
+                case Told():
+                    self.told(action)
+
+    def told(self, told: Told) -> None:
+        """Something came to be."""
+
+
+class ReplicaSocket(DistributionSocket):
+    """A control machine's replica."""
+
+    def __init__(self, tier: Tier, number: int) -> None:
+        super().__init__(f"control-{number}", tier.replicas[number], tier, number)
+        settings = ReplicaSettings(number, self._born, tier.replicas)
+        self.core = Replica(settings, time.monotonic_ns(), number)
+        self.epoch: Epoch | None = None
+
+    def tick(self, now: int) -> None:
+        self.do(self.core.lead(now, self.epoch))
+        self.do(self.core.tick(now))
+
+    def came(self, now: int, data: bytes, source: Address) -> None:
+        letter = self._wire.unpack(data)
+        if letter is not None:
+            self.do(self.core.lead(now, self.epoch))
+            self.do(self.core.received(now, letter.replica, letter.born, letter.body, source))
+
+
+class GatewaySocket(DistributionSocket):
+    """A hollow gateway that pulls what its services need."""
+
+    def __init__(self, tier: Tier, number: int, address: Address, process: HandingProcess) -> None:
+        super().__init__(f"gateway-{number}", address, tier, -1)
+        near = tuple(at for n, at in enumerate(tier.replicas) if n % REGIONS == number % REGIONS)
+        others = tuple(at for at in tier.replicas if at not in near)
+        settings = SubscriberSettings(near or others, carried(tier, number), others if near else ())
+        self.core = Subscriber(settings, time.monotonic_ns(), number)
+        self._process = process
+
+    def tick(self, now: int) -> None:
+        self.do(self.core.tick(now))
+
+    def came(self, now: int, data: bytes, source: Address) -> None:
+        letter = self._wire.unpack(data)
+        if letter is not None:
+            self.do(self.core.received(now, letter.body, source))
+
+    def told(self, told: Told) -> None:
+        if told.kind == "acts":
+            self._process.came_to(self.name, self.core.version.sequence)
+
+
+class HandingProcess:
+    """All that runs in this process."""
+
+    def __init__(self, setup: SetReplica | SetGateways) -> None:
+        self._setup = setup
+        self._sockets: list[DistributionSocket] = []
+        self._sequences: dict[str, int] = {}  # by gateway
+        self._progress: list[tuple[int, int]] = []
+        self._peak = 0
+        self._watch = LagWatch()
+        self._beat: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        if isinstance(self._setup, SetReplica):
+            await self._open(ReplicaSocket(self._setup.tier, self._setup.number))
+        self._watch.start()
+        self._beat = asyncio.get_running_loop().create_task(self._every_second())
+
+    def close(self) -> None:
+        self._watch.stop()
+        if self._beat is not None:
+            self._beat.cancel()
+        for each in self._sockets:
+            each.close()
+
+    def came_to(self, gateway: str, sequence: int) -> None:
+        """A gateway acts on this version of the configuration from now on."""
+        before = min(self._sequences.values())
+        self._sequences[gateway] = sequence
+        if (least := min(self._sequences.values())) > before:
+            self._progress.append((time.monotonic_ns(), least))
+
+    async def do(self, command: HandingCommand) -> Handed:
+        match command:
+            case Lead(round=round_):
+                for each in self._sockets:
+                    if isinstance(each, ReplicaSocket):
+                        each.epoch = round_, each.core.settings.number
+            case Add() if isinstance(self._setup, SetGateways):
+                for number in command.numbers:
+                    self._sequences[f"gateway-{number}"] = 0
+                    at = self._setup.host, PORT + len(self._sockets)
+                    await self._open(GatewaySocket(self._setup.tier, number, at, self))
+        return self._told()
+
+    async def _open(self, made: DistributionSocket) -> None:
+        await made.open()
+        self._sockets.append(made)
+
+    def _told(self) -> Handed:
+        role, sequence = "", min(self._sequences.values(), default=0)
+        for each in self._sockets:
+            if isinstance(each, ReplicaSocket):
+                role, sequence = each.core.role, each.core.log.committed.sequence
+        progress, self._progress = tuple(self._progress), []
+        peak, self._peak = self._peak, 0
+        return Handed(
+            time.monotonic_ns(), time.process_time(), resident(os.getpid()), len(self._sequences),
+            sum(each.datagrams for each in self._sockets), sum(each.sent for each in self._sockets),
+            sum(each.received for each in self._sockets), role, sequence, progress, peak, self._watch.take(),
+        )
+
+    async def _every_second(self) -> None:
+        while True:
+            await asyncio.sleep(PEAK_SPAN)
+            self._peak = max([self._peak, *(each.since_last() for each in self._sockets)])
+
+
+async def serve() -> None:
+    """Commands from standard input, one after the other, until it ends."""
+    reader = asyncio.StreamReader(limit=LINE_MOST)
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    decoder = msgspec.json.Decoder[HandingCommand](HandingCommand)
+    process: HandingProcess | None = None
+    while line := await reader.readline():
+        command = decoder.decode(line)
+        if isinstance(command, SetReplica | SetGateways):
+            process = HandingProcess(command)
+            await process.start()
+            command = Ask()
+        if process is None:
+            raise SystemExit("the first command has to set this process up")
+        sys.stdout.buffer.write(msgspec.json.encode(await process.do(command)) + b"\n")
+        sys.stdout.buffer.flush()
+        if isinstance(command, Stop):
+            break
+    if process is not None:
+        process.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(serve())
--- /dev/null
+++ b/benchmarks/scale/operator.py
@@ -0,0 +1,86 @@
+"""An operator's side of configuration handed down: changes are put to the control replicas, by datagram.
+
+May know: the wire. May not know: gateways.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from trackspread.distribution.terms import Begin, Bodies, Done, Letter, NotLeader, Put, Refused
+from trackspread.distribution.wire import Wire
+from trackspread.membership.wire import Keys
+
+from .placement import Address
+
+AGAIN = 0.5  # s without an answer after which a command is sent again
+DONE_MOST = 30.0  # s for one command
+
+
+class NotDone(Exception):
+    """A command had no answer in time."""
+
+
+class Operator(asyncio.DatagramProtocol):
+    """Sends each command until it is done."""
+
+    def __init__(self, fleet: str, replicas: tuple[Address, ...]) -> None:
+        self._wire, self._replicas = Wire(fleet, Keys()), replicas
+        self._transport: asyncio.DatagramTransport | None = None
+        self._waiting: dict[int, asyncio.Future[Done]] = {}
+        self._number = 0
+        self.leader = 0
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=("127.0.0.1", 0))
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        letter = self._wire.unpack(data)
+        match letter.body if letter is not None else None:
+            case Done() as done if (waiting := self._waiting.get(done.number)) is not None:
+                if not waiting.done():
+                    waiting.set_result(done)
+            case NotLeader(leader=leader) if leader >= 0:
+                self.leader = leader
+            case Refused():
+                pass  # sent again after `AGAIN`
+
+    async def begin(self) -> None:
+        """Begin the first history. Raises `NotDone`."""
+        self._number += 1
+        await self._until_done(self._number, Begin(self._number))
+
+    async def put(self, service: str, key: str, value: bytes) -> tuple[int, int]:
+        """When it was first sent, in ns of the clock, and its place in the log. Raises `NotDone`."""
+        self._number += 1
+        put_at = time.monotonic_ns()
+        done = await self._until_done(self._number, Put(self._number, service, key, value))
+        return put_at, done.version.sequence
+
+    async def _until_done(self, number: int, body: Bodies) -> Done:
+        waiting = self._waiting[number] = asyncio.get_running_loop().create_future()
+        end = time.monotonic() + DONE_MOST
+        try:
+            while time.monotonic() < end:
+                asked = self.leader
+                self._send(body)
+                try:
+                    return await asyncio.wait_for(asyncio.shield(waiting), AGAIN)
+                except TimeoutError:
+                    if self.leader == asked:  # it may be dead, and others still take it for the leader
+                        self.leader = (asked + 1) % len(self._replicas)
+        finally:
+            del self._waiting[number]
+        raise NotDone(f"{type(body).__name__}: not done within {DONE_MOST:g} s")
+
+    def _send(self, body: Bodies) -> None:
+        if self._transport is not None:
+            data = self._wire.pack(Letter(self._wire.fleet, -1, 0, body))
+            self._transport.sendto(data, self._replicas[self.leader])
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections import Counter
 
 import msgspec
 import pytest
@@ -15,6 +16,9 @@
 from benchmarks.scale.bounds import Guard, OverBound, ProcessEntry, Use, tree
 from benchmarks.scale.extrapolation import extrapolate
 from benchmarks.scale.fit import Shape
+from benchmarks.scale.handed import Change, HandingFleet, busier, share, took
+from benchmarks.scale.handing import carried
+from benchmarks.scale.handing_messages import Handed, Tier
 from benchmarks.scale.hollows import HollowFleet
 from benchmarks.scale.lag import LATE, WORST_MOST, Lag, LagWatch, together
 from benchmarks.scale.messages import DeadVerdict, Held, Life, Measured, Traffic
@@ -253,9 +257,9 @@
 
 def test_a_fit_that_missed_gives_no_figure_and_says_so() -> None:
     made = fitted(0.02)
+    report.put_limits(made, full=False)
     assert made.gateway_cpu_share_at_size is None and made.holdout_error_worst == pytest.approx(0.36)
     assert any("membership.flat.cpu" in line for line in made.not_run)
-    report.put_limits(made, full=False)
     assert made.limits_kept["holdout_error_worst"] is False
 
 
@@ -283,9 +287,50 @@
     assert shared.crowd().customers == usual.crowd().customers
 
 
+# Configuration handed down.
+
+
+def handed(at: int, cpu: float, sent: int, received: int) -> Handed:
+    return Handed(at, cpu, 30 * MB, 0, 0, sent, received, "", 0, (), 0, Lag())
+
+
+def test_a_change_is_in_force_everywhere_once_the_last_process_has_come_to_it() -> None:
+    progress = [[(100, 4), (300, 7)], [(200, 5), (500, 6), (600, 9)]]
+    second = 1_000_000_000
+    assert took(Change(50, 5), progress) == pytest.approx(250 / second)
+    assert took(Change(50, 6), progress) == pytest.approx(450 / second)
+    assert took(Change(50, 8), progress) is None
+    assert took(Change(50, 1), [*progress, []]) is None
+
+
+def test_bytes_are_of_the_busier_direction_and_cpu_of_the_processes_clock() -> None:
+    before, after = handed(0, 1.0, 100, 0), handed(2_000_000_000, 1.5, 300, 1_000)
+    assert busier(before, after) == 500.0 and share(before, after) == 0.25
+
+
+def test_every_service_is_carried_by_about_as_many_gateways() -> None:
+    tier = Tier("x", (), services=30, carried=4)
+    counts = Counter(each for gateway in range(60) for each in carried(tier, gateway))
+    assert len(counts) == 30 and set(counts.values()) == {8}
+
+
 # On sockets.
 
 
+@pytest.mark.processes
+def test_a_change_put_to_replicas_in_processes_is_in_force_at_all_hollow_gateways() -> None:
+    async def run() -> tuple[list[float | None], list[float | None], int]:
+        async with HandingFleet(3, 2, 4, Guard()) as fleet:
+            await fleet.add(8)
+            usual = await fleet.everywhere([await fleet.change(n) for n in range(5)], 20.0)
+            without_leader = await fleet.everywhere(await fleet.burst_without_leader(10), 20.0)
+            return usual, without_leader, fleet.gateways
+
+    usual, without_leader, gateways = uvloop.run(run())
+    assert gateways == 8 and len(usual) == 5 and len(without_leader) == 10
+    assert None not in usual and None not in without_leader
+
+
 @pytest.mark.processes
 def test_hollow_members_in_two_processes_settle_and_settle_again_after_a_crash() -> None:
     async def run() -> tuple[Outcome, int, int]:
