--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -51,7 +51,7 @@
 from ..lists.seam import ListError
 from ..peers.datagrams import Peers
 from ..usage.record import Ending
-from .estate import Testator
+from .handover_state import StateExporter
 
 if TYPE_CHECKING:
     from .counted import Counted
@@ -99,7 +99,7 @@
         self.requests: dict[int, Request] = {}
         self.ids: set[bytes] = set()  # of the requests that still owe an answer
         self.answer_by: int | None = None  # once stopping: when every request has to be answered
-        self.testator: Testator | None = None  # while another process has the word
+        self.testator: StateExporter | None = None  # while another process has the word
         self._numbers: Iterator[int] = count(1)
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
 
@@ -170,6 +170,11 @@
             self._fail(number, request, "out of time")
             self.handle(ClientLeft(number))
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether somebody still waits for what this attempt is to bring."""
+        request = self.requests.get(attempt.request)
+        return request is not None and not request.closed and not request.slot.client.ended()
+
     # Answers.
 
     def _close(self, number: int, request: Request, ending: Ending) -> None:
@@ -332,6 +337,11 @@
         if request.closed or now >= request.valid_until:
             self._moot(action, index, request.closed)
             return
+        if request.slot.client.ended():
+            # The loop has not come to that yet; nothing is sent on for a client that has left.
+            self._loop.call_soon(self.left, action.request)
+            self._moot(action, index, True)
+            return
         left = request.valid_until - now
         timeout = action.timeout / SECOND if 0 < action.timeout < left else None
         expires = now + (action.timeout if timeout is not None else left)
