Cells: a new leader hears of all cells over a second, and control machines ask for a larger buffer

At 7,200 gateways a new leader would have been told of 900 seats at once, more than a socket's usual buffer holds; what got lost came again a second later, all together. Reports to a new leader are spread over a second.

--- a/trackspread/cells/host.py
+++ b/trackspread/cells/host.py
@@ -12,7 +12,7 @@
 
 from ..logs import Sparing
 from ..membership.host import CHANGING, NOTED, plain
-from ..membership.port import SERVED_MOST, Port
+from ..membership.port import Port
 from ..membership.record import Recorder
 from ..membership.terms import Address, Epoch, Exchange, Heard, Letter, Say, Table, Told
 from .controller import Controller
@@ -24,6 +24,7 @@
 log.addFilter(Sparing())
 of_note = logging.getLogger(f"{__name__}.note")  # what members' coming and going must not drown
 
+CONTROL_RECEIVE = 1 << 20  # bytes of its socket's buffer: hundreds of gateways may ask at once
 CONTROL_SERVED = 128  # exchanges under way at a control machine, which is in many views
 
 
@@ -40,7 +41,10 @@
         """`changed` is called when members or this one's slots are not as they were, `heard` with the words
         of others of the cell, `led` with the epoch from which on this control machine leads, and with none
         when it no longer does. Raises `OSError` where the record can't be written."""
-        super().__init__(listen, wire, CONTROL_SERVED if isinstance(core, Controller) else SERVED_MOST)
+        if isinstance(core, Controller):
+            super().__init__(listen, wire, CONTROL_SERVED, CONTROL_RECEIVE)
+        else:
+            super().__init__(listen, wire)
         self.core, self.now, self._reader = core, now, wire
         self._changed, self._heard, self._led = changed, heard, led
         self._packed: tuple[Letter, bytes] | None = None  # what was sent last: it often goes to several
--- a/trackspread/cells/seeding.py
+++ b/trackspread/cells/seeding.py
@@ -12,6 +12,7 @@
 from ..membership.terms import NO_NUMBER, Epoch, Number, Who
 from .terms import SECOND, Cell, CellReport, Noted, Placement
 
+SPREAD = 1 * SECOND  # ns over which a new leader is told of all cells: not thousands of datagrams at once
 RESEND = 1 * SECOND  # ns after which a report that nobody noted is sent again
 FRESHEN = 10 * SECOND  # ns after which the coordinator reports though nothing has changed
 FRESHEN_OTHERS = 30 * SECOND  # and the other seeds
@@ -22,10 +23,12 @@
 
 @dataclass(slots=True)
 class Seeding:
-    """`noted`: what the leader of which epoch has of it; `moves`: gateways that were told to go elsewhere."""
+    """`epoch`: of the leader that is reported to; `noted`: what that one has of it; `moves`: gateways that
+    were told to go elsewhere."""
 
     cell: Cell
     member: Member
+    epoch: Epoch | None = None
     noted: tuple[Epoch, Number, Number] | None = None
     due_at: int = 0
     fresh_at: int = 0
@@ -40,6 +43,9 @@
         self, now: int, epoch: Epoch, control: frozenset[str], rng: random.Random
     ) -> list[CellReport]:
         """What the leader of this epoch is to hear now."""
+        if epoch != self.epoch:
+            self.due_at = self.fresh_at = now + (int(SPREAD * rng.random()) if self.epoch is not None else 0)
+            self.epoch = epoch
         view, leads = self.member.number(), self.member.owns(now)
         known = self.noted
         told = known is not None and known[:2] == (epoch, self.cell.number) and (
--- a/trackspread/membership/port.py
+++ b/trackspread/membership/port.py
@@ -41,8 +41,11 @@
     """For a host to be built on, which adds what is to be done with what comes. `counts`: datagrams and
     bytes, sent and received; exchanges, and bytes of the tables in them."""
 
-    def __init__(self, listen: Address, wire: Wire, served: int = SERVED_MOST) -> None:
+    def __init__(self, listen: Address, wire: Wire, served: int = SERVED_MOST, receive: int = 0) -> None:
+        """`served`: exchanges under way that others began, at most; `receive`: bytes of the socket's buffer
+        that are asked for, 0: the system's."""
         self.wire, self.counts = wire, Counter[str]()
+        self._receive = receive
         self._listen, self._served_most = listen, served
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -78,6 +81,8 @@
         made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             made.setblocking(False)
+            if self._receive:
+                made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive)
             made.bind(self._listen)
             self._server = await asyncio.start_server(self._serve, *self._listen, limit=self.wire.table_most)
         except OSError:
