--- a/tests/test_cells_process.py
+++ b/tests/test_cells_process.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from trackspread.harness import viewed
-from trackspread.harness.celled import CelledFleet, whole_cells
+from trackspread.harness.celled import COMMAND, CelledFleet, whole_cells
 from trackspread.membership.terms import MS
 from trackspread.standins.scene import Scene
 
@@ -43,12 +43,15 @@
             await asyncio.sleep(LOOK)
 
 
-def play(work: Work, keys: str = "keep_s = 3.0") -> None:
+QUICK = ("-m", "trackspread.harness.quickened", "none")  # small cells, merged and replaced within seconds
+
+
+def play(work: Work, controls: tuple[str, ...] = COMMAND, keys: str = "keep_s = 3.0") -> None:
     """The rules, and all records, are decided on after it; a run in which the rig lagged is played again."""
 
     async def once() -> bool:
         scene = Scene(gateways=GATEWAYS, nodes=6, load=0.15, seed=7, tolerance=200 * MS)
-        async with CelledFleet(scene, CONTROL, keys) as fleet:
+        async with CelledFleet(scene, CONTROL, keys, controls=controls) as fleet:
             await settled(fleet, START)
             fleet.ask()
             await work(fleet)
@@ -182,3 +185,24 @@
         assert moves(fleet, since) == []
 
     play(work)
+
+
+def test_gateways_move_when_a_control_machine_is_gone_for_good_and_when_cells_are_merged() -> None:
+    async def work(fleet: CelledFleet) -> None:
+        since = fleet.beliefs()[-1].at
+        before = fleet.cells()
+        assert len(set(before.values())) == 4, "two gateways and one in each zone"
+        gone = next(name for name in fleet.control_names if name != fleet.leader())
+        await fleet.control[gone].kill()
+        await until(lambda: bool(moves(fleet, since)) and whole_cells(fleet) == "", 60.0)
+        await settled(fleet)
+        # Of the cell of two in zone z0 one ends for good: what is left of it is merged with the other.
+        cells = fleet.cells()
+        in_zone = [name for name in names(fleet) if cells[name].startswith("r.z0.")]
+        of_two = next(name for name in in_zone if list(cells.values()).count(cells[name]) == 2)
+        await fleet.end([int(of_two[1:])])
+        left = [name for name in in_zone if name != of_two]
+        await until(lambda: len({fleet.cells().get(name) for name in left}) == 1, 60.0)
+        await settled(fleet)
+
+    play(work, QUICK)
--- a/trackspread/harness/celled.py
+++ b/trackspread/harness/celled.py
@@ -21,6 +21,7 @@
 from .fleet import MEMBER_PORT, Fleet
 from .process import BOUNDED
 
+COMMAND = ("-m", "trackspread")
 SOCKETS = 1_024  # descriptors that a control machine may have
 END_MOST = 10.0  # s that one has to end after SIGTERM
 ZONES = 2  # of the one region
@@ -29,8 +30,9 @@
 class ControlProcess:
     """One control machine; it never outlives whoever started it."""
 
-    def __init__(self, name: str, file: Path, log: Path) -> None:
-        self.name, self._file, self._log = name, file, log
+    def __init__(self, name: str, file: Path, log: Path, command: tuple[str, ...] = COMMAND) -> None:
+        """`command`: what runs it, without the interpreter, the words `control NAME` and the file."""
+        self.name, self._file, self._log, self._command = name, file, log, command
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -42,7 +44,7 @@
         bounded = (sys.executable, "-I", "-S", "-c", BOUNDED, str(SOCKETS), sys.executable)
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *bounded, "-m", "trackspread", "control", self.name, "--file", str(self._file),
+                *bounded, *self._command, "control", self.name, "--file", str(self._file),
                 stdout=log, stderr=log, env=dict(os.environ),
             )
 
@@ -74,9 +76,14 @@
     """Use as `async with CelledFleet(scene, control) as fleet`; gateways n0, n1, ... by turns in the zones z0
     and z1 of one region, control machines c0, c1, ... beside them."""
 
-    def __init__(self, scene: Scene, control: int, keys: str = "") -> None:
-        """`keys`: further ones of every table [fleet]."""
-        super().__init__(scene, viewed=keys)
+    def __init__(
+        self, scene: Scene, control: int, keys: str = "",
+        runs: tuple[str, ...] = ("-m", "trackspread", "run"), controls: tuple[str, ...] = COMMAND,
+    ) -> None:
+        """`keys`: further ones of every table [fleet]; `runs`, `controls`: what runs a gateway, and a control
+        machine."""
+        super().__init__(scene, runs, viewed=keys)
+        self._controls = controls
         self.control_names = [f"c{number}" for number in range(control)]
         self.control: dict[str, ControlProcess] = {}
 
@@ -92,7 +99,7 @@
         for name in self.control_names:
             file = self.folder / f"{name}.toml"
             file.write_text(self.table(name))
-            self.control[name] = ControlProcess(name, file, self.folder / f"{name}.log")
+            self.control[name] = ControlProcess(name, file, self.folder / f"{name}.log", self._controls)
             await self.control[name].start()
 
     def table(self, name: str) -> str:
--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -13,7 +13,7 @@
 from ..judge.verdict import Rule
 from ..node import serve
 from ..node.gateway import Gateway
-from ..virtual import membered_mutants
+from ..virtual import celled_mutants, membered_mutants
 from ..virtual.mutants import MUTANTS
 from ..virtual.patches import held
 
@@ -109,6 +109,8 @@
 def _patches(name: str) -> list[Any]:
     if name in ON_SOCKETS:
         return ON_SOCKETS[name][1]()
+    if name in celled_mutants.MUTANTS:
+        return celled_mutants.MUTANTS[name]()
     return MUTANTS[name].patches() if name in MUTANTS else membered_mutants.MUTANTS[name]()
 
 
--- /dev/null
+++ b/trackspread/harness/quickened.py
@@ -0,0 +1,46 @@
+"""Runs a control machine whose cells are small, and are merged and replaced within seconds, so that a test
+sees gateways move: `python -m trackspread.harness.quickened [FAULTS] control NAME --file FILE`.
+
+`FAULTS`: planted ones by name, with commas between, or "none". A gateway runs with such faults by
+`harness/mutant.py`. May know: the program's entries.
+"""
+
+from __future__ import annotations
+
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+from ..cells.terms import Policy
+from ..membership.terms import SECOND
+from ..node import controlling
+from ..virtual import celled_mutants, membered_mutants
+from ..virtual.patches import held
+
+NONE = "none"
+TARGET, MOST, LEAST, MERGED = 2, 3, 1, 2  # gateways of a cell
+SOON = 4 * SECOND  # ns in place of the half minute and the two minutes
+
+
+def faults(names: str) -> list[Any]:
+    """The patches of all these."""
+    known = {**membered_mutants.MUTANTS, **celled_mutants.MUTANTS}
+    return [each for name in names.split(",") if name != NONE for each in known[name]()]
+
+
+def _policy(gateways: int) -> Policy:
+    return Policy(TARGET, MOST, LEAST, MERGED, gateways, SOON, SOON)
+
+
+def main(names: str, control: str, file: str) -> None:
+    """In the foreground."""
+    with ExitStack() as stack:
+        stack.enter_context(patch.object(controlling, "Policy", _policy))
+        stack.enter_context(held(faults(names)))
+        controlling.run(control, Path(file))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[3], sys.argv[-1])
