--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -20,7 +20,7 @@
 
 from trackspread.membership.host import Host, born_now
 from trackspread.membership.member import ENTROPY
-from trackspread.membership.terms import Action, Exchange, Number, Say, Settings, Table, Told
+from trackspread.membership.terms import Action, Exchange, Number, Say, Settings, Told
 from trackspread.membership.wire import Keys, Wire
 
 from .bounds import resident
@@ -37,27 +37,12 @@
 LINE_MOST = 64 << 20  # bytes of a command
 
 
-class CountingWire(Wire):
-    """Counts the bytes of tables; datagrams are counted by the host, at its socket."""
-
-    sent = received = 0
-
-    def pack_table(self, table: Table) -> bytes:
-        made = super().pack_table(table)
-        self.sent += len(made)
-        return made
-
-    def unpack_table(self, data: bytes) -> Table | None:
-        self.received += len(data)
-        return super().unpack_table(data)
-
-
 class HollowHost(Host):
     """One hollow member."""
 
-    def __init__(self, settings: Settings, wire: CountingWire, seed: int, process: HollowProcess) -> None:
+    def __init__(self, settings: Settings, wire: Wire, seed: int, process: HollowProcess) -> None:
         super().__init__(settings, settings.address, wire, seed, time.monotonic_ns)
-        self._process, self._tables = process, wire
+        self._process = process
         self._last_second = (0, 0)
         self._suspected: dict[Who, int] = {}  # since when each is held for suspect
 
@@ -106,8 +91,9 @@
             self._process.verdicts.append(DeadVerdict(now, self.settings.name, who, own, since))
 
     def traffic(self) -> Traffic:
-        sent = self.counts["bytes sent"] + self._tables.sent
-        return Traffic(self.settings.name, sent, self.counts["bytes received"] + self._tables.received)
+        counts = self.counts
+        return Traffic(self.settings.name, counts["bytes sent"] + counts["table bytes sent"],
+                       counts["bytes received"] + counts["table bytes received"])
 
     def last_second(self) -> int:
         """Bytes since the last call, the greater of sent and received."""
@@ -188,7 +174,7 @@
             setup.fleet, name_of(number), born_now(), place.address(number),
             tuple(place.address(seed) for seed in setup.seeds), "hollow", most=setup.most,
         )
-        wire = CountingWire(setup.fleet, Keys(), setup.most)
+        wire = Wire(setup.fleet, Keys(), setup.most)
         host = HollowHost(settings, wire, self._rng.getrandbits(60), self)
         await host.start()
         self._hosts[number] = host
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,5 +1,5 @@
 """The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`,
-`control`, `try`.
+`control`, `configuration`, `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
 """
@@ -69,6 +69,7 @@
     words.add_quota(commands)
     words.add_fleet(commands)
     words.add_control(commands)
+    words.add_configuration(commands)
     return parser
 
 
@@ -116,6 +117,10 @@
                 from .node import controlling
 
                 return controlling.run(given.name, Path(given.file))
+            case "configuration":
+                from .commands import configuration
+
+                return configuration.run(given)
             case "use":
                 from .commands import use
 
--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -13,7 +13,8 @@
 from ..judge.verdict import Rule
 from ..node import serve
 from ..node.gateway import Gateway
-from ..virtual import celled_mutants, membered_mutants
+from ..virtual.cells import mutants as celled_mutants
+from ..virtual.membership import mutants as membered_mutants
 from ..virtual.mutants import MUTANTS
 from ..virtual.patches import held
 
--- a/trackspread/harness/quickened.py
+++ b/trackspread/harness/quickened.py
@@ -16,7 +16,8 @@
 from ..cells.terms import Policy
 from ..membership.terms import SECOND
 from ..node import controlling
-from ..virtual import celled_mutants, membered_mutants
+from ..virtual.cells import mutants as celled_mutants
+from ..virtual.membership import mutants as membered_mutants
 from ..virtual.patches import held
 
 NONE = "none"
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -37,8 +37,9 @@
 from .takeover import Predecessor, Successor
 
 if TYPE_CHECKING:
-    from .counted import Counted
     from .celled import Celled
+    from .configured import Configured
+    from .counted import Counted
     from .membered import Membered
     from .planned import PlanBook
     from .uses import Uses
@@ -71,9 +72,12 @@
         self._told, self._began = asyncio.Event(), self._loop.time()
         self._teller: asyncio.TimerHandle | None = None
         self.membered, self.celled = self._membered(), self._celled()
+        self.configured = self._configured()
         answers = {b"/healthcheck": self._health, b"/stats": self._stats}
         if (viewed := self.membered or self.celled) is not None:
             answers[b"/fleet"] = viewed.answer
+        if self.configured is not None:
+            answers[b"/configuration"] = self.configured.answer
         self.door = Door(config.control, answers) if config.control is not None else None
         self._serving = False  # whether the clients' door is open, and stays so
         reserved = RESERVED * (1 if config.accept_fd is None else 2)
@@ -155,6 +159,14 @@
 
         return Celled(self.config.name, self.operator.fleet, self.now)
 
+    def _configured(self) -> Configured | None:
+        """Where configuration is taken from replicas; raises `ConfigError`."""
+        if not self.operator.configuration.listen:
+            return None
+        from .configured import Configured  # not needed otherwise: it takes memory
+
+        return Configured(self.config.name, self.operator, self.now)
+
     def _replanned(self, event: PlansChanged) -> None:
         if self.counted is not None:
             self.counted.replan(event.plans)
@@ -194,6 +206,8 @@
             await self.membered.ready()
         if self.celled is not None:
             await self.celled.start(HANDED if place is not None else 0.0)
+        if self.configured is not None:
+            await self.configured.start(HANDED if place is not None else 0.0)
         await self.clients.start()
         self._serving = True
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
@@ -239,6 +253,8 @@
             self.membered.close(leave=False)  # who takes over is the same gateway to the fleet
         if self.celled is not None:
             self.celled.close(leave=False)
+        if self.configured is not None:
+            self.configured.close()
         return os.dup(self._datagrams) if self._datagrams is not None else None
 
     def retire(self, testator: StateExporter) -> None:
@@ -266,6 +282,8 @@
             await self.membered.start(HANDED)
         if self.celled is not None:
             await self.celled.start(HANDED)
+        if self.configured is not None:
+            await self.configured.start(HANDED)
         await self.clients.unhand()
         self._serving = not self.clients.closing
 
@@ -296,6 +314,8 @@
             self.membered.close(leave=not handed)
         if self.celled is not None:
             self.celled.close(leave=not handed)
+        if self.configured is not None:
+            self.configured.close()
         if settings.may_message and settings.gateways > 1 and not handed and self.membered is None:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
@@ -340,6 +360,8 @@
         if (viewed := self.membered or self.celled) is not None:
             try:
                 viewed.rekey(operator.fleet)
+                if self.configured is not None:
+                    self.configured.rekey(operator.fleet)
             except ConfigError as error:
                 log.error("configuration: the fleet's keys are not taken, the old ones go on: %s", error)
         if self.uses is None:
