--- a/benchmarks/scale/demand.py
+++ b/benchmarks/scale/demand.py
@@ -135,7 +135,7 @@
          "gateways * budget / control", "B/s"),
     Line("cores", "cores that all gateways may spend on control", "gateways * share", ""),
     Line("calls_start", "calls to discovery while all gateways start at once",
-         "gateways / spread_s", "/s", "`lists/turns.py` spreads them over 9 s at most"),
+         "gateways / spread_s", "/s", "`lists/turns.py` spreads them over 5 s at most"),
     Line("counter_heartbeats", "calls of a shared counter's beat",
          "gateways * partitions / counter_beat_s", "/s"),
     Line("counter_fields", "fields read with them, one a gateway", "counter_heartbeats * gateways", "/s",
