--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -27,16 +27,18 @@
     Topology,
 )
 from ..fronts.connections import Clients, PassOn
-from ..handover.link import Place
+from ..handover.link import Rendezvous
 from ..fronts.resp import RespFront
 from ..lists.agent import Discovery, parse_update
 from ..lists.seam import ListError, Update
 from ..peers.datagrams import Peers
-from .estate import Testator
+from .handover_state import StateExporter
 from .requests import SECOND, Requests
-from .succession import Predecessor, Successor
+from .takeover import Predecessor, Successor
 
 if TYPE_CHECKING:
+    from .celled import Celled
+    from .configured import Configured
     from .counted import Counted
     from .membered import Membered
     from .planned import PlanBook
@@ -69,15 +71,18 @@
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
         self._told, self._began = asyncio.Event(), self._loop.time()
         self._teller: asyncio.TimerHandle | None = None
-        self.membered = self._membered()
+        self.membered, self.celled = self._membered(), self._celled()
+        self.configured = self._configured()
         answers = {b"/healthcheck": self._health, b"/stats": self._stats}
-        if self.membered is not None:
-            answers[b"/fleet"] = self.membered.answer
+        if (viewed := self.membered or self.celled) is not None:
+            answers[b"/fleet"] = viewed.answer
+        if self.configured is not None:
+            answers[b"/configuration"] = self.configured.answer
         self.door = Door(config.control, answers) if config.control is not None else None
         self._serving = False  # whether the clients' door is open, and stays so
         reserved = RESERVED * (1 if config.accept_fd is None else 2)
-        if self.membered is not None:
-            reserved += self.membered.descriptors
+        if viewed is not None:
+            reserved += viewed.descriptors
         spare = max(16, config.sockets - reserved)
         settings, most = config.settings, int(spare * operator.backends.descriptor_part)
         grace = settings.drain_grace / SECOND * operator.backends.grace_part  # a loop may lag
@@ -139,16 +144,32 @@
 
     def _membered(self) -> Membered | None:
         """Where a view of the fleet is kept; raises `ConfigError`."""
-        if not self.operator.fleet.name:
+        if not self.operator.fleet.name or self.operator.fleet.control:
             return None
         from .membered import Membered  # not needed otherwise: it takes memory
 
         place = self.config.settings.position, self.config.settings.gateways
         return Membered(self.config.name, self.operator.fleet, self.now, place, self.handle, self.heard)
 
+    def _celled(self) -> Celled | None:
+        """Where this gateway is in a cell of a larger fleet; raises `ConfigError`."""
+        if not self.operator.fleet.control:
+            return None
+        from .celled import Celled  # not needed otherwise: it takes memory
+
+        return Celled(self.config.name, self.operator.fleet, self.now)
+
+    def _configured(self) -> Configured | None:
+        """Where configuration is taken from replicas; raises `ConfigError`."""
+        if not self.operator.configuration.listen:
+            return None
+        from .configured import Configured  # not needed otherwise: it takes memory
+
+        return Configured(self.config.name, self.operator, self.now)
+
     def _replanned(self, event: PlansChanged) -> None:
         if self.counted is not None:
-            self.counted.desk.replan(event.plans)
+            self.counted.replan(event.plans)
         self.handle(event)
 
     async def start(self) -> None:
@@ -183,11 +204,15 @@
         if self.membered is not None:
             await self.membered.start(HANDED if place is not None else 0.0)
             await self.membered.ready()
+        if self.celled is not None:
+            await self.celled.start(HANDED if place is not None else 0.0)
+        if self.configured is not None:
+            await self.configured.start(HANDED if place is not None else 0.0)
         await self.clients.start()
         self._serving = True
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
 
-    def _place(self) -> Place | None:
+    def _place(self) -> Rendezvous | None:
         """Where an old process and a new one meet; none where the platform does not hold the clients'
         socket."""
         if not self.config.meeting:
@@ -196,7 +221,7 @@
             log.warning("handover: not possible with use records or a counter, the start is a cold one")
             return None
         try:
-            return Place(Path(self.config.meeting), self.config.name)
+            return Rendezvous(Path(self.config.meeting), self.config.name)
         except OSError as error:
             log.warning("handover: TMPDIR: %s, the start is a cold one", error.strerror)
             return None
@@ -226,9 +251,13 @@
         self._datagrams = self.peers.leave()
         if self.membered is not None:
             self.membered.close(leave=False)  # who takes over is the same gateway to the fleet
+        if self.celled is not None:
+            self.celled.close(leave=False)
+        if self.configured is not None:
+            self.configured.close()
         return os.dup(self._datagrams) if self._datagrams is not None else None
 
-    def retire(self, testator: Testator) -> None:
+    def retire(self, testator: StateExporter) -> None:
         """Grant nothing more, and tell the other process of what is still out."""
         self.testator = testator
         for action in self.module.retire(self.now()):
@@ -251,6 +280,10 @@
         await self._open_peers(given)
         if self.membered is not None:
             await self.membered.start(HANDED)
+        if self.celled is not None:
+            await self.celled.start(HANDED)
+        if self.configured is not None:
+            await self.configured.start(HANDED)
         await self.clients.unhand()
         self._serving = not self.clients.closing
 
@@ -279,6 +312,10 @@
         self.backends.close()
         if self.membered is not None:
             self.membered.close(leave=not handed)
+        if self.celled is not None:
+            self.celled.close(leave=not handed)
+        if self.configured is not None:
+            self.configured.close()
         if settings.may_message and settings.gateways > 1 and not handed and self.membered is None:
             # The module's beat goes on telling that nothing is used here. Its peers, on which the customers
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
@@ -320,9 +357,11 @@
         self.operator, self.clients.bounds = operator, operator.clients
         logging.getLogger("trackspread").setLevel(operator.log.level.upper())
         self.discovery.move(fresh.discovery)
-        if self.membered is not None:
+        if (viewed := self.membered or self.celled) is not None:
             try:
-                self.membered.rekey(operator.fleet)
+                viewed.rekey(operator.fleet)
+                if self.configured is not None:
+                    self.configured.rekey(operator.fleet)
             except ConfigError as error:
                 log.error("configuration: the fleet's keys are not taken, the old ones go on: %s", error)
         if self.uses is None:
