--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -82,3 +82,28 @@
         assert turns.again(True) + ANSWER_MOST <= TOLD_MOST
         assert turns.again(False) + ANSWER_MOST <= TOLD_MOST
         assert max(ANSWER, SILENCE) + turns.after_silence() + ANSWER_MOST <= TOLD_MOST
+
+
+def returns(gateways: int, outage: float, seed: int) -> list[float]:
+    """When each gateway's call reached discovery, s after its return: all broke together, and were turned
+    away for as long as the outage lasted."""
+    rng, came = random.Random(seed), []
+    for _ in range(gateways):
+        turns = Turns(gateways, rng, 1.0)
+        at = turns.first()
+        while at < outage:
+            at += turns.again(True)
+        came.append(at - outage)
+    return came
+
+
+def busiest(came: list[float]) -> int:
+    """The most calls within one second."""
+    return max(sum(begin <= at < begin + 1.0 for at in came) for begin in came)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_discovery_gets_one_call_of_each_gateway_at_its_return_ever_more_evenly(seed: int) -> None:
+    assert max(returns(200, 10.0, seed)) <= SPREAD_MOST
+    assert busiest(returns(200, 10.0, seed)) <= 175
+    assert busiest(returns(200, 120.0, seed)) <= 100
