The test of what counts as told ends its processes before its clients

A play hung once of five: a client that waits for an answer with a limit may miss its cancelling (wait_for of Python 3.11), goes on asking, and was waited for. Now the process ends first, and with it the connection.

--- a/tests/test_told_process.py
+++ b/tests/test_told_process.py
@@ -6,11 +6,11 @@
 import asyncio
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
 from functools import cache
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import Any
 
 import pytest
 import uvloop
@@ -94,11 +94,13 @@
 
 
 async def ask(gateway: Address) -> None:
+    """Until the gateway has ended."""
     client, number = Connection(*await asyncio.open_connection(*gateway)), 0
-    while True:
+    answer: Any = b""
+    while answer is not None:
         number += 1
         client.send(call(number=number))
-        await client.next()
+        answer = await client.next()
         await asyncio.sleep(ASKED)
 
 
@@ -125,11 +127,11 @@
                 await asyncio.sleep(AFTER)
                 return stage.last()
             finally:
+                # First the process: a client that waits for its answer with a limit may miss its cancelling.
+                await gateway.kill()
                 for task in tasks:
                     task.cancel()
-                    with suppress(asyncio.CancelledError):
-                        await task
-                await gateway.kill()
+                await asyncio.gather(*tasks, return_exceptions=True)
                 agent.close()
                 ports.close()
 
