Control machines run the configuration's replicas, led by whoever leads the machines

Replicas ran in tests alone, led by the test's word. trackspread control now runs one on each control machine where configuration.replicas is set, the n-th on the n-th of fleet.control; the lease of the machines' own view is asked at each instant and no second election is held. A gateway with fleet.region asks replicas of that region first. Two files that contradict each other (another number of replicas than of machines) are one plain line.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -24,6 +24,7 @@
 from .fakes import LOCAL, run, until, world
 
 FLEET = "[fleet]\nname = 'f'\nlisten = '127.0.0.1:7400'\nseeds = ['127.0.0.1:7400']\n"
+CONTROL = "[[fleet.control]]\nname = 'c'\nregion = 'r'\nzone = 'z'\naddress = '127.0.0.1:3'\n"
 KEY = b"a key of many bytes"
 
 
@@ -36,13 +37,16 @@
         ("replicas = ['0.0.0.0:1']", "configuration.replicas[0]: found '0.0.0.0:1', wanted an address that"),
         ("replicas = ['127.0.0.1:1', '127.0.0.1:1']", "configuration.replicas: found one twice, wanted once"),
         ("replicas = ['127.0.0.1:1']\nnear = ['127.0.0.1:2']", "configuration.near[0]: found '127.0.0.1:2'"),
+        (f"replicas = ['127.0.0.1:1', '127.0.0.1:2']\n{CONTROL}",
+         "configuration.replicas: found 2, wanted 1: one for each of fleet.control"),
         ("replicas = ['127.0.0.1:1']\nservices = ['a', 'a']", "configuration.services: found one twice"),
         ("replicas = ['127.0.0.1:1']\nservice = 3", "configuration.service: found an unknown key, did"),
     ],
 )
 def test_a_mistake_is_one_line_with_file_key_found_and_wanted(text: str, line: str) -> None:
+    fleet = FLEET.replace("seeds = ['127.0.0.1:7400']\n", "") if "control" in text else FLEET
     with pytest.raises(ConfigError) as caught:
-        parse(f"{FLEET}[configuration]\n{text}", "own.toml")
+        parse(f"{fleet}[configuration]\n{text}", "own.toml")
     assert str(caught.value).startswith(f"own.toml: {line}") and "\n" not in str(caught.value)
 
 
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -130,7 +130,7 @@
 
     replicas: tuple[str, ...] = ()  # host:port of all replicas, the same in the same order everywhere
     listen: str = ""  # host:port of this gateway, from which it asks them
-    near: tuple[str, ...] = ()  # those of its region, which are asked first; empty: any
+    near: tuple[str, ...] = ()  # those that are asked first; empty: those of its region, where that is told
     services: tuple[str, ...] = ()  # whose configuration is wanted here; empty: all
     record: str = ""  # file to which each version that came to be in force is appended; "": none
 
@@ -333,6 +333,9 @@
         if ip_address(_literal(name, f"configuration.{key}", text, "127.0.0.1:7600")[0]).is_unspecified:
             raise ConfigError(f"{name}: configuration.{key}: found {text!r}, wanted an address that others "
                               "can reach")
+    if made.fleet.control and len(table.replicas) != len(made.fleet.control):
+        raise ConfigError(f"{name}: configuration.replicas: found {len(table.replicas)}, wanted "
+                          f"{len(made.fleet.control)}: one for each of fleet.control, in its order")
     for number, text in enumerate(table.near):
         if text not in table.replicas:
             raise ConfigError(f"{name}: configuration.near[{number}]: found {text!r}, wanted one of "
--- a/trackspread/node/configured.py
+++ b/trackspread/node/configured.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..config.addresses import address
+from ..config.addresses import Address, address
 from ..config.operator import Fleet, Operator
 from ..distribution.host import SubscriberHost
 from ..distribution.report import report
@@ -52,7 +52,7 @@
     def _made(self) -> SubscriberHost:
         table = self._operator.configuration
         replicas = table.addresses()
-        near = tuple(address(each, "configuration.near") for each in table.near) or replicas
+        near = tuple(address(each, "configuration.near") for each in table.near) or self._of_region(replicas)
         others = tuple(each for each in replicas if each not in near)
         services = frozenset(table.services) or None
         return SubscriberHost(
@@ -61,6 +61,12 @@
             born_now(), self._now, record=Path(table.record) if table.record else None,
         )
 
+    def _of_region(self, replicas: tuple[Address, ...]) -> tuple[Address, ...]:
+        """Those on control machines of this gateway's region; all, where it is not told."""
+        fleet = self._operator.fleet
+        seats = zip(replicas, fleet.control, strict=False)
+        return tuple(each for each, seat in seats if seat.region == fleet.region) or replicas
+
     def rekey(self, fleet: Fleet) -> None:
         """Keys that changed; raises `ConfigError`, and the old ones go on."""
         self._wire.keys = keys(fleet)
--- a/trackspread/node/controlling.py
+++ b/trackspread/node/controlling.py
@@ -24,6 +24,7 @@
 from ..config.operator import Fleet
 from ..membership.host import born_now
 from ..membership.terms import MS, SECOND, Epoch
+from . import replicating
 from .celled import machines
 from .membered import keys, program_version
 
@@ -54,24 +55,32 @@
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    given = operator.load(file)
     try:
-        host = made(name, operator.load(file).fleet)
+        host = made(name, given.fleet)
+        replica = replicating.made(given, host.core) if isinstance(host.core, Controller) else None
     except OSError as error:
-        raise ConfigError(f"{file}: fleet.record: {error.strerror}; wanted a file to write") from None
+        raise ConfigError(f"{file}: record: {error.strerror}; wanted a file to write") from None
 
     def reread() -> None:
         try:
             host.wire.keys = keys(operator.load(file).fleet)
+            if replica is not None:
+                replica.wire.keys = host.wire.keys
         except ConfigError as error:
             log.error("configuration: the fleet's keys are not taken, the old ones go on: %s", error)
 
     loop.add_signal_handler(signal.SIGHUP, reread)
     try:
         await host.start()
+        if replica is not None:
+            await replica.start()
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     await stop.wait()
     log.info("%s stopping", name)
+    if replica is not None:
+        replica.close()
     host.close()
 
 
