--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -92,7 +92,7 @@
 Label = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{0,24}$")]  # a region's or a zone's name
 
 
-class ControlSeat(_Table, frozen=True):
+class ControlAddress(_Table, frozen=True):
     """One control machine, as all processes of the fleet name it."""
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
@@ -111,7 +111,7 @@
     seeds: tuple[str, ...] = ()  # host:port of some members, the same in the same order everywhere
     region: Label = ""  # where this gateway runs; with control machines only
     zone: Label = ""
-    control: tuple[ControlSeat, ...] = ()  # all, the same in the same order everywhere; none: no cells
+    control: tuple[ControlAddress, ...] = ()  # all, the same in the same order everywhere; none: no cells
     gateways: Annotated[int, msgspec.Meta(ge=2, le=65_536)] = 8_192  # in all cells, at most
     key: str = ""  # file with the key that members sign with; "": digests are not keyed
     previous: str = ""  # file with the key before that, which still counts
