Scale run: cells on sockets and in virtual time, and figures of the mechanism beside the flat view's

Cause: membership in levels was shown on six gateways and in virtual time. The run starts control machines as processes and hollow gateways in cells beside them (cores, wire and host of trackspread/cells), measures what a gateway and the busiest control machine cost against their number, strikes a rack, a zone with its control machines, a region, restarts and the leader, and plays 7,200 gateways in virtual time (a zone lost, a region cut off and healed). The object's own figures are those of cells with configuration handed down; the flat view stands beside under `flat`.

What a part measured before its time was over is kept.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -11,115 +11,160 @@
 import sys
 import time
 from collections.abc import Awaitable
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import msgspec
 import uvloop
 
 from benchmarks.common import say
-from trackspread.judge.verdict import Verdict
 
-from . import configuration, faults, flat, latency, report, slopes
+from . import configuration, faults, flat, latency, levels, measured, report, slopes
 from .bounds import Guard, OverBound
 from .children import HollowFailed
 from .fit import FEWEST_POINTS
 from .handed import NotHanded
 from .module import this_run
 from .operator import NotDone
-from .viewed import NotSettled, Outcome
+from .viewed import NotSettled
+from .virtual_cells import Job, Played, WorldFailed, play_beside
 
 T = TypeVar("T")
-QUICK_MOST, FULL_MOST = 42.0, 720.0  # s for what runs side by side, before what it started is ended
-Failed = tuple[list[Outcome], Verdict, int]
-
-
-async def measure(full: bool, made: report.Report, guard: Guard) -> list[slopes.Measurement]:
-    """All of it; what fails is told under `not_run`."""
-    plan = flat.FULL if full else flat.QUICK
-    handing = configuration.FULL if full else configuration.QUICK
-    run = slopes.Run(made.date, made.command, made.commit)
-    most = FULL_MOST if full else QUICK_MOST
-    costs, failed, configured = await asyncio.gather(
-        _tried(made, "flat: costs", flat.costs(plan, guard), most),
-        _tried(made, "flat: failures", flat.failures(plan, guard), most),
-        _tried(made, "changes of configuration", configuration.measure(handing, guard), most),
-    )
-    measurements: list[slopes.Measurement] = []
-    if costs is not None:
-        measurements += _put_costs(made, costs, run)
-    if failed is not None:
-        _put_failures(made, plan, failed)
-    if configured is not None:
-        measurements += _put_configuration(made, configured, run)
-    await _added_latency(made, full)
-    return measurements
-
-
-def _put_configuration(
-    made: report.Report, configured: configuration.Configured, run: slopes.Run
-) -> list[slopes.Measurement]:
-    measurements = report.configuration_measurements(configured, run)
-    report.put_configuration(made, configured, measurements)
-    _tell(measurements)
-    return measurements
-
-
-def _tell(measurements: list[slopes.Measurement]) -> None:
-    for each in measurements:
-        word = "WRONG" if each.holdout.wrong else "holds"
-        say(f"{each.name}: {each.shape.value}; at {each.holdout.size:.0f} predicted "
-            f"{each.holdout.predicted:.4g}, measured {each.holdout.measured:.4g} {each.unit}: the fit {word}")
-
-
-async def _added_latency(made: report.Report, full: bool) -> None:
-    """Measured in a full run; else that of the last run that was kept."""
+
+
+class Plan(NamedTuple):
+    """All that a run wants. `most`: s for each part, before what it started is ended."""
+
+    flat: flat.Plan
+    configuration: configuration.ConfigurationPlan
+    levels: levels.LevelsPlan
+    worlds: tuple[Job, ...]
+    at_once: bool  # whether cells are measured beside the rest, or after it
+    most: float
+
+
+QUICK = Plan(
+    flat.QUICK, configuration.QUICK, levels.QUICK,
+    (Job("zone", 288, 0.0, 30.0), Job("region", 288, 10.0, 30.0)), True, 42.0)
+FULL = Plan(
+    flat.FULL, configuration.FULL, levels.FULL,
+    (Job("zone", report.SIZE, 0.0, 30.0), Job("region", report.SIZE, 40.0, 30.0)), False, 780.0)
+
+
+class ScaleRun:
+    """One run: what it measures goes into its report as it comes."""
+
+    def __init__(self, plan: Plan, made: report.Report, guard: Guard) -> None:
+        self._plan, self._made, self._guard = plan, made, guard
+        self._run = slopes.Run(made.date, made.command, made.commit)
+        self._configured: list[slopes.Measurement] = []
+        self.measurements: list[slopes.Measurement] = []
+
+    async def play(self) -> None:
+        """All of it; what fails is told under `not_run`."""
+        worlds = asyncio.gather(*(self._world(job) for job in self._plan.worlds))
+        first = [self._flat(), self._failures(), self._configuration()]
+        found = levels.Levels([], [], [])
+        costs = levels.costs(self._plan.levels, self._guard, found)
+        if self._plan.at_once:
+            faults_in_cells = levels.faults(self._plan.levels, self._guard, found)
+            await asyncio.gather(*first, self._tried("cells: costs", costs),
+                                 self._tried("cells: faults", faults_in_cells))
+        else:
+            await asyncio.gather(*first)
+            await self._tried("cells", costs)
+        self._put_cells(found)
+        for played in await worlds:
+            if played is not None:
+                report.put_virtual(self._made, played)
+
+    async def _tried(self, what: str, work: Awaitable[T]) -> T | None:
+        """What comes of it; nothing, and a line under `not_run`, where it did not come to its end in time."""
+        try:
+            async with asyncio.timeout(self._plan.most):
+                return await work
+        except TimeoutError:
+            self._made.not_run.append(f"{what}: not done within {self._plan.most:g} s")
+        except (NotSettled, NotHanded, NotDone, HollowFailed, WorldFailed) as error:
+            self._made.not_run.append(f"{what}: {error}")
+        return None
+
+    async def _world(self, job: Job) -> Played | None:
+        what = f"virtual time, {job.fault}, {job.gateways} gateways"
+        played = await self._tried(what, play_beside(job, self._guard))
+        if played is not None:
+            say(f"{what}: settled {played.settle_s} s after it, {played.false_dead} called dead by mistake")
+        return played
+
+    async def _flat(self) -> None:
+        costs = await self._tried("flat: costs", flat.costs(self._plan.flat, self._guard))
+        if costs is None:
+            return
+        self._made.not_run += [f"flat: {text}" for text in costs.failed]
+        found = list[slopes.Measurement]()
+        if costs.held_out is None or len(costs.fitted) < FEWEST_POINTS:
+            self._made.not_run.append("flat: fits: too few sizes were measured")
+        else:
+            found = self._keep(measured.flat(costs.fitted, costs.held_out, self._run))
+        all_costs = [*costs.fitted, *([costs.held_out] if costs.held_out is not None else [])]
+        report.put_flat(self._made, all_costs, found)
+
+    async def _failures(self) -> None:
+        failed = await self._tried("flat: failures", flat.failures(self._plan.flat, self._guard))
+        if failed is None:
+            return
+        outcomes, verdict, memory = failed
+        report.put_failures(self._made, self._made.flat, outcomes, self._plan.flat.settle_most)
+        report.put_verdict(self._made, verdict, memory)
+        for violation in verdict.violations[:3]:
+            say(f"BROKEN: {violation.rule}: {violation.text}")
+
+    async def _configuration(self) -> None:
+        found = await self._tried(
+            "changes of configuration", configuration.measure(self._plan.configuration, self._guard))
+        if found is not None:
+            self._configured = self._keep(measured.configuration(found, self._run))
+            report.put_configuration(self._made, found)
+
+    def _put_cells(self, found: levels.Levels) -> None:
+        costs, outcomes = found.costs, found.outcomes
+        self._made.not_run += found.failed
+        if costs:
+            fits = len(costs) > FEWEST_POINTS
+            measurements = self._keep(measured.cells(costs, self._run)) if fits else []
+            report.put_cells(self._made, costs, measurements, self._configured)
+            if not fits:
+                self._made.not_run.append("cells: fits: too few sizes were measured")
+        if outcomes:
+            report.put_failures(self._made, self._made, outcomes, self._plan.levels.settle_most)
+
+    def _keep(self, measurements: list[slopes.Measurement]) -> list[slopes.Measurement]:
+        self.measurements += measurements
+        for each in measurements:
+            word = "WRONG" if each.holdout.wrong else "holds"
+            held = each.holdout
+            say(f"{each.name}: {each.shape.value}; at {held.size:.0f} predicted {held.predicted:.4g}, "
+                f"measured {held.measured:.4g} {each.unit}: the fit {word}")
+        return measurements
+
+
+async def play(full: bool, made: report.Report, guard: Guard) -> list[slopes.Measurement]:
+    """The whole run; in a full one the added latency comes last, beside nothing else."""
+    run = ScaleRun(FULL if full else QUICK, made, guard)
+    await run.play()
     found = await latency.measure(latency.SPAN) if full else latency.load()
     if found is None:
         made.not_run.append("added latency: no run of it was kept")
-        return
-    report.put_latency(made, found)
-
-
-def _put_costs(
-    made: report.Report, costs: flat.Costs, run: slopes.Run
-) -> list[slopes.Measurement]:
-    measured = [*costs.fitted, *([costs.held_out] if costs.held_out is not None else [])]
-    report.put_costs(made, measured)
-    made.not_run += [f"flat: {text}" for text in costs.failed]
-    if costs.held_out is None or len(costs.fitted) < FEWEST_POINTS:
-        made.not_run.append("flat: fits: too few sizes were measured")
-        return []
-    measurements = report.flat_measurements(costs.fitted, costs.held_out, run)
-    report.put_flat(made, measurements)
-    _tell(measurements)
-    return measurements
-
-
-def _put_failures(made: report.Report, plan: flat.Plan, failed: Failed) -> None:
-    outcomes, verdict, memory = failed
-    report.put_failures(made, outcomes, plan.settle_most)
-    made.hollow = max(made.hollow, plan.failing)
-    made.real_gateway_memory_mb = round(memory / report.MEGABYTE, 1)
-    if verdict.state == "void":
-        lagged = verdict.figures.lag / 1e6
-        report.put_void(made, f"no verdict of the judge: stand-ins lagged by {lagged:.0f} ms")
-    made.requests, made.served = verdict.figures.tries, verdict.figures.served
-    made.violations += len(verdict.violations)
-    for violation in verdict.violations[:3]:
-        say(f"BROKEN: {violation.rule}: {violation.text}")
-
-
-async def _tried(made: report.Report, what: str, work: Awaitable[T], most: float) -> T | None:
-    """What comes of it; nothing, and a line under `not_run`, where it did not come to its end in time."""
-    try:
-        async with asyncio.timeout(most):
-            return await work
-    except TimeoutError:
-        made.not_run.append(f"{what}: not done within {most:g} s")
-        return None
-    except (NotSettled, NotHanded, NotDone, HollowFailed) as error:
-        made.not_run.append(f"{what}: {error}")
-        return None
+    else:
+        report.put_latency(made, found)
+    return run.measurements
+
+
+def keep(made: report.Report, measurements: list[slopes.Measurement]) -> None:
+    """For the page of capacity; what is void takes no place of what is not."""
+    slopes.merge(measurements)
+    kept = faults.load()
+    if kept is None or kept.void or not made.void:
+        faults.REPORT.write_bytes(msgspec.json.format(msgspec.json.encode(made), indent=2) + b"\n")
 
 
 def main() -> int:
@@ -134,17 +179,16 @@
     guard = Guard()
     say(f"bounds: at most {guard.processes_most} processes and {guard.memory_most >> 30} GB")
     gc.disable()  # a collection over the ledger would be a lag of the stand-ins
+    measurements: list[slopes.Measurement] = []
     try:
-        measurements = uvloop.run(measure(full, made, guard))
+        measurements = uvloop.run(play(full, made, guard))
     except OverBound as error:
-        measurements = []
         made.not_run.append(f"ended early: {error}")
     made.processes, made.memory_gb = guard.most.processes, round(guard.most.memory / 2**30, 2)
     report.put_limits(made, full)
     made.seconds = round(time.monotonic() - began, 1)
-    if full and not made.void:
-        slopes.merge(measurements)
-        faults.REPORT.write_bytes(msgspec.json.format(msgspec.json.encode(made), indent=2) + b"\n")
+    if full:
+        keep(made, measurements)
     if made.void:
         say("VOID: the machine lagged; these figures say more of it than of the program")
     print(msgspec.json.encode(made).decode())
--- /dev/null
+++ b/benchmarks/scale/celling.py
@@ -0,0 +1,271 @@
+"""A process of cells: a control machine, or hollow gateways that serve nothing.
+
+The cores, the wire and the host are the program's own (`trackspread/cells/`), on real sockets. Reads one
+command a line from standard input and answers each (`celling_messages.py`). May know: these cores. May not
+know: what the run makes of its figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import sys
+import time
+from collections import deque
+from typing import cast
+
+import msgspec
+import uvloop
+
+from trackspread.cells.controller import Controller, ControlSettings
+from trackspread.cells.gateway import Gateway, GatewaySettings
+from trackspread.cells.host import Host
+from trackspread.cells.terms import ControlMachine, Joined, Left, Zone
+from trackspread.cells.wire import CellsWire
+from trackspread.membership.host import born_now
+from trackspread.membership.member import ENTROPY, Member
+from trackspread.membership.terms import Told
+from trackspread.membership.wire import Keys
+
+from .bounds import resident
+from .celling_messages import (
+    CellingCommand, CellingReply, Count, Counted, CutOff, Holding, InView, Kill, Layout, Quit, SetControl,
+    SetHollow, Spread, Start, Tell, control_zone, gateway_zone,
+)
+from .lag import LagWatch
+from .messages import DeadVerdict, Life, Who
+from .placement import REGIONS, Address, Partition, control_name, name_of
+from .view import digest
+
+LINE_MOST = 64 << 20  # bytes of a command
+VERDICTS_MOST = 20_000  # kept between two questions
+CELL_MOST = 64  # members of one view
+PEAK_SPAN = 1.0  # s
+
+
+def place(zone: int) -> Zone:
+    return Zone(f"r{zone % REGIONS}", f"z{zone}")
+
+
+def machines(layout: Layout) -> tuple[ControlMachine, ...]:
+    return tuple(ControlMachine(control_name(n), *place(control_zone(n)), at)
+                 for n, at in enumerate(layout.control))
+
+
+class HollowCellHost(Host):
+    """One core, and what it has told."""
+
+    def __init__(self, core: Controller | Gateway, at: Address, process: CellingProcess) -> None:
+        wire = CellsWire(process.layout.fleet, Keys(), CELL_MOST)
+        super().__init__(core, at, wire, time.monotonic_ns)
+        self._process, self._before = process, (0, 0)
+        self._suspected: dict[Who, int] = {}
+
+    def came(self, data: bytes, source: Address) -> None:
+        if self._process.partition.passes(source, self._listen):
+            super().came(data, source)
+
+    def _exchange(self, to: Address, fleet: str) -> None:
+        if self._process.partition.passes(self._listen, to):
+            super()._exchange(to, fleet)
+
+    def _told(self, fleet: str, told: Told) -> None:
+        super()._told(fleet, told)
+        if told.kind == "member":
+            who = cast(Who, told.about["who"])
+            self._judged(who, str(told.about["state"]), str(told.about["by"]))
+
+    def _judged(self, who: Who, state: str, teller: str) -> None:
+        now, me = time.monotonic_ns(), self.core.who[0]
+        if state == "SUSPECT":
+            self._suspected.setdefault(who, now)
+            return
+        since = self._suspected.pop(who, now)
+        if state == "DEAD":
+            self._process.verdicts.append(DeadVerdict(now, me, who, teller == me, since))
+
+    def _placed(self, action: Joined | Left) -> None:
+        super()._placed(action)
+        self._process.placed(self, isinstance(action, Joined))
+
+    def members(self) -> list[tuple[str, Member]]:
+        """Of each cell that this core takes part in."""
+        if isinstance(self.core, Controller):
+            return [(name, seeding.member) for name, seeding in self.core.cells.items()]
+        if self.core.member is None or self.core.held is None:
+            return []
+        return [(self.core.held.cell.name, self.core.member)]
+
+    def sent(self) -> int:
+        return self.counts["bytes sent"] + self.counts["table bytes sent"]
+
+    def received(self) -> int:
+        return self.counts["bytes received"] + self.counts["table bytes received"]
+
+    def since_last(self) -> int:
+        """Bytes since the last call, the greater of sent and received."""
+        before, self._before = self._before, (self.sent(), self.received())
+        return max(self._before[0] - before[0], self._before[1] - before[1])
+
+
+class CellingProcess:
+    """All that runs in this process."""
+
+    def __init__(self, setup: SetControl | SetHollow) -> None:
+        self._setup, self.layout = setup, setup.layout
+        self.partition = Partition(self.layout.region)
+        self.verdicts: deque[DeadVerdict] = deque(maxlen=VERDICTS_MOST)
+        self._hosts: dict[int, HollowCellHost] = {}
+        self._lives: dict[Who, Life] = {}
+        self._as: dict[HollowCellHost, Who] = {}  # as whom each is in a cell, or among control machines
+        self._ended = (0, 0, 0)  # datagrams, bytes sent and received of those that have ended
+        self._peak = 0
+        self._rng = random.Random()
+        self._watch = LagWatch()
+        self._beat: asyncio.Task[None] | None = None
+        self._digests: dict[str, tuple[tuple[Who, ...], int]] = {}
+
+    def start(self) -> None:
+        self._watch.start()
+        self._beat = asyncio.get_running_loop().create_task(self._every_second())
+
+    def close(self) -> None:
+        self._watch.stop()
+        if self._beat is not None:
+            self._beat.cancel()
+        for number in list(self._hosts):
+            self._kill(number)
+
+    async def do(self, command: CellingCommand) -> CellingReply:
+        match command:
+            case Start():
+                for number in command.numbers:
+                    await self._start(number)
+                    await asyncio.sleep(0.0)
+            case Kill():
+                for number in command.numbers:
+                    self._kill(number)
+            case CutOff():
+                self.partition.cut(command.regions)
+            case Spread():
+                self._spread()
+            case Count():
+                return self._counted()
+        return self._holding(isinstance(command, Tell))
+
+    # Members.
+
+    async def _start(self, number: int) -> None:
+        layout, seed, now = self.layout, self._rng.getrandbits(60), time.monotonic_ns()
+        core: Controller | Gateway
+        if isinstance(self._setup, SetControl):
+            at = layout.control[number]
+            mine = ControlSettings(layout.fleet, control_name(number), born_now(), machines(layout), "hollow")
+            core = Controller(mine, now, seed)
+        else:
+            at = layout.address(number)
+            core = Gateway(GatewaySettings(layout.fleet, name_of(number), born_now(), at,
+                                           place(gateway_zone(number)),
+                                           machines(layout), "hollow"), now, seed)
+        host = self._hosts[number] = HollowCellHost(core, at, self)
+        if isinstance(core, Controller):
+            self._lives_as(host, core.who)
+        await host.start()
+
+    def _kill(self, number: int) -> None:
+        host = self._hosts.pop(number)
+        ended = self._ended
+        self._ended = (ended[0] + host.counts["sent"], ended[1] + host.sent(), ended[2] + host.received())
+        self._lives_as(host, None)
+        host._shut()  # without a word, as `close` would say one
+
+    def placed(self, host: HollowCellHost, joined: bool) -> None:
+        """A gateway has joined a cell, or left one."""
+        self._lives_as(host, host.core.who if joined else None)
+
+    def _lives_as(self, host: HollowCellHost, who: Who | None) -> None:
+        now = time.monotonic_ns()
+        if (former := self._as.pop(host, None)) is not None:
+            self._lives[former] = Life(former, self._lives[former].since, now)
+        if who is not None:
+            self._as[host], self._lives[who] = who, Life(who, now)
+
+    # What they hold and have used.
+
+    def _holding(self, whole: bool) -> Holding:
+        now, views, telling, nowhere = time.monotonic_ns(), list[InView](), 0, 0
+        leads, gateways, cells = False, -1, -1
+        for host in self._hosts.values() if whole else ():
+            members = host.members()
+            nowhere += not members
+            for name, member in members:
+                telling += len(member.rumours)
+                views.append(self._in_view(now, host, name, member))
+            core = host.core
+            if isinstance(core, Controller) and core.leads(now) and core.leading is not None:
+                entries = core.leading.directory.entries.values()
+                leads, gateways, cells = True, sum(len(each.members) for each in entries), len(entries)
+        return Holding(now, tuple(views), nowhere, telling, leads, gateways, cells)
+
+    def _in_view(self, now: int, host: HollowCellHost, cell: str, member: Member) -> InView:
+        held = member.view.members if member.view is not None else ()
+        part = isinstance(host.core, Controller) or bool(member.part(now))
+        return InView(member.who, cell, member.number(), self._digest(cell, held), part)
+
+    def _digest(self, cell: str, members: tuple[Who, ...]) -> int:
+        """Made once for all here that hold the same."""
+        kept = self._digests.get(cell)
+        if kept is None or kept[0] != members:
+            kept = self._digests[cell] = members, digest(members)
+        return kept[1]
+
+    def _counted(self) -> Counted:
+        hosts = self._hosts.values()
+        verdicts = tuple(self.verdicts)
+        self.verdicts.clear()
+        peak, self._peak = self._peak, 0
+        return Counted(
+            time.monotonic_ns(), time.process_time(), resident(os.getpid()), len(hosts),
+            self._ended[0] + sum(host.counts["sent"] for host in hosts),
+            self._ended[1] + sum(host.sent() for host in hosts),
+            self._ended[2] + sum(host.received() for host in hosts),
+            peak, self._watch.take(), tuple(self._lives.values()), verdicts,
+        )
+
+    def _spread(self) -> None:
+        """The members' next exchanges of tables at any moment of the interval between two."""
+        for host in self._hosts.values():
+            for _, member in host.members():
+                member._entropy_at = time.monotonic_ns() + int(ENTROPY * self._rng.random())
+
+    async def _every_second(self) -> None:
+        while True:
+            await asyncio.sleep(PEAK_SPAN)
+            self._peak = max([self._peak, *(host.since_last() for host in self._hosts.values())])
+
+
+async def serve() -> None:
+    """Commands from standard input, one after the other, until it ends."""
+    reader = asyncio.StreamReader(limit=LINE_MOST)
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    decoder = msgspec.json.Decoder[CellingCommand](CellingCommand)
+    process: CellingProcess | None = None
+    while line := await reader.readline():
+        command = decoder.decode(line)
+        if isinstance(command, SetControl | SetHollow):
+            process = CellingProcess(command)
+            process.start()
+        if process is None:
+            raise SystemExit("the first command has to set this process up")
+        sys.stdout.buffer.write(msgspec.json.encode(await process.do(command)) + b"\n")
+        sys.stdout.buffer.flush()
+        if isinstance(command, Quit):
+            break
+    if process is not None:
+        process.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(serve())
--- a/benchmarks/scale/configuration.py
+++ b/benchmarks/scale/configuration.py
@@ -72,26 +72,31 @@
 
 
 async def _by_size(plan: ConfigurationPlan, fleet: HandingFleet) -> Priced:
-    costs, waits = [], []
+    found = []
     for size in plan.sizes:
         await fleet.add(size)
-        cost, changes = await fleet.cost(plan.size_rate, plan.span)
-        waits.append(await _worst(fleet, changes, plan.change_most))  # before others join, who have none
-        costs.append(cost)
-        _tell(cost, waits[-1])
-    return costs, waits
+        found.append(await fleet.cost(plan.size_rate, plan.span))
+    return await _with_waits(plan, fleet, found)
 
 
 async def _by_rate(plan: ConfigurationPlan, fleet: HandingFleet) -> Priced:
-    found = [await fleet.cost(rate, plan.span) for rate in plan.rates]
-    waits = [await _worst(fleet, changes, plan.change_most) for _, changes in found]
-    for (cost, _), wait in zip(found, waits, strict=True):
-        _tell(cost, wait)
+    return await _with_waits(plan, fleet, [await fleet.cost(rate, plan.span) for rate in plan.rates])
+
+
+async def _with_waits(
+    plan: ConfigurationPlan, fleet: HandingFleet, found: list[tuple[HandedCost, list[Change]]]
+) -> Priced:
+    waits = []
+    for cost, changes in found:
+        waits.append(await _worst(fleet, changes, plan.change_most, cost.gateways))
+        _tell(cost, waits[-1])
     return [cost for cost, _ in found], waits
 
 
-async def _worst(fleet: HandingFleet, changes: list[Change], most: float) -> float | None:
-    waits = await fleet.everywhere(changes, most)
+async def _worst(
+    fleet: HandingFleet, changes: list[Change], most: float, gateways: int | None = None
+) -> float | None:
+    waits = await fleet.everywhere(changes, most, gateways)
     return None if None in waits else max(each for each in waits if each is not None)
 
 
--- a/benchmarks/scale/handed.py
+++ b/benchmarks/scale/handed.py
@@ -179,13 +179,16 @@
         await asyncio.sleep(max(0.0, begun + span - loop.time()))
         return list(await asyncio.gather(*made))
 
-    async def everywhere(self, changes: Iterable[Change], most: float) -> list[float | None]:
-        """s from when each was put until it was in force at every gateway; None: not `most` s from now on."""
-        wanted = list(changes)
+    async def everywhere(
+        self, changes: Iterable[Change], most: float, gateways: int | None = None
+    ) -> list[float | None]:
+        """s from when each was put until it was in force at every gateway (where given, at the first
+        `gateways`, which fill their processes); None: not `most` s from now on."""
+        wanted, processes = list(changes), -(-(gateways or self.gateways) // self._each)
         end = time.monotonic() + most
         while True:
             await self.ask_gateways()
-            found = [took(change, self._progress[: len(self._in_use())]) for change in wanted]
+            found = [took(change, self._progress[:processes]) for change in wanted]
             if None not in found or time.monotonic() > end:
                 return found
             await asyncio.sleep(LOOK)
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -116,7 +116,7 @@
 
     def __init__(self, setup: Setup) -> None:
         self.setup = setup
-        self.partition = Partition(setup.placement)
+        self.partition = Partition(setup.placement.region)
         self._hosts: dict[int, HollowHost] = {}
         self._ended = (0, 0, 0)  # datagrams, bytes sent, bytes received of members that have ended
         self._lives: dict[Who, Life] = {}
--- /dev/null
+++ b/benchmarks/scale/measured.py
@@ -0,0 +1,114 @@
+"""Costs of fleets as measurements: fitted against one factor, the largest size held out.
+
+Pure. Names are those that `docs/CAPACITY.md` is worked out from.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol, TypeVar
+
+from .celled import CellsCost
+from .configuration import Configured
+from .handed import HandedCost
+from .lag import Lag
+from .slopes import Measurement, Run, measurement
+from .viewed import Cost
+
+SHARE, RATE, BYTES = "share of a core", "bytes/s", "bytes"
+CPU_MOST, RATE_MOST, MEMORY_MOST = 0.018, 5_000.0, 64.0 * (1 << 20)  # of a gateway, for all control together
+DAY = 86_400.0  # s
+
+
+class Lagging(Protocol):
+    """Any cost."""
+
+    @property
+    def lag(self) -> Lag: ...
+
+
+C = TypeVar("C", bound=Lagging)
+
+
+def _measurement(
+    name: str, factor: str, unit: str, costs: Sequence[C], size: Callable[[C], float], value: str, run: Run,
+    limit: float | None = None, note: str = "",
+) -> Measurement:
+    """The last of `costs` is held out. Void as soon as one of them is."""
+    points = [(float(size(cost)), float(getattr(cost, value))) for cost in costs]
+    void = any(cost.lag.void for cost in costs)
+    worst = max(cost.lag.worst for cost in costs) * 1000
+    lagged = f"loops lagged by {worst:.0f} ms at worst"
+    return measurement(name, factor, unit, points[:-1], points[-1], run, limit=limit, void=void,
+                       note=f"{note}; {lagged}" if note else lagged)
+
+
+def flat(fitted: Sequence[Cost], held_out: Cost, run: Run) -> list[Measurement]:
+    """The flat view against the number of gateways."""
+    busier = "payload of datagrams and tables at the sockets, the greater of sent and received"
+
+    def one(name: str, unit: str, value: str, limit: float | None, note: str = "") -> Measurement:
+        return _measurement(f"membership.flat.{name}", "gateways", unit, [*fitted, held_out],
+                            lambda cost: cost.members, value, run, limit, note)
+
+    return [
+        one("cpu", SHARE, "cpu", CPU_MOST, "processes' own clocks over their hollow members"),
+        one("bytes", RATE, "bytes", RATE_MOST, busier),
+        one("memory", BYTES, "memory", MEMORY_MOST, "resident beyond what processes hold without members"),
+        one("coordinator_bytes", RATE, "coordinator_bytes", RATE_MOST, busier),
+    ]
+
+
+def cells(costs: Sequence[CellsCost], run: Run) -> list[Measurement]:
+    """Gateways in cells against their number, the busiest control machine against that of cells."""
+    note = f"{costs[-1].control} control machines"
+
+    def gateway(name: str, unit: str, value: str, limit: float) -> Measurement:
+        return _measurement(f"cells.gateway_{name}", "gateways", unit, costs, lambda cost: cost.gateways,
+                            value, run, limit, note)
+
+    def control(name: str, unit: str) -> Measurement:
+        return _measurement(f"cells.control_{name}", "cells", unit, costs, lambda cost: cost.cells,
+                            f"control_{name}", run, None, note)
+
+    return [
+        gateway("cpu", SHARE, "cpu", CPU_MOST),
+        gateway("bytes", RATE, "bytes", RATE_MOST),
+        gateway("memory", BYTES, "memory", MEMORY_MOST),
+        control("cpu", SHARE),
+        control("bytes", RATE),
+        control("memory", BYTES),
+    ]
+
+
+def configuration(found: Configured, run: Run) -> list[Measurement]:
+    """Configuration handed down: against gateways (control machines: against gateways of each), and against
+    changes a day at the largest number of gateways."""
+    largest = found.by_rate[-1]
+
+    def one(name: str, factor: str, unit: str, value: str, costs: Sequence[HandedCost],
+            size: Callable[[HandedCost], float], note: str) -> Measurement:
+        return _measurement(f"distribution.{name}", factor, unit, costs, size, value, run, None, note)
+
+    def by_gateways(name: str, unit: str, value: str) -> Measurement:
+        return one(f"{name}_by_gateways", "gateways", unit, value, found.by_size,
+                   lambda cost: cost.gateways, f"{found.by_size[0].rate:g} changes a second")
+
+    def by_gateways_of_control(name: str, unit: str) -> Measurement:
+        return one(f"{name}_by_gateways", "gateways_control", unit, name, found.by_size,
+                   lambda cost: cost.gateways / cost.control, f"{largest.control} control machines")
+
+    def by_changes(name: str, unit: str, value: str) -> Measurement:
+        return one(name, "changes", unit, value, found.by_rate, lambda cost: cost.rate * DAY,
+                   f"{largest.gateways} gateways, {largest.control} control machines")
+
+    return [
+        by_gateways("gateway_cpu", SHARE, "cpu"),
+        by_gateways("gateway_bytes", RATE, "bytes"),
+        by_gateways_of_control("control_cpu", SHARE),
+        by_gateways_of_control("control_bytes", RATE),
+        by_changes("gateway_cpu", SHARE, "cpu"),
+        by_changes("gateway_bytes", RATE, "bytes"),
+        by_changes("control_cpu", SHARE, "control_cpu"),
+        by_changes("control_bytes", RATE, "control_bytes"),
+    ]
--- a/benchmarks/scale/placement.py
+++ b/benchmarks/scale/placement.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -14,6 +14,7 @@
 REGIONS, ZONES, RACKS = 4, 12, 60  # each divides the next: a rack is in one zone
 PORT = 20_000  # of a process's first member, at a host of loopback that is this process's alone
 PREFIX = "hollow-"  # of a hollow member's name, before its number
+CONTROL_PREFIX = "control-"  # of a control machine's
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -27,6 +28,9 @@
     def address(self, number: int) -> Address:
         return self.hosts[self.process(number)], PORT + number // len(self.hosts)
 
+    def region(self, address: Address) -> int:
+        return region_of(self.number(address))
+
     def number(self, address: Address) -> int | None:
         """Whose address it is; None for one that is no hollow member's."""
         host, port = address
@@ -50,6 +54,15 @@
     return 0 if number is None else number % REGIONS
 
 
+def control_name(number: int) -> str:
+    return f"{CONTROL_PREFIX}{number}"
+
+
+def region_of_name(name: str) -> int:
+    """Of a hollow member or a real gateway."""
+    return region_of(number_of(name))
+
+
 def of_rack(rack: int, numbers: Iterable[int]) -> list[int]:
     return [number for number in numbers if number % RACKS == rack]
 
@@ -61,8 +74,9 @@
 class Partition:
     """Drops what goes between a region that is cut off and all others, in both directions."""
 
-    def __init__(self, placement: Placement) -> None:
-        self._placement = placement
+    def __init__(self, region: Callable[[Address], int]) -> None:
+        """`region`: of whoever has an address."""
+        self._region_of = region
         self._cut: frozenset[int] = frozenset()
         self._regions: dict[Address, int] = {}
 
@@ -79,5 +93,5 @@
     def _region(self, address: Address) -> int:
         found = self._regions.get(address)
         if found is None:
-            found = self._regions[address] = region_of(self._placement.number(address))
+            found = self._regions[address] = self._region_of(address)
         return found
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -11,19 +11,25 @@
 import pytest
 import uvloop
 
-from benchmarks.scale import report, slopes
+from benchmarks.scale import measured, report, slopes
 from benchmarks.scale.beside import shared_scene
 from benchmarks.scale.bounds import Guard, OverBound, ProcessEntry, Use, tree
+from benchmarks.scale.celled import CelledFleet, CellsCost, amiss
+from benchmarks.scale.celling_messages import (
+    Holding, InView, Layout, gateway_zone, in_rack, region_of_member,
+)
+from benchmarks.scale.configuration import Configured, Waits
 from benchmarks.scale.extrapolation import extrapolate
 from benchmarks.scale.fit import Shape
-from benchmarks.scale.handed import Change, HandingFleet, busier, share, took
+from benchmarks.scale.handed import Change, HandedCost, HandingFleet, busier, share, took
 from benchmarks.scale.handing import carried
 from benchmarks.scale.handing_messages import Handed, Tier
 from benchmarks.scale.hollows import HollowFleet
 from benchmarks.scale.lag import LATE, WORST_MOST, Lag, LagWatch, together
 from benchmarks.scale.messages import DeadVerdict, Held, Life, Measured, Traffic
 from benchmarks.scale.placement import (
-    PORT, RACKS, REGIONS, ZONES, Partition, Placement, name_of, number_of, of_rack, of_zone, region_of,
+    PORT, RACKS, REGIONS, ZONES, Partition, Placement, control_name, name_of, number_of, of_rack, of_zone,
+    region_of,
 )
 from benchmarks.scale.verdicts import Cutoff, hearsay, wrong
 from benchmarks.scale.view import View, digest, settled
@@ -126,7 +132,7 @@
 
 
 def test_a_cut_drops_what_goes_between_regions_in_both_directions_and_heals() -> None:
-    partition = Partition(PLACED)
+    partition = Partition(PLACED.region)
     region_3, region_0, real = PLACED.address(3), PLACED.address(4), ("127.200.0.1", 7400)
     assert partition.passes(region_3, region_0)
     partition.cut([3])
@@ -184,7 +190,9 @@
 # Costs.
 
 
-def measured(at: int, cpu: float, sent: int, leading: int | None = None, members: int = 10) -> Measured:
+def process_measured(
+    at: int, cpu: float, sent: int, leading: int | None = None, members: int = 10
+) -> Measured:
     led = () if leading is None else (Traffic(name_of(0), leading, leading // 2),)
     lag = Lag(100, 0, 0.01)
     return Measured(at, cpu, 30 * MB, members, sent // 100, sent, 2 * sent, led, "", 0, lag, (), ())
@@ -192,8 +200,8 @@
 
 def test_a_cost_is_by_member_and_second_and_the_coordinator_is_told_apart() -> None:
     second = 1_000_000_000
-    before = [measured(0, 1.0, 0, 0), measured(0, 2.0, 0)]
-    after = [measured(2 * second, 1.4, 10_000, 6_000), measured(2 * second, 2.2, 30_000)]
+    before = [process_measured(0, 1.0, 0, 0), process_measured(0, 2.0, 0)]
+    after = [process_measured(2 * second, 1.4, 10_000, 6_000), process_measured(2 * second, 2.2, 30_000)]
     found = cost(before, after, 40 * MB, 23, Lag())
     assert (found.members, found.sent, found.received, found.bytes) == (23, 1000.0, 2000.0, 2000.0)
     assert found.cpu == pytest.approx((0.2 + 0.1) / 20)
@@ -223,8 +231,7 @@
     costs = [priced(size, 0.0001 * size) for size in sizes]
     last = priced(128, held_out, lag)
     made = report.Report(command="", commit="", date="")
-    report.put_costs(made, [*costs, last])
-    report.put_flat(made, report.flat_measurements(costs, last, RUN))
+    report.put_flat(made, [*costs, last], measured.flat(costs, last, RUN))
     return made
 
 
@@ -235,6 +242,7 @@
     assert set(told) >= KEYS
     assert told["sizes"] == [16, 32, 48, 64, 128] and told["hollow"] == 128
     assert told["gateway_cpu_share_at_size"] == pytest.approx(0.72)
+    assert told["flat"]["gateway_cpu_share_at_size"] == pytest.approx(0.72)
     assert told["busiest_control_bytes_s_at_size"] == pytest.approx(600 * report.SIZE)
     kept = told["limits_kept"]
     assert kept["gateway_cpu_share_at_size"] is False and kept["gateway_bytes_s_at_size"] is True
@@ -263,6 +271,36 @@
     assert made.limits_kept["holdout_error_worst"] is False
 
 
+def in_cells(gateways: int) -> CellsCost:
+    cells = gateways // 24
+    return CellsCost(gateways, 19, cells, 0.0015, 2000.0, 5e4, 0.001 * cells, 800.0 * cells, 1e4 * cells,
+                     Lag(100, 0, 0.01))
+
+
+def handed_down(gateways: int, rate: float) -> HandedCost:
+    lag = Lag(100, 0, 0.01)
+    return HandedCost(gateways, 19, rate, 0.0003, 60.0, 1e4, 0.01, 20.0 * gateways / 19, 3e7, lag)
+
+
+def test_cells_with_configuration_are_the_objects_own_figures_beside_the_flat_views() -> None:
+    made = fitted(0.0128)
+    costs = [in_cells(size) for size in (96, 192, 288, 576, 1152)]
+    sizes = [handed_down(size, 1.0) for size in (150, 300, 450, 600, 1200)]
+    rates = [handed_down(1200, rate) for rate in (0.5, 1.0, 1.5, 2.0, 4.0)]
+    waits = Waits([1.5] * 5, [1.6] * 5, 1.7, 3.5)
+    configured = Configured(sizes, rates, waits)
+    report.put_configuration(made, configured)
+    report.put_cells(made, costs, measured.cells(costs, RUN), measured.configuration(configured, RUN))
+    report.put_limits(made, full=True)
+    assert made.mechanism == "cells" and made.flat.gateway_cpu_share_at_size == pytest.approx(0.72)
+    assert made.gateway_cpu_share_at_size == pytest.approx(0.0018)
+    assert made.gateway_bytes_s_at_size == pytest.approx(2060)
+    assert made.busiest_control_bytes_s_at_size == pytest.approx(800 * 300 + 20 * 7200 / 19, rel=0.01)
+    assert made.change_s_worst == 3.5 and made.hollow == 1200
+    assert all(made.limits_kept[name] for name in ("gateway_cpu_share_at_size", "change_s_worst", "hollow"))
+    assert made.limits_kept["false_dead"] is None
+
+
 def test_a_lag_in_any_span_makes_the_run_void() -> None:
     assert not fitted(0.0128).void
     made = fitted(0.0128, Lag(100, 0, WORST_MOST + 0.1))
@@ -274,7 +312,7 @@
         return Outcome(fault, 63, 5, settle, 1000, mistaken, 0, Lag(100, 0, 0.01), Lag())
 
     made = report.Report(command="", commit="", date="")
-    report.put_failures(made, [outcome("zone", 3.5, 2), outcome("region", None, 1)], 12.0)
+    report.put_failures(made, made, [outcome("zone", 3.5, 2), outcome("region", None, 1)], 12.0)
     assert made.settle_s_zone == 3.5 and made.settle_s_region_heal is None and made.false_dead == 3
     assert made.not_run == ["region: not settled within 12 s"]
 
@@ -314,9 +352,60 @@
     assert len(counts) == 30 and set(counts.values()) == {8}
 
 
+# Cells.
+
+LAID = Layout("x", (("127.200.0.1", PORT), ("127.200.0.2", PORT)), ("127.192.0.1", "127.192.0.2"), 48)
+
+
+def test_zones_are_filled_by_whole_cells_and_an_address_leads_to_its_region() -> None:
+    numbers = range(24 * ZONES * 2)
+    zones = Counter(gateway_zone(number) for number in numbers)
+    assert set(zones) == set(range(ZONES)) and set(zones.values()) == {48}
+    assert sum(in_rack(14, number) for number in numbers) == len(numbers) // RACKS + 1
+    assert {gateway_zone(number) for number in numbers if in_rack(14, number)} == {2}
+    for number in range(96):
+        assert LAID.region(LAID.address(number)) == gateway_zone(number) % REGIONS
+        assert region_of_member(name_of(number)) == gateway_zone(number) % REGIONS
+    assert LAID.region(LAID.control[1]) == region_of_member(control_name(1)) == 1
+
+
+def test_cells_are_settled_when_each_holds_one_view_of_just_its_own_and_the_directory_knows_all() -> None:
+    gateway, control, number = (name_of(0), 2), (control_name(0), 1), (5, 0, 3)
+    both = digest(sorted([gateway, control]))
+    mine, seed = InView(gateway, "c", number, both, True), InView(control, "c", number, both, True)
+    leading = Holding(0, (seed,), 0, 0, True, 1, 1)
+    assert amiss([Holding(0, (mine,), 0, 0), leading], 1) == ""
+    assert "in a cell" in amiss([Holding(0, (mine,), 0, 0), leading], 2)
+    assert "no cell" in amiss([Holding(0, (mine,), 1, 0), leading], 1)
+    behind = InView(gateway, "c", (5, 0, 2), both, True)
+    assert "one view" in amiss([Holding(0, (behind,), 0, 0), leading], 1)
+    alone = digest([gateway])
+    stale = [InView(who, "c", number, alone, True) for who in (gateway, control)]
+    lone_seed = Holding(0, (stale[1],), 0, 0, True, 1, 1)
+    assert "just those" in amiss([Holding(0, (stale[0],), 0, 0), lone_seed], 1)
+    lost = Holding(0, (seed,), 0, 0, True, 0, 1)
+    assert "directory" in amiss([Holding(0, (mine,), 0, 0), lost], 1)
+
+
 # On sockets.
 
 
+@pytest.mark.processes
+def test_hollow_gateways_find_their_cells_and_settle_again_after_a_crash() -> None:
+    async def run() -> tuple[Outcome, int]:
+        async with CelledFleet(3, 1, 24, Guard()) as fleet:
+            since = await fleet.begin(range(6))
+            assert await fleet.until_settled(60.0, since) is not None
+            await fleet.before_fault()
+            since = time.monotonic_ns()
+            await fleet.kill([2, 3])
+            return await fleet.outcome("crash", 2, since, 30.0), len(fleet.running)
+
+    outcome, running = uvloop.run(run())
+    assert outcome.settle_s is not None and outcome.settle_s > 0.5 and running == 4
+    assert outcome.members == 6 and outcome.struck == 2 and outcome.peak_bytes_s > 0
+
+
 @pytest.mark.processes
 def test_a_change_put_to_replicas_in_processes_is_in_force_at_all_hollow_gateways() -> None:
     async def run() -> tuple[list[float | None], list[float | None], int]:
