--- a/benchmarks/scale/reckon.py
+++ b/benchmarks/scale/reckon.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from .extrapolation import unrefuted
+from .presence import Presence, presence
 from .roles import TOTALS, Bound, Role, Row
 from .slopes import Measurement, Slopes
 
@@ -24,6 +26,7 @@
 
     FITTED = "by fit"
     MEASURED = "measured there"
+    FURTHER = "the most that no measured size refutes"
     AT_MOST = "at most, as measured at the least size"
     NOT_MEASURED = "**not measured**"
     VOID = "**void**"
@@ -41,8 +44,8 @@
     limit: float | None = None
     # The size at which the limit is reached; None where it can't be told.
     breaks_at: float | None = None
-    # Whether the mechanism is in the program.
-    present: bool = False
+    # How far the mechanism has come.
+    presence: Presence = Presence.MISSING
 
     @property
     def at_the_latest(self) -> bool:
@@ -85,19 +88,21 @@
         return self.breaks_at / self.size
 
 
-def reckon(row: Row, slopes: Slopes, figures: dict[str, float], here: Callable[[str], bool]) -> Reckoned:
-    """The row at the size that it names; `here` tells whether a mechanism's module is in the program."""
-    size, present = figures[row.at], here(row.mechanism)
+def reckon(
+    row: Row, slopes: Slopes, figures: dict[str, float], here: Callable[[str], Presence] = presence
+) -> Reckoned:
+    """The row at the size that it names; `here` tells how far a mechanism has come."""
+    size, there = figures[row.at], here(row.mechanism)
     found = slopes.find(row.slope) if row.slope else None
     if found is None:
-        return Reckoned(row, State.NOT_MEASURED, size, present=present)
+        return Reckoned(row, State.NOT_MEASURED, size, presence=there)
     state = _state(found, size)
     if state in (State.VOID, State.WRONG):
-        return Reckoned(row, state, size, found, present=present)
+        return Reckoned(row, state, size, found, presence=there)
     times = figures[row.by] if row.by else 1.0
     limit = figures.get(row.limit) if row.by else found.limit
     breaks_at = _breaks_at(found, None if limit is None else limit / times)
-    return Reckoned(row, state, size, found, _value(found, state, size) * times, limit, breaks_at, present)
+    return Reckoned(row, state, size, found, _value(found, state, size) * times, limit, breaks_at, there)
 
 
 def totals(role: Role, reckoned: list[Reckoned], figures: dict[str, float]) -> list[Total]:
@@ -137,6 +142,8 @@
             return found.holdout.measured
         case State.AT_MOST:
             return found.points[0][1]
+        case State.FURTHER:
+            return max(each.predict(size) for each in unrefuted(found))
         case _:
             return found.fit.predict(size)
 
@@ -156,7 +163,9 @@
         return State.MEASURED
     if size < found.points[0][0]:
         return State.AT_MOST  # costs grow with size; below what was fitted a line may go anywhere
-    return State.WRONG if found.holdout.wrong else State.FITTED
+    if found.holdout.wrong:
+        return State.WRONG
+    return State.FURTHER if size > found.holdout.size else State.FITTED
 
 
 def _breaks_at(found: Measurement, limit: float | None) -> float | None:
@@ -167,7 +176,9 @@
     if there >= limit:
         return least  # at the latest: below it nothing was measured
     if not found.holdout.wrong:
-        return found.fit.breaks_at(limit)
+        reached = found.fit.breaks_at(limit)
+        further = [each.breaks_at(limit) for each in unrefuted(found)]
+        return reached if reached <= found.holdout.size else max(found.holdout.size, min(further))
     points = [*found.points, (found.holdout.size, found.holdout.measured)]
     for (low, under), (high, over) in pairwise(points):
         if under <= limit < over:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,7 +10,9 @@
 
 from benchmarks import capacity
 from benchmarks.scale import demand, faults, latency, reckon, roles, slopes
-from benchmarks.scale.page import PROGRAM, Page, amount, present
+from benchmarks.scale.extrapolation import unrefuted
+from benchmarks.scale.page import Page, amount
+from benchmarks.scale.presence import PROGRAM, Presence, presence, started
 from benchmarks.scale.slopes import Measurement, Run, Slopes, measurement
 from benchmarks.scale.sums import Line, SumError, Worked, figure, work
 
@@ -32,7 +34,7 @@
 def one(found: Measurement | None, row: roles.Row = ROW, size: float = 7200.0) -> reckon.Reckoned:
     """The row worked out at a size."""
     kept = Slopes((found,) if found is not None else ())
-    return reckon.reckon(row, kept, FIGURES | {"gateways": size}, lambda mechanism: True)
+    return reckon.reckon(row, kept, FIGURES | {"gateways": size}, lambda mechanism: Presence.STARTED)
 
 
 # Page, file and command.
@@ -175,6 +177,16 @@
     assert told.breaks_at == pytest.approx(2500.0)
 
 
+def test_far_beyond_what_was_measured_the_most_counts_that_is_not_refuted() -> None:
+    points = [(100.0, 101.0), (200.0, 103.0), (300.0, 102.0), (400.0, 104.0)]
+    found = measurement("cost", "gateways", "bytes", points, (800.0, 107.0), RUN, limit=115.0)
+    told = one(found)
+    assert told.state is reckon.State.FURTHER
+    assert told.value == max(each.predict(7200.0) for each in unrefuted(found))
+    assert told.breaks_at == min(each.breaks_at(115.0) for each in unrefuted(found))
+    assert len(unrefuted(found)) > 1
+
+
 def test_a_wrong_fit_breaks_between_the_measured_sizes_around_the_limit() -> None:
     told = one(slope(held=3000.0, limit=1900.0), size=800.0)
     assert told.breaks_at == pytest.approx(400 + 400 * (1900 - 800) / (3000 - 800))
@@ -235,14 +247,20 @@
 
 
 def test_a_mechanism_that_is_not_in_the_program_is_missing() -> None:
-    assert present("decide/fleet.py")
-    assert not present("no/such.py")
-    assert not present("")
-    page = Page(Slopes(), here=lambda mechanism: mechanism.startswith("decide/"))
+    assert presence("decide/fleet.py") is Presence.STARTED
+    assert presence("no/such.py") is presence("") is Presence.MISSING
+    known = {"decide": Presence.STARTED, "membership": Presence.CORE}
+    page = Page(Slopes(), here=lambda path: known.get(path.split("/")[0], Presence.MISSING))
     table = page.parts()["roles"]
     assert "| **missing** |" in table
-    assert "`decide/fleet.py`" in table
-    assert "`membership/people.py`" not in table
+    assert "| `decide/fleet.py` |" in table
+    assert "| `membership/people.py`, a core that nothing starts yet |" in table
+    assert "`counter/lease_manager.py`" not in table
+
+
+def test_what_operators_start_brings_in_the_gateway_and_nothing_of_the_testbed() -> None:
+    assert {"node", "decide", "backends", "fronts", "lists", "membership"} <= started()
+    assert not started() & {"virtual", "harness", "standins", "judge", "mutation"}
 
 
 def test_without_runs_every_row_says_so() -> None:
