--- a/tests/test_used_mutants.py
+++ b/tests/test_used_mutants.py
@@ -1,10 +1,10 @@
-"""Planted faults of the keeper of use records, put to its schedules."""
+"""Planted faults of the ledger of use records, put to its schedules."""
 
 from __future__ import annotations
 
 import pytest
 
-from trackspread.virtual.used_mutants import MUTANTS, convict
+from trackspread.virtual.usage.mutants import MUTANTS, convict
 
 
 @pytest.mark.parametrize("name", MUTANTS)
--- a/trackspread/counter/commands.py
+++ b/trackspread/counter/commands.py
@@ -21,12 +21,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """An error in place of a reply; the first word says which (MOVED, ASK, TRYAGAIN, LOADING, ...)."""
+    """An error in place of a reply; `code` says which (MOVED, ASK, TRYAGAIN, LOADING, ...)."""
 
     text: str
 
     @property
-    def word(self) -> str:
+    def code(self) -> str:
+        """First word of the error: which one it is."""
         return self.text.partition(" ")[0]
 
 
--- a/trackspread/usage/tally.py
+++ b/trackspread/usage/totals.py
@@ -15,7 +15,7 @@
 SCHEMA = Schema("use-sum", 1)
 
 
-class Line(msgspec.Struct, frozen=True, array_like=True):
+class TotalsRow(msgspec.Struct, frozen=True, array_like=True):
     """`day` since 1970; `units` in billionths, as a decimal."""
 
     customer: int
@@ -25,35 +25,39 @@
     units: str
 
 
-class Summed(msgspec.Struct, frozen=True):
+class SegmentTotals(msgspec.Struct, frozen=True):
     """What one segment held: places `first` to `last` of a stream; `bad` could not be read."""
 
     epoch: int
     first: int
     last: int
     bad: int
-    lines: tuple[Line, ...]
+    lines: tuple[TotalsRow, ...]
 
 
-class Tally:
+class Totals:
     """Exact: whole numbers alone. Keys are member, day and ending."""
 
     def __init__(self) -> None:
         self.rows: dict[tuple[int, int, int], tuple[int, int]] = {}
 
     def add(self, customer: int, day: int, ending: int, count: int, units: int) -> None:
+        """Add requests and billionths of units to one row."""
         held = self.rows.get((customer, day, ending), (0, 0))
         self.rows[customer, day, ending] = held[0] + count, held[1] + units
 
-    def uses(self, uses: Iterable[Use]) -> Tally:
+    def uses(self, uses: Iterable[Use]) -> Totals:
+        """Add each record; gives these totals."""
         for use in uses:
             self.add(use.customer, use.time // DAY_MS, use.ending, use.requests, use.units)
         return self
 
-    def lines(self) -> tuple[Line, ...]:
-        return tuple(Line(*key, count, str(units)) for key, (count, units) in sorted(self.rows.items()))
+    def lines(self) -> tuple[TotalsRow, ...]:
+        """All rows, sorted."""
+        return tuple(TotalsRow(*key, count, str(units)) for key, (count, units) in sorted(self.rows.items()))
 
-    def add_lines(self, lines: Iterable[Line]) -> Tally:
+    def add_rows(self, lines: Iterable[TotalsRow]) -> Totals:
+        """Add each row; gives these totals."""
         for line in lines:
             self.add(line.customer, line.day, line.ending, line.count, int(line.units))
         return self
@@ -64,8 +68,10 @@
 
 
 def sum_name(epoch: int, index: int) -> str:
+    """File name of one segment's totals."""
     return f"sum-{epoch:08d}-{index:06d}.json"
 
 
-def pack(summed: Summed) -> bytes:
-    return SCHEMA.pack(summed)
+def pack(totals: SegmentTotals) -> bytes:
+    """The document's bytes."""
+    return SCHEMA.pack(totals)
