--- a/trackspread/handover/wire.py
+++ b/trackspread/handover/wire.py
@@ -32,7 +32,7 @@
     GIVEN = 4  # body: size and check of all pieces; with the datagram socket, if there is one
     TAKEN = 5
     CLIENT = 6  # body: the rest of what it has said; with its connection
-    TOLD = 7  # body: what became of an attempt or request that the old process had taken
+    PROGRESS = 7  # body: what became of an attempt or request that the old process had taken
 
 
 class WireError(ValueError):
@@ -40,11 +40,14 @@
 
 
 class Packet(NamedTuple):
+    """One packet as it was read."""
+
     kind: Kind
     body: bytes
 
 
 def pack(kind: Kind, body: bytes = b"") -> bytes:
+    """The packet's bytes."""
     return _HEAD.pack(MAGIC, PROTOCOL, kind, zlib.crc32(body)) + body
 
 
@@ -66,6 +69,7 @@
 
 
 def encode(value: Any) -> bytes:
+    """A plain value as msgpack."""
     return msgspec.msgpack.encode(value)
 
 
@@ -83,10 +87,11 @@
 
 
 def given(whole: bytes) -> bytes:
+    """The packet that ends the state: its size and checksum."""
     return pack(Kind.GIVEN, encode((len(whole), zlib.crc32(whole))))
 
 
-class Gathering:
+class Reassembly:
     """What has come of that which is carried over."""
 
     def __init__(self) -> None:
@@ -94,13 +99,14 @@
         self._size = 0
 
     def add(self, body: bytes) -> None:
+        """One more piece; raises `WireError` past the bound."""
         self._size += len(body)
         if self._size > CARRIED_MOST:
             raise WireError("too much is carried over")
         self._parts.append(body)
 
     def whole(self, body: bytes) -> bytes:
-        """All of it, by the word of GIVEN; raises `WireError`."""
+        """All of it, if it is what GIVEN says; raises `WireError`."""
         size, check = decode(body, tuple[int, int])
         whole = b"".join(self._parts)
         if len(whole) != size or zlib.crc32(whole) != check:
