A process that took over opens the door before it waits for its part of the fleet

Seen once on a busy machine, in tests/test_membership_process.py (a new version that takes over): requests at one gateway without an answer in their time, some 0.4 s apart. Read: Gateway.start waited for the address in the fleet (up to 2 s) and for a part of what all share (Membered.ready, up to 5 s) between Successor.decided, from which on the old process takes nothing, and Clients.start; whoever connected meanwhile lay in the kernel's queue. Measured in the logs of that test, from the old process's last word to the door: 0.1, 2.07, 0.8, 2.1, 5.0, 2.4 and 0.1 s in seven takeovers. Connections that were passed on were served all along, with the state that was carried over.

Where something was taken over the door is opened first now; a cold start waits as before.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,6 +24,7 @@
 from trackspread.handover.states import Action, Actions, Event, PredecessorSteps, SuccessorSteps
 from trackspread.handover.wire import Kind, Reassembly, WireError
 from trackspread.node.handover_state import HandoverState, Progress
+from trackspread.node.membered import READY_MOST
 from trackspread.virtual.handover.world import World
 
 from .fakes import (
@@ -364,6 +365,35 @@
     run(test)
 
 
+def test_a_new_process_takes_new_connections_at_once_though_the_fleet_has_no_part_for_it(
+    tmp_path: Path
+) -> None:
+    """Seen with a view of the fleet: the old process takes nothing any more, and the new one waited for its
+    part with the clients' door shut; requests on new connections had no answer in their time."""
+
+    async def test() -> None:
+        async with home(tmp_path) as h:
+            with socket.socket() as free, socket.socket() as other:
+                free.bind((LOCAL, 0))
+                other.bind((LOCAL, 0))  # takes nothing: no majority of the seeds is ever heard
+                listen, silent = ("{}:{}".format(*each.getsockname()) for each in (free, other))
+                free.close()
+                h.own.write_text(f'[fleet]\nname = "f"\nlisten = "{listen}"\n'
+                                 f'seeds = ["{listen}", "{silent}"]\n')
+                _, door = await h.start()
+                starting = asyncio.create_task(h.start())
+                while await status(door, CHECK) == 200:
+                    await asyncio.sleep(0.001)
+                began = asyncio.get_running_loop().time()
+                fresh = await h.client()
+                fresh.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await fresh.next() == b"PONG"
+                assert asyncio.get_running_loop().time() - began < READY_MOST / 2
+                await starting
+
+    run(test)
+
+
 def test_a_newcomer_that_dies_or_hangs_before_its_yes_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         async with home(tmp_path) as h:
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -201,6 +201,10 @@
             await self._open_peers(successor.datagrams)
             self.predecessor = Predecessor(self, place, self._vacated)
             self.predecessor.listen()
+        took_over = successor is not None and successor.took
+        if took_over:
+            # The old process takes nothing any more: whoever connects meanwhile can't wait for the fleet.
+            await self.clients.start()
         if self.membered is not None:
             await self.membered.start(HANDED if place is not None else 0.0)
             await self.membered.ready()
@@ -208,7 +212,8 @@
             await self.celled.start(HANDED if place is not None else 0.0)
         if self.configured is not None:
             await self.configured.start(HANDED if place is not None else 0.0)
-        await self.clients.start()
+        if not took_over:
+            await self.clients.start()
         self._serving = True
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
 
