--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -214,7 +214,9 @@
 
 BY = {  # the world, and its seed, that brings each out
     "cells-any-word": ("seed_replaced", 1), "cells-first-word": ("seed_replaced", 1),
-    "cells-kept-slots": ("seed_replaced", 1), "cells-gives-up": ("cell_without_its_majority", 1),
+    "cells-empty-given-up": ("zone_cut_off", 1),
+    "cells-joins-first": ("seed_replaced", 1), "cells-kept-slots": ("seed_replaced", 1),
+    "cells-gives-up": ("cell_without_its_majority", 1),
     "cells-asks-without-pause": ("out_of_all_reach", 1), "cells-asks-together": ("region_cut_off", 1),
     "cells-leads-on": ("region_cut_off", 1), "cells-entry-goes-back": ("late_entries", 1),
     "cells-brought-back": ("late_entries", 1), "cells-not-reported": ("region_cut_off", 1),
--- a/tests/test_cells_process.py
+++ b/tests/test_cells_process.py
@@ -206,3 +206,47 @@
         await settled(fleet)
 
     play(work, QUICK)
+
+
+def by_zone(fleet: CelledFleet) -> bool:
+    """Whether each gateway is in a cell of its own zone."""
+    return all(cell.startswith(f"r.z{int(name[1:]) % 2}.") for name, cell in fleet.cells().items())
+
+
+async def told(fleet: CelledFleet) -> str:
+    """Why what runs here is not right, after a cut and a control machine's end; nothing where it is."""
+    try:
+        await settled(fleet, START)
+        if not by_zone(fleet):
+            return "a gateway is in a cell of another zone"
+        since = fleet.beliefs()[-1].at
+        cut(fleet, names(fleet), fleet.control_names, True)
+        await asyncio.sleep(8.0)
+        cut(fleet, names(fleet), fleet.control_names, False)
+        await settled(fleet)
+        if moved := moves(fleet, since):
+            return f"{moved} left their cells for a cut"
+        gone = next(name for name in fleet.control_names if name != fleet.leader())
+        await fleet.control[gone].kill()
+        await until(lambda: bool(moves(fleet, since)) and whole_cells(fleet) == "")
+        await settled(fleet)
+    except (AssertionError, TimeoutError) as error:
+        return f"not settled: {error}"
+    return "; ".join(each.text for each in fleet.amiss_in_cells()[:2])
+
+
+PLANTED = ("none", "cells-joins-first", "cells-kept-slots", "cells-gives-up", "cells-first-word",
+           "cells-zones-mixed", "cells-given-up-full", "view-number-reused", "view-parent-wrong")
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_a_planted_fault_is_told_on_processes_and_none_where_there_is_none(name: str) -> None:
+    async def once() -> str:
+        scene = Scene(gateways=GATEWAYS, nodes=6, load=0.1, seed=7)
+        runs = ("-m", "trackspread.harness.mutant", name) if name != "none" else ("-m", "trackspread", "run")
+        controls = ("-m", "trackspread.harness.quickened", name)
+        async with CelledFleet(scene, CONTROL, "keep_s = 3.0", runs, controls) as fleet:
+            return await told(fleet)
+
+    found = uvloop.run(asyncio.wait_for(once(), MOST))
+    assert bool(found) == (name != "none"), found
--- a/tests/test_cells_records.py
+++ b/tests/test_cells_records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from trackspread.harness.celled import backward, together
+from trackspread.harness.celled import backward, given_up, lingering, together
 from trackspread.judge.beliefs import Belief
 
 
@@ -23,3 +23,15 @@
 def test_one_that_goes_back_or_is_in_two_cells_is_told() -> None:
     assert [each.at for each in backward([joined(1, "a", 2), parted(2, "a"), joined(3, "b", 1)])] == [3]
     assert [each.at for each in together([joined(1, "a", 1), joined(2, "b", 2)])] == [2]
+
+
+def test_one_that_keeps_its_slots_or_loses_its_cell_is_told() -> None:
+    part = Belief(2, "g", 1, "part", {"fleet": "a", "part": "0-9", "lasts": 100})
+    left = Belief(3, "g", 1, "left", {"fleet": "a"})
+    assert [each.at for each in lingering([joined(1, "a", 1), part, parted(4, "a")])] == [4]
+    assert not lingering([joined(1, "a", 1), part, left, parted(4, "a")])
+    assert not lingering([joined(1, "a", 1), part, parted(200, "a")]), "it had ended"
+    retired = Belief(9, "c", 1, "control retired", {"cell": "a"})
+    assert [each.at for each in given_up([joined(1, "a", 1), retired], [])] == [9]
+    assert not given_up([joined(1, "a", 1), parted(4, "a"), joined(4, "b", 2), retired], [])
+    assert not given_up([joined(1, "a", 1), retired], [(5, "g")]), "it was killed"
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -194,7 +194,9 @@
 def test_a_zone_that_is_lost_has_its_cells_given_up_one_after_another_and_is_placed_anew() -> None:
     fleet = zoned(100)
     fleet.placed.clear()
-    fleet.step(POLICY.hold // SECOND + 12 * len(fleet.directory.entries))
+    fleet.step(POLICY.idle // SECOND - 2)
+    assert len(fleet.directory.entries) == 5 and not fleet.directory.given_up, "it may be out of reach only"
+    fleet.step(12 * len(fleet.directory.entries))
     assert not fleet.directory.entries
     for number in range(100):
         fleet.ask(f"g{number:03d}")
--- a/trackspread/cells/directory.py
+++ b/trackspread/cells/directory.py
@@ -4,8 +4,9 @@
 - A gateway is sent to the fullest cell of its zone that is below `target`; to the one it was in before, where
   that is known: there its former self's part is free at once. Where there is none, a cell is opened.
 - A cell above `most` gives half of its gateways to others with room, or to a new one. One of `least` or fewer
-  that fits into another is closed, and so is one that has lost a seed for `replace` while its region has
-  others: a closing cell's gateways are sent elsewhere; once it has been empty for `EMPTY`, it is given up.
+  that fits into another is closed, so is one without gateways for `idle`: whoever is out of reach for less
+  comes back to it. And so is one that has lost a seed for `replace` while its region has others. A closing
+  cell's gateways are sent elsewhere; once it has been empty for `EMPTY`, it is given up.
 - A gateway is moved only to a cell that has a view already, as its seeds report.
 - One change of this kind at a time in a zone, `MOVES` gateways a second at most: a move costs its gateway the
   time of a join.
@@ -318,11 +319,13 @@
                 return
 
     def _spare(self, now: int, entry: Entry, entries: list[Entry]) -> bool:
-        """Whether it has been small for long, and its gateways fit into another; or it has none."""
+        """Whether it has been small for long, and its gateways fit into another; or had none for longer."""
+        if entry.empty_since is not None:
+            return now - max(entry.empty_since, entry.since) >= self.policy.idle
         if entry.small_since is None or now - max(entry.small_since, entry.since) < self.policy.hold:
             return False
         count = entry.count()
-        return not count or any(other is not entry and other.count() + count <= self.policy.merged
+        return any(other is not entry and other.count() + count <= self.policy.merged
                                 for other in entries)
 
     def _again(self, now: int) -> list[MoveWanted]:
--- a/trackspread/cells/terms.py
+++ b/trackspread/cells/terms.py
@@ -71,8 +71,9 @@
     least: int = 8  # up to which it is merged with another
     merged: int = 20  # that both may have together
     gateways: int = 8_192  # in the fleet at most; more are not placed
-    hold: int = 30 * SECOND  # ns for which a cell has to be small, or without gateways, before it is closed
+    hold: int = 30 * SECOND  # ns for which a cell has to be small before it is closed
     replace: int = 120 * SECOND  # ns without a seed after which its cells are closed: a restart takes less
+    idle: int = 600 * SECOND  # ns without gateways until it is closed: these may just be out of reach
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/trackspread/harness/celled.py
+++ b/trackspread/harness/celled.py
@@ -151,7 +151,8 @@
         for cell in sorted({str(each.about["fleet"]) for each in self.beliefs() if "fleet" in each.about}):
             told = self.of(cell)
             found += views(told) + rights(told, gone)[0]
-        return sorted(found + backward(self.beliefs()) + together(self.beliefs()))
+        told = self.beliefs()
+        return sorted(found + backward(told) + together(told) + lingering(told) + given_up(told, gone))
 
 
 def backward(beliefs: Iterable[Belief]) -> list[Amiss]:
@@ -182,6 +183,39 @@
     return found
 
 
+def lingering(beliefs: Iterable[Belief]) -> list[Amiss]:
+    """Gateways that parted from a cell without giving back what they held there."""
+    until: dict[tuple[tuple[str, int], str], int] = {}
+    found = []
+    for each in beliefs:
+        key = each.who, str(each.about.get("fleet", each.about.get("cell", "")))
+        if each.kind == "part":
+            until[key] = each.at + int(each.about["lasts"]) * bool(each.about["part"])  # type: ignore[call-overload]
+        elif each.kind in ("left", "fenced", "made way"):
+            until.pop(key, None)
+        elif each.kind == "parted" and until.get(key, 0) > each.at:
+            found.append(Amiss(each.at, "rights", f"{each.name} parted from {key[1]} and keeps its slots"))
+    return found
+
+
+def given_up(beliefs: Iterable[Belief], gone: Iterable[tuple[int, str]]) -> list[Amiss]:
+    """Cells that a control machine gave up while a gateway that runs was in them. `gone`: when a process of a
+    name was killed or had ended."""
+    inside: dict[str, str] = {}
+    ends = sorted(gone)
+    found = []
+    for each in beliefs:
+        while ends and ends[0][0] <= each.at:
+            inside.pop(ends.pop(0)[1], None)
+        if each.kind == "joined":
+            inside[each.name] = str(each.about["cell"])
+        elif each.kind in ("parted", "left"):
+            inside.pop(each.name, None)
+        elif each.kind == "control retired" and each.about["cell"] in inside.values():
+            found.append(Amiss(each.at, "view", f"{each.about['cell']} is given up with gateways in it"))
+    return found
+
+
 def whole_cells(fleet: CelledFleet) -> str:
     """Whether every gateway that runs is in a cell whose last view, at each of them, is of just the gateways
     of that cell that run, beside control machines: nothing, or what is amiss."""
--- a/trackspread/harness/quickened.py
+++ b/trackspread/harness/quickened.py
@@ -22,6 +22,7 @@
 
 NONE = "none"
 TARGET, MOST, LEAST, MERGED = 2, 3, 1, 2  # gateways of a cell
+IDLE = 60 * SECOND  # in place of the ten minutes
 SOON = 4 * SECOND  # ns in place of the half minute and the two minutes
 
 
@@ -32,7 +33,7 @@
 
 
 def _policy(gateways: int) -> Policy:
-    return Policy(TARGET, MOST, LEAST, MERGED, gateways, SOON, SOON)
+    return Policy(TARGET, MOST, LEAST, MERGED, gateways, SOON, SOON, IDLE)
 
 
 def main(names: str, control: str, file: str) -> None:
--- a/trackspread/virtual/cells/mutants.py
+++ b/trackspread/virtual/cells/mutants.py
@@ -66,6 +66,21 @@
     return [patch.object(Gateway, "_leave", mutant)]
 
 
+def _joins_first() -> list[Any]:
+    """Who moves joins the other cell before it leaves the one it is in."""
+    def mutant(self: Gateway, now: int, placement: Placement) -> None:
+        before, member = self.held, self.member
+        if before is not None and placement.cell.name == before.cell.name:
+            self.held = max(before, placement, key=lambda each: each.number)
+        elif before is None or placement.number > before.number:
+            self._join(now, placement)
+            if before is not None and member is not None:
+                member.leave(now)
+                self._out.append(Left(before))
+
+    return [patch.object(Gateway, "_placed", mutant)]
+
+
 def _gives_up_its_cell() -> list[Any]:
     """A gateway leaves its cell when no control machine answers."""
     real = Gateway._ask
@@ -175,6 +190,18 @@
     return [patch.object(Directory, "_spare", lambda self, now, entry, entries: False)]
 
 
+def _empty_given_up_soon() -> list[Any]:
+    """A cell whose gateways are out of reach for some seconds is given up."""
+    real = Directory._spare
+
+    def mutant(self: Directory, now: int, entry: Entry, entries: list[Entry]) -> bool:
+        if entry.empty_since is not None:
+            return now - entry.empty_since >= 10 * SECOND
+        return real(self, now, entry, entries)
+
+    return [patch.object(Directory, "_spare", mutant)]
+
+
 def _merges_without_pause() -> list[Any]:
     """A cell that has just been opened or left is merged, however full the other."""
     def mutant(self: Directory, now: int, entry: Entry, entries: list[Entry]) -> bool:
@@ -234,6 +261,7 @@
     "cells-any-word": _any_word,
     "cells-first-word": _first_word,
     "cells-kept-slots": _kept_slots,
+    "cells-joins-first": _joins_first,
     "cells-gives-up": _gives_up_its_cell,
     "cells-asks-without-pause": _asks_without_pause,
     "cells-asks-together": _asks_together,
@@ -246,6 +274,7 @@
     "cells-zones-mixed": _zones_mixed,
     "cells-never-split": _never_split,
     "cells-never-merged": _never_merged,
+    "cells-empty-given-up": _empty_given_up_soon,
     "cells-merges-without-pause": _merges_without_pause,
     "cells-seeds-for-ever": _seeds_for_ever,
     "cells-cut-off-is-gone": _cut_off_is_gone,
--- a/trackspread/virtual/cells/schedules.py
+++ b/trackspread/virtual/cells/schedules.py
@@ -21,7 +21,7 @@
 QUIET = 40 * SECOND  # ns after which cells that were to be merged are
 LEAD = 16 * SECOND  # ns for all to start and settle before anything goes wrong
 SPAN = 24 * SECOND  # ns in which it does
-SMALL = Policy(6, 8, 2, 4, 4_096, 5 * SECOND, 8 * SECOND)  # cells as they are at size, with few processes
+SMALL = Policy(6, 8, 2, 4, 4_096, 5 * SECOND, 8 * SECOND, 5 * SECOND)  # as at size, with few processes
 
 
 class Player:
--- a/trackspread/virtual/cells/world.py
+++ b/trackspread/virtual/cells/world.py
@@ -55,6 +55,7 @@
         self.zones = [Zone(f"r{r}", f"z{z}") for r in range(regions) for z in range(zones)]
         self._zone_of: dict[str, Zone] = {}
         self.words_late = 0  # ns by which words on cells come later, up to; views' own do not
+        self._inside: dict[str, int] = {}  # gateways that are in a cell, and which of their starts is
         self._retired: set[tuple[str, str]] = set()  # by control machine's process and cell
         self.retired_with: list[str] = []  # gateways that were in a cell when it was given up
         self.cut_regions: set[tuple[str, str]] = set()  # directions
@@ -249,6 +250,12 @@
         self.told.append((self.true, process.name, what))
         if isinstance(what, Leads) and what.epoch is not None:
             self.leader()
+        if isinstance(what, Joined):
+            if self._inside.get(process.name) == process.starts:
+                raise self._broken(f"{process.name} joins a cell before it has left another")
+            self._inside[process.name] = process.starts
+        elif isinstance(what, Left):
+            self._inside.pop(process.name, None)
         if isinstance(what, Noticed) and what.kind in ("seeds", "retired"):
             key = f"{process.name}#{process.starts}", str(what.about["cell"])
             if what.kind == "retired":
--- a/trackspread/virtual/cells/worlds.py
+++ b/trackspread/virtual/cells/worlds.py
@@ -79,6 +79,21 @@
         raise Broken(f"seed {seed}: {moved} move though their cells are as they were")
 
 
+def zone_cut_off(seed: int) -> None:
+    """For a minute no control machine and no gateway of a zone hear one another: to the former it looks like
+    the zone's loss, and still the latter come back to the cells that they are in."""
+    world = begun(seed, 2, 6, 8, RESTLESS)
+    zone = world.zones[seed % len(world.zones)]
+    inside = [process.name for process in world.among("g", zone)]
+    ways = world.part(inside, [process.name for process in world.among("c")])
+    world.run(60 * SECOND, every=200 * MS)
+    since = world.true
+    world.heal(ways)
+    world.until_settled(10 * SECOND)
+    if moved := _moves(world, since):
+        raise Broken(f"seed {seed}: {moved} move for a heal")
+
+
 def seed_replaced(seed: int) -> None:
     """A control machine is gone for good: its cells' gateways move, while words are lost, and those on cells
     come late and in any order."""
@@ -116,15 +131,19 @@
 def late_entries(seed: int) -> None:
     """Cells are opened, closed and given up faster than the words that say so arrive."""
     world = begun(seed, 1, 5, 1, SMALL)
-    world.words_late, world.weather.twice = 12 * SECOND, 0.5
-    for _ in range(5):
+    world.words_late, world.weather.twice = 6 * SECOND, 0.5
+    for _ in range(6):
         for process in world.among("g", world.zones[0]):
             world.leave(process)
+        world.run(6 * SECOND, every=100 * MS)
+        again = world.rng.choice([p for p in world.among("c") if p is not world.leader()])
+        world.kill(again)
+        world.start(again)  # it is told all that it seeds once more, about when one of these is closed
         world.run(12 * SECOND, every=100 * MS)
         world.start(world.add(world.zones[0]))
         world.run(8 * SECOND, every=100 * MS)
     world.words_late, world.weather.twice = 0, 0.0
-    world.run(15 * SECOND)
+    world.run(25 * SECOND)
     world.until_settled(START)
 
 
@@ -232,6 +251,6 @@
 
 
 WORLDS: tuple[Callable[[int], object], ...] = (
-    play, region_cut_off, out_of_all_reach, seed_replaced, mover_stopped, late_entries,
+    play, region_cut_off, zone_cut_off, out_of_all_reach, seed_replaced, mover_stopped, late_entries,
     leader_stopped, too_many_at_once, half_restarted, cell_without_its_majority, calm,
 )
