--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -92,7 +92,7 @@
 Label = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{0,24}$")]  # a region's or a zone's name
 
 
-class ControlSeat(_Table, frozen=True):
+class ControlAddress(_Table, frozen=True):
     """One control machine, as all processes of the fleet name it."""
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
@@ -111,7 +111,7 @@
     seeds: tuple[str, ...] = ()  # host:port of some members, the same in the same order everywhere
     region: Label = ""  # where this gateway runs; with control machines only
     zone: Label = ""
-    control: tuple[ControlSeat, ...] = ()  # all, the same in the same order everywhere; none: no cells
+    control: tuple[ControlAddress, ...] = ()  # all, the same in the same order everywhere; none: no cells
     gateways: Annotated[int, msgspec.Meta(ge=2, le=65_536)] = 8_192  # in all cells, at most
     key: str = ""  # file with the key that members sign with; "": digests are not keyed
     previous: str = ""  # file with the key before that, which still counts
@@ -130,7 +130,7 @@
 
     replicas: tuple[str, ...] = ()  # host:port of all replicas, the same in the same order everywhere
     listen: str = ""  # host:port of this gateway, from which it asks them
-    near: tuple[str, ...] = ()  # those of its region, which are asked first; empty: any
+    near: tuple[str, ...] = ()  # those that are asked first; empty: those of its region, where that is told
     services: tuple[str, ...] = ()  # whose configuration is wanted here; empty: all
     record: str = ""  # file to which each version that came to be in force is appended; "": none
 
@@ -333,6 +333,9 @@
         if ip_address(_literal(name, f"configuration.{key}", text, "127.0.0.1:7600")[0]).is_unspecified:
             raise ConfigError(f"{name}: configuration.{key}: found {text!r}, wanted an address that others "
                               "can reach")
+    if made.fleet.control and len(table.replicas) != len(made.fleet.control):
+        raise ConfigError(f"{name}: configuration.replicas: found {len(table.replicas)}, wanted "
+                          f"{len(made.fleet.control)}: one for each of fleet.control, in its order")
     for number, text in enumerate(table.near):
         if text not in table.replicas:
             raise ConfigError(f"{name}: configuration.near[{number}]: found {text!r}, wanted one of "
