Configuration: a bound on keys; newer versions' words are read as far as they are known

Every table was bounded but the one of keys: a leader now takes 262,144 keys with a value (four times the routes of the largest fleet; what is pending may go beyond it) and answers one more with Full, which the command tells in one line. Tests hold what was so and untested: an older process reads a newer one's longer words and drops unknown ones, and a lease under an epoch that replicas have outdone leads nothing and says so to the election.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,16 +4,18 @@
 
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from trackspread.distribution.log import Log, Snapshot, fitting
+from trackspread.distribution.replica import Replica
 from trackspread.distribution.terms import (
-    BEGINNING, NAME_MOST, NOTHING, VALUE_MOST, Cursor, Delta, Entry, Epoch, Letter, Poll, Prepare, Put,
-    Version,
+    BEGINNING, NAME_MOST, NOTHING, SECOND, VALUE_MOST, Begin, Cursor, Delta, Done, Entry, Epoch, Full, Letter,
+    Poll, Prepare, Put, ReplicaSettings, Send, Told, Version,
 )
-from trackspread.distribution.wire import DATAGRAM, Wire
+from trackspread.distribution.wire import DATAGRAM, MARK, Wire
 from trackspread.membership.wire import Keys
 
 FIRST: Epoch = (1, 0)
@@ -138,3 +140,70 @@
     assert Wire("other", wire.keys).unpack(data) is None
     assert wire.unpack(wire.pack(Letter("fleet", 0, 0, Put(1, "s", "k", b"x" * DATAGRAM)))) is None
     assert Wire("fleet", Keys(b"a new key, current now", b"a key of many bytes")).unpack(data) is not None
+
+
+class Longer(msgspec.Struct, frozen=True, array_like=True, tag="Prepare"):
+    """As `Prepare` may be in a newer version."""
+
+    epoch: Epoch
+    round: int
+    begin: bool
+    more: str = "unknown to older ones"
+
+
+class Unknown(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """A body that only a newer version has."""
+
+    number: int
+
+
+class AnyLetter(msgspec.Struct, frozen=True, array_like=True):
+    """A letter of whichever version."""
+
+    fleet: str
+    replica: int
+    born: int
+    body: Longer | Unknown
+
+
+def test_a_newer_version_s_words_are_read_as_far_as_they_are_known() -> None:
+    wire = Wire("fleet", Keys())
+
+    def packed(body: Longer | Unknown) -> bytes:
+        payload = msgspec.msgpack.encode(AnyLetter("fleet", 1, 2, body))
+        return MARK + wire.keys.sign(payload) + payload
+
+    assert wire.unpack(packed(Longer((3, 1), 2, False))) == Letter("fleet", 1, 2, Prepare((3, 1), 2, False))
+    assert wire.unpack(packed(Unknown(1))) is None and wire.dropped == {"spoilt": 1}
+
+
+def replica(number: int = 0, count: int = 3, keys: int = 10) -> Replica:
+    addresses = tuple((f"10.0.0.{n}", 1) for n in range(count))
+    return Replica(ReplicaSettings(number, 5, addresses, keys=keys), 0, 1)
+
+
+def test_a_lease_under_an_epoch_that_is_outdone_leads_nothing_and_says_so() -> None:
+    one = replica()
+    one.received(0, 1, 1, Prepare((9, 1), 1, False), ("10.0.0.1", 1))
+    assert one.lead(0, (8, 0)) == [Told("outdone", {"by": (9, 1)})] and one.leading is None
+    assert one.lead(1, (8, 0)) == [], "once"
+    assert one.lead(2, (10, 0)) != [] and one.leading is not None
+    one.lead(3, None)
+    assert one.lead(4, (10, 0)) == [] and one.leading is None, "an epoch that was given up is not led again"
+
+
+def test_only_so_many_keys_may_have_a_value() -> None:
+    one, asker = replica(count=1, keys=3), ("10.0.0.9", 1)
+    one.lead(0, (1, 0))
+    one.received(0, -1, 0, Begin(1), asker)
+    for now in range(1, 10):
+        one.tick(now * SECOND)
+
+    def put(key: str, value: bytes | None) -> object:
+        made = one.received(20 * SECOND, -1, 0, Put(1, "s", key, value), asker)
+        return next(each.body for each in made if isinstance(each, Send))
+
+    answers = [put(key, b"v") for key in ("a", "b", "c")]
+    assert all(isinstance(each, Done) for each in answers)
+    assert put("d", b"v") == Full(1, 3) and isinstance(put("a", b"other"), Done)
+    assert isinstance(put("b", None), Done) and isinstance(put("d", b"v"), Done)
--- a/trackspread/commands/configuration.py
+++ b/trackspread/commands/configuration.py
@@ -13,7 +13,7 @@
 
 from ..config import operator
 from ..config.addresses import ConfigError
-from ..distribution.client import Client, Unanswered
+from ..distribution.client import Client, TooMany, Unanswered
 from ..distribution.report import Report
 from ..distribution.terms import NAME_MOST, VALUE_MOST, Epoch, Shown, Version
 from ..distribution.wire import Wire
@@ -31,6 +31,8 @@
     client = Client(Wire(made.fleet.name, keys(made.fleet)), replicas)
     try:
         return _act(given, client, made.configuration.replicas)
+    except TooMany as error:
+        raise ConfigError(f"KEY: {error}") from None
     except Unanswered as error:
         raise ConfigError(f"{path}: configuration.replicas: {error}; wanted a majority of them up, with the "
                           "fleet's key, and a history begun") from None
--- a/trackspread/distribution/client.py
+++ b/trackspread/distribution/client.py
@@ -10,7 +10,7 @@
 import time
 
 from .terms import (
-    Address, Begin, Bodies, Done, Letter, NotLeader, Put, Refused, Show, Shown, Version,
+    Address, Begin, Bodies, Done, Full, Letter, NotLeader, Put, Refused, Show, Shown, Version,
 )
 from .wire import DATAGRAM, Wire
 
@@ -23,6 +23,10 @@
     """Nobody that leads has answered in time."""
 
 
+class TooMany(Exception):
+    """No more keys are taken; the text says how many there may be."""
+
+
 class Client:
     """One command's. A change that is asked for again, as its answer was lost, may get two versions with the
     same value."""
@@ -36,7 +40,7 @@
         self._random = random.SystemRandom()
 
     def put(self, service: str, key: str, value: bytes | None) -> Version:
-        """The version under which it is committed; raises `Unanswered`."""
+        """The version under which it is committed; raises `Unanswered`, `TooMany`."""
         number = self._random.getrandbits(40)
         return self._lead(Put(number, service, key, value), number)
 
@@ -70,6 +74,8 @@
                 match answer:
                     case Done():
                         return answer.version
+                    case Full(_, keys):
+                        raise TooMany(f"found {keys} keys with a value, wanted fewer before one more is put")
                     case NotLeader(_, leader) if 0 <= leader < len(self._replicas) and leader != replica:
                         replica = leader
                         continue
@@ -91,7 +97,7 @@
                 letter = self._wire.unpack(line.recv(DATAGRAM))
             except OSError:  # nobody there, or no answer in time
                 return None
-            match letter.body if letter is not None else None:
-                case (Done() | NotLeader() | Refused() | Shown()) as answer if answer.number == number:
-                    return answer
+            answer = letter.body if letter is not None else None
+            if isinstance(answer, Done | Full | NotLeader | Refused | Shown) and answer.number == number:
+                return answer
         return None
--- a/trackspread/distribution/leading.py
+++ b/trackspread/distribution/leading.py
@@ -26,8 +26,8 @@
 
 from .log import Log, fitting
 from .terms import (
-    MS, NOTHING, SECOND, Accepted, Action, Address, Append, Behind, Bodies, Done, Entry, Epoch, NotLeader,
-    Prepare, Promise, Refused, ReplicaSettings, Send, Tail, TailEntries, Told, Version,
+    MS, NOTHING, SECOND, Accepted, Action, Address, Append, Behind, Bodies, Done, Entry, Epoch, Full,
+    NotLeader, Prepare, Promise, Refused, ReplicaSettings, Send, Tail, TailEntries, Told, Version,
 )
 
 ASK = 200 * MS  # ns between two askings of one step
@@ -213,10 +213,15 @@
             return []  # it asks again, as no answer has come yet
         if len(self.log.pending) >= self.settings.pending:
             return [Send(source, Refused(number, AGAIN))]
+        if self._is_one_more(service, key, value) and len(self.log) >= self.settings.keys:
+            return [Send(source, Full(number, self.settings.keys))]
         version = self._number(self.log.last.history, service, key, value)
         self._waiting.append(Waiting(source, number, version))
         return [Told("numbered", {"version": version}), *self._replicate(now)]
 
+    def _is_one_more(self, service: str, key: str, value: bytes | None) -> bool:
+        return value is not None and key not in self.log.snapshot.get(service, {})
+
     def _replicate(self, now: int) -> list[Action]:
         made: list[Action] = []
         for number, follower in self._followers.items():
--- a/trackspread/distribution/terms.py
+++ b/trackspread/distribution/terms.py
@@ -238,6 +238,13 @@
     version: Version
 
 
+class Full(Body, frozen=True):
+    """So many keys have a value already, and no more are taken."""
+
+    number: int
+    keys: int
+
+
 class NotLeader(Body, frozen=True):
     """This replica can't take it. `leader`: its number where one is known, -1 where not."""
 
@@ -275,7 +282,7 @@
 Bodies = (
     Prepare | Promise | Stale | Tail | TailEntries | Append | Accepted | Behind | Recover | Standing
     | Subscribe | Poll | Delta | Piece | NeedSnapshot | NeedSubscription | Refused | Put | Done | NotLeader
-    | Begin | Show | Shown
+    | Begin | Show | Shown | Full
 )
 
 
@@ -318,6 +325,7 @@
     replicas: tuple[Address, ...]
     recent: int = 8192  # committed entries that are kept for deltas
     pending: int = 1024  # entries that wait to be committed, at most
+    keys: int = 262_144  # that have a value, at most: four times the routes of the largest fleet
     pieces: int = 2000  # datagrams with entries that gateways are sent in a second
 
     @property
