--- a/benchmarks/scale/extrapolation.py
+++ b/benchmarks/scale/extrapolation.py
@@ -2,7 +2,8 @@
 
 On a few sizes close together a logarithm and a straight line look alike, and differ by far at seventy times
 the largest. So a limit counts as kept only where every shape keeps it that fits about as well as the best and
-did not miss the held-out size. Pure arithmetic.
+did not miss the held-out size. Where nothing grows with the size, as far as noise lets it be seen, the most
+is the most that was measured. Pure arithmetic.
 """
 
 from __future__ import annotations
@@ -32,8 +33,12 @@
 
 
 def unrefuted(found: Measurement) -> list[Fit]:
-    """The shapes that the measured sizes do not refute, fitted on all of them, the held-out one as well."""
+    """The shapes that the measured sizes do not refute, fitted on all of them, the held-out one as well; of a
+    constant, least and most that was measured."""
     points = [*found.points, (found.holdout.size, found.holdout.measured)]
+    if found.shape is Shape.CONSTANT:
+        measured = [value for _, value in points]
+        return [Fit(Shape.CONSTANT, each, 0.0, 0.0) for each in (min(measured), max(measured))]
     fits = [fit_shape(points, shape) for shape in Shape]
     bound = max(AS_WELL_TIMES * min(each.error for each in fits), AS_WELL_SHARE)
     return [
