--- a/trackspread/virtual/distribution/world.py
+++ b/trackspread/virtual/distribution/world.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import cast
 
 import msgspec
 
@@ -256,7 +257,8 @@
                 for entry in about["entries"]:  # type: ignore[attr-defined]
                     self.judged.commits(self.now, process.name, entry)
             case "numbered", Replica():
-                self.judged.numbered(f"{process.name} {process.born}", about["version"])  # type: ignore[arg-type]
+                version = cast(Version, about["version"])
+                self.judged.numbered(f"{process.name} {process.born}", version)
             case "acts", Subscriber() as core:
                 self.judged.acts(process.name, core.version, core.snapshot, core.settings.services)
 
