--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -194,6 +194,8 @@
 
 def put_failures(report: Report, into: AtSize, outcomes: Sequence[Outcome], settle_most: float) -> None:
     """What faults did; one after which a fleet did not settle within `settle_most` s has no time."""
+    if not outcomes:
+        return
     by_fault = {each.fault: each for each in outcomes}
     for each in outcomes:
         put_lag(report, each.fault, each.lag)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -317,6 +317,9 @@
     report.put_failures(made, made, [outcome("zone", 3.5, 2), outcome("region", None, 1)], 12.0)
     assert made.settle_s_zone == 3.5 and made.settle_s_region_heal is None and made.false_dead == 3
     assert made.not_run == ["region: not settled within 12 s"]
+    none = report.Report(command="", commit="", date="")
+    report.put_failures(none, none, [], 12.0)
+    assert none.false_dead is None and none.settle_s_zone is None
 
 
 def test_quotas_are_shared_by_all_members_while_customers_ask_for_as_much() -> None:
