--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -35,7 +35,7 @@
     "real gateways in cells: those beside are members of the flat view",
     "costs against restarts a second and against regions",
     "memory of a gateway's and a control machine's configuration against routes",
-    "changes while cells fail: configuration is handed down by a fleet of its own, its leader told by the run",
+    "changes while cells fail: configuration has a fleet of its own, whose leader is told by the run",
 )
 
 
