--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from benchmarks.cells import played
 from trackspread.cells.controller import ALONE, Controller, ControlSettings, voters
 from trackspread.cells.gateway import Gateway, GatewaySettings
 from trackspread.cells.seeding import PAGE, Seeding
@@ -234,6 +235,13 @@
     assert tells(*BY[name], name)
 
 
+def test_the_cost_of_a_small_fleet_is_counted() -> None:
+    line = played(24, 2, 1)
+    assert (line.gateways, line.cells) == (24, 12) and 0 < line.settled_s < 20
+    assert 100 < line.gateway.sent <= line.gateway.sent_most < 5_000
+    assert line.control.sent_most >= line.leader.sent > line.gateway.sent
+
+
 def test_a_member_that_left_one_cell_is_live_in_no_other_by_that_word() -> None:
     core = gateway()
     told(core, placement("a", 3))
