Configuration's command no longer keeps asking a minority's leader

The command asked the old leader, which can commit nothing and gives no answer, then its follower, which named that leader again, and so on (client.py, _lead). One that does not answer, or does not lead yet, is now asked again only after the others.

--- a/trackspread/distribution/client.py
+++ b/trackspread/distribution/client.py
@@ -65,8 +65,9 @@
         return line
 
     def _lead(self, body: Put | Begin, number: int) -> Version:
-        """Asks who leads, until it has done so."""
-        end = time.monotonic() + self._patience
+        """Asks who leads, until it has done so. One that gives no answer, or does not lead yet, may have a
+        minority alone that believes in it: others are asked in turn before it is asked again."""
+        end, silent = time.monotonic() + self._patience, set[int]()
         replica = self._first if self._first is not None else self._random.randrange(len(self._replicas))
         with self._socket() as line:
             while time.monotonic() < end:
@@ -76,19 +77,23 @@
                         return answer.version
                     case Full(_, keys):
                         raise TooMany(f"found {keys} keys with a value, wanted fewer before one more is put")
-                    case NotLeader(_, leader) if 0 <= leader < len(self._replicas) and leader != replica:
+                    case NotLeader(_, leader) if self._is_other(leader, replica) and leader not in silent:
                         replica = leader
                         continue
                     case Refused(_, again):
                         time.sleep(again / 1000)
                         continue
-                    case NotLeader(_, leader) if leader == replica:  # it is about to lead
-                        time.sleep(PAUSE)
-                        continue
+                if answer is None or (isinstance(answer, NotLeader) and answer.leader == replica):
+                    silent.add(replica)  # it is not there, or is not established yet
                 replica = (replica + 1) % len(self._replicas)
+                if not replica:
+                    silent.clear()
                 time.sleep(PAUSE if answer is not None else 0.0)
         raise Unanswered(f"no replica that leads answered within {self._patience:g} s")
 
+    def _is_other(self, leader: int, replica: int) -> bool:
+        return 0 <= leader < len(self._replicas) and leader != replica
+
     def _ask(self, line: socket.socket, replica: int, body: Bodies, number: int) -> Bodies | None:
         line.sendto(self._wire.pack(Letter(self._wire.fleet, -1, 0, body)), self._replicas[replica])
         end = time.monotonic() + ANSWER
