--- a/benchmarks/scale/celling.py
+++ b/benchmarks/scale/celling.py
@@ -68,6 +68,12 @@
         if self._process.partition.passes(self._listen, to):
             super()._exchange(to, fleet)
 
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await super()._serve(reader, writer)
+        except asyncio.CancelledError:  # the process ends
+            writer.close()
+
     def _told(self, fleet: str, told: Told) -> None:
         super()._told(fleet, told)
         if told.kind == "member":
