--- a/benchmarks/scale/configuration.py
+++ b/benchmarks/scale/configuration.py
@@ -89,7 +89,7 @@
     waits = []
     for cost, changes in found:
         waits.append(await _worst(fleet, changes, plan.change_most, cost.gateways))
-        _tell(cost, waits[-1])
+        _tell(cost, waits[-1], max((each.done_at - each.put_at) / 1e9 for each in changes))
     return [cost for cost, _ in found], waits
 
 
@@ -100,8 +100,9 @@
     return None if None in waits else max(each for each in waits if each is not None)
 
 
-def _tell(cost: HandedCost, wait: float | None) -> None:
-    say(f"changes, {cost.gateways} gateways, {cost.rate:g} a second: in force after {_text(wait)}; "
+def _tell(cost: HandedCost, wait: float | None, done: float) -> None:
+    say(f"changes, {cost.gateways} gateways, {cost.rate:g} a second: in force after {_text(wait)}, "
+        f"done for the operator after {done:.2f} s; "
         f"{cost.cpu:.5f} of a core, {cost.bytes:.0f} B/s, {cost.memory / 2**20:.2f} MB a gateway; busiest of "
         f"{cost.control} control machines {cost.control_cpu:.4f} of a core, {cost.control_bytes:.0f} B/s; "
         f"lag {cost.lag.worst * 1000:.0f} ms")
--- a/benchmarks/scale/handed.py
+++ b/benchmarks/scale/handed.py
@@ -31,10 +31,11 @@
 
 
 class Change(msgspec.Struct, frozen=True):
-    """One change: when it was put, in ns, and its place in the log."""
+    """One change: when it was put, in ns, its place in the log, when the operator heard that it was done."""
 
     put_at: int
     sequence: int
+    done_at: int = 0
 
 
 class HandedCost(msgspec.Struct, frozen=True):
@@ -167,7 +168,7 @@
         """Put one; returns once it is committed. Raises `NotDone`."""
         put_at, sequence = await self.operator.put(
             service(number * 7 % self.tier.services), f"route-{number}", VALUE)
-        return Change(put_at, sequence)
+        return Change(put_at, sequence, time.monotonic_ns())
 
     async def changes(self, rate: float, span: float) -> list[Change]:
         """So many a second, for `span` s."""
