--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -233,7 +233,7 @@
     "Each gateway keeps one watch, and is told all changes of all backends: the platform's watch has no "
     "selection by service. A start or a broken watch brings a whole list.",
     (
-        Row("bytes a second while all gateways start within 9 s", "module.line.bytes", "backends",
+        Row("bytes a second while all gateways start at once", "module.line.bytes", "backends",
             "lists/turns.py", "a relay tier on control machines that holds one watch and hands lists on by "
             "service", by="calls_start", when="at the peak", unit="bytes/s"),
         Row("the same by service", "module.carried_line.bytes", "links_gateway", "services/",
