--- a/trackspread/harness/celled.py
+++ b/trackspread/harness/celled.py
@@ -12,6 +12,7 @@
 import sys
 from collections.abc import Iterable, Sequence
 from pathlib import Path
+from typing import cast
 
 import msgspec
 
@@ -190,7 +191,8 @@
     for each in beliefs:
         key = each.who, str(each.about.get("fleet", each.about.get("cell", "")))
         if each.kind == "part":
-            until[key] = each.at + int(each.about["lasts"]) * bool(each.about["part"])  # type: ignore[call-overload]
+            lasts = cast(int, each.about["lasts"])
+            until[key] = each.at + lasts * bool(each.about["part"])
         elif each.kind in ("left", "fenced", "made way"):
             until.pop(key, None)
         elif each.kind == "parted" and until.get(key, 0) > each.at:
