--- a/trackspread/distribution/client.py
+++ b/trackspread/distribution/client.py
@@ -10,7 +10,7 @@
 import time
 
 from .terms import (
-    Address, Begin, Bodies, Done, Letter, NotLeader, Put, Refused, Show, Shown, Version,
+    Address, Begin, Bodies, Done, Full, Letter, NotLeader, Put, Refused, Show, Shown, Version,
 )
 from .wire import DATAGRAM, Wire
 
@@ -23,6 +23,10 @@
     """Nobody that leads has answered in time."""
 
 
+class TooMany(Exception):
+    """No more keys are taken; the text says how many there may be."""
+
+
 class Client:
     """One command's. A change that is asked for again, as its answer was lost, may get two versions with the
     same value."""
@@ -36,7 +40,7 @@
         self._random = random.SystemRandom()
 
     def put(self, service: str, key: str, value: bytes | None) -> Version:
-        """The version under which it is committed; raises `Unanswered`."""
+        """The version under which it is committed; raises `Unanswered`, `TooMany`."""
         number = self._random.getrandbits(40)
         return self._lead(Put(number, service, key, value), number)
 
@@ -61,8 +65,9 @@
         return line
 
     def _lead(self, body: Put | Begin, number: int) -> Version:
-        """Asks who leads, until it has done so."""
-        end = time.monotonic() + self._patience
+        """Asks who leads, until it has done so. One that gives no answer, or does not lead yet, may have a
+        minority alone that believes in it: others are asked in turn before it is asked again."""
+        end, silent = time.monotonic() + self._patience, set[int]()
         replica = self._first if self._first is not None else self._random.randrange(len(self._replicas))
         with self._socket() as line:
             while time.monotonic() < end:
@@ -70,19 +75,25 @@
                 match answer:
                     case Done():
                         return answer.version
-                    case NotLeader(_, leader) if 0 <= leader < len(self._replicas) and leader != replica:
+                    case Full(_, keys):
+                        raise TooMany(f"found {keys} keys with a value, wanted fewer before one more is put")
+                    case NotLeader(_, leader) if self._is_other(leader, replica) and leader not in silent:
                         replica = leader
                         continue
                     case Refused(_, again):
                         time.sleep(again / 1000)
                         continue
-                    case NotLeader(_, leader) if leader == replica:  # it is about to lead
-                        time.sleep(PAUSE)
-                        continue
+                if answer is None or (isinstance(answer, NotLeader) and answer.leader == replica):
+                    silent.add(replica)  # it is not there, or is not established yet
                 replica = (replica + 1) % len(self._replicas)
+                if not replica:
+                    silent.clear()
                 time.sleep(PAUSE if answer is not None else 0.0)
         raise Unanswered(f"no replica that leads answered within {self._patience:g} s")
 
+    def _is_other(self, leader: int, replica: int) -> bool:
+        return 0 <= leader < len(self._replicas) and leader != replica
+
     def _ask(self, line: socket.socket, replica: int, body: Bodies, number: int) -> Bodies | None:
         line.sendto(self._wire.pack(Letter(self._wire.fleet, -1, 0, body)), self._replicas[replica])
         end = time.monotonic() + ANSWER
@@ -91,7 +102,7 @@
                 letter = self._wire.unpack(line.recv(DATAGRAM))
             except OSError:  # nobody there, or no answer in time
                 return None
-            match letter.body if letter is not None else None:
-                case (Done() | NotLeader() | Refused() | Shown()) as answer if answer.number == number:
-                    return answer
+            answer = letter.body if letter is not None else None
+            if isinstance(answer, Done | Full | NotLeader | Refused | Shown) and answer.number == number:
+                return answer
         return None
