--- a/benchmarks/export.py
+++ b/benchmarks/export.py
@@ -26,7 +26,7 @@
 from trackspread.harness.billed import Billed, compare
 from trackspread.harness.fleet import Fleet
 from trackspread.judge.ledger import Answered, Asked
-from trackspread.plans.book import SCHEMA, Book, Figures, Version
+from trackspread.plans.registry import SCHEMA, Figures, PlanRegistry, Version
 from trackspread.standins.billing_server import BillingServer
 from trackspread.standins.scene import Scene
 from trackspread.storage.calls import Look, perform
@@ -34,12 +34,12 @@
 from trackspread.storage.slots import SLOT
 from trackspread.usage.control import AREA_SIZE, AREAS, Names
 from trackspread.usage.host import UseHost, export_all
-from trackspread.usage.keeper import Bounds, State
+from trackspread.usage.ledger import Bounds, State
 from trackspread.usage.record import Ending
 from trackspread.usage.senders import Target, put, sender
 from trackspread.virtual import booked
-from trackspread.virtual.used_mutants import MUTANTS, convict
-from trackspread.virtual.used_schedules import make, play
+from trackspread.virtual.usage.mutants import MUTANTS, convict
+from trackspread.virtual.usage.schedules import make, play
 
 SCHEDULES_QUICK, SCHEDULES = 1_400, 10_000  # some four crashes each
 KILLS_QUICK, KILLS = 12, 100
@@ -116,9 +116,9 @@
             await fleet.settle()
             server.lost = server.busy = 0.0
             for name in ("n0", "n1"):
-                keeper = await export_all(folder / name, sender(Target(server.url)), DRAIN_MOST)
-                if not keeper.exported:
-                    raise RuntimeError(f"{name} is not exported: {keeper.exporter.trouble}")
+                ledger = await export_all(folder / name, sender(Target(server.url)), DRAIN_MOST)
+                if not ledger.exported:
+                    raise RuntimeError(f"{name} is not exported: {ledger.exporter.trouble}")
             told = compare(fleet.ledger.entries, server.ledger.totals())
         server.close()
         return told, server.billing.seen
@@ -169,7 +169,7 @@
 
 async def _live(host: UseHost) -> None:
     host.start()
-    while host.keeper.state is not State.LIVE:
+    while host.ledger.state is not State.LIVE:
         await asyncio.sleep(0.001)
 
 
@@ -179,7 +179,7 @@
     with tempfile.TemporaryDirectory(prefix="trackspread-use-") as place:
         host = _host(Path(place))
         await _live(host)
-        journal = host.keeper.journal
+        journal = host.ledger.journal
         assert journal is not None
         waiting: list[tuple[int, int]] = []  # place, when
         end, due = time.monotonic() + LAG_S, time.monotonic()
@@ -202,14 +202,14 @@
         folder = Path(place)
         host = _host(folder)
         await _live(host)
-        journal = host.keeper.journal
+        journal = host.ledger.journal
         assert journal is not None
         written = 0
         while written < RECOVERED:
-            recorded = host.keeper.recorded
+            recorded = host.ledger.recorded
             for _ in range(2_000):
                 host.count(Ending.SERVED, 0, 0, 0, 7, 1.0, 1)
-            written += host.keeper.recorded - recorded
+            written += host.ledger.recorded - recorded
             await asyncio.sleep(0)
             while journal.room() < 4_000:
                 await asyncio.sleep(0.001)
@@ -244,7 +244,7 @@
             fleet.ask()
             now = time.time_ns() // 1_000_000
             version = Version(1, now + AHEAD_MS, now, "", {plan: Figures(10.0, 20.0)})
-            put(path.parent, path.name, SCHEMA.pack(Book((version,))))
+            put(path.parent, path.name, SCHEMA.pack(PlanRegistry((version,))))
             await asyncio.sleep(AHEAD_MS / 1000 + 0.5)
             taken = []
             for gateway in fleet.gateways:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -183,10 +183,11 @@
 
 
 @contextmanager
-def busy_listener() -> Iterator[socket.socket]:
+def busy_listener(at: tuple[str, int] = (LOCAL, 0)) -> Iterator[socket.socket]:
     """Its accept queue is full: a connect to it stays without an answer, as one that comes up late does."""
     with socket.socket() as full:
-        full.bind((LOCAL, 0))
+        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        full.bind(at)
         full.listen(0)
         fill = [socket.socket() for _ in range(4)]
         for one in fill:
@@ -228,13 +229,14 @@
 
 
 def call(
-    cls: str = "look up", number: int = 1, wait_ms: int = 5000, body: bytes | None = None, extra: str = ""
+    cls: str = "look up", number: int = 1, wait_ms: int = 5000, body: bytes | None = None, extra: str = "",
+    customer: bytes = CUSTOMER,
 ) -> bytes:
     """A command as a client sends it."""
     name = b"CALL.GET" if cls == "look up" else b"CALL.POST"
     key = ",k=5c0f6e1a2b3d4c59" if cls == "submit" else ""
     pairs = f"c={cls},t=team,d={wait_ms}{key},units=1,spread=2,first=0{extra}"
-    words = (name, CUSTOMER, b"%016x" % number, pairs.encode()) + (() if body is None else (body,))
+    words = (name, customer, b"%016x" % number, pairs.encode()) + (() if body is None else (body,))
     return hiredis.pack_command(words)  # type: ignore[no-any-return,arg-type]
 
 
--- a/trackspread/commands/words.py
+++ b/trackspread/commands/words.py
@@ -10,14 +10,14 @@
 
 def add_plans(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread plans` and its actions."""
-    own = commands.add_parser("plans", help="the plan book: history, compare, apply, withdraw")
+    own = commands.add_parser("plans", help="the plan registry: history, compare, apply, withdraw")
     group = own.add_subparsers(dest="plans", metavar="ACTION", title="actions", required=True)
     history = group.add_parser("history", help="every version: from when on, why, and what it changed")
     diff = group.add_parser("diff", help="what a file would change of what is in force")
     applies = group.add_parser("apply", help="add a version that is in force from a moment on")
     withdraws = group.add_parser("withdraw", help="take back a version that is not in force yet")
     for each in (history, diff, applies, withdraws):
-        each.add_argument("book", metavar="BOOK", type=Path, help="the plan book, as plans.book names it")
+        each.add_argument("book", metavar="BOOK", type=Path, help="the plan registry, as plans.book names it")
     for each in (diff, applies):
         each.add_argument("file", metavar="FILE", type=Path, help="TOML: a table [plans.NAME] for each plan")
         each.add_argument("--config", metavar="JSON", help="the platform's, for the plans that there are")
@@ -38,7 +38,7 @@
     lists = group.add_parser("list", help="all that were made, and the rate that still fits")
     fleets = group.add_parser("fleet", help="what the fleet is, for the model that admits")
     for each in (adds, cancels, lists, fleets):
-        each.add_argument("book", metavar="BOOK", type=Path, help="the plan book, as plans.book names it")
+        each.add_argument("book", metavar="BOOK", type=Path, help="the plan registry, as plans.book names it")
     adds.add_argument("member", metavar="MEMBER", help="16 hexadecimal digits")
     amount = adds.add_mutually_exclusive_group(required=True)
     amount.add_argument("--rate", type=float, help="units a second on top of the plan's")
@@ -74,6 +74,13 @@
     views.add_argument("--json", action="store_true", help="the answers as they came, a line each")
     views.add_argument("--wait", type=float, default=0.0, metavar="S",
                        help="ask again for up to S seconds until the exit status is 0")
+    cells = group.add_parser(
+        "cells", help="which cells there are and how many gateways each has, as their leader knows it",
+        description="Exit status: 0, or 2 where no leader answers.",
+    )
+    cells.add_argument("--file", metavar="FILE", required=True,
+                       help="the operator's file of any process of the fleet: its control machines and its "
+                       "key are used")
     goes = group.add_parser(
         "forget", help="a gateway is gone for good: what it kept of all that is shared is free at once",
         description="Say so only of one that is surely down: a gateway that is merely cut off would act on "
@@ -85,6 +92,47 @@
                       help="the operator's file of any gateway of the fleet: its seeds and its key are used")
 
 
+def add_control(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread control`."""
+    own = commands.add_parser(
+        "control", help="run one control machine of a fleet with cells, in the foreground",
+        description="Seeds cells of gateways, and keeps their directory where it leads. SIGTERM ends it in "
+        "good order, SIGHUP has the fleet's keys read again.",
+    )
+    own.add_argument("name", metavar="NAME", help="which of the file's [[fleet.control]] this is")
+    own.add_argument("--file", metavar="FILE", required=True, help="the operator's file")
+
+
+def add_configuration(commands: Commands[argparse.ArgumentParser]) -> None:
+    """`trackspread configuration` and its actions."""
+    own = commands.add_parser("configuration", help="configuration that replicas hand down to gateways")
+    group = own.add_subparsers(dest="configuration", metavar="ACTION", title="actions", required=True)
+    puts = group.add_parser("put", help="set a key's value; says the version under which it is committed")
+    deletes = group.add_parser("delete", help="take a key out")
+    shows = group.add_parser(
+        "show", help="what replicas hold, or gateways, and whether they agree",
+        description="Exit status: 0 where all that were asked hold one version, 1 where not, 2 where nobody "
+        "can be asked.",
+    )
+    begins = group.add_parser(
+        "begin", help="begin a new history: at first, or once a majority of replicas is lost for good",
+        description="Where a majority of replicas has lost what it held, this goes on with the most that any "
+        "of the others holds: a change that was committed on lost ones alone is gone then. Does nothing "
+        "where a leader goes on.",
+    )
+    for each in (puts, deletes, shows, begins):
+        each.add_argument("--file", metavar="FILE", required=True,
+                          help="the operator's file of any gateway: configuration.replicas and the fleet's "
+                          "key are used")
+    for each in (puts, deletes):
+        each.add_argument("service", metavar="SERVICE")
+        each.add_argument("key", metavar="KEY")
+    puts.add_argument("value", metavar="VALUE", help="text, 640 bytes at most")
+    shows.add_argument("door", metavar="HOST:PORT", nargs="*",
+                       help="gateways' doors, as `control` has them; none: the replicas are asked")
+    shows.add_argument("--key", metavar="SERVICE/KEY", default="", help="a value that replicas hold, too")
+
+
 def add_use(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread use` and its actions."""
     own = commands.add_parser("use", help="use records: look, check, export, compare, repair")
