Test: the old process's door may be closed by the time it is asked again

The test that a new process takes new connections at once failed once with a refused connection on a busy machine: it asks the old process's door until that says no, and the door may be gone before. What it asserts is as before.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import fields
 from pathlib import Path
 
@@ -382,8 +382,9 @@
                                  f'seeds = ["{listen}", "{silent}"]\n')
                 _, door = await h.start()
                 starting = asyncio.create_task(h.start())
-                while await status(door, CHECK) == 200:
-                    await asyncio.sleep(0.001)
+                with suppress(ConnectionError):  # its door has closed: it takes nothing any more
+                    while await status(door, CHECK) == 200:
+                        await asyncio.sleep(0.001)
                 began = asyncio.get_running_loop().time()
                 fresh = await h.client()
                 fresh.send(b"*1\r\n$4\r\nPING\r\n")
