View: members that are here are kept between changes, not looked for at each question

A profile of hollow members had half of the core's time in People.here and People.count, which went through all members several times a tick. They are kept until a word is news. The new property test is red where the kept ones are not dropped with a change.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,7 +17,7 @@
 from trackspread.judge import beliefs
 from trackspread.membership.asking import WANTING
 from trackspread.membership.parts import SPAN, TOUCH, Holding, Parts, ended, held
-from trackspread.membership.people import People
+from trackspread.membership.people import GONE_KEPT, People
 from trackspread.membership.probing import HEALTH_MOST, Probing
 from trackspread.membership.rumours import WITH_ONE, Rumours
 from trackspread.membership.slots import SLOTS, WHOLE, assign, from_bytes, lowest, seat, text, to_bytes
@@ -54,6 +54,25 @@
     assert tables[0] == tables[1] == tables[2]
 
 
+@given(st.lists(st.tuples(st.one_of(words, st.none()), st.integers(0, GONE_KEPT)), max_size=25))
+def test_members_here_are_those_that_the_table_says_after_each_change(
+    said: list[tuple[Rumour | None, int]]
+) -> None:
+    """The kept ones are never stale, whether a member is added, gone, replaced or forgotten."""
+    people = People(ME, 1)
+    now = 0
+    for each, later in said:
+        now += later
+        if each is None:
+            people.forget(now)
+        else:
+            people.take(now, each, "x")
+        here = [person for person in people.by_name.values() if person.rumour.state <= State.SUSPECT]
+        assert people.here() == here
+        assert people.count() == 1 + len(here)
+        people.here().clear()  # the caller's own
+
+
 def test_of_itself_a_member_believes_nothing_and_answers_with_a_new_life() -> None:
     people = People(ME, 10)
     for life, state in enumerate((State.SUSPECT, State.DEAD, State.SUSPECT)):
--- a/trackspread/membership/people.py
+++ b/trackspread/membership/people.py
@@ -46,6 +46,7 @@
         self.left_out = 0  # words on members beyond the bound
         self.fenced: Rumour | None = None  # a newer process under one's own name
         self._digest: tuple[tuple[int, int], int] | None = None  # by what of oneself it was made with
+        self._here: tuple[Person, ...] | None = None  # until a word is news: asked several times a tick
 
     def take(self, now: int, word: Rumour, teller: str) -> bool:
         """Whether the word was news: the caller then tells it on."""
@@ -66,7 +67,7 @@
             if word.rank == held.rumour.rank and word.state == State.SUSPECT:
                 return self._one_more(held, teller)
             return False
-        self._digest = None
+        self._digest = self._here = None
         if word.state == State.SUSPECT:
             held.suspected_by.add(teller)
         return True
@@ -121,11 +122,17 @@
         return held is not None and held.here and held.rumour.born == who[1]
 
     def here(self) -> list[Person]:
-        return [p for p in self.by_name.values() if p.here]
+        """Members that are not known to be gone; a list of the caller's own."""
+        return list(self._members_here())
 
     def count(self) -> int:
         """Of those here, oneself included."""
-        return 1 + sum(p.here for p in self.by_name.values())
+        return 1 + len(self._members_here())
+
+    def _members_here(self) -> tuple[Person, ...]:
+        if self._here is None:
+            self._here = tuple(p for p in self.by_name.values() if p.here)
+        return self._here
 
     def live(self) -> tuple[Who, ...]:
         """All that are here and have not left, oneself included, sorted."""
