--- a/trackspread/decide/fleet.py
+++ b/trackspread/decide/fleet.py
@@ -11,7 +11,6 @@
 Filter = Callable[[Backend], bool]
 
 COLD_FIRST = 0.7  # expected wait at a cold backend whose budget allows a request, against a warm one's
-MARGIN = 0.8  # part of a cold one's budget that gateways use: warm ones may get more than they bear
 DOUBTED = 3.0  # added cost of a backend that lately turned the like away or left it unanswered
 OTHERS = 2.0  # attempts out here that say as much of others' at a backend as the mean over backends does
 SUSPEND, SUSPEND_MOST = SECOND // 2, 8 * SECOND  # first exclusion of a backend with symptoms; doubles up to
@@ -24,7 +23,7 @@
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
         self.places = max(1, settings.gateways)  # in the settings' list of gateways, gone ones among them
-        self.sends = Mean(max(3 * MEMORY, settings.fall_window))  # to warm backends, over their number then
+        self.sends = Mean(max(MEMORY, settings.fall_window))  # to warm backends, each by their number then
         self.servers: dict[int, Server] = {}
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.retired = False  # cold backends' budgets are another process's
@@ -78,9 +77,9 @@
         warmth = self.warmth(now, server)
         if warmth >= 1.0 or self.retired:
             return warmth >= 1.0
-        # Rule 4: its part of what a warm one gets from here, times what the rule allows beyond capacity.
-        beyond = MARGIN * (self.s.fall_multiple or 1.0)
-        server.refill(now, warmth * beyond * self.sends.rate(max(self.warm_at, self.sends.at)))
+        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here,
+        # or got while there was one.
+        server.refill(now, warmth * self.sends.rate(max(self.warm_at, self.sends.at)))
         return server.tokens >= 1.0 or self._has_turn(now, server)
 
     def _has_turn(self, now: int, server: Server) -> bool:
