One way to wait for an address that another process still holds

The view's, the cells' and the configuration's sides of a gateway had the same loop of tries each; node/bind_retry.py has it once. The worlds of configuration take Weather from the stage that the other worlds use, in place of a copy.

--- a/trackspread/node/celled.py
+++ b/trackspread/node/celled.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 from collections.abc import Callable
 from pathlib import Path
@@ -25,7 +24,8 @@
 from ..membership.report import Report, report
 from ..membership.terms import MS, SECOND
 from ..membership.wire import NAME_MOST
-from .membered import AGAIN, keys, program_version
+from .bind_retry import bound_within
+from .membered import keys, program_version
 
 CELL_MOST = 64  # members of one view
 
@@ -56,15 +56,7 @@
 
     async def start(self, patience: float = 0.0) -> None:
         """Raises `OSError`. `patience`: s for which a process that goes may still hold the address."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + patience
-        while True:
-            try:
-                return await self._start()
-            except OSError:
-                if loop.time() >= end:
-                    raise
-                await asyncio.sleep(AGAIN)
+        await bound_within(patience, self._start)
 
     async def _start(self) -> None:
         fleet, listen = self._fleet, address(self._fleet.listen, "fleet.listen")
--- a/trackspread/node/configured.py
+++ b/trackspread/node/configured.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 from collections.abc import Callable
 from pathlib import Path
@@ -20,7 +19,8 @@
 from ..distribution.terms import SubscriberSettings
 from ..distribution.wire import Wire
 from ..membership.host import born_now
-from .membered import AGAIN, keys
+from .bind_retry import bound_within
+from .membered import keys
 
 
 class Configured:
@@ -34,20 +34,16 @@
 
     async def start(self, patience: float = 0.0) -> None:
         """Raises `OSError`. `patience`: s for which a process that goes may still hold the address."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + patience
-        while True:
-            host = self._made()
-            try:
-                await host.start()
-            except OSError:
-                host.close()
-                if loop.time() >= end:
-                    raise
-                await asyncio.sleep(AGAIN)
-            else:
-                self.host = host
-                return
+        await bound_within(patience, self._start)
+
+    async def _start(self) -> None:
+        host = self._made()
+        try:
+            await host.start()
+        except OSError:
+            host.close()
+            raise
+        self.host = host
 
     def _made(self) -> SubscriberHost:
         table = self._operator.configuration
--- a/trackspread/node/membered.py
+++ b/trackspread/node/membered.py
@@ -23,8 +23,8 @@
 from ..membership.slots import seat
 from ..membership.terms import MS, SECOND, Place, Settings
 from ..membership.wire import NAME_MOST, Keys, Wire
+from .bind_retry import bound_within
 
-AGAIN = 0.05  # s between tries for an address that another process still holds
 READY_MOST = 5.0  # s that a start waits for a part: over an election; what needs none is served then
 LOOK = 0.02  # s between looks for it
 KEY_LEAST = 16  # bytes of a key file: fewer can be guessed
@@ -131,15 +131,7 @@
 
     async def start(self, patience: float = 0.0) -> None:
         """Raises `OSError`. `patience`: s for which a process that goes may still hold the address."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + patience
-        while True:
-            try:
-                return await self._start()
-            except OSError:
-                if loop.time() >= end:
-                    raise
-                await asyncio.sleep(AGAIN)
+        await bound_within(patience, self._start)
 
     async def _start(self) -> None:
         fleet, listen = self._fleet, address(self._fleet.listen, "fleet.listen")
--- a/trackspread/virtual/distribution/world.py
+++ b/trackspread/virtual/distribution/world.py
@@ -23,6 +23,7 @@
     SubscriberSettings, Told, Version,
 )
 from ..clock import Clock
+from ..stage import Weather
 from .judged import Broken, Judged
 
 WALL = 1_790_000_000_000  # ms of wall clock at the beginning of every world
@@ -32,15 +33,6 @@
 COMMAND: Address = ("10.9.0.0", 1)
 
 
-@dataclass(slots=True)
-class Weather:
-    """Of all ways between processes."""
-
-    loss: float = 0.0
-    twice: float = 0.0
-    jitter: int = 0  # ns
-
-
 @dataclass(slots=True)
 class Process:
     """One name, and the process under it, if any. `number`: a replica's, -1 for a gateway."""
