A stream of use records is sealed only by a batch that named its length

Cause: a batch that was noted while its stream was written has no length; after a kill it goes again with the same bytes, and where it held the stream's last place, Exporter.answered (usage/exporter.py) took the answer for one to the length, and sealed it. Ruled out: billing loses the seal (its decide keeps it), a stream that is dropped before it is over (over() needs the seal).

Now only the answer to a batch that named the length seals; else an empty batch with the length follows. Schedules in virtual time now check that billing was told the end of each stream of former lives, and a planted fault does without.

--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -15,7 +15,7 @@
 from trackspread.usage.control import (
     AREA_SIZE, STREAMS_MOST, Control, Intent, Names, Part, Stream, newest, pack,
 )
-from trackspread.usage.exporter import forked
+from trackspread.usage.exporter import Exporter, forked
 from trackspread.usage.ledger import Bounds, State
 from trackspread.usage.meter import Meter, month_start
 from trackspread.usage.record import NANO, Ending, Kind, Use, nano, unpack
@@ -124,6 +124,42 @@
     return encode(Batch("p", "n0", 1, stream, base, first, last, length, held, 0))
 
 
+def _restarted(control: Control) -> Exporter:
+    exporter = Exporter(SECOND, random.Random(1))
+    assert exporter.next(10 * SECOND, control, 0) is not None
+    return exporter
+
+
+def _sent(exporter: Exporter, control: Control, scan: Scan | None) -> bytes:
+    exporter.made(control, scan)
+    exporter.dirty = False
+    exporter.saved()
+    post = exporter.post(10 * SECOND)
+    assert post is not None
+    return post.body
+
+
+def test_a_stream_is_sealed_only_by_a_batch_that_named_its_length() -> None:
+    billing = Billing(Plain())
+    scan = Scan({n: pack_use(*USE) for n in range(1, 4)})
+    control = Control("p", names=[Names("n0", ("look", "charge"), ("a", "b", "c"))])
+    stream = control.streams[1] = Stream("00" * 16, 16, 0, [Part(1, "s")])
+    live = Exporter(SECOND, random.Random(1))
+    assert live.next(10 * SECOND, control, 3) is not None
+    lost = _sent(live, control, scan)
+    assert billing.post(lost).taken == 3, "its answer is lost, and the gateway is killed"
+    stream.length = 3  # as the next life finds it
+    exporter = _restarted(control)
+    again = _sent(exporter, control, scan)
+    assert again == lost, "the same bytes, without the length"
+    exporter.answered(control, billing.post(again))
+    assert stream.acked == 3 and not stream.over()
+    assert exporter.next(11 * SECOND, control, 0) is not None
+    reply = billing.post(_sent(exporter, control, None))
+    exporter.answered(control, reply)
+    assert reply.sealed == 3 and stream.over()
+
+
 def test_billing_takes_places_once_in_order_and_up_to_the_seal() -> None:
     memory = Plain()
     billing = Billing(memory)
--- a/trackspread/usage/exporter.py
+++ b/trackspread/usage/exporter.py
@@ -6,7 +6,8 @@
 - A batch is noted on the disk before it is first sent: until it is answered the same places go again, after a
   crash too.
 - Billing's `taken` moves the watermark, nothing else does; it moves back if billing forgot.
-- A closed stream's length goes along with its last batch, or alone: from then on nobody can add to it.
+- A closed stream's length goes along with its last batch, or alone: from then on nobody can add to it. It is
+  sealed only by the answer to a batch that named the length.
 - Fenced off by a seal: up to it the stream is sent as before, as the same places hold the same records for
   whoever has a copy. What lies behind it goes on as a stream of its own, which all copies name alike.
 - A refusal that trying again can't mend stalls the export, is told, and is tried all the same, seldom.
@@ -186,8 +187,10 @@
             # A batch of a former life may lie behind places that billing is being asked about once more.
             if stream.acked >= span.first - 1:
                 stream.acked = max(stream.acked, min(reply.taken, span.last if bound is None else bound))
+            # A batch that was first sent while the stream was written goes again without its length.
+            length_sent = control.intent.length is not None and span.first >= stream.parts[-1].first
             whole = stream.length is not None and stream.acked >= stream.length
-            stream.sealed = stream.sealed or (whole and span.first >= stream.parts[-1].first)
+            stream.sealed = stream.sealed or (whole and length_sent)
         control.intent, self._span, self._post, self.stage = None, None, None, Stage.IDLE
 
     def _fenced(self, span: Span, stream: Stream, reply: Reply) -> None:
--- a/trackspread/virtual/usage/mutants.py
+++ b/trackspread/virtual/usage/mutants.py
@@ -207,6 +207,19 @@
     return [patch.object(Exporter, "made", mutant)]
 
 
+def _sealed_unsaid() -> list[Any]:
+    """A stream counts as sealed once billing has all its records, whether or not it was told the length."""
+    real = Exporter.answered
+
+    def mutant(self: Exporter, control: Control, reply: Reply) -> None:
+        assert self._span is not None
+        stream = control.streams[self._span.epoch]
+        real(self, control, reply)
+        stream.sealed |= stream.length is not None and stream.acked >= stream.length
+
+    return [patch.object(Exporter, "answered", mutant)]
+
+
 def _set_back_unseen() -> list[Any]:
     """Billing that forgot is told what comes next, and no more."""
     def mutant(self: Exporter, control: Control, span: Span, taken: int) -> None:
@@ -243,7 +256,7 @@
         _ack_before_sync, _no_refresh, _places_used_again, _names_used_again, _gone_before_the_watermark,
         _not_noted, _synced_again, _good_copy_overwritten, _doubt_forgotten, _doubt_kept, _sum_written_twice,
         _sum_dropped, _tail_forgotten, _silence_is_consent, _fenced_is_done, _forks_of_their_own,
-        _live_sealed, _set_back_unseen, _closed_early, _places_anywhere,
+        _live_sealed, _sealed_unsaid, _set_back_unseen, _closed_early, _places_anywhere,
     )
 }
 
--- a/trackspread/virtual/usage/schedules.py
+++ b/trackspread/virtual/usage/schedules.py
@@ -140,7 +140,11 @@
         if self.clean or self.flipped:
             # Copies of one folder cut their batches each for itself; what a flip destroyed is a hole.
             self.world.reworded.clear()
-        return self.world.verdict()
+        verdict = self.world.verdict()
+        # A copy of a folder, or a billing that was set back, may not know of every stream any more.
+        if not self.clean and not self.forgets:
+            verdict += self.world.unsealed()
+        return verdict
 
     def _life(self, end: str, troubles: tuple[str, ...]) -> None:
         world, rng, disk = self.world, self.rng, self.disks[0]
--- a/trackspread/virtual/usage/world.py
+++ b/trackspread/virtual/usage/world.py
@@ -283,6 +283,14 @@
                          f"{want_units}; {len(unsure_sums)} sums may be lost")
         return wrong
 
+    def unsealed(self) -> list[str]:
+        """Streams of former lives whose end billing was never told: whoever has a copy could add to them."""
+        written = {part.id for life in self.lives for stream in life.ledger.control.streams.values()
+                   if stream.length is None for part in stream.parts}
+        return [f"stream {name} was exported up to {known.taken} and is sealed at {known.sealed}"
+                for name, known in self.memory.streams.items()
+                if name not in written and known.sealed != known.taken]
+
 
 def _subsets(items: list[tuple[int, int]]) -> set[tuple[int, int]]:
     """Every total that some of the items have."""
