--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -89,6 +89,14 @@
         "beat": Kind("share of a core", SHARE, "the module's ten beats a second"),
         "arrival": Kind("s", ADDED, REQUEST),
     }, "backends"),
+    Subject("services", "services of 28 backends at a gateway", 128, {
+        "memory": Kind("bytes", MEMORY),
+        "list_first": Kind("s", ADDED, STALL),
+        "list": Kind("s", ADDED, STALL),
+        "change": Kind("s", ADDED, "one backend drains: its change alone, without its parsing"),
+        "beat": Kind("share of a core", SHARE, "the ten beats a second of all services' brokers"),
+        "arrival": Kind("s", ADDED, REQUEST),
+    }),
     Subject("carried_line", "backends of its services in a full list", 896, {
         "bytes": Kind("bytes", LINE, "a longer line is taken for no list"),
         "parse": Kind("s", ADDED, STALL),
--- a/benchmarks/scale/quota_traffic.py
+++ b/benchmarks/scale/quota_traffic.py
@@ -18,7 +18,7 @@
 from trackspread.counter.lease_manager import LeaseManager
 from trackspread.counter.terms import HEARTBEAT, Call, Heartbeat, pack_heartbeat
 from trackspread.decide.interface import Action, AttemptEnded, FleetChanged, Outcome, PeerMessage, Send, Tell
-from trackspread.decide.quota import home_of
+from trackspread.decide.rendezvous import home_of
 from trackspread.membership.slots import WHOLE, seat, to_bytes
 from trackspread.membership.terms import Letter, Words
 from trackspread.membership.wire import Keys, Wire
--- a/benchmarks/scale/subjects.py
+++ b/benchmarks/scale/subjects.py
@@ -23,6 +23,8 @@
     PlansChanged, Repeat, RequestClass, Send, Settings, TimerFired, Topology,
 )
 from trackspread.decide.model import TICK
+from trackspread.decide.report import brokers
+from trackspread.decide.services import ServiceBrokers
 from trackspread.lists.agent import parse_update
 from trackspread.membership.slots import seat
 
@@ -87,32 +89,37 @@
 
 
 class Driver:
-    """Feeds one module: requests that are answered at once, and time."""
+    """Feeds one module: requests that are answered at once, and time. `broker`: the module, or the first of
+    its services' brokers."""
 
-    def __init__(self, made: Settings) -> None:
+    def __init__(self, made: Settings, carried: int = 1) -> None:
         self.now = START
-        self.broker = Broker(made, 7, self.now)
+        self.module: Broker | ServiceBrokers = Broker(made, 7, self.now)
+        if carried > 1:
+            names = [f"service-{number}" for number in range(carried)]
+            self.module = ServiceBrokers(made, 7, self.now, names, lambda cls: cls.name.split("/")[0])
+        self.broker = brokers(self.module)[0]
         self._request = 0
 
     def handle(self, event: Event) -> list[Action]:
-        return self.broker.handle(self.now, event)
+        return self.module.handle(self.now, event)
 
     def tick(self) -> None:
         """The module's own beat."""
         self.now += TICK
         self.handle(TimerFired(EVERY_TICK))
 
-    def ask(self, customer: int, spread: int = 1, first: int = 0) -> list[Action]:
+    def ask(self, customer: int, spread: int = 1, first: int = 0, cls: int = 0) -> list[Action]:
         """One request of a customer, at this instant."""
         self._request += 1
         valid_until = self.now + 3 * SECOND
-        return self.handle(Arrival(self._request, 0, 0, customer, valid_until, 1.0, spread, first, 0))
+        return self.handle(Arrival(self._request, cls, 0, customer, valid_until, 1.0, spread, first, 0))
 
-    def serve(self, customer: int) -> float:
+    def serve(self, customer: int, cls: int = 0) -> float:
         """CPU seconds of one request from its arrival to its end; it must have been sent on."""
         self.now += SECOND // 67
         began = time.process_time_ns()
-        actions = self.ask(customer)
+        actions = self.ask(customer, cls=cls)
         sent = [action for action in actions if isinstance(action, Send)]
         for action in sent:
             ended = AttemptEnded(action.request, True, 0, action.backend, 0, Outcome.OK, SECOND // 100, 0, ())
@@ -181,6 +188,36 @@
     return {"arrival": median(served(driver, customers, 4000))}
 
 
+def services(size: int) -> Figures:
+    """So many services of `SERVICE` backends each, with brokers of their own and shared quotas."""
+    classes = tuple(replace(each, name=f"service-{number}/{each.name}")
+                    for number in range(size) for each in CLASSES)
+    driver = Driver(replace(settings(gateways=1), classes=classes), size)
+    empty = resident()
+    listed = [_by_service(size, 1)]
+    first = took(lambda: driver.handle(listed.pop()))
+    held = resident() - empty
+    again = []
+    for version in range(2, 2 + REPEATS):
+        made = _by_service(size, version)
+        again.append(took(partial(driver.handle, made)))
+    changes = [took(partial(driver.handle, drain(1))) for _ in range(REPEATS_MOST)]
+    customers = local_customers(KNOWN, driver)
+    requests = [driver.serve(customers[number % KNOWN], number % len(classes)) for number in range(6000)]
+    beats = [took(driver.tick) for _ in range(REPEATS_MOST)]
+    return {
+        "memory": held, "list_first": first, "list": median(again), "change": median(changes),
+        "beat": median(beats) * SECOND / TICK, "arrival": median(requests[3000:]),
+    }
+
+
+def _by_service(size: int, version: int) -> Topology:
+    """The list of all their backends."""
+    entries = full_list(size * SERVICE, version).entries
+    told = tuple(replace(entry, service=number // SERVICE) for number, entry in enumerate(entries))
+    return Topology(ListKind.FULL, version, told)
+
+
 def line(size: int) -> Figures:
     """Discovery's whole list on the wire, and what its parsing costs."""
     hosts = [
@@ -252,8 +289,8 @@
     for customer in range(size):
         driver.ask(customer)
     broker = driver.broker
-    for account in broker.active.values():
-        account.in_flight.add(driver.now, 1.0)
+    for commitment in broker.active.values():
+        commitment.in_flight.add(driver.now, 1.0)
     broker.model.risen = True
     broker.model.times = [0.01 * SECOND * n for n in range(64)]
     driver.now += 3 * SECOND
@@ -292,7 +329,9 @@
 
 SUBJECTS: dict[str, Callable[[int], Figures]] = {
     subject.__name__: subject
-    for subject in (backends, candidates, line, plans, reservations, customers, pressed, members)
+    for subject in (
+        backends, candidates, services, line, plans, reservations, customers, pressed, members,
+    )
 }
 
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -272,7 +272,7 @@
             if step % 5 == 0:
                 g.handle(now, TimerFired(EVERY_TICK))
             request += 1
-        caps.append(sum(a.cap for a in g.quota.accounts.values()))
+        caps.append(sum(c.cap for c in g.commitments.values()))
     assert caps[1] < caps[0]
 
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -10,7 +10,8 @@
 from trackspread.decide.broker import Broker
 from trackspread.decide.interface import Arrival, FleetChanged, PeerMessage, Plan, Refuse, Tell
 from trackspread.decide.mail import Draw, Kind, pack_draw, pack_totals, unpack_draw
-from trackspread.decide.quota import RETURNING, SILENT, Quota, home_of
+from trackspread.decide.quota import RETURNING, SILENT, Quota
+from trackspread.decide.rendezvous import home_of
 from trackspread.decide.state import SECOND
 from trackspread.membership.slots import WHOLE, seat
 from trackspread.virtual.plain import plain_settings
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -194,10 +194,10 @@
     module.handle(now, full_list(*(backend(n) for n in range(4))))
     (sent,) = [a for a in module.handle(now, arrival(1, now)) if isinstance(a, Send)]
     module.handle(now, Begun(1, 5 * MS, 0, sent.backend))
-    account = module.quota.accounts[1]
-    assert (account.open, account.passing) == (1, 1)
+    commitment = module.commitments[1]
+    assert (commitment.open, commitment.passing) == (1, 1)
     module.handle(now + 3 * SECOND, AttemptEnded(1, True, 0, sent.backend, 0, Outcome.OK, 3 * SECOND, 0, ()))
-    assert (account.open, account.passing) == (0, 0)
+    assert (commitment.open, commitment.passing) == (0, 0)
     assert module.model.latency[0].value == 5 * MS
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -134,7 +134,7 @@
 
     model.response = counted  # type: ignore[method-assign]
     for customer in range(3):
-        gateway.quota.account(0, customer, 0).in_flight.add(0, 3.0)
+        gateway.commitment(0, gateway.quota.account(0, customer, 0)).in_flight.add(0, 3.0)
         gateway.handle(0, arrival(customer, 0, customer=customer, spread=1))
     assert 0 < asked < 1_000
     assert all(1 <= account.cap < 60 for account in list(gateway.active.values())[1:])
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -120,7 +120,7 @@
 
     async def test() -> None:
         async with world() as w:
-            module, backends = w.node.module, w.node.backends
+            module, backends = w.node.broker, w.node.backends
             endings = [served(b"v"), b"-ERR failed\r\n", b"-BUSY\r\n", b"*100000000\r\n", served(b"v") * 2,
                        b"", None, served(b"v")]
             for number, ending in enumerate(endings):
@@ -467,7 +467,7 @@
 
 
 def busy_requests(w: World) -> int:
-    return len(w.node.module.events)  # type: ignore[attr-defined]
+    return len(w.node.module.events)  # type: ignore[union-attr]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -10,7 +10,8 @@
 
 from trackspread.decide.broker import EVERY_TICK, FORGET_ONCE, Broker
 from trackspread.decide.interface import FleetChanged, Send, TimerFired
-from trackspread.decide.quota import OVER_PRICE, Quota, blind_chance
+from trackspread.decide.chance import blind_chance
+from trackspread.decide.quota import OVER_PRICE, Quota
 
 from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
 
@@ -98,7 +99,7 @@
 
 
 def test_a_request_with_nothing_to_go_by_is_let_through_the_less_the_more_it_may_cost() -> None:
-    chances = [blind_chance(cost) for cost in (0.0, 0.1, 0.5, 1.0, 2.0, 8.0)]
+    chances = [blind_chance(cost, OVER_PRICE) for cost in (0.0, 0.1, 0.5, 1.0, 2.0, 8.0)]
     assert chances[0] == 1.0 and chances == sorted(chances, reverse=True) and 0.2 < chances[-1] < 0.3
 
 
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -138,6 +138,21 @@
         return tuple(address(each, "configuration.replicas") for each in self.replicas)
 
 
+class Services(_Table, frozen=True):
+    """Several services behind one gateway, each with its own backends; off without classes. What belongs to
+    none of them is of the default service: it has an empty name, and every gateway carries it."""
+
+    classes: dict[str, tuple[str, ...]] = {}  # by service: the classes of request that are of it
+    carries: tuple[str, ...] = ()  # services whose requests this gateway takes; empty: all that are named
+
+    def carried(self) -> tuple[str, ...]:
+        """The default service first, then the others in the order of the file."""
+        return ("", *(self.carries or self.classes)) if self.classes else ()
+
+    def service_of(self, cls: str) -> str:
+        return next((name for name, classes in self.classes.items() if cls in classes), "")
+
+
 class Log(_Table, frozen=True):
     """The log, on standard error."""
 
@@ -158,6 +173,7 @@
     counter: Counter = Counter()
     fleet: Fleet = Fleet()
     configuration: Configuration = Configuration()
+    services: Services = Services()
     log: Log = Log()
 
     def addresses(self) -> tuple[Address, ...]:
@@ -197,6 +213,7 @@
     _check_counter(made.counter, name)
     _check_fleet(made.fleet, name)
     _check_configuration(made, name)
+    _check_services(made.services, name)
     seen: set[Address] = set()
     for number, listener in enumerate(made.listeners):
         key = f"listeners[{number}].address"
@@ -342,6 +359,33 @@
                               "configuration.replicas")
 
 
+CARRIED_MOST = 256  # services at one gateway: each has a table of commitments and a model of its own
+
+
+def _check_services(services: Services, name: str) -> None:
+    owner: dict[str, str] = {}
+    for service, classes in services.classes.items():
+        key = f"services.classes.{service}"
+        if not service:
+            raise ConfigError(f"{name}: services.classes: found one without a name, wanted a name")
+        if not classes:
+            raise ConfigError(f"{name}: {key}: found nothing, wanted classes of request")
+        for cls in classes:
+            if cls in owner:
+                raise ConfigError(f"{name}: {key}: found {cls!r}, which is of {owner[cls]!r}, wanted each "
+                                  "class in one service")
+            owner[cls] = service
+    for number, service in enumerate(services.carries):
+        if service not in services.classes:
+            raise ConfigError(f"{name}: services.carries[{number}]: found {service!r}, wanted one of "
+                              "services.classes")
+    if len(set(services.carries)) < len(services.carries):
+        raise ConfigError(f"{name}: services.carries: found one twice, wanted once each")
+    if len(services.carried()) > CARRIED_MOST:
+        raise ConfigError(f"{name}: services.carries: found {len(services.carried()) - 1} services, wanted "
+                          f"{CARRIED_MOST - 1} at most")
+
+
 def _plain(error: Exception) -> str:
     return (error.strerror if isinstance(error, OSError) else None) or "not UTF-8 text"
 
--- a/trackspread/counter/report.py
+++ b/trackspread/counter/report.py
@@ -54,8 +54,9 @@
     others: tuple[Other, ...] = ()
 
 
-def report(now: int, manager: LeaseManager, member: int, account: Account | None) -> Report:
-    """`account`: the module's, filled until now; None where no request of the member came here."""
+def report(now: int, manager: LeaseManager, member: int, account: Account | None, cap: int) -> Report:
+    """`account`: the module's, filled until now; None where no request of the member came here. `cap`: on the
+    member's requests in flight."""
     partition = partition_of(member, manager.partitions)
     detector = manager.parts[partition].detector
     detector.look(now)
@@ -77,7 +78,7 @@
             made, soft=account.soft, hard=account.hard, plan=plan.name, level=account.level,
             burst=plan.burst * account.soft, rate=plan.rate * account.soft, ceiling=account.ceiling,
             ceiling_burst=plan.ceiling_burst * account.hard, open=account.open,
-            open_most=int(plan.open_limit * account.places + 1e-6), cap=account.cap,
+            open_most=int(plan.open_limit * account.places + 1e-6), cap=cap,
             refused_for=account.refused_for,
         )
     return made
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -20,10 +20,11 @@
 )
 from .mail import Kind, is_draw
 from .model import TARGET, TICK, QueueModel, seven_cases
-from .quota import EVALUATE_EVERY, FRESH, OPEN, Quota
-from .state import LONG, MEMORY, SECOND, Account, Mean, Open
+from .quota import FRESH, OPEN, Quota
+from .state import LONG, MEMORY, SECOND, Account, Commitment, Mean, Open
 
 # Tuned values: unit and reason behind each; times are chosen against aims of the order of a second.
+EVALUATE_EVERY = 2 * SECOND  # a commitment's cap is looked at anew; long enough for a fit, short for a burst
 IDLE = 10 * SECOND  # a commitment without requests ends; outlasts the lulls of a steady customer
 FORGET = 120 * SECOND  # an idle customer's bucket is dropped, long since full: memory must not grow for ever
 FORGET_ONCE = 20 * SECOND  # the same for one that hardly came: most such never come again
@@ -42,20 +43,22 @@
 
 
 class Broker:
-    """One gateway's decisions: hand it every event in order and carry out the actions it returns."""
+    """One gateway's decisions: hand it every event in order and carry out the actions it returns. `quota`:
+    where several brokers, each for a service of its own, keep the same customers' quotas."""
 
-    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+    def __init__(self, settings: Settings, seed: int, now: int, quota: Quota | None = None) -> None:
         self.s, self.rng, self.model = settings, random.Random(seed), QueueModel(settings)
-        self.quota = Quota(settings, seed, now, self.rng)
+        self.quota = quota or Quota(settings, seed, now, self.rng)
         self.fleet = Fleet(settings, self.rng)
         self.open: dict[int, Open] = {}
         self.held: dict[int, Open] = {}  # waiting for a home's or the counter's answer, by the ask's number
-        self.active: dict[int, Account] = {}  # the table of commitments
+        self.commitments: dict[int, Commitment] = {}  # by customer, for as long as its account
+        self.active: dict[int, Commitment] = {}  # those that have a cap
         self.attempts: dict[tuple[int, int], Open] = {}
         self.out, self.lost, self.retries = 0, 0, RETRY_BURST
         self.arrivals: dict[tuple[int, int], Mean] = {}
         self.started, self.retired = False, False
-        self.told_at, self.swept, self.logged = now, now, now - LONG
+        self.swept, self.logged = now, now - LONG
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take in one event; the actions take effect at `now`."""
@@ -75,15 +78,16 @@
                 if event.kind is ListKind.FAILED:
                     actions.append(SetTimer(SECOND, RETRY_LIST))
             case PlansChanged():
-                actions.append(self._replan(now, event))
+                self.quota.replan(now, event)
+                actions.append(self.replan(now))
             case ClassesChanged():
                 actions.append(self._reclass(event))
             case FleetChanged():
                 self.quota.joined(now, event)
-                self.s = self.fleet.s = replace(self.s, gateways=1 + len(event.others))
+                self.joined(event)
             case RightsChanged():
                 self.quota.entitle(now, event)
-                actions += self._entitled(now, event.customer)
+                actions += self.entitled(now, event.customer)
             case ClientLeft():
                 self.open.pop(event.request, None)
             case TimerFired(token):
@@ -91,16 +95,11 @@
             case PeerMessage() if self.quota.gossip and not is_draw(event.data):
                 self.quota.heard(now, event)
             case PeerMessage():
-                actions += self._decided(now, *self.quota.drawn(now, event))
+                actions += self.decided(now, *self.quota.drawn(now, event))
             case Counted():
-                actions += self._decided(now, *self.quota.counted(now, event))
+                actions += self.decided(now, *self.quota.counted(now, event))
         return actions
 
-    def excluded(self, now: int) -> int:
-        """Listed backends that get nothing now, for people."""
-        servers = self.fleet.servers.values()
-        return sum(s.listed and (not s.usable or now < s.suspended) for s in servers)
-
     def _tick(self, now: int) -> list[Action]:
         actions: list[Action] = [SetTimer(TICK, EVERY_TICK), *self._overdue(now)]
         usual = [LOST * latency.value for latency in self.model.latency]
@@ -113,22 +112,26 @@
         self.model.fit(now, self.out - self.lost, outstanding)
         self.fleet.count(now)
         self._evaluate_all(now)
-        if self.quota.gossip and not self.retired and now - self.told_at >= self.quota.every - TICK // 2:
-            self.told_at = now
-            actions.append(Tell(None, self.quota.message(now)))
+        quota = self.quota
+        if quota.gossip and not self.retired and now - quota.told_at >= max(1, quota.every - TICK // 2):
+            quota.told_at = now
+            actions.append(Tell(None, quota.message(now)))
         pressed = self.model.limit is not None and self.out >= CHEAPEST * self.model.limit
         if pressed and now - self.logged >= LONG:
             self.logged = now
             actions.append(LogLine(f"pressed: in flight {self.out}, limit {self.model.limit}"))
         return actions
 
-    def _replan(self, now: int, event: PlansChanged) -> LogLine:
+    def joined(self, event: FleetChanged) -> None:
+        """The fleet has another size."""
+        self.s = self.fleet.s = replace(self.s, gateways=1 + len(event.others))
+
+    def replan(self, now: int) -> LogLine:
         """Commitments are solved anew beside one another, least worth first; what does not fit is told."""
-        self.quota.replan(now, event)
-        solved = sorted(self.active.values(), key=lambda a: (a.worth, a.customer))
-        for account in solved:
-            self._evaluate(now, account)
-        less = sum(a.cap < self._wanted(now, a)[0] for a in solved)
+        solved = sorted(self.active.values(), key=lambda c: (c.worth, c.account.customer))
+        for commitment in solved:
+            self._evaluate(now, commitment)
+        less = sum(c.cap < self._wanted(now, c)[0] for c in solved)
         return LogLine(f"plans changed: of {len(solved)} commitments {less} now have less than they ask")
 
     def retire(self, now: int) -> list[Action]:
@@ -156,18 +159,20 @@
 
     def _evaluate_all(self, now: int) -> None:
         """Evaluate whoever is due, least worth first, so that cuts fall on the cheap before the dear."""
-        for account in list(self.active.values()):
-            account.in_flight.add(now, account.open)
-            if now - account.last > IDLE and not account.open:
-                account.cap = 0  # the commitment ends; the bucket stays, as the quota does
-                del self.active[account.customer]
-        due = [a for a in self.active.values() if now - a.evaluated >= EVALUATE_EVERY]
-        for account in sorted(due, key=lambda a: (a.worth, a.customer)):
-            self._evaluate(now, account)
+        for commitment in list(self.active.values()):
+            commitment.in_flight.add(now, commitment.open)
+            if now - commitment.last > IDLE and not commitment.open:
+                commitment.cap = 0  # the commitment ends; the bucket stays, as the quota does
+                del self.active[commitment.account.customer]
+        due = [c for c in self.active.values() if now - c.evaluated >= EVALUATE_EVERY]
+        for commitment in sorted(due, key=lambda c: (c.worth, c.account.customer)):
+            self._evaluate(now, commitment)
         if now - self.swept >= IDLE:
             self.swept, known = now, self.quota.accounts
             self.quota.calls = {name: calls for name, calls in self.quota.calls.items() if calls}
-            self.quota.accounts = {c: a for c, a in known.items() if a.open or now - a.last <= self._keep(a)}
+            kept = {c: a for c, a in known.items() if a.open or now - a.last <= self._keep(a)}
+            self.quota.accounts = kept
+            self.commitments = {c: m for c, m in self.commitments.items() if kept.get(c) is m.account}
 
     def _keep(self, account: Account) -> int:
         """How long a customer's account outlasts its last request; the store must be full by then."""
@@ -178,35 +183,44 @@
         once = max(FORGET_ONCE, int(SECOND * max(full)))
         return min(FORGET, once) if account.sent <= ONCE and not account.heard else FORGET
 
-    def _wanted(self, now: int, account: Account) -> tuple[int, float]:
+    def _wanted(self, now: int, commitment: Commitment) -> tuple[int, float]:
         """Nreq and XMIN: quota slice x aim plus a slice of the burst, or else the places; two at least."""
-        part = self.quota.share(now, account) / (account.demand.value or 1.0)
+        account, demand = commitment.account, commitment.demand
+        part = self.quota.share(now, account) / (demand.value or 1.0)
         rate, burst = account.plan.rate * part, account.plan.burst * part
         places = account.plan.open_limit * (not account.plan.rate)
-        return max(2, places, ceil(rate * account.aim / SECOND + burst)), min(rate, account.demand.rate(now))
+        return max(2, places, ceil(rate * commitment.aim / SECOND + burst)), min(rate, demand.rate(now))
 
-    def _evaluate(self, now: int, account: Account) -> None:
-        account.evaluated, self.active[account.customer] = now, account
-        wanted, least = self._wanted(now, account)
+    def _evaluate(self, now: int, commitment: Commitment) -> None:
+        commitment.evaluated, self.active[commitment.account.customer] = now, commitment
+        wanted, least = self._wanted(now, commitment)
         if not self.model.risen:
-            account.cap = wanted
+            commitment.cap = wanted
             return
-        busy = [a for a in self.active.values() if a is not account and a.in_flight.value > 0.05]
-        others = sum(a.in_flight.value if a.cap > 1 else min(1.0, a.in_flight.value) for a in busy)
-        room = min((a.room for a in busy), default=account.room)
-        spans = (a.cap * SECOND / max(self._wanted(now, a)[1], 1e-3) for a in busy if a.cap > 1)
+        busy = [c for c in self.active.values() if c is not commitment and c.in_flight.value > 0.05]
+        others = sum(c.in_flight.value if c.cap > 1 else min(1.0, c.in_flight.value) for c in busy)
+        room = min((c.room for c in busy), default=commitment.room)
+        spans = (c.cap * SECOND / max(self._wanted(now, c)[1], 1e-3) for c in busy if c.cap > 1)
         slowest = min(spans, default=float("inf"))
 
         def wait(n: int) -> float:
             return self.model.response(others + n) - self.model.delay
 
         offered = seven_cases(
-            max(wanted, ceil(account.in_flight.value)), len(self.model.times),
-            lambda n: wait(n) <= account.room,
+            max(wanted, ceil(commitment.in_flight.value)), len(self.model.times),
+            lambda n: wait(n) <= commitment.room,
             lambda n: n * SECOND >= least * (self.model.delay + wait(n)),
             lambda n: wait(n) <= room and self.model.delay + wait(n) <= slowest,
         )
-        account.cap = max(1, offered)
+        commitment.cap = max(1, offered)
+
+    def commitment(self, now: int, account: Account) -> Commitment:
+        """The customer's here, made where there is none."""
+        found = self.commitments.get(account.customer)
+        if found is None or found.account is not account:
+            found = Commitment(account, now, -EVALUATE_EVERY, Mean(MEMORY), Mean(MEMORY))
+            self.commitments[account.customer] = found
+        return found
 
     # The life of a request.
 
@@ -214,23 +228,24 @@
         if self.retired:
             return [self._refusal(a)]
         account = self.quota.account(now, a.customer, a.plan, a.spread, a.first)
-        account.last, cls = now, self.s.classes[a.cls]
-        account.demand.add(now, a.units)
-        account.seen.add(now, a.units)
+        commitment, cls = self.commitment(now, account), self.s.classes[a.cls]
+        account.last = commitment.last = now
+        for mean in (account.demand, account.seen, commitment.demand):
+            mean.add(now, a.units)
         density = cls.worth * account.plan.price * a.units / max(1.0, self.model.shortest[a.cls])
-        account.worth += 0.2 * (density - account.worth)
+        commitment.worth += 0.2 * (density - commitment.worth)
         self.arrivals.setdefault((a.cls, a.plan), Mean(MEMORY)).add(now, density)
         room = TARGET * self.model.room(a.cls)
-        account.room = min(account.room, room) * 1.01 if account.room else room
-        account.aim = max(account.aim, cls.aim)
-        if not account.cap:
-            self._evaluate(now, account)
+        commitment.room = min(commitment.room, room) * 1.01 if commitment.room else room
+        commitment.aim = max(commitment.aim, cls.aim)
+        if not commitment.cap:
+            self._evaluate(now, commitment)
         self.quota.refill(now, account)
-        full = account.open - account.passing >= account.cap
+        full = commitment.open - commitment.passing >= commitment.cap
         if full or self._over_limit(now, density):
             account.refused_for = "cap" if full else "pressure"
             return [self._refusal(a)]
-        return self._within_quota(now, Open(a, account, self.s.max_attempts))
+        return self._within_quota(now, Open(a, commitment, self.s.max_attempts))
 
     def _within_quota(self, now: int, request: Open) -> list[Action]:
         """Decide by the store kept here, or ask whoever keeps it and hold the request a moment."""
@@ -265,7 +280,7 @@
         self.held[tag] = self.open[a.request] = request
         return [action]
 
-    def _entitled(self, now: int, customer: int) -> list[Action]:
+    def entitled(self, now: int, customer: int) -> list[Action]:
         """What was held for want of rights is decided with those that are kept here now."""
         tags = [tag for tag, request in self.held.items() if request.account.customer == customer]
         held = [self.held.pop(tag) for tag in tags]
@@ -290,7 +305,7 @@
         request.taken = account.taken_since(request.before)
         return [send, self.quota.ask(now, account, a.units, Kind.TAKE)[1]] if tell else [send]
 
-    def _decided(self, now: int, tag: int, granted: bool | None, more: list[Action]) -> list[Action]:
+    def decided(self, now: int, tag: int, granted: bool | None, more: list[Action]) -> list[Action]:
         """A held request goes on, or is refused; without an answer this gateway decides alone."""
         request = self.held.pop(tag, None)
         if request is None:
@@ -312,9 +327,9 @@
 
     def _overdue(self, now: int) -> list[Action]:
         overdue = [tag for tag, request in self.held.items() if now - request.asked_at >= HOLD]
-        actions = [action for tag in overdue for action in self._decided(now, tag, None, [])]
+        actions = [action for tag in overdue for action in self.decided(now, tag, None, [])]
         # Places still counted though nobody holds them are told again, or customers would be shut out.
-        late = [a for a in self.active.values() if a.owed <= -OPEN / 2]
+        late = [c.account for c in self.active.values() if c.account.owed <= -OPEN / 2]
         return actions + [self.quota.call(now, a, 0.0) for a in late if self.rng.random() < self.quota.pace]
 
     def _over_limit(self, now: int, density: float) -> bool:
@@ -351,11 +366,16 @@
             request.keyed_at, request.keyed_by = now, server.entry
         request.sends, request.out, request.sent_at = request.sends + 1, request.out + 1, now
         self.out += 1
-        self.quota.opened(request.account, 1)
+        self.opened(request, 1)
         cls, repeated = self.s.classes[a.cls], request.may_have_run
         until = request.keyed_at + cls.window if repeated and cls.repeat is Repeat.KEYED else 0
         return Send(a.request, server.entry.id, self._patience(now, request), until)
 
+    def opened(self, request: Open, change: int) -> None:
+        """So many attempts more of the request's customer are out."""
+        request.commitment.open += change
+        self.quota.opened(request.account, change)
+
     def _patience(self, now: int, request: Open) -> int:
         """Time-out of an attempt, or 0: guards against lost answers, hung backends, classes left unanswered,
         where some were seen of late and another try is allowed; it would harm where all are slow."""
@@ -382,11 +402,11 @@
             return []
         account, cls = request.account, request.arrival.cls
         request.out, self.out = request.out - 1, self.out - 1
-        self.quota.opened(account, -1)
+        self.opened(request, -1)
         if event.used:
             account.granted.add(now, min(1.0, max(0.0, 0.5 + (1.01 - event.used / 100) / METER_SPAN)))
         if request.began:
-            account.passing -= 1
+            request.commitment.passing -= 1
             event = replace(event, elapsed=request.began)
         if event.outcome is Outcome.OK:
             self.model.latency[cls].add(now, event.elapsed)
@@ -408,7 +428,7 @@
         """A long value is being passed on: no other attempt may follow, and its time was that of its first
         byte; how long the rest takes is up to whoever reads it."""
         if (request := self.attempts.get((event.request, event.attempt))) is not None:
-            request.account.passing += not request.began
+            request.commitment.passing += not request.began
             request.most, request.began = 0, max(1, event.elapsed)
 
     def _try_again(self, now: int, request: Open) -> list[Action]:
--- a/trackspread/decide/carried.py
+++ b/trackspread/decide/carried.py
@@ -10,14 +10,15 @@
 from typing import TYPE_CHECKING, Any
 
 from .interface import Arrival
-from .state import Account, Mean, Open, Server
+from .state import Account, Commitment, Mean, Open, Server
 
 if TYPE_CHECKING:
     from .broker import Broker
 
 Plain = dict[str, Any]
-VERSION = 6  # of the portrait: raised with every change of what it holds: old and new program may differ
+VERSION = 7  # of the portrait: raised with every change of what it holds: old and new program may differ
 _NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed", "keeps", "taking", "tellers", "asking"})
+_COMMITMENT = ("last", "evaluated", "in_flight", "demand", "cap", "worth", "room", "aim")
 _SERVER = ("slow", "pause", "fails", "suspended", "tokens", "tokens_at", "turn")  # the rest is the list's
 
 
@@ -43,7 +44,7 @@
     quota, fleet, model = module.quota, module.fleet, module.model
     plans = [plan.name for plan in module.s.plans]
     accounts = [
-        {"_plan": plans[a.index], "_active": a.customer in module.active}
+        {"_plan": plans[a.index], "_commitment": _commitment(module, a)}
         | {f.name: _plain(getattr(a, f.name)) for f in fields(Account) if f.name not in _NOT_ACCOUNT}
         for a in quota.accounts.values()
     ]
@@ -62,7 +63,7 @@
         "version": VERSION,
         "classes": [[name, _mean(model.latency[n]), model.shortest[n], _mean(fleet.silence[n])]
                     for n, name in enumerate(names) if n in model.named],
-        "in_flight": _mean(model.in_flight), "retries": module.retries, "told_at": module.told_at,
+        "in_flight": _mean(model.in_flight), "retries": module.retries, "told_at": quota.told_at,
         "me": quota.me, "born": quota.born, "tag": quota.tag, "pace": quota.pace,
         "restarted": quota.restarted, "peers": [[p, *word] for p, word in quota.peers.items()],
         "granted": [[plans[n], _mean(m)] for n, m in enumerate(quota.granted)],
@@ -86,7 +87,7 @@
     quota.me, quota.born, quota.tag = told["me"], told["born"], told["tag"]
     quota.pace, quota.restarted = told["pace"], told["restarted"]
     quota.peers = {peer: (incarnation, heard, age) for peer, incarnation, heard, age in told["peers"]}
-    module.retries, module.told_at = told["retries"], told["told_at"]
+    module.retries, quota.told_at = told["retries"], told["told_at"]
     for name, mean in told["granted"]:
         if name in plans:
             quota.granted[plans[name]] = _to_mean(mean)
@@ -111,19 +112,33 @@
     quota = module.quota
     customer = told["customer"]
     values = {name: value for name, value in told.items() if not name.startswith("_")}
-    for name in ("in_flight", "demand", "granted", "seen"):
+    for name in ("demand", "granted", "seen"):
         values[name] = _to_mean(values[name])
     values["heard"] = {int(p): int(sent) for p, sent in values["heard"]}
     values["asked"] = {int(p): int(at) for p, at in values["asked"]}
     values["given"] = {int(p): (float(word[0]), int(word[1])) for p, word in values["given"]}
     values["out"] = {int(p): (int(word[0]), int(word[1])) for p, word in values["out"]}
     values["peers"] = tuple(values["peers"])
-    values["open"] = values["passing"] = 0  # those that are out are told one by one
+    values["open"] = 0  # those that are out are told one by one
     account = Account(plan=quota.figures(customer, index), index=index,
                       home=customer % module.s.gateways, **values)
     quota.accounts[customer] = account
-    if told["_active"]:
-        module.active[customer] = account
+    if told["_commitment"] is None:
+        return
+    commitment = module.commitment(module.quota.told_at, account)
+    for name in _COMMITMENT:
+        value = told["_commitment"][name]
+        setattr(commitment, name, _to_mean(value) if name in ("in_flight", "demand") else value)
+    if commitment.cap:
+        module.active[customer] = commitment
+
+
+def _commitment(module: Broker, account: Account) -> Plain | None:
+    """What is known of the customer's requests beside its stores; None where none came here."""
+    commitment: Commitment | None = module.commitments.get(account.customer)
+    if commitment is None or commitment.account is not account:
+        return None
+    return {name: _plain(getattr(commitment, name)) for name in _COMMITMENT}
 
 
 def _server(server: Server, told: Plain, classes: dict[str, int], plans: dict[str, int]) -> None:
@@ -143,10 +158,12 @@
     if plan not in plans or cls not in number_of:
         return
     arrival = Arrival(number, number_of[cls], plans.index(plan), customer, 0, units, 0, 0, 0)
-    account = module.quota.account(module.told_at, customer, arrival.plan)
+    now = module.quota.told_at
+    account = module.quota.account(now, customer, arrival.plan)
     placed = module.quota.asks(account)  # its end is told to the home, as by whoever sent it
-    module.attempts[number, attempt] = Open(arrival, account, 1, sends=1, out=1, placed=placed)
-    module.quota.opened(account, 1)
+    request = Open(arrival, module.commitment(now, account), 1, sends=1, out=1, placed=placed)
+    module.attempts[number, attempt] = request
+    module.opened(request, 1)
     module.out += 1
     if (server := module.fleet.servers.get(backend)) is not None:
         server.out += 1
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -133,6 +133,7 @@
     health: Health
     weight: float
     booted: int
+    service: int = 0  # an index into those that the gateway carries
 
 
 @dataclass(frozen=True, slots=True)
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -9,22 +9,20 @@
 import random
 from collections import deque
 from dataclasses import replace
-from functools import lru_cache
-from math import ceil, exp
-
-import xxhash
+from math import ceil
 
+from .chance import blind_chance
 from .interface import (
     Action, AddToCounter, Counted, FleetChanged, Outcome, PeerMessage, Plan, PlansChanged, RightsChanged,
     Settings, Tell,
 )
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
+from .rendezvous import home_of
 from .state import LONG, MEMORY, SECOND, Account, Mean, carried
 
 Word = tuple[int, bool | None, list[Action]]  # number of the ask answered, the answer, what to send
 
 # Tuned values: unit and reason behind each; times are chosen against aims of the order of a second.
-EVALUATE_EVERY = 2 * SECOND  # a commitment's cap is looked at anew; long enough for a fit, short for a burst
 OVERTAKEN = 50  # tenths of a second by which word of a peer may be overtaken by newer word on its way
 FRESH = 1 * SECOND  # word of others' use counts in full until this old ...
 SILENT = 3 * SECOND  # ... and not at all from here on: their even slices are theirs again
@@ -45,25 +43,6 @@
 PEERS_MOST = 512  # peers whose last word is kept; the longest silent make room
 
 
-@lru_cache(maxsize=64)
-def blind_chance(cost: float) -> float:
-    """By which a request of a customer of whom nothing is known may be let through, so that what goes beyond
-    quotas costs `OVER_PRICE` of what is asked inside them, if customers ask for their quotas on average, some
-    for little and a few for much more (exponentially). `cost`: of a unit beyond, in its worth."""
-    low, high = 0.0, 1.0
-    for _ in range(20):
-        chance = (low + high) / 2
-        beyond = chance * exp(-1.0 / chance) / (1.0 - exp(-1.0))
-        low, high = (low, chance) if beyond * cost > OVER_PRICE else (chance, high)
-    return high
-
-
-def home_of(customer: int, homes: tuple[int, ...]) -> int:
-    """Rendezvous: whoever comes takes its part of the customers from all, whoever goes leaves its to all."""
-    seed = customer & 0xFFFFFFFFFFFFFFFF
-    return max(homes, key=lambda number: xxhash.xxh64_intdigest(number.to_bytes(8), seed))
-
-
 class Quota:
     """The companion bucket, limits on open attempts and ceilings, over all gateways: where word of all peers
     is fresh each keeps the store; else one home for each customer does, or the counter."""
@@ -85,6 +64,7 @@
         self.granted = [Mean(LONG) for _ in settings.plans]
         self.calls: dict[int, deque[tuple[int, float, bool, float]]] = {}  # ask, amount, fix, owed
         self.tag, self.pace, self.restarted, self.lack_at = 0, 1.0, False, now
+        self.told_at = now  # when peers were last told
 
     def _regime(self, room: float) -> None:
         """Whether all tell all of all use, or customers have homes. `room`: over the usual bound."""
@@ -169,8 +149,7 @@
             # A restarted home knows no store: half of it errs as little either way.
             unknown = self.homes and (self.restarted or self.moved)
             level = plan.burst * (0.5 if unknown else not self.rights)
-            times = now, now, -EVALUATE_EVERY, -SILENT, -SILENT
-            means = Mean(MEMORY), Mean(MEMORY), Mean(3 * LONG), Mean(LONG)
+            times, means = (now, now, -SILENT, -SILENT), (Mean(MEMORY), Mean(3 * LONG), Mean(LONG))
             account = Account(customer, plan, index, customer % n, level, *times, *means)
             if self.homes and self.at_home(account):
                 pooled = plan.ceiling_slack * POOLED + self._spared(plan)
@@ -219,11 +198,6 @@
         account.level = max(-plan.burst, min(plan.burst, level) - taken)
         account.ceiling = min(plan.ceiling_burst * event.hard, account.ceiling)
 
-    def kept(self, customer: int) -> tuple[float, float]:
-        """Units of the quota spent here so far, and in its store: what others are to be told."""
-        account = self.accounts.get(customer)
-        return (account.sent / 4, account.level) if account is not None else (0.0, 0.0)
-
     def replan(self, now: int, event: PlansChanged) -> None:
         """Other figures from now on, in every store that is kept here."""
         self.s = replace(self.s, plans=event.plans)
@@ -440,7 +414,7 @@
         limited, owed = plan.rate or plan.open_limit or plan.ceiling_rate, units - account.part
         largest = max(self.s.largest, units)
         paid = (plan.burst + plan.rate * span) * self.even(now, account) / largest
-        chance = blind_chance(plan.over_cost) * (1.0 + paid) if plan.rate else 1.0
+        chance = blind_chance(plan.over_cost, OVER_PRICE) * (1.0 + paid) if plan.rate else 1.0
         chance *= UNTOLD if plan.open_limit else 1.0
         lucky = not limited or owed <= 0.0 or (owed <= largest and self.rng.random() < chance)
         if not lucky or not self.may(now, account, units):
--- /dev/null
+++ b/trackspread/decide/services.py
@@ -0,0 +1,210 @@
+"""Several services behind one gateway: a broker for each, and one set of quotas for all of them.
+
+The operator says which class of request is of which service, and discovery of which a backend is; nothing is
+decided here. A broker knows the classes, backends, commitments and requests of its service alone: what a
+request costs grows with its service's backends, and a service whose backends are slow or gone turns away no
+other service's requests. Quotas, ceilings and limits on open attempts are a customer's, whatever service it
+asks for: the brokers share one `Quota`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import replace
+
+from .broker import Broker
+from .interface import (
+    Action, Arrival, AttemptEnded, Backend, Begun, ClassesChanged, ClientLeft, Counted, Event, FleetChanged,
+    Health, ListKind, LogLine, PeerMessage, PlansChanged, Probed, Refuse, RequestClass, RightsChanged,
+    SetTimer, Settings, TimerFired, Topology, Watch,
+)
+from .mail import is_draw
+
+ServiceOf = Callable[[RequestClass], str]
+NOWHERE = -1  # the place of a class whose service this gateway does not carry
+_START = Topology(ListKind.DELTA, 0, ())  # an event that changes nothing
+
+
+class ClassTable:
+    """Where each class of the settings stands: at which broker, and under which number there."""
+
+    def __init__(
+        self, classes: Sequence[RequestClass], carried: Sequence[str], service_of: ServiceOf
+    ) -> None:
+        place = {name: number for number, name in enumerate(carried)}
+        self.brokers = [place.get(service_of(each), NOWHERE) for each in classes]
+        self.numbers: list[int] = []  # by the settings' number, the one at its broker
+        self.of: list[list[int]] = [[] for _ in carried]  # by broker, the settings' numbers of its classes
+        for number, broker in enumerate(self.brokers):
+            self.numbers.append(len(self.of[broker]) if broker != NOWHERE else NOWHERE)
+            if broker != NOWHERE:
+                self.of[broker].append(number)
+
+    def changed(self, broker: int, event: ClassesChanged, old: ClassTable) -> ClassesChanged:
+        """The event as the broker is to be told of it, by its own numbers. A class that comes from another
+        service begins anew."""
+        mine = self.of[broker]
+        heirs = [event.heirs[number] for number in mine]
+        return ClassesChanged(
+            tuple(event.classes[number] for number in mine),
+            frozenset(self.numbers[number] for number in mine if number in event.named),
+            tuple(old.numbers[h] if h >= 0 and old.brokers[h] == broker else NOWHERE for h in heirs),
+            event.max_attempts,
+        )
+
+
+class ServiceBrokers:
+    """The brokers of the services that this gateway carries; takes events and gives actions as one broker.
+
+    A backend's `service` is an index into `carried`. A request of a class whose service is not carried is
+    refused: another gateway carries it."""
+
+    def __init__(
+        self, settings: Settings, seed: int, now: int, carried: Sequence[str], service_of: ServiceOf
+    ) -> None:
+        self.s, self.carried, self._service_of = settings, tuple(carried), service_of
+        self._table = ClassTable(settings.classes, self.carried, service_of)
+        first = Broker(self._of_service(0), seed, now)
+        self.quota = first.quota
+        others = [Broker(self._of_service(place), seed + place, now, self.quota)
+                  for place in range(1, len(self.carried))]
+        self.brokers = [first, *others]
+        self._backends: dict[int, int] = {}  # the service that each listed backend was last told to be of
+        self._started = False
+
+    def _of_service(self, place: int) -> Settings:
+        return replace(self.s, classes=tuple(self.s.classes[number] for number in self._table.of[place]))
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take in one event; the actions take effect at `now`."""
+        actions: list[Action] = []
+        if not self._started:
+            self._started = True
+            actions += [action for broker in self.brokers for action in broker.handle(now, _START)]
+        return list(_once([*actions, *self._actions(now, event)]))
+
+    def _actions(self, now: int, event: Event) -> Iterable[Action]:
+        match event:
+            case Arrival():
+                return self._arrived(now, event)
+            case AttemptEnded() | Begun():
+                return self._of_attempt(now, event)
+            case ClientLeft():
+                return [action for broker in self.brokers if event.request in broker.open
+                        for action in broker.handle(now, event)]
+            case Topology():
+                return self._listed(now, event)
+            case ClassesChanged():
+                return self._reclassed(now, event)
+            case PlansChanged() | FleetChanged() | RightsChanged() | PeerMessage() | Counted():
+                return self._of_quota(now, event)
+            case TimerFired() | Probed():
+                return [action for broker in self.brokers for action in broker.handle(now, event)]
+
+    # Requests.
+
+    def _arrived(self, now: int, event: Arrival) -> Iterable[Action]:
+        place = self._table.brokers[event.cls]
+        if place == NOWHERE:
+            return [Refuse(event.request, 0)]
+        return self.brokers[place].handle(now, replace(event, cls=self._table.numbers[event.cls]))
+
+    def _of_attempt(self, now: int, event: AttemptEnded | Begun) -> Iterable[Action]:
+        """Attempts are numbered over all services: just one broker has it, or none any more."""
+        key = event.request, event.attempt
+        return [action for broker in self.brokers if key in broker.attempts
+                for action in broker.handle(now, event)]
+
+    # Backends and classes.
+
+    def _listed(self, now: int, event: Topology) -> Iterable[Action]:
+        """Each broker hears of its own backends; that which a backend leaves for another, of its end."""
+        whole = event.kind in (ListKind.FULL, ListKind.CACHED)
+        entries: list[list[Backend]] = [[] for _ in self.brokers]
+        before, here = self._backends, {} if whole else self._backends
+        for entry in event.entries:
+            place = before.get(entry.id, entry.service)
+            if place != entry.service and not whole and entry.health is not Health.GONE:
+                entries[place].append(replace(entry, health=Health.GONE))
+            if entry.health is Health.GONE:
+                here.pop(entry.id, None)
+                entries[place].append(entry)
+            else:
+                here[entry.id] = entry.service
+                entries[entry.service].append(entry)
+        self._backends = here
+        concerned = [n for n, mine in enumerate(entries) if mine or whole or event.kind is ListKind.FAILED]
+        return [action for n in concerned
+                for action in self.brokers[n].handle(now, replace(event, entries=tuple(entries[n])))]
+
+    def _reclassed(self, now: int, event: ClassesChanged) -> Iterable[Action]:
+        old = self._table
+        self.s = replace(self.s, classes=event.classes, max_attempts=event.max_attempts)
+        self._table = ClassTable(event.classes, self.carried, self._service_of)
+        for place, broker in enumerate(self.brokers):
+            told = self._table.changed(place, event, old)
+            yield from self._named(place, broker.handle(now, told))
+
+    # What all services share.
+
+    def _of_quota(
+        self, now: int, event: PlansChanged | FleetChanged | RightsChanged | PeerMessage | Counted
+    ) -> Iterable[Action]:
+        """Taken in once, then told to each broker."""
+        match event:
+            case PlansChanged():
+                self.quota.replan(now, event)
+                for place, broker in enumerate(self.brokers):
+                    yield from self._named(place, [broker.replan(now)])
+            case FleetChanged():
+                self.quota.joined(now, event)
+                for broker in self.brokers:
+                    broker.joined(event)
+            case RightsChanged():
+                self.quota.entitle(now, event)
+                for broker in self.brokers:
+                    yield from broker.entitled(now, event.customer)
+            case PeerMessage() if self.quota.gossip and not is_draw(event.data):
+                self.quota.heard(now, event)
+            case PeerMessage():
+                yield from self._answered(now, *self.quota.drawn(now, event))
+            case Counted():
+                yield from self._answered(now, *self.quota.counted(now, event))
+
+    def _answered(self, now: int, ask: int, granted: bool | None, more: list[Action]) -> Iterator[Action]:
+        """An answer goes to the broker that holds a request for it; `more` is to be sent anyway."""
+        asked = next((broker for broker in self.brokers if ask in broker.held), self.brokers[0])
+        yield from asked.decided(now, ask, granted, more)
+
+    def _named(self, place: int, actions: Iterable[Action]) -> Iterator[Action]:
+        """Lines for the operators say of which service they are."""
+        for action in actions:
+            yield LogLine(f"{self.carried[place] or 'default'}: {action.text}") \
+                if isinstance(action, LogLine) else action
+
+    # Another process that takes over.
+
+    def retire(self, now: int) -> list[Action]:
+        """Another process has the word from now on."""
+        return [action for broker in self.brokers for action in broker.retire(now)]
+
+    def resume(self) -> None:
+        """The other process is gone: this one has the word again."""
+        for broker in self.brokers:
+            broker.resume()
+
+
+def _once(actions: Iterable[Action]) -> Iterator[Action]:
+    """Without what several brokers want alike: one beat and one watch serve all of them."""
+    tokens: set[int] = set()
+    watched = False
+    for action in actions:
+        if isinstance(action, SetTimer):
+            if action.token in tokens:
+                continue
+            tokens.add(action.token)
+        if isinstance(action, Watch):
+            if watched:
+                continue
+            watched = True
+        yield action
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -64,7 +64,7 @@
 
 @dataclass(slots=True)
 class Account:
-    """What this gateway knows of one customer: its commitment, its bucket, its slices."""
+    """What this gateway knows of one customer: its bucket and its slices, whatever services it asks for."""
 
     customer: int
     plan: Plan
@@ -73,10 +73,8 @@
     level: float
     at: int
     last: int
-    evaluated: int
     told_at: int  # when home or counter last told of its store
     open_at: int  # when others' open attempts were last told
-    in_flight: Mean
     demand: Mean
     granted: Mean  # 1 for units granted, 0 for denied
     seen: Mean  # units asked for here, remembered longer than the demand
@@ -85,12 +83,7 @@
     part: float = 0.0  # this gateway's even slice of the store
     peers: tuple[int, ...] = ()
     slices: int = 0  # gateways among which it is sliced; 0 where none of its requests came here yet
-    cap: int = 0
     open: int = 0
-    passing: int = 0  # of them: long values that are being passed on, at their reader's pace
-    worth: float = 0.0
-    room: float = 0.0
-    aim: int = 0
     sent: int = 0  # quarter units sent on inside the quota, since this gateway's start
     tells: int = 0
     heard: dict[int, int] = field(default_factory=dict)
@@ -137,6 +130,23 @@
         self.unspent += quarters
 
 
+@dataclass(slots=True)
+class Commitment:
+    """One customer's requests to one service: how many are in flight, and the cap on that."""
+
+    account: Account
+    last: int  # when a request last came
+    evaluated: int
+    in_flight: Mean
+    demand: Mean
+    cap: int = 0  # 0: it has ended, or has not begun
+    open: int = 0
+    passing: int = 0  # of them: long values that are being passed on, at their reader's pace
+    worth: float = 0.0
+    room: float = 0.0
+    aim: int = 0
+
+
 @dataclass(slots=True)
 class Server:
     """One backend as this gateway sees it."""
@@ -181,7 +191,7 @@
     """A request that still owes its final answer."""
 
     arrival: Arrival
-    account: Account
+    commitment: Commitment
     most: int  # attempts, as the settings had it when it came
     sends: int = 0
     out: int = 0
@@ -196,3 +206,7 @@
     before: Stores = NOTHING  # in the account's stores before it took of them ...
     taken: Stores = NOTHING  # ... and what it took
     came: bool = False  # whether an attempt may have come whole to a backend: then the units are used
+
+    @property
+    def account(self) -> Account:
+        return self.commitment.account
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -181,7 +181,8 @@
         """What the list says of a node from now on."""
         spec = node.spec
         self.list.put(Listed(
-            spec.name, self._dials[spec.name], spec.zone, spec.kind, spec.cell, health, node.born_ms
+            spec.name, self._dials[spec.name], spec.zone, spec.kind, spec.cell, health, node.born_ms,
+            self.scene.service(spec),
         ))
 
     def drain(self, node: NodeServer) -> None:
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -17,6 +17,7 @@
 from ..lag import Later
 from ..logs import Sparing
 from .seam import ListError, Update, backend_id
+from .services import ALL_ALIKE, DEFAULT, CarriedServices
 from .turns import PATIENCE, Turns
 
 log = logging.getLogger(__name__)
@@ -35,14 +36,22 @@
 _HEALTH = {"in_service": Health.READY, "terminating": Health.DRAINING, "terminated": Health.GONE}
 
 
-def parse_update(raw: Any, zones: tuple[str, ...], kinds: tuple[str, ...], cached: bool = False) -> Update:
-    """Discovery's form to the module's; zone and kind become indices, as on the simulator's wire."""
+def parse_update(
+    raw: Any, zones: tuple[str, ...], kinds: tuple[str, ...], cached: bool = False,
+    services: CarriedServices = ALL_ALIKE,
+) -> Update:
+    """Discovery's form to the module's; zone, kind and service become indices, as on the simulator's wire."""
     try:
         kind = ListKind.CACHED if cached else ListKind.FULL if raw["whole"] else ListKind.DELTA
         addresses: dict[int, Address] = {}
         entries, seen = [], set[int]()
         for host in raw["hosts"]:
             number, health = backend_id(host["host"]), _HEALTH[host["health"]]
+            service = services.index(host.get("service", ""))
+            if service is None:
+                if not services.listed(number):
+                    continue
+                service, health = DEFAULT, Health.GONE  # it was of a service that is carried here
             if number in seen:
                 log.warning("the list names %.64s more than once: its last entry holds", host["host"])
             seen.add(number)
@@ -58,6 +67,7 @@
                     float(host.get("share", 1.0)),
                     # The module's clock reads Unix time; 0 stays 0, long ago.
                     int(host.get("born_ms", 0)) * MILLISECOND,
+                    service,
                 )
             )
         return Update(Topology(kind, int(raw["seq"]), tuple(entries)), addresses)
@@ -76,12 +86,14 @@
     def __init__(
         self, agent: Address, zones: tuple[str, ...], kinds: tuple[str, ...], index: int | None,
         told: Callable[[Update], None], gateways: int = 1, grace: float = 1.0,
+        services: CarriedServices = ALL_ALIKE,
     ) -> None:
-        """`grace`: s after the notice of a drain in which a request may still be sent."""
+        """`grace`: s after the notice of a drain in which a request may still be sent. `services`: those that
+        are wanted of the list."""
         self._agent, self._turns = agent, Turns(gateways, random.Random(), grace)
         self._zones, self._kinds = zones, kinds
         self._index = index
-        self._told = told
+        self._told, self._services = told, services
         self._closed = False
         self._leaving: dict[int, int] = {}  # backends told to drain or be gone, and when each had started
         self._task: asyncio.Task[None] | None = None
@@ -144,7 +156,7 @@
         return Update(replace(update.topology, entries=entries), update.addresses, update.old)
 
     def _line(self, line: bytes, first: bool) -> None:
-        update = parse_update(json.loads(line), self._zones, self._kinds)
+        update = parse_update(json.loads(line), self._zones, self._kinds, services=self._services)
         update.old = first
         whole = update.topology.kind is ListKind.FULL
         # A second watch may tell again what is known: an older version must not undo a newer one.
--- a/trackspread/node/configured.py
+++ b/trackspread/node/configured.py
@@ -50,7 +50,8 @@
         replicas = table.addresses()
         near = tuple(address(each, "configuration.near") for each in table.near) or self._of_region(replicas)
         others = tuple(each for each in replicas if each not in near)
-        services = frozenset(table.services) or None
+        carried = frozenset(self._operator.services.carries)
+        services = frozenset(table.services) or carried or None
         return SubscriberHost(
             self._name, SubscriberSettings(near, services, others),
             address(table.listen, "configuration.listen"), self._wire, int.from_bytes(os.urandom(8)),
--- a/trackspread/node/counted.py
+++ b/trackspread/node/counted.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 import msgspec
 
@@ -25,8 +26,8 @@
 from ..counter.quota_client import QuotaClient
 from ..counter.report import Report, report
 from ..counter.routes import Routes
-from ..decide.broker import Broker
 from ..decide.interface import Event, Plan
+from ..decide.report import Module, cap, kept
 
 log = logging.getLogger(__name__)
 
@@ -64,14 +65,15 @@
     """What the gateway holds while a counter is shared."""
 
     def __init__(
-        self, config: Config, counter: Counter, now: Callable[[], int], module: Broker,
+        self, config: Config, counter: Counter, now: Callable[[], int], module: Module,
         handle: Callable[[Event], None],
     ) -> None:
         self._counter, self._now, self._module, self._settings = counter, now, module, config.settings
         self._server: asyncio.Server | None = None
         seed = config.seed ^ int.from_bytes(os.urandom(8))  # a name may start twice from one configuration
         self.client = QuotaClient(
-            config.settings, counter.partitions, time.time_ns() // 1_000_000, seed, now(), module.quota.kept
+            config.settings, counter.partitions, time.time_ns() // 1_000_000, seed, now(),
+            partial(kept, module.quota),
         )
         routes = Routes(
             [address(server, "counter.servers") for server in counter.servers], counter.cluster,
@@ -117,7 +119,7 @@
         account = self._module.quota.accounts.get(customer)
         if account is not None:
             self._module.quota.refill(now, account)
-        return report(now, self.client.manager, customer, account)
+        return report(now, self.client.manager, customer, account, cap(self._module, customer))
 
     async def _asked(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One line with a member in hexadecimal digits; one line of JSON."""
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..backends.pools import Backends
 from ..backends.resp import RespDialect
 from ..config.addresses import ConfigError
@@ -26,11 +28,14 @@
     PlansChanged,
     Topology,
 )
+from ..decide.report import excluded, services
+from ..decide.services import ServiceBrokers
 from ..fronts.connections import Clients, PassOn
 from ..handover.link import Rendezvous
 from ..fronts.resp import RespFront
 from ..lists.agent import Discovery, parse_update
 from ..lists.seam import ListError, Update
+from ..lists.services import CarriedServices
 from ..peers.datagrams import Peers
 from .handover_state import StateExporter
 from .requests import SECOND, Requests
@@ -65,7 +70,7 @@
         if operator.counter.servers:
             # No word from peers beside it: two sources would each hand out the whole.
             config = replace(config, settings=replace(config.settings, rights=True, may_message=False))
-        super().__init__(config)
+        super().__init__(config, operator.services)
         self.operator, self._vacated = operator, vacated
         self.predecessor: Predecessor | None = None
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
@@ -78,6 +83,8 @@
             answers[b"/fleet"] = viewed.answer
         if self.configured is not None:
             answers[b"/configuration"] = self.configured.answer
+        if isinstance(self.module, ServiceBrokers):
+            answers[b"/services"] = self._services_report
         self.door = Door(config.control, answers) if config.control is not None else None
         self._serving = False  # whether the clients' door is open, and stays so
         reserved = RESERVED * (1 if config.accept_fd is None else 2)
@@ -102,9 +109,11 @@
         self._spare = spare - most, most  # descriptors for clients and backends
         self._datagrams: int | None = None  # the peers' socket, kept in case that process does not live
         index = None
+        carried = CarriedServices(operator.services.carried(), lambda number: number in self._seen)
         if config.known is not None:
             try:
-                cached = parse_update(config.known, config.zones, config.kinds, cached=True)
+                cached = parse_update(
+                    config.known, config.zones, config.kinds, cached=True, services=carried)
                 self._learn(cached)
                 index = cached.topology.version
             except ListError as error:
@@ -113,7 +122,7 @@
             self.handle(Topology(ListKind.CACHED, 0, ()))
         self.discovery = Discovery(
             config.discovery, config.zones, config.kinds, index, self._listed, settings.gateways,
-            settings.drain_grace / SECOND,
+            settings.drain_grace / SECOND, carried,
         )
         if self.membered is not None:
             self.membered.begin()
@@ -222,8 +231,8 @@
         socket."""
         if not self.config.meeting:
             return None
-        if self.uses is not None or self.counted is not None:
-            log.warning("handover: not possible with use records or a counter, the start is a cold one")
+        if self.uses is not None or self.counted is not None or self.services.classes:
+            log.warning("handover: not possible with use records, a counter or services, the start is cold")
             return None
         try:
             return Rendezvous(Path(self.config.meeting), self.config.name)
@@ -383,7 +392,11 @@
 
     def _stats(self) -> Answer:
         open_now = sum(not request.closed for request in self.requests.values())
-        return 200, self.figures.lines(open_now, len(self._seen), self.module.excluded(self.now()))
+        return 200, self.figures.lines(open_now, len(self._seen), excluded(self.module, self.now()))
+
+    def _services_report(self) -> Answer:
+        told = services(self.module, self.now()) if isinstance(self.module, ServiceBrokers) else []
+        return 200, msgspec.json.encode(told).decode() + "\n"
 
     # From the list and the peers.
 
--- a/trackspread/node/handover_state.py
+++ b/trackspread/node/handover_state.py
@@ -44,7 +44,10 @@
 
     config: Config
     now: Clock
-    module: Broker
+    @property
+    def broker(self) -> Broker:
+        """The decision module."""
+
     ids: set[bytes]
 
     @property
@@ -109,7 +112,7 @@
         ids = [(number, r.call.id) for number, r in table.requests.items() if not r.closed]
         number = table.next_number()
         return wire.encode(HandoverState(
-            carried.portrait(table.module, table.class_names(), out), table.now.base, ids, number,
+            carried.portrait(table.broker, table.class_names(), out), table.now.base, ids, number,
             len(ids), len(out),
         ))
 
@@ -119,7 +122,7 @@
     def sent(self, attempt: Attempt) -> None:
         """An attempt was sent here after the state was exported."""
         if (call := attempt.call) is not None:
-            names, plans = self._table.class_names(), self._table.module.s.plans
+            names, plans = self._table.class_names(), self._table.broker.s.plans
             self._send(Progress("sent", attempt.request, attempt.index, attempt.backend, cls=names[call.cls],
                            plan=plans[call.plan].name, customer=call.customer, units=call.units))
 
@@ -145,7 +148,7 @@
         """Raises `WireError` or `ValueError` before anything is changed."""
         state: HandoverState = wire.decode(whole, HandoverState)
         table = self._table
-        carried.restore(table.module, state.module, table.class_names())
+        carried.restore(table.broker, state.module, table.class_names())
         table.now.base = state.base
         self._out = {(number, attempt): by for number, attempt, by, *_ in state.module["out"]}
         self._ids = dict(state.ids)
@@ -160,7 +163,7 @@
         match progress.what:
             case "sent":
                 self._out[key] = progress.backend
-                carried.mirror(self._table.module, self._table.class_names(), [
+                carried.mirror(self._table.broker, self._table.class_names(), [
                     *key, progress.backend, progress.cls, progress.plan, progress.customer, progress.units])
             case "ended" if self._out.pop(key, None) is not None:
                 known = progress.outcome in Outcome.__members__.values()
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -19,6 +19,7 @@
 from ..backends.seam import Report
 from ..call import BadCall, Call, Source
 from ..clock import Clock
+from ..config.operator import Services
 from ..config.platform import Config
 from ..config.roster import Roster
 from ..control.figures import Figures
@@ -46,6 +47,8 @@
     WantRights,
     Watch,
 )
+from ..decide.report import Module
+from ..decide.services import ServiceBrokers
 from ..fronts.client import Slot
 from ..lag import Later
 from ..lists.seam import ListError
@@ -63,6 +66,7 @@
 SECOND = 1_000_000_000
 MILLISECOND = 1_000_000
 MARGIN = 10 * MILLISECOND  # before a client's time ends: its way here and back, and a loop that lags
+NO_SERVICES = Services()
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
 
 
@@ -89,11 +93,11 @@
     uses: Uses | None
     counted: Counted | None
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, services: Services = NO_SERVICES) -> None:
+        self.config, self.services = config, services
         self._loop = asyncio.get_running_loop()
         self.now = Clock()
-        self.module = Broker(config.settings, config.seed, self.now())
+        self.module = self._module()
         self.roster = Roster.first(config.classes, config.settings.classes)
         self.figures = Figures(config.classes)
         self.requests: dict[int, Request] = {}
@@ -103,6 +107,20 @@
         self._numbers: Iterator[int] = count(1)
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
 
+    def _module(self) -> Module:
+        """One broker, or one for each service."""
+        config, carried = self.config, self.services.carried()
+        if not carried:
+            return Broker(config.settings, config.seed, self.now())
+        return ServiceBrokers(config.settings, config.seed, self.now(), carried,
+                              lambda cls: self.services.service_of(cls.name))
+
+    @property
+    def broker(self) -> Broker:
+        """The only one: where there are several, no other process takes over."""
+        assert isinstance(self.module, Broker), "there is a broker for each service"
+        return self.module
+
     def next_number(self) -> int:
         return next(self._numbers)
 
--- a/trackspread/standins/agent.py
+++ b/trackspread/standins/agent.py
@@ -49,13 +49,15 @@
     cell: int
     health: str
     born_ms: int
+    service: str = ""  # the default one, which the list does not name
 
     def told(self, gateway: int) -> dict[str, Any]:
         host, port = self.dial[gateway]
-        return {
+        told = {
             "host": self.host, "dial": f"{host}:{port}", "site": self.zone, "class": self.kind,
             "block": self.cell, "health": self.health, "share": 1.0, "born_ms": self.born_ms,
         }
+        return {**told, "service": self.service} if self.service else told
 
 
 class BackendList:
--- a/trackspread/standins/scene.py
+++ b/trackspread/standins/scene.py
@@ -88,6 +88,10 @@
             start=self.start, warm=self.warm,
         )
 
+    def service(self, spec: NodeSpec) -> str:
+        """Which one a node serves; the default one's name is empty."""
+        return ""
+
     def successor(self, spec: NodeSpec) -> NodeSpec:
         """The next generation in the same place."""
         number, generation = [*spec.name.split("-")[1:], "0"][:2]
--- a/trackspread/virtual/counter/world.py
+++ b/trackspread/virtual/counter/world.py
@@ -36,6 +36,7 @@
     Topology,
     WantRights,
 )
+from ...decide.report import kept
 from ...standins.counter import Failure, Shard
 from ..clock import START, Clock
 from ..plain import plain_settings
@@ -163,7 +164,8 @@
         seed = self.rng.getrandbits(32)
         module = Broker(settings, seed, now)
         life = (now - START) // MILLISECOND + 1
-        client = QuotaClient(settings, plant.partitions, life, seed, now, module.quota.kept)
+        told = partial(kept, module.quota)
+        client = QuotaClient(settings, plant.partitions, life, seed, now, told)
         made = Gateway(
             number, 1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART), now, client, module,
         )
