--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -230,7 +230,7 @@
     """Of one member in a calm fleet of so many, in virtual time."""
     world = World(1, count, settings={"most": 2 * count})
     world.begin(60 * SECOND, every=SECOND)
-    while any(p.core is not None and len(p.core.rumours) for p in world.processes.values()):
+    while any(p.core is not None and len(p.core.gossip) for p in world.processes.values()):
         world.step(world.true + SECOND)  # until nothing is told of the start any more
     world.bytes = dict.fromkeys(world.processes, 0)
     world.step(world.true + 10 * SECOND)
--- a/benchmarks/scale/celling.py
+++ b/benchmarks/scale/celling.py
@@ -23,7 +23,7 @@
 from trackspread.cells.wire import CellsWire
 from trackspread.membership.host import born_now
 from trackspread.membership.member import ENTROPY, Member
-from trackspread.membership.terms import Told
+from trackspread.membership.terms import Noticed
 from trackspread.membership.wire import Keys
 
 from .answering import answer_all
@@ -74,7 +74,7 @@
         except asyncio.CancelledError:  # the process ends
             writer.close()
 
-    def _told(self, fleet: str, told: Told) -> None:
+    def _told(self, fleet: str, told: Noticed) -> None:
         super()._told(fleet, told)
         if told.kind == "member":
             who = cast(Who, told.about["who"])
@@ -204,7 +204,7 @@
             members = host.members()
             nowhere += not members
             for name, member in members:
-                telling += len(member.rumours)
+                telling += len(member.gossip)
                 views.append(self._in_view(now, host, name, member))
             core = host.core
             if isinstance(core, Controller) and core.leads(now) and core.leading is not None:
--- a/benchmarks/scale/handing.py
+++ b/benchmarks/scale/handing.py
@@ -17,7 +17,7 @@
 from trackspread.distribution.replica import Replica
 from trackspread.distribution.subscriber import Subscriber
 from trackspread.distribution.terms import (
-    Action, Epoch, Letter, ReplicaSettings, Send, SubscriberSettings, Told,
+    Action, Epoch, Message, ReplicaSettings, Send, SubscriberSettings, Noticed,
 )
 from trackspread.distribution.wire import Wire
 from trackspread.membership.host import born_now
@@ -54,12 +54,12 @@
         for action in actions:
             match action:
                 case Send(to, body):
-                    letter = Letter(self._wire.fleet, self._number, self._born, body)
-                    self.send(to, self._wire.pack(letter))
-                case Told():
-                    self.told(action)
+                    message = Message(self._wire.fleet, self._number, self._born, body)
+                    self.send(to, self._wire.pack(message))
+                case Noticed():
+                    self.notice(action)
 
-    def told(self, told: Told) -> None:
+    def notice(self, noticed: Noticed) -> None:
         """Something came to be."""
 
 
@@ -77,10 +77,10 @@
         self.do(self.core.tick(now))
 
     def came(self, now: int, data: bytes, source: Address) -> None:
-        letter = self._wire.unpack(data)
-        if letter is not None:
+        message = self._wire.unpack(data)
+        if message is not None:
             self.do(self.core.lead(now, self.epoch))
-            self.do(self.core.received(now, letter.replica, letter.born, letter.body, source))
+            self.do(self.core.received(now, message.replica, message.born, message.body, source))
 
 
 class GatewaySocket(DistributionSocket):
@@ -98,12 +98,12 @@
         self.do(self.core.tick(now))
 
     def came(self, now: int, data: bytes, source: Address) -> None:
-        letter = self._wire.unpack(data)
-        if letter is not None:
-            self.do(self.core.received(now, letter.body, source))
+        message = self._wire.unpack(data)
+        if message is not None:
+            self.do(self.core.received(now, message.body, source))
 
-    def told(self, told: Told) -> None:
-        if told.kind == "acts":
+    def notice(self, noticed: Noticed) -> None:
+        if noticed.kind == "acts":
             self._process.came_to(self.name, self.core.version.sequence)
 
 
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -18,7 +18,7 @@
 
 from trackspread.membership.host import Host, born_now
 from trackspread.membership.member import ENTROPY
-from trackspread.membership.terms import Action, Exchange, Number, Say, Settings, Told
+from trackspread.membership.terms import Action, Exchange, Noticed, Number, Say, Settings
 from trackspread.membership.wire import Keys, Wire
 
 from .answering import answer_all
@@ -72,7 +72,7 @@
         except asyncio.CancelledError:  # the process ends
             writer.close()
 
-    def _told(self, told: Told) -> None:
+    def _told(self, told: Noticed) -> None:
         super()._told(told)
         if told.kind == "member":
             who = cast(Who, told.about["who"])
@@ -193,8 +193,8 @@
         for host in self._hosts.values():
             core = host.core
             members = self._digest(core.number(), core.view.members) if core.view is not None else 0
-            distinct.add((core.people.digest(), members, core.number()))
-            telling += len(core.rumours)
+            distinct.add((core.member_table.digest(), members, core.number()))
+            telling += len(core.gossip)
             without += not core.part(now)
         running = tuple(host.settings.who for host in self._hosts.values())
         return Held(tuple(distinct), running, telling, without)
--- a/benchmarks/scale/latency.py
+++ b/benchmarks/scale/latency.py
@@ -72,7 +72,7 @@
         return [("direct", self.direct), ("by the gateway", self.gateway), ("added", added)]
 
     def text(self) -> str:
-        """How it was measured, for people."""
+        """How it was measured, for member_table."""
         return (f"{self.requests} requests on each way at {RATE:g} a second, {self.backends} backends, "
                 f"{self.lists} full lists meanwhile, load {self.load:.1f} on {os.cpu_count()} cores, the "
                 f"measuring loop's lag {1000 * self.lag_p99:.1f} ms for 99 in 100.")
--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -240,7 +240,7 @@
 
 
 def tell(found: Measurement) -> str:
-    """One line for people."""
+    """One line for member_table."""
     base, slope = found.coefficients
     state = "void" if found.void else "wrong" if found.wrong else "holds"
     return (f"{found.name}: {found.shape.value}, {base:.3g} + {slope:.3g} f(size) {found.unit}; at "
--- a/benchmarks/scale/operator.py
+++ b/benchmarks/scale/operator.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 
-from trackspread.distribution.terms import Begin, Bodies, Done, Letter, NotLeader, Put, Refused
+from trackspread.distribution.terms import Begin, Bodies, Done, Message, NotLeader, Put, Refused
 from trackspread.distribution.wire import Wire
 from trackspread.membership.wire import Keys
 
@@ -42,8 +42,8 @@
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        letter = self._wire.unpack(data)
-        match letter.body if letter is not None else None:
+        message = self._wire.unpack(data)
+        match message.body if message is not None else None:
             case Done() as done if (waiting := self._waiting.get(done.number)) is not None:
                 if not waiting.done():
                     waiting.set_result(done)
@@ -82,5 +82,5 @@
 
     def _send(self, body: Bodies) -> None:
         if self._transport is not None:
-            data = self._wire.pack(Letter(self._wire.fleet, -1, 0, body))
+            data = self._wire.pack(Message(self._wire.fleet, -1, 0, body))
             self._transport.sendto(data, self._replicas[self.leader])
--- a/benchmarks/scale/quota_traffic.py
+++ b/benchmarks/scale/quota_traffic.py
@@ -19,8 +19,8 @@
 from trackspread.counter.terms import HEARTBEAT, Call, Heartbeat, pack_heartbeat
 from trackspread.decide.interface import Action, AttemptEnded, FleetChanged, Outcome, PeerMessage, Send, Tell
 from trackspread.decide.rendezvous import home_of
-from trackspread.membership.slots import WHOLE, seat, to_bytes
-from trackspread.membership.terms import Letter, Words
+from trackspread.membership.slots import WHOLE, slots_of, to_bytes
+from trackspread.membership.terms import MemberMessage, PeerData
 from trackspread.membership.wire import Keys, Wire
 
 from .subjects import (
@@ -35,7 +35,7 @@
 
 def fleet(me: int, size: int = MEMBERS) -> FleetChanged:
     """The view of so many as one of them has it; each has its even part."""
-    seats = tuple(seat((number, size)) for number in range(size))
+    seats = tuple(slots_of((number, size)) for number in range(size))
     others = tuple(number for number in range(size) if number != me)
     return FleetChanged(
         me=me, others=others, homes=tuple(range(size)), seats=seats, slots=seats[me],
@@ -50,7 +50,7 @@
         self.drivers = [Driver(replace(settings(), position=number)) for number in (ASKER, HOME)]
         self.bytes = self.sent = 0
         self._wire = Wire("rating-eu", Keys(b"k" * 32), MEMBERS)
-        self._part = to_bytes(seat((0, MEMBERS)) & WHOLE)
+        self._part = to_bytes(slots_of((0, MEMBERS)) & WHOLE)
         for number, driver in enumerate(self.drivers):
             driver.handle(fleet(number))
             driver.handle(full_list(SERVICE, 1))
@@ -68,9 +68,9 @@
         for action in actions:
             match action:
                 case Tell(to=to, data=data) if to == 1 - number:
-                    body = Words(data, self._part)
-                    letter = Letter("rating-eu", f"gateway-{number:04}", START, body, 1 << 62)
-                    self.bytes += len(self._wire.pack(letter))
+                    body = PeerData(data, self._part)
+                    message = MemberMessage("rating-eu", f"gateway-{number:04}", START, body, 1 << 62)
+                    self.bytes += len(self._wire.pack(message))
                     self._do(to, self.drivers[to].handle(PeerMessage(number, data)))
                 case Send(request=request, backend=backend):
                     self.sent += 1
--- a/benchmarks/scale/subjects.py
+++ b/benchmarks/scale/subjects.py
@@ -26,7 +26,7 @@
 from trackspread.decide.report import brokers
 from trackspread.decide.services import ServiceBrokers
 from trackspread.lists.agent import parse_update
-from trackspread.membership.slots import seat
+from trackspread.membership.slots import slots_of
 
 SECOND = 1_000_000_000
 START = 1000 * SECOND
@@ -314,7 +314,7 @@
 def view(size: int, gone: int) -> FleetChanged:
     """A view of so many members, but for one; this gateway and every other has one part in `size`."""
     others = tuple(number for number in range(1, size) if number != gone)
-    seats = tuple(seat((number, size)) for number in range(size))
+    seats = tuple(slots_of((number, size)) for number in range(size))
     slots = seats[0] or 1
     return FleetChanged(
         me=0, others=others, homes=(0, *others), seats=seats, slots=slots,
--- a/benchmarks/scale/view.py
+++ b/benchmarks/scale/view.py
@@ -20,7 +20,7 @@
 
 
 def digest(members: Iterable[Who]) -> int:
-    """Of members in their order; the same as theirs of who is live (`membership/people.py`)."""
+    """Of members in their order; the same as theirs of who is live (`membership/member_table.py`)."""
     return xxhash.xxh32_intdigest(";".join(f"{name}:{born}" for name, born in members).encode())
 
 
--- a/benchmarks/scale/virtual_cells.py
+++ b/benchmarks/scale/virtual_cells.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from trackspread.cells.terms import InCell
-from trackspread.membership.terms import SECOND, Told
+from trackspread.membership.terms import SECOND, Noticed
 from trackspread.virtual.cells.world import CelledWorld, Process
 
 from .bounds import Guard
@@ -87,7 +87,7 @@
         """Verdicts by own probes on processes that run and were in reach all along."""
         for _, teller, what in self.world.told:
             told = what.action if isinstance(what, InCell) else None
-            if not isinstance(told, Told) or told.kind != "member" or told.about["by"] != teller:
+            if not isinstance(told, Noticed) or told.kind != "member" or told.about["by"] != teller:
                 continue
             about = told.about
             key = teller, about["who"]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -254,7 +254,7 @@
     table = page.parts()["roles"]
     assert "| **missing** |" in table
     assert "| `decide/fleet.py` |" in table
-    assert "| `membership/people.py`, a core that nothing starts yet |" in table
+    assert "| `membership/member_table.py`, a core that nothing starts yet |" in table
     assert "`counter/lease_manager.py`" not in table
 
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -294,5 +294,5 @@
     told(core, placement("a", 3))
     before = core.member
     told(core, placement("b", 4))
-    assert before is not None and before.people.me.state == State.LEFT
-    assert core.member is not None and core.member.people.me.state == State.ALIVE
+    assert before is not None and before.member_table.me.state == State.LEFT
+    assert core.member is not None and core.member.member_table.me.state == State.ALIVE
--- a/tests/test_cells_host.py
+++ b/tests/test_cells_host.py
@@ -20,7 +20,7 @@
 from trackspread.judge.beliefs import Reader
 from trackspread.membership.host import born_now
 from trackspread.membership.slots import WHOLE
-from trackspread.membership.terms import Epoch, Letter, Ping
+from trackspread.membership.terms import Epoch, MemberMessage, Ping
 from trackspread.membership.wire import DATAGRAM, Keys, Wire
 from trackspread.standins.loopback import Ports
 
@@ -42,8 +42,8 @@
     one = wire()
     data = one.pack_message(message())
     assert one.read(data) == message()
-    letter = Letter("any cell", "a", 1, Ping(3, ("b", 2)), 7)
-    assert one.read(one.pack(letter)) == letter, "whatever its cell"
+    member_message = MemberMessage("any cell", "a", 1, Ping(3, ("b", 2)), 7)
+    assert one.read(one.pack(member_message)) == member_message, "whatever its cell"
     assert Wire("f", Keys(b"k" * 16), 64).unpack(data) is None
     rng = random.Random(2)
     for _ in range(200):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -12,8 +12,8 @@
 from trackspread.distribution.log import Log, Snapshot, fitting
 from trackspread.distribution.replica import Replica
 from trackspread.distribution.terms import (
-    BEGINNING, NAME_MOST, NOTHING, SECOND, VALUE_MOST, Begin, Cursor, Delta, Done, Entry, Epoch, Full, Letter,
-    Poll, Prepare, Put, ReplicaSettings, Send, Told, Version,
+    BEGINNING, NAME_MOST, NOTHING, SECOND, VALUE_MOST, Begin, Cursor, Delta, Done, Entry, Epoch, Full,
+    Message, Noticed, Poll, Prepare, Put, ReplicaSettings, Send, Version,
 )
 from trackspread.distribution.wire import DATAGRAM, MARK, Wire
 from trackspread.membership.wire import Keys
@@ -132,13 +132,13 @@
     largest = entry(1 << 40, "k" * NAME_MOST, b"x" * VALUE_MOST, (1 << 40, 18), "s" * NAME_MOST)
     for body in (Delta(1 << 40, largest.version, 1 << 30, (largest,), True), Put(7, "s", "k", None),
                  Poll(1, NOTHING, 1 << 55, Cursor("s", "k")), Prepare((3, 4), 2, True)):
-        data = wire.pack(Letter("fleet", 3, 1 << 42, body))
+        data = wire.pack(Message("fleet", 3, 1 << 42, body))
         assert len(data) <= DATAGRAM
-        assert wire.unpack(data) == Letter("fleet", 3, 1 << 42, body)
+        assert wire.unpack(data) == Message("fleet", 3, 1 << 42, body)
         assert wire.unpack(data[:-1]) is None and wire.unpack(b"x" + data) is None
     assert Wire("fleet", Keys(b"another key, also long")).unpack(data) is None
     assert Wire("other", wire.keys).unpack(data) is None
-    assert wire.unpack(wire.pack(Letter("fleet", 0, 0, Put(1, "s", "k", b"x" * DATAGRAM)))) is None
+    assert wire.unpack(wire.pack(Message("fleet", 0, 0, Put(1, "s", "k", b"x" * DATAGRAM)))) is None
     assert Wire("fleet", Keys(b"a new key, current now", b"a key of many bytes")).unpack(data) is not None
 
 
@@ -158,7 +158,7 @@
 
 
 class AnyLetter(msgspec.Struct, frozen=True, array_like=True):
-    """A letter of whichever version."""
+    """A message of whichever version."""
 
     fleet: str
     replica: int
@@ -173,7 +173,7 @@
         payload = msgspec.msgpack.encode(AnyLetter("fleet", 1, 2, body))
         return MARK + wire.keys.sign(payload) + payload
 
-    assert wire.unpack(packed(Longer((3, 1), 2, False))) == Letter("fleet", 1, 2, Prepare((3, 1), 2, False))
+    assert wire.unpack(packed(Longer((3, 1), 2, False))) == Message("fleet", 1, 2, Prepare((3, 1), 2, False))
     assert wire.unpack(packed(Unknown(1))) is None and wire.dropped == {"spoilt": 1}
 
 
@@ -185,7 +185,7 @@
 def test_a_lease_under_an_epoch_that_is_outdone_leads_nothing_and_says_so() -> None:
     one = replica()
     one.received(0, 1, 1, Prepare((9, 1), 1, False), ("10.0.0.1", 1))
-    assert one.lead(0, (8, 0)) == [Told("outdone", {"by": (9, 1)})] and one.leading is None
+    assert one.lead(0, (8, 0)) == [Noticed("outdone", {"by": (9, 1)})] and one.leading is None
     assert one.lead(1, (8, 0)) == [], "once"
     assert one.lead(2, (10, 0)) != [] and one.leading is not None
     one.lead(3, None)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,7 +13,7 @@
 from trackspread.decide.quota import RETURNING, SILENT, Quota
 from trackspread.decide.rendezvous import home_of
 from trackspread.decide.state import SECOND
-from trackspread.membership.slots import WHOLE, seat
+from trackspread.membership.slots import WHOLE, slots_of
 from trackspread.virtual.plain import plain_settings
 
 PLAN = Plan("team", 2.0, 12.0, 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)
@@ -32,8 +32,8 @@
     here = [n for n in range(count) if n not in gone]
     others = tuple(10 + n for n in here if n != me)
     made = FleetChanged(
-        10 + me, others, tuple(10 + n for n in here), tuple(seat((n, count)) for n in range(count)),
-        seat((me, count)), tuple(seat((n - 10, count)) for n in others), MANY, MANY,
+        10 + me, others, tuple(10 + n for n in here), tuple(slots_of((n, count)) for n in range(count)),
+        slots_of((me, count)), tuple(slots_of((n - 10, count)) for n in others), MANY, MANY,
     )
     return replace(made, **changes)  # type: ignore[arg-type]
 
@@ -186,7 +186,7 @@
     assert unpack_draw(b"\1" * 21) is None
     made = quota(3, 1000.0)
     made.joined(START, view(3, theirs=(0, 0), others=(11, 12)))
-    assert WHOLE.bit_count() == sum(seat((n, 3)).bit_count() for n in range(3))
+    assert WHOLE.bit_count() == sum(slots_of((n, 3)).bit_count() for n in range(3))
     for sender in range(2000):
         words(made, START, 10_000 + sender)
     assert len(made.peers) <= 512
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,14 +17,14 @@
 from trackspread.judge import beliefs
 from trackspread.membership.asking import WANTING
 from trackspread.membership.parts import SPAN, TOUCH, Holding, Parts, ended, held
-from trackspread.membership.people import GONE_KEPT, People
+from trackspread.membership.member_table import GONE_KEPT, MemberTable
 from trackspread.membership.probing import HEALTH_MOST, Probing
-from trackspread.membership.rumours import WITH_ONE, Rumours
-from trackspread.membership.slots import SLOTS, WHOLE, assign, from_bytes, lowest, seat, text, to_bytes
+from trackspread.membership.gossip import WITH_ONE, GossipQueue
+from trackspread.membership.slots import SLOTS, WHOLE, assign, from_bytes, lowest, slots_of, text, to_bytes
 from trackspread.membership.slowness import Slowness
 from trackspread.membership.terms import (
-    MS, SECOND, WITNESS, Ack, Epoch, Forget, Forgotten, Fresh, Letter, Ping, Rumour, Say, State, Table, View,
-    Who,
+    MS, SECOND, WITNESS, Ack, Epoch, Forget, Forgotten, Fresh, GossipUpdate, MemberMessage, Ping, Say, State,
+    Table, View, Who,
 )
 from trackspread.membership.wire import DATAGRAM, Keys, Wire
 from trackspread.node.membered import keys
@@ -32,77 +32,79 @@
 from trackspread.virtual.membership.mutants import MUTANTS, WORLDS, convict
 from trackspread.virtual.membership.schedules import make, play
 
-ME = Rumour("me", 10, 0, State.ALIVE, "127.0.0.1", 1)
+ME = GossipUpdate("me", 10, 0, State.ALIVE, "127.0.0.1", 1)
 
 
-def word(name: str = "a", born: int = 5, life: int = 0, state: State = State.ALIVE) -> Rumour:
-    return Rumour(name, born, life, state, "127.0.0.2", 2)
+def word(name: str = "a", born: int = 5, life: int = 0, state: State = State.ALIVE) -> GossipUpdate:
+    return GossipUpdate(name, born, life, state, "127.0.0.2", 2)
 
 
 words = st.builds(word, st.sampled_from("abc"), st.integers(1, 3), st.integers(0, 2), st.sampled_from(State))
 
 
 @given(st.lists(words, max_size=25), st.randoms(use_true_random=False))
-def test_words_merge_to_the_same_whatever_their_order(said: list[Rumour], rng: random.Random) -> None:
+def test_words_merge_to_the_same_whatever_their_order(said: list[GossipUpdate], rng: random.Random) -> None:
     tables = []
     for _ in range(3):
-        people = People(ME, 10)
+        member_table = MemberTable(ME, 10)
         for each in said:
-            people.take(0, each, "x")
-        tables.append({name: person.rumour.rank for name, person in people.by_name.items()})
+            member_table.take(0, each, "x")
+        tables.append({name: person.update.rank for name, person in member_table.by_name.items()})
         rng.shuffle(said)
     assert tables[0] == tables[1] == tables[2]
 
 
 @given(st.lists(st.tuples(st.one_of(words, st.none()), st.integers(0, GONE_KEPT)), max_size=25))
 def test_members_here_are_those_that_the_table_says_after_each_change(
-    said: list[tuple[Rumour | None, int]]
+    said: list[tuple[GossipUpdate | None, int]]
 ) -> None:
     """The kept ones are never stale, whether a member is added, gone, replaced or forgotten."""
-    people = People(ME, 1)
+    member_table = MemberTable(ME, 1)
     now = 0
     for each, later in said:
         now += later
         if each is None:
-            people.forget(now)
+            member_table.forget(now)
         else:
-            people.take(now, each, "x")
-        here = [person for person in people.by_name.values() if person.rumour.state <= State.SUSPECT]
-        assert people.here() == here
-        assert people.count() == 1 + len(here)
-        people.here().clear()  # the caller's own
+            member_table.take(now, each, "x")
+        here = [person for person in member_table.by_name.values() if person.update.state <= State.SUSPECT]
+        assert member_table.here() == here
+        assert member_table.count() == 1 + len(here)
+        member_table.here().clear()  # the caller's own
 
 
 def test_of_itself_a_member_believes_nothing_and_answers_with_a_new_life() -> None:
-    people = People(ME, 10)
+    member_table = MemberTable(ME, 10)
     for life, state in enumerate((State.SUSPECT, State.DEAD, State.SUSPECT)):
-        assert people.take(0, word("me", 10, life, state), "x")
-        assert (people.me.life, people.me.state) == (life + 1, State.ALIVE)
-    assert not people.take(0, word("me", 10, 0, State.DEAD), "x"), "an old word"
-    assert not people.take(0, word("me", 9, 5, State.DEAD), "x"), "of a former process"
-    assert people.fenced is None
-    assert not people.take(0, word("me", 11), "x") and people.fenced is not None
+        assert member_table.take(0, word("me", 10, life, state), "x")
+        assert (member_table.me.life, member_table.me.state) == (life + 1, State.ALIVE)
+    assert not member_table.take(0, word("me", 10, 0, State.DEAD), "x"), "an old word"
+    assert not member_table.take(0, word("me", 9, 5, State.DEAD), "x"), "of a former process"
+    assert member_table.fenced is None
+    assert not member_table.take(0, word("me", 11), "x") and member_table.fenced is not None
 
 
 def test_a_table_is_bounded_and_those_gone_longest_make_room() -> None:
-    people = People(ME, 3)
+    member_table = MemberTable(ME, 3)
     for number in range(6):
-        people.take(number, word(f"m{number}", state=State.DEAD if number in (1, 2) else State.ALIVE), "x")
-    assert people.take(9, word("new"), "x") and "m1" not in people.by_name and "m2" in people.by_name
-    assert people.take(9, word("newer"), "x") and len(people.by_name) == 6
-    assert not people.take(9, word("none"), "x") and people.left_out == 1
+        state = State.DEAD if number in (1, 2) else State.ALIVE
+        member_table.take(number, word(f"m{number}", state=state), "x")
+    assert member_table.take(9, word("new"), "x")
+    assert "m1" not in member_table.by_name and "m2" in member_table.by_name
+    assert member_table.take(9, word("newer"), "x") and len(member_table.by_name) == 6
+    assert not member_table.take(9, word("none"), "x") and member_table.left_out == 1
 
 
 def test_a_word_is_told_a_bounded_number_of_times_the_newest_first() -> None:
-    rumours = Rumours()
+    updates = GossipQueue()
     for number in range(WITH_ONE + 3):
-        rumours.add(word(f"m{number}"))
-    first = rumours.some(10)
-    second = rumours.some(10)
+        updates.add(word(f"m{number}"))
+    first = updates.some(10)
+    second = updates.some(10)
     assert len(first) == WITH_ONE
     assert {w.name for w in second} > {f"m{n}" for n in range(WITH_ONE, WITH_ONE + 3)}
-    told = sum(len(rumours.some(10)) for _ in range(50)) + len(first) + len(second)
-    assert not len(rumours) and told == 6 * (WITH_ONE + 3)
+    told = sum(len(updates.some(10)) for _ in range(50)) + len(first) + len(second)
+    assert not len(updates) and told == 6 * (WITH_ONE + 3)
 
 
 def test_probes_take_turns_and_a_late_tick_is_ones_own_fault() -> None:
@@ -161,7 +163,7 @@
         who = rng.choice(list(members))
         holding, own = members[who], int(now * clocks[who])
         if holding.ask(own, epoch):
-            wanted = rng.choice([0, seat((rng.randrange(6), 6)), seat((rng.randrange(2), 2)), WHOLE])
+            wanted = rng.choice([0, slots_of((rng.randrange(6), 6)), slots_of((rng.randrange(2), 2)), WHOLE])
             serial, part = book.grant(now, who, wanted, holding.serial, holding.part(own))
             if rng.random() < 0.7:
                 late.append((who, (own, epoch, serial, part)))
@@ -175,11 +177,11 @@
 
 def test_whoever_shrinks_does_so_at_once_and_whoever_grows_waits_for_proof_or_the_end() -> None:
     book, a, b = Parts(0, (1, 0), KEEP), ("a", 1), ("b", 1)
-    half = seat((0, 2))
+    half = slots_of((0, 2))
     now = ended(KEEP)  # nothing of a predecessor is left
     serial, part = book.grant(now, a, WHOLE, 0, 0)
     assert part == WHOLE and book.grant(now, b, half, 0, 0)[1] == 0
-    # Told of less, a is not yet known to have heard it.
+    # Noticed of less, a is not yet known to have heard it.
     again, less = book.grant(now, a, WHOLE ^ half, serial, part)
     assert less == WHOLE ^ half and book.grant(now, b, half, 0, 0)[1] == 0
     book.grant(now, a, WHOLE ^ half, again, less)
@@ -212,7 +214,7 @@
 
 def test_a_new_coordinator_gives_what_members_say_is_free_and_keeps_the_rest_until_it_has_ended() -> None:
     book, a, b, c = Parts(0, (2, 0), KEEP), ("a", 1), ("b", 1), ("c", 1)
-    first, half, second = seat((0, 3)), seat((0, 6)), seat((1, 3))
+    first, half, second = slots_of((0, 3)), slots_of((0, 6)), slots_of((1, 3))
     assert book.grant(0, a, half, 0, first)[1] == half
     assert book.grant(MS, c, WHOLE, 0, 0)[1] == 0, "a is not known to have heard that it has less"
     assert book.grant(2 * MS, a, half, 1, half)[1] == half
@@ -230,11 +232,11 @@
 
 def test_slots_of_places_are_disjoint_and_all_and_read_back() -> None:
     for places in (1, 3, 7, 40, 1000):
-        seats = [seat((n, places)) for n in range(places)]
+        seats = [slots_of((n, places)) for n in range(places)]
         assert sum(each.bit_count() for each in seats) == SLOTS and reduce(or_, seats) == WHOLE
         assert all(each for each in seats)
-    assert seat((-1, 0)) == seat((3, 3)) == 0
-    mixed = seat((1, 7)) | seat((4, 7)) | 1 << SLOTS - 1
+    assert slots_of((-1, 0)) == slots_of((3, 3)) == 0
+    mixed = slots_of((1, 7)) | slots_of((4, 7)) | 1 << SLOTS - 1
     assert from_bytes(to_bytes(mixed)) == mixed and from_bytes(b"") == 0
     assert from_bytes(b"\xff" * 500) == WHOLE, "never more than there are"
     assert text(0) == "" and text(WHOLE) == f"0-{SLOTS - 1}" and text(0b1101) == "0-0,2-3"
@@ -248,7 +250,7 @@
 ) -> None:
     members = [(f"m{n}", 1) for n in range(places) if n not in gone] + [(f"x{n}", 1) for n in range(without)]
     where = {(f"m{n}", 1): (n, places) for n in range(places)}
-    free = WHOLE & ~reduce(or_, [seat((n, places)) for n in gone if n < places and rng.random() < 0.5], 0)
+    free = WHOLE & ~reduce(or_, [slots_of((n, places)) for n in gone if n < places and rng.random() < 0.5], 0)
     made = assign(members, where, {}, free)
     if not members:
         return
@@ -259,8 +261,8 @@
     width = -(-SLOTS // places)
     assert max(counts) <= max(least + 1, width)
     for who, part in made.items():
-        kept = (part & seat(where.get(who, (-1, 0)))).bit_count()
-        assert kept >= min(least, seat(where.get(who, (-1, 0))).bit_count()) - 1
+        kept = (part & slots_of(where.get(who, (-1, 0)))).bit_count()
+        assert kept >= min(least, slots_of(where.get(who, (-1, 0))).bit_count()) - 1
     again = assign(members, where, made, free)
     assert sum((again[who] & ~part).bit_count() for who, part in made.items()) <= 2 * len(members)
 
@@ -268,15 +270,15 @@
 # Bytes.
 
 
-def letter(**changes: object) -> Letter:
+def message(**changes: object) -> MemberMessage:
     made: dict[str, object] = {"fleet": "f", "name": "a", "born": 1, "body": Ping(3, ("b", 2)), "digest": 7}
-    return Letter(**{**made, **changes})  # type: ignore[arg-type]
+    return MemberMessage(**{**made, **changes})  # type: ignore[arg-type]
 
 
 def test_what_is_spoilt_foreign_or_wrongly_signed_is_counted_and_never_believed() -> None:
     keyed, wire = Wire("f", Keys(b"k" * 16), 8), Wire("f", Keys(), 8)
-    data = keyed.pack(letter())
-    assert keyed.unpack(data) == letter() and wire.unpack(data) is None
+    data = keyed.pack(message())
+    assert keyed.unpack(data) == message() and wire.unpack(data) is None
     rng = random.Random(1)
     for _ in range(300):
         spoilt = bytearray(data)
@@ -285,25 +287,25 @@
         assert wire.unpack(rng.randbytes(rng.randrange(60))) is None
         junk = rng.randbytes(rng.randrange(40))
         assert wire.unpack(b"ts\x01" + wire.keys.sign(junk) + junk) is None
-    assert wire.unpack(Wire("other", Keys(), 8).pack(letter(fleet="other"))) is None
+    assert wire.unpack(Wire("other", Keys(), 8).pack(message(fleet="other"))) is None
     assert {"digest", "foreign", "spoilt", "another fleet"} == set(wire.dropped)
 
 
 def test_keys_change_in_service_by_way_of_the_previous_one() -> None:
     old, both, new = (Wire("f", k, 8) for k in (Keys(b"o" * 16), Keys(b"n" * 16, b"o" * 16), Keys(b"n" * 16)))
-    assert both.unpack(old.pack(letter())) and both.unpack(new.pack(letter()))
-    assert new.unpack(both.pack(letter()))
-    assert old.unpack(new.pack(letter())) is None and new.unpack(old.pack(letter())) is None
+    assert both.unpack(old.pack(message())) and both.unpack(new.pack(message()))
+    assert new.unpack(both.pack(message()))
+    assert old.unpack(new.pack(message())) is None and new.unpack(old.pack(message())) is None
 
 
 def test_a_datagram_holds_what_fits_and_a_table_what_its_bound_allows() -> None:
     wire = Wire("f", Keys(), 64)
     many = tuple(word(f"gateway-with-a-long-name-{n:03d}", 1_790_000_000_000) for n in range(40))
-    data = wire.pack(letter(rumours=many))
+    data = wire.pack(message(updates=many))
     kept = wire.unpack(data)
-    assert len(data) <= DATAGRAM and kept is not None and 8 <= len(kept.rumours) < 40
+    assert len(data) <= DATAGRAM and kept is not None and 8 <= len(kept.updates) < 40
     view = View((1, 2, 3), (1, 2, 2), tuple((f"gateway-{n:050d}", 1_790_000_000_000) for n in range(30)))
-    kept = wire.unpack(wire.pack(letter(body=Fresh(view.number, view))))
+    kept = wire.unpack(wire.pack(message(body=Fresh(view.number, view))))
     assert kept is not None and kept.body == Fresh(view.number, None)
     table = Table("f", "a", 1, many, view, None)
     framed = wire.pack_table(table)
@@ -377,7 +379,7 @@
     world.step(world.true + 4 * SECOND)
     cores = [world.processes[name].core for name in without]
     assert all(c is not None and c.part(world.clock.now) == 0 for c in cores), "nothing that is shared"
-    assert all(c is not None and set(c.people.live()) == {d.who for d in cores if d} for c in cores)
+    assert all(c is not None and set(c.member_table.live()) == {d.who for d in cores if d} for c in cores)
     world.heal(ways)
     assert world.until_settled(5 * SECOND) <= 5 * SECOND
 
@@ -427,7 +429,7 @@
     added = world.add(5)
     world.start(added)
     world.step(world.true + SECOND)
-    dead = seat((int(leading.name[1:]), 5))
+    dead = slots_of((int(leading.name[1:]), 5))
     assert added.core is not None
     assert added.core.part(world.clock.now).bit_count() == (WHOLE ^ dead).bit_count() // 5
     world.step(world.true + 3 * SECOND)
@@ -441,19 +443,19 @@
     name = next(n for n in ("n3", "n4"))
 
     def word(name: str) -> list[object]:
-        told = letter(fleet="fleet", name="", born=0, body=Forget(name))
+        told = message(fleet="fleet", name="", born=0, body=Forget(name))
         said = leads.received(world.clock.now, told, ("10.9.9.9", 1))
-        return [action.letter.body for action in said if isinstance(action, Say)]
+        return [action.message.body for action in said if isinstance(action, Say)]
 
     assert word(name) == [Forgotten(name, True, 0)]
     world.kill(world.processes[name])
     world.step(world.true + 5 * SECOND)
-    assert world.rights() == WHOLE ^ seat((int(name[1:]), 5))
-    assert word(name) == [Forgotten(name, False, seat((int(name[1:]), 5)).bit_count())]
+    assert world.rights() == WHOLE ^ slots_of((int(name[1:]), 5))
+    assert word(name) == [Forgotten(name, False, slots_of((int(name[1:]), 5)).bit_count())]
     assert word("nobody") == [Forgotten("nobody", False, 0)]
     assert world.until_settled(2 * SECOND) < 2 * SECOND
     other = next(p.core for p in world.processes.values() if p.core and p.core is not leads)
-    told = letter(fleet="fleet", name="", born=0, body=Forget(name))
+    told = message(fleet="fleet", name="", born=0, body=Forget(name))
     assert other.received(world.clock.now, told, ("10.9.9.9", 1)) == [], "only the coordinator answers"
 
 
@@ -500,7 +502,8 @@
     world.start(process)
     fresh = process.core
     assert fresh is not None
-    fresh.people.me = word("n4", core.people.me.born - 10_000)  # as a clock that was put back would have it
+    # As a clock that was put back would have it.
+    fresh.member_table.me = word("n4", core.member_table.me.born - 10_000)
     world.until_settled(6 * SECOND)
 
 
@@ -536,5 +539,6 @@
     world = settled(3)
     core, other = world.processes["n1"].core, world.processes["n2"].core
     assert core is not None and other is not None
-    said = letter(fleet="fleet", name="n2", born=other.who[1], body=Ack(99), digest=core.people.digest())
+    digest = core.member_table.digest()
+    said = message(fleet="fleet", name="n2", born=other.who[1], body=Ack(99), digest=digest)
     assert core.received(world.clock.now, said, other.settings.address) == []
--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -27,7 +27,7 @@
 from trackspread.standins.scene import Scene
 
 from .fakes import LOCAL, raw_config
-from .test_membership import letter
+from .test_membership import message
 
 pytestmark = pytest.mark.processes
 
@@ -216,7 +216,7 @@
         at = fleet.members["n1"]
         stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         wrong = Wire("test", Keys(b"another key of some length"), 8)
-        ping = letter(fleet="test", name="n2", born=1 << 50, body=Ping(1, ("n1", 1)))
+        ping = message(fleet="test", name="n2", born=1 << 50, body=Ping(1, ("n1", 1)))
         for n in range(2000):
             stranger.sendto(os.urandom(n % 64), at)
             stranger.sendto(wrong.pack(ping), at)
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -17,9 +17,9 @@
 })
 # What is done, as folders and files of the program: this only gets longer.
 DONE = (
-    "config", "control", "counter", "handover", "mutation", "node/handover_state.py", "node/takeover.py",
-    "peers", "plans", "simulator", "storage", "usage",
-    "virtual/handover", "virtual/usage",
+    "backends", "cells", "config", "control", "counter", "decide/services.py", "distribution", "fronts",
+    "handover", "lists", "membership", "mutation", "node", "peers", "plans", "simulator", "storage", "usage",
+    "virtual/cells", "virtual/distribution", "virtual/handover", "virtual/usage",
 )
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -21,7 +21,7 @@
     SetTimer,
     Topology,
 )
-from trackspread.membership.slots import WHOLE, seat, to_bytes
+from trackspread.membership.slots import WHOLE, slots_of, to_bytes
 from trackspread.simulator import wire
 
 ROOT = Path(__file__).parent.parent
@@ -100,7 +100,7 @@
 def fleet(slots: int, until: int = 10**12) -> bytes:
     """A view of two places: this gateway, 70, has these slots, 71 those of the second place."""
     head = struct.pack("<HIQQHHH", wire.FLEET, 70, until, 10**12, 2, 1, 2)
-    places = [to_bytes(seat((n, 2))) for n in range(2)]
+    places = [to_bytes(slots_of((n, 2))) for n in range(2)]
     masks = [slots.to_bytes(128, "little"), struct.pack("<3I", 71, 70, 71), places[1], *places]
     return head + b"".join(masks)
 
@@ -167,7 +167,7 @@
 
 def test_a_view_comes_as_a_record_of_this_projects_own() -> None:
     _, events = wire.decode(struct.pack("<Q", 8) + select(3) + fleet(WHOLE))
-    seats = seat((0, 2)), seat((1, 2))
+    seats = slots_of((0, 2)), slots_of((1, 2))
     assert events == [
         (3, FleetChanged(70, (71,), (70, 71), seats, WHOLE, (seats[1],), 10**12, 10**12))]
     with pytest.raises(wire.WireError, match="impossible count in fleet"):
--- a/trackspread/cells/controller.py
+++ b/trackspread/cells/controller.py
@@ -24,7 +24,7 @@
 
 from ..membership.member import Member
 from ..membership.terms import (
-    WITNESS, Action, Address, Epoch, Letter, Settings, State, Table, Who,
+    WITNESS, Action, Address, Epoch, MemberMessage, Settings, State, Table, Who,
 )
 from .leading import Leading
 from .seeding import Seeding
@@ -108,9 +108,9 @@
             self._report(now)
         return self._done()
 
-    def received(self, now: int, letter: Letter, source: Address) -> list[CellsAction]:
+    def received(self, now: int, member_message: MemberMessage, source: Address) -> list[CellsAction]:
         """A datagram of a view that this machine may be in."""
-        return self._on(letter.fleet, lambda member: member.received(now, letter, source))
+        return self._on(member_message.fleet, lambda member: member.received(now, member_message, source))
 
     def merge(self, now: int, table: Table) -> list[CellsAction]:
         return self._on(table.fleet, lambda member: member.merge(now, table))
@@ -166,8 +166,8 @@
         if self.leading is None or self.leading.epoch != epoch:
             self.leading = Leading(now, epoch, self.settings.policy, self.settings.machines)
             self._led(epoch)
-        live = {p.rumour.name: p.rumour.born for p in self.tier.people.here()
-                if p.rumour.state == State.ALIVE}
+        live = {p.update.name: p.update.born for p in self.tier.member_table.here()
+                if p.update.state == State.ALIVE}
         live[self.settings.name] = self.settings.born
         for to, body in self.leading.tick(now, live):
             self._say(now, to, body, epoch)
@@ -283,9 +283,9 @@
         if (seeding := self.cells.get(move.cell)) is None:
             return
         for name in move.gateways:
-            held = seeding.member.people.by_name.get(name)
+            held = seeding.member.member_table.by_name.get(name)
             if seeding.moved(name, move.placement) and held is not None and held.here:
-                word = held.rumour
+                word = held.update
                 self._say(now, word.address, Located(word.who, move.placement))
 
     def _describe(self, now: int, page: int, source: Address) -> None:
--- a/trackspread/cells/gateway.py
+++ b/trackspread/cells/gateway.py
@@ -25,7 +25,7 @@
 from typing import NamedTuple
 
 from ..membership.member import Member
-from ..membership.terms import Action, Address, Letter, Settings, Table, Who
+from ..membership.terms import Action, Address, MemberMessage, Settings, Table, Who
 from .terms import (
     MS, SECOND, CellsAction, ControlMachine, InCell, Joined, Left, Locate, Located, Message, Placement, Send,
     Zone,
@@ -93,8 +93,8 @@
             self._ask(now)
         return self._done()
 
-    def received(self, now: int, letter: Letter, source: Address) -> list[CellsAction]:
-        return self._on(letter.fleet, lambda member: member.received(now, letter, source))
+    def received(self, now: int, member_message: MemberMessage, source: Address) -> list[CellsAction]:
+        return self._on(member_message.fleet, lambda member: member.received(now, member_message, source))
 
     def merge(self, now: int, table: Table) -> list[CellsAction]:
         return self._on(table.fleet, lambda member: member.merge(now, table))
@@ -112,10 +112,10 @@
             self._placed(now, body.placement)
         return self._done()
 
-    def words(self, names: Iterable[str], data: bytes) -> list[CellsAction]:
+    def send_data(self, names: Iterable[str], data: bytes) -> list[CellsAction]:
         """To those of these that are here in the cell."""
         if self.member is not None:
-            self._do(self.member.words(names, data))
+            self._do(self.member.send_data(names, data))
         return self._done()
 
     def leave(self, now: int) -> list[CellsAction]:
--- a/trackspread/cells/host.py
+++ b/trackspread/cells/host.py
@@ -14,7 +14,7 @@
 from ..membership.host import CHANGING, NOTED, plain
 from ..membership.port import Port
 from ..membership.record import Recorder
-from ..membership.terms import Address, Epoch, Exchange, Heard, Letter, Say, Table, Told
+from ..membership.terms import Address, Epoch, Exchange, Heard, MemberMessage, Say, Table
 from .controller import Controller
 from .gateway import Gateway
 from .terms import CellsAction, InCell, Joined, Leads, Left, Message, Noticed, Send
@@ -47,7 +47,7 @@
             super().__init__(listen, wire)
         self.core, self.now, self._reader = core, now, wire
         self._changed, self._heard, self._led = changed, heard, led
-        self._packed: tuple[Letter, bytes] | None = None  # what was sent last: it often goes to several
+        self._packed: tuple[MemberMessage, bytes] | None = None  # the last one: it often goes to several
         self._record = Recorder(record, *core.who) if record is not None else None
 
     async def start(self) -> None:
@@ -74,8 +74,8 @@
 
     def _take(self, data: bytes, source: Address) -> None:
         match self._reader.read(data):
-            case Letter() as letter:
-                self._do(self.core.received(self.now(), letter, source))
+            case MemberMessage() as member_message:
+                self._do(self.core.received(self.now(), member_message, source))
             case Message() as message:
                 self._do(self.core.message(self.now(), message, source))
 
@@ -88,7 +88,7 @@
     def tell(self, names: Iterable[str], data: bytes) -> None:
         """The program's words for others of the gateway's cell."""
         if isinstance(self.core, Gateway):
-            self._do(self.core.words(names, data))
+            self._do(self.core.send_data(names, data))
 
     # What the core wants done.
 
@@ -98,13 +98,13 @@
             match action:
                 case Send(to, message):
                     self._send(self._reader.pack_message(message), to)
-                case InCell(_, Say(to, letter)):
-                    self._say(to, letter)
+                case InCell(_, Say(to, member_message)):
+                    self._say(to, member_message)
                 case InCell(fleet, Exchange(to)):
                     self._exchange(to, fleet)
                 case InCell(_, Heard(name, data, part)):
                     self._heard(name, data, part)
-                case InCell(fleet, Told() as told):
+                case InCell(fleet, Noticed() as told):
                     self._told(fleet, told)
                     changed |= told.kind in CHANGING
                 case Joined() | Left():
@@ -118,16 +118,16 @@
         if changed:
             self._changed()
 
-    def _say(self, to: Address, letter: Letter) -> None:
-        if self._packed is None or self._packed[0] is not letter:
-            self._packed = letter, self.wire.pack(letter)
+    def _say(self, to: Address, member_message: MemberMessage) -> None:
+        if self._packed is None or self._packed[0] is not member_message:
+            self._packed = member_message, self.wire.pack(member_message)
         self._send(self._packed[1], to)
 
     def _line(self, kind: str, about: dict[str, object]) -> None:
         if self._record is not None:
             self._record.write(kind, about)
 
-    def _told(self, fleet: str, told: Told) -> None:
+    def _told(self, fleet: str, told: Noticed) -> None:
         self._line(told.kind, {**told.about, "fleet": fleet})
         if told.kind in NOTED and isinstance(self.core, Gateway):
             of_note.info("%s: %s%s", fleet, told.kind, plain(told))
--- a/trackspread/cells/leading.py
+++ b/trackspread/cells/leading.py
@@ -26,7 +26,7 @@
 ROWS = 8  # cells of one page of the directory, with the longest names
 WAITING_MOST = 1_024  # reports of which pages are missing
 
-Told = list[tuple[Address, Bodies]]
+Outgoing = list[tuple[Address, Bodies]]
 
 
 class _Pages(NamedTuple):
@@ -95,7 +95,7 @@
         del self._pages[key]
         return tuple(who for page in sorted(waiting.members) for who in waiting.members[page])
 
-    def tick(self, now: int, live: dict[str, int]) -> Told:
+    def tick(self, now: int, live: dict[str, int]) -> Outgoing:
         """`live`: born by the name of each control machine that is."""
         if now < self._look_at:
             return []
@@ -122,14 +122,14 @@
             del self._told[key]
 
     @staticmethod
-    def _moves(wanted: list[MoveWanted]) -> Told:
+    def _moves(wanted: list[MoveWanted]) -> Outgoing:
         """Each to all seeds of the cell: whoever reaches the gateway tells it."""
         return [(seed, Move(each.cell.name, (each.gateway,), each.placement))
                 for each in wanted for seed in each.cell.seeds]
 
-    def _seeding(self, now: int, here: set[Address]) -> Told:
+    def _seeding(self, now: int, here: set[Address]) -> Outgoing:
         """Entries that live seeds do not have yet."""
-        out: Told = []
+        out: Outgoing = []
         for entry in self.directory.entries.values():
             cell = entry.cell
             for seed in cell.seeds:
--- a/trackspread/cells/terms.py
+++ b/trackspread/cells/terms.py
@@ -16,6 +16,7 @@
 from ..membership.terms import MS as MS
 from ..membership.terms import SECOND as SECOND
 from ..membership.terms import Action, Address, Epoch, Number, Who
+from ..membership.terms import Noticed as Noticed
 
 SEEDS = 3  # of a cell: it goes on without any one of them
 
@@ -232,11 +233,4 @@
     epoch: Epoch | None
 
 
-class Noticed(NamedTuple):
-    """Something came to be, for log and records."""
-
-    kind: str
-    about: dict[str, object]
-
-
 CellsAction = Send | InCell | Joined | Left | Leads | Noticed
--- a/trackspread/cells/wire.py
+++ b/trackspread/cells/wire.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..membership.terms import Letter
+from ..membership.terms import MemberMessage
 from ..membership.wire import Keys, Wire
 from .terms import Message
 
@@ -32,7 +32,7 @@
     def pack_message(self, message: Message) -> bytes:
         return self._sealed(_encode(message), MARK)
 
-    def read(self, data: bytes) -> Letter | Message | None:
+    def read(self, data: bytes) -> MemberMessage | Message | None:
         """A datagram of either kind."""
         if not data.startswith(MARK):
             return self.unpack(data)
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `run` (also without words), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`,
+"""The command line: `run` (also without arguments), `check`, `use`, `plans`, `reserve`, `quota`, `fleet`,
 `control`, `configuration`, `try`.
 
 An operator's error ends with exit status 2 and one plain line on standard error.
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from .commands import words
+from .commands import arguments
 from .config import operator, platform
 from .config.addresses import ConfigError
 from .node import serve
@@ -63,13 +63,13 @@
         "than one may be given",
     )
     tries.add_argument("--seed", type=int, default=1, help="of clients and nodes (1)")
-    words.add_use(commands)
-    words.add_plans(commands)
-    words.add_reserve(commands)
-    words.add_quota(commands)
-    words.add_fleet(commands)
-    words.add_control(commands)
-    words.add_configuration(commands)
+    arguments.add_use(commands)
+    arguments.add_plans(commands)
+    arguments.add_reserve(commands)
+    arguments.add_quota(commands)
+    arguments.add_fleet(commands)
+    arguments.add_control(commands)
+    arguments.add_configuration(commands)
     return parser
 
 
--- a/trackspread/commands/fleet.py
+++ b/trackspread/commands/fleet.py
@@ -20,7 +20,7 @@
 from ..config.addresses import ConfigError, address
 from ..membership.report import Report
 from ..membership.slots import SLOTS
-from ..membership.terms import Address, Forget, Forgotten, Letter
+from ..membership.terms import Address, Forget, Forgotten, MemberMessage
 from ..membership.wire import DATAGRAM, Wire
 from ..node.celled import machines
 from ..node.membered import keys
@@ -93,7 +93,7 @@
     if fleet.control:
         raise ConfigError(f"{file}: fleet.control: found control machines, wanted a fleet without cells")
     wire = Wire(fleet.name, keys(fleet), fleet.most)
-    word = wire.pack(Letter(fleet.name, "", 0, Forget(name), 0))
+    word = wire.pack(MemberMessage(fleet.name, "", 0, Forget(name), 0))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as line:
         line.settimeout(AGAIN)
         end = time.monotonic() + PATIENCE
@@ -101,11 +101,11 @@
             for seed in fleet.seed_addresses():
                 line.sendto(word, seed)
             try:
-                letter = wire.unpack(line.recv(DATAGRAM))
+                message = wire.unpack(line.recv(DATAGRAM))
             except OSError:  # nobody yet, or nobody at one of the addresses
                 continue
-            if letter is not None and isinstance(letter.body, Forgotten) and letter.body.name == name:
-                return _forgotten(letter.body)
+            if message is not None and isinstance(message.body, Forgotten) and message.body.name == name:
+                return _forgotten(message.body)
     raise ConfigError(f"{file}: fleet.seeds: no coordinator answered within {PATIENCE:.0f} s; wanted a "
                       "majority of them up, and the fleet's key")
 
--- a/trackspread/distribution/client.py
+++ b/trackspread/distribution/client.py
@@ -10,7 +10,7 @@
 import time
 
 from .terms import (
-    Address, Begin, Bodies, Done, Full, Letter, NotLeader, Put, Refused, Show, Shown, Version,
+    Address, Begin, Bodies, Done, Full, Message, NotLeader, Put, Refused, Show, Shown, Version,
 )
 from .wire import DATAGRAM, Wire
 
@@ -95,14 +95,14 @@
         return 0 <= leader < len(self._replicas) and leader != replica
 
     def _ask(self, line: socket.socket, replica: int, body: Bodies, number: int) -> Bodies | None:
-        line.sendto(self._wire.pack(Letter(self._wire.fleet, -1, 0, body)), self._replicas[replica])
+        line.sendto(self._wire.pack(Message(self._wire.fleet, -1, 0, body)), self._replicas[replica])
         end = time.monotonic() + ANSWER
         while time.monotonic() < end:
             try:
-                letter = self._wire.unpack(line.recv(DATAGRAM))
+                message = self._wire.unpack(line.recv(DATAGRAM))
             except OSError:  # nobody there, or no answer in time
                 return None
-            answer = letter.body if letter is not None else None
+            answer = message.body if message is not None else None
             if isinstance(answer, Done | Full | NotLeader | Refused | Shown) and answer.number == number:
                 return answer
         return None
--- a/trackspread/distribution/host.py
+++ b/trackspread/distribution/host.py
@@ -19,7 +19,7 @@
 from .replica import Replica
 from .subscriber import Subscriber
 from .terms import (
-    SECOND, TICK, Action, Address, Bodies, Epoch, Letter, ReplicaSettings, Send, SubscriberSettings, Told,
+    SECOND, TICK, Action, Address, Bodies, Epoch, Message, Noticed, ReplicaSettings, Send, SubscriberSettings,
 )
 from .wire import Wire
 
@@ -92,9 +92,9 @@
     def came(self, data: bytes, source: Address) -> None:
         self.counts["received"] += 1
         self.counts["bytes received"] += len(data)
-        letter = self.wire.unpack(data)
-        if letter is not None and self._transport is not None:
-            self.guarded(lambda: self.heard(letter, source))
+        message = self.wire.unpack(data)
+        if message is not None and self._transport is not None:
+            self.guarded(lambda: self.heard(message, source))
 
     def guarded(self, call: Callable[[], Iterable[Action]]) -> None:
         """What the core wants done."""
@@ -103,15 +103,15 @@
                 match action:
                     case Send(to, body):
                         self.send(to, body)
-                    case Told():
-                        self.told(action)
+                    case Noticed():
+                        self.notice(action)
         except Exception:
             log.exception("fault in handing configuration down")
 
     def send(self, to: Address, body: Bodies) -> None:
         if self._transport is None:
             return
-        data = self.wire.pack(Letter(self.wire.fleet, self._replica, self._born, body))
+        data = self.wire.pack(Message(self.wire.fleet, self._replica, self._born, body))
         self.counts["sent"] += 1
         self.counts["bytes sent"] += len(data)
         self._transport.sendto(data, to)
@@ -130,10 +130,10 @@
     def tick(self) -> None:
         raise NotImplementedError
 
-    def heard(self, letter: Letter, source: Address) -> Iterable[Action]:
+    def heard(self, message: Message, source: Address) -> Iterable[Action]:
         raise NotImplementedError
 
-    def told(self, told: Told) -> None:
+    def notice(self, noticed: Noticed) -> None:
         raise NotImplementedError
 
 
@@ -158,18 +158,18 @@
         self.guarded(lambda: self.core.tick(self.now()))
         self.call_at(now + TICK)
 
-    def heard(self, letter: Letter, source: Address) -> Iterable[Action]:
+    def heard(self, message: Message, source: Address) -> Iterable[Action]:
         now = self.now()
         made = self.core.lead(now, self._leads())
-        return made + self.core.received(now, letter.replica, letter.born, letter.body, source)
+        return made + self.core.received(now, message.replica, message.born, message.body, source)
 
-    def told(self, told: Told) -> None:
-        self.record(told.kind, told.about)
-        if told.kind in NOTED:
-            about = ", ".join(f"{key} {value}" for key, value in told.about.items())
-            log.info("configuration: %s: %s %s", self.name, told.kind, about)
-        if told.kind == "outdone":
-            self._outdone(told.about["by"])  # type: ignore[arg-type]
+    def notice(self, noticed: Noticed) -> None:
+        self.record(noticed.kind, noticed.about)
+        if noticed.kind in NOTED:
+            about = ", ".join(f"{key} {value}" for key, value in noticed.about.items())
+            log.info("configuration: %s: %s %s", self.name, noticed.kind, about)
+        if noticed.kind == "outdone":
+            self._outdone(noticed.about["by"])  # type: ignore[arg-type]
 
 
 class SubscriberHost(Endpoint):
@@ -198,12 +198,12 @@
             self._due = self.core.due
             self.call_at(self._due)
 
-    def heard(self, letter: Letter, source: Address) -> Iterable[Action]:
-        made = self.core.received(self.now(), letter.body, source)
+    def heard(self, message: Message, source: Address) -> Iterable[Action]:
+        made = self.core.received(self.now(), message.body, source)
         self._again()
         return made
 
-    def told(self, told: Told) -> None:
+    def notice(self, noticed: Noticed) -> None:
         if self._recorder is not None:
-            self.record(told.kind, told.about | {"values": fingerprint(self.core.snapshot)})
+            self.record(noticed.kind, noticed.about | {"values": fingerprint(self.core.snapshot)})
         self._changed()
--- a/trackspread/distribution/leading.py
+++ b/trackspread/distribution/leading.py
@@ -27,7 +27,7 @@
 from .log import Log, fitting
 from .terms import (
     MS, NOTHING, SECOND, Accepted, Action, Address, Append, Behind, Bodies, Done, Entry, Epoch, Full,
-    NotLeader, Prepare, Promise, Refused, ReplicaSettings, Send, Tail, TailEntries, Told, Version,
+    Noticed, NotLeader, Prepare, Promise, Refused, ReplicaSettings, Send, Tail, TailEntries, Version,
 )
 
 ASK = 200 * MS  # ns between two askings of one step
@@ -194,7 +194,7 @@
         self.established, self.whole, self.adopting = True, True, None
         self._followers = {n: Follower(self.log.last, heard_at=now) for n in self.others}
         self._number(history, "", "", None)
-        return [Told("leads", {"epoch": self.epoch, "history": history}), *self._replicate(now)]
+        return [Noticed("leads", {"epoch": self.epoch, "history": history}), *self._replicate(now)]
 
     def _number(self, history: int, service: str, key: str, value: bytes | None) -> Version:
         version = Version(history, self.epoch, self.log.last.sequence + 1)
@@ -217,7 +217,7 @@
             return [Send(source, Full(number, self.settings.keys))]
         version = self._number(self.log.last.history, service, key, value)
         self._waiting.append(Waiting(source, number, version))
-        return [Told("numbered", {"version": version}), *self._replicate(now)]
+        return [Noticed("numbered", {"version": version}), *self._replicate(now)]
 
     def _is_one_more(self, service: str, key: str, value: bytes | None) -> bool:
         return value is not None and key not in self.log.snapshot.get(service, {})
@@ -286,7 +286,7 @@
         upto = versions[self.settings.majority - 1]
         if upto.epoch != self.epoch or upto <= self.log.committed:
             return []
-        made: list[Action] = [Told("committed", {"entries": tuple(self.log.commit(upto))})]
+        made: list[Action] = [Noticed("committed", {"entries": tuple(self.log.commit(upto))})]
         done = [each for each in self._waiting if each.version <= upto]
         self._waiting = [each for each in self._waiting if each.version > upto]
         made += [Send(each.to, Done(each.number, each.version)) for each in done]
--- a/trackspread/distribution/replica.py
+++ b/trackspread/distribution/replica.py
@@ -21,8 +21,8 @@
 from .subscriber import Subscriber
 from .terms import (
     MS, NAME_MOST, SECOND, VALUE_MOST, Accepted, Action, Address, Append, Begin, Behind, Bodies, Done, Epoch,
-    NotLeader, Poll, Prepare, Promise, Put, Recover, Refused, ReplicaSettings, Send, Show, Shown, Stale,
-    Standing, Subscribe, SubscriberSettings, Tail, TailEntries, Told, Version,
+    Noticed, NotLeader, Poll, Prepare, Promise, Put, Recover, Refused, ReplicaSettings, Send, Show, Shown,
+    Stale, Standing, Subscribe, SubscriberSettings, Tail, TailEntries, Version,
 )
 
 RECOVER = 300 * MS  # ns between questions of one that is not whole
@@ -67,7 +67,7 @@
         self._last_led = epoch
         if epoch < self.promised:
             self.leading = None
-            return [Told("outdone", {"by": self.promised})]
+            return [Noticed("outdone", {"by": self.promised})]
         self.promised, self.leader = epoch, self.settings.number
         self.leading = Leading(self.settings, self.log, epoch, now, self.whole)
         return self.leading.tick(now)
@@ -141,7 +141,7 @@
                 return self._stands(now, replica, body)
             case Stale(promised) if promised > self.promised:
                 self.promised, self.leader, self.leading = promised, -1, None
-                return [Told("outdone", {"by": promised})]
+                return [Noticed("outdone", {"by": promised})]
         if self.leading is None:
             return []
         match body:
@@ -194,12 +194,12 @@
         if self.log.committed >= told.committed:
             self._heard_at = max(self._heard_at, now - told.age * MS)
         if done:
-            made.append(Told("committed", {"entries": tuple(done)}))
+            made.append(Noticed("committed", {"entries": tuple(done)}))
         if self.whole:
             self._pull = None  # nothing is missing here
         if self._goal is not None and not self.whole and upto >= self._goal[1]:
             self._become_whole()
-            made.append(Told("whole", {"version": upto}))
+            made.append(Noticed("whole", {"version": upto}))
         return [*made, Send(source, Accepted(told.epoch, True, self.whole, upto))]
 
     def _keep_early(self, told: Append) -> None:
@@ -225,7 +225,7 @@
         self.serving.replace(self.log)
         self._standing.clear()
         self._goal, self._begun = None, self.promised
-        return [Told("forgot", {})]
+        return [Noticed("forgot", {})]
 
     def _tail(self, told: Tail, source: Address) -> list[Action]:
         """For a new leader, whose log is shorter."""
@@ -279,7 +279,7 @@
         elif self.leader >= 0:
             has = Accepted(self.promised, False, self.whole, self.log.committed)
             made = [Send(self.settings.replicas[self.leader], has)]
-        return [*made, Told("installed", {"version": pull.version, "keys": len(self.log)})]
+        return [*made, Noticed("installed", {"version": pull.version, "keys": len(self.log)})]
 
     # For operators.
 
--- a/trackspread/distribution/subscriber.py
+++ b/trackspread/distribution/subscriber.py
@@ -29,7 +29,8 @@
 from .serving import ALL, digest
 from .terms import (
     BEGINNING, MS, NOTHING, SECOND, SUBSCRIPTION_PART, TICK, Action, Address, Bodies, Cursor, Delta, Entry,
-    NeedSnapshot, NeedSubscription, Piece, Poll, Refused, Send, Subscribe, SubscriberSettings, Told, Version,
+    NeedSnapshot, NeedSubscription, Noticed, Piece, Poll, Refused, Send, Subscribe, SubscriberSettings,
+    Version,
 )
 
 JITTER = 0.1  # of a wait: gateways that began together don't stay so
@@ -232,7 +233,7 @@
         made: list[Action] = []
         if told.version != self.version:
             self.version = told.version
-            made.append(Told("acts", {"version": told.version, "changes": len(told.entries)}))
+            made.append(Noticed("acts", {"version": told.version, "changes": len(told.entries)}))
         if told.more:
             return [*made, self._poll(now)]
         self.fresh_at = max(self.fresh_at or 0, asked_at - told.age * MS)
--- a/trackspread/distribution/terms.py
+++ b/trackspread/distribution/terms.py
@@ -14,6 +14,7 @@
 from ..membership.terms import SECOND as SECOND
 from ..membership.terms import Address as Address
 from ..membership.terms import Epoch as Epoch
+from ..membership.terms import Noticed as Noticed
 
 TICK = 50 * MS  # ns between two ticks of a core
 NAME_MOST = 128  # characters of a service's name, and of a key's
@@ -286,7 +287,7 @@
 )
 
 
-class Letter(msgspec.Struct, frozen=True, array_like=True):
+class Message(msgspec.Struct, frozen=True, array_like=True):
     """One datagram. `replica`: the sender's number, -1 for a gateway or a command; `born`: which process
     of that number, wall clock at its start in ms."""
 
@@ -306,14 +307,7 @@
     body: Bodies
 
 
-class Told(NamedTuple):
-    """Something came to be, for log, records and whoever hangs on it."""
-
-    kind: str
-    about: dict[str, object]
-
-
-Action = Send | Told
+Action = Send | Noticed
 
 
 class ReplicaSettings(NamedTuple):
--- a/trackspread/distribution/wire.py
+++ b/trackspread/distribution/wire.py
@@ -1,6 +1,6 @@
 """Words about configuration as bytes: datagrams, each with a digest, keyed where the fleet has a key.
 
-A datagram is a mark, a digest of what follows, and the letter (MessagePack), as those of the view are.
+A datagram is a mark, a digest of what follows, and the message (MessagePack), as those of the view are.
 Whatever does not fit its digest, its types or the fleet's name is counted and dropped. May know: bytes, keys.
 May not know: what any of it means.
 """
@@ -12,14 +12,14 @@
 import msgspec
 
 from ..membership.wire import DIGEST, Keys
-from .terms import Letter
+from .terms import Message
 
 MARK = b"td\x01"  # and the version of what follows
 DATAGRAM = 1_400  # bytes at most: one packet on any network
 _HEAD = len(MARK) + DIGEST
 
 _encode = msgspec.msgpack.Encoder().encode
-_letter = msgspec.msgpack.Decoder(Letter)
+_message = msgspec.msgpack.Decoder(Message)
 
 
 class Wire:
@@ -29,23 +29,23 @@
         self.fleet, self.keys = fleet, keys
         self.dropped: Counter[str] = Counter()
 
-    def pack(self, letter: Letter) -> bytes:
-        payload = _encode(letter)
+    def pack(self, message: Message) -> bytes:
+        payload = _encode(message)
         return MARK + self.keys.sign(payload) + payload
 
-    def unpack(self, data: bytes) -> Letter | None:
+    def unpack(self, data: bytes) -> Message | None:
         if not _HEAD < len(data) <= DATAGRAM or not data.startswith(MARK):
             return self._dropped("foreign")
         payload = data[_HEAD:]
         if not self.keys.fits(data[len(MARK):_HEAD], payload):
             return self._dropped("digest")
         try:
-            letter = _letter.decode(payload)
+            message = _message.decode(payload)
         except (msgspec.DecodeError, RecursionError):
             return self._dropped("spoilt")
-        return letter if letter.fleet == self.fleet else self._dropped("another fleet")
+        return message if message.fleet == self.fleet else self._dropped("another fleet")
 
-    def _dropped(self, why: str) -> Letter | None:
-        """Counted, and no letter."""
+    def _dropped(self, why: str) -> Message | None:
+        """Counted, and no message."""
         self.dropped[why] += 1
         return None
--- a/trackspread/membership/seat.py
+++ b/trackspread/membership/acceptor.py
@@ -1,4 +1,4 @@
-"""A member's seat in the seeds' election of a coordinator, where it is a seed.
+"""A member's vote in the seeds' election of a coordinator, where it is a seed.
 
 What the election says to other seeds goes out as datagrams, what it says to itself is heard at once. May
 know: the seeds' addresses, the election. May not know: what a coordinator does.
@@ -16,7 +16,7 @@
 Votes = list[tuple[Address, Vote]]
 
 
-class Seat:
+class Acceptor:
     """`number` is -1 for a member that is no seed, which never owns anything."""
 
     def __init__(self, settings: Settings, now: int, rng: random.Random) -> None:
@@ -46,10 +46,10 @@
         """To the seeds; to oneself at once."""
         made: Votes = []
         for to, word in out:
-            for seat in range(len(self._seeds)) if to is None else (to,):
-                if seat != self.number:
+            for voter in range(len(self._seeds)) if to is None else (to,):
+                if voter != self.number:
                     vote = Vote(self.number, word.kind, word.ballot[0], word.ballot[1], word.owner)
-                    made.append((self._seeds[seat], vote))
+                    made.append((self._seeds[voter], vote))
                 elif self.election is not None:
-                    made += self._sent(now, self.election.heard(now, seat, word))
+                    made += self._sent(now, self.election.heard(now, voter, word))
         return made
--- a/trackspread/membership/coordinating.py
+++ b/trackspread/membership/coordinating.py
@@ -74,13 +74,13 @@
         self.view = View((*self.epoch, count + 1), parent, members)
         return self.view
 
-    def asked(self, now: int, who: Who, seat: int, renew: Renew) -> tuple[int, int]:
-        """Serial and slots for a member that asks; `seat`: which seed it is, -1 for none."""
+    def asked(self, now: int, who: Who, acceptor: int, renew: Renew) -> tuple[int, int]:
+        """Serial and slots for a member that asks; `acceptor`: which seed it is, -1 for none."""
         self._asked[who], self._places[who] = now, renew.place
         part = from_bytes(renew.part)
         self.heard_of(renew.number)
-        if seat >= 0 and renew.fresh and seat not in self._fresh:
-            self._fresh.add(seat)
+        if acceptor >= 0 and renew.fresh and acceptor not in self._fresh:
+            self._fresh.add(acceptor)
             if len(self._fresh) == self._seeds:
                 self.parts.begin(now)
         # Until there is a view, everybody may go on with what it holds.
--- a/trackspread/membership/host.py
+++ b/trackspread/membership/host.py
@@ -13,7 +13,7 @@
 from .port import DESCRIPTORS as DESCRIPTORS
 from .port import Port
 from .record import Recorder
-from .terms import Action, Address, Exchange, Heard, Letter, Say, Settings, Table, Told
+from .terms import Action, Address, Exchange, Heard, MemberMessage, Noticed, Say, Settings, Table
 from .wire import Wire
 
 log = logging.getLogger(__name__)
@@ -38,7 +38,7 @@
         self.settings, self.now = settings, now
         self.core = Member(settings, now(), seed)
         self._changed, self._heard = changed, heard
-        self._packed: tuple[Letter, bytes] | None = None  # what was sent last: it often goes to several
+        self._packed: tuple[MemberMessage, bytes] | None = None  # the last one: it often goes to several
         self._record = Recorder(record, *settings.who) if record is not None else None
 
     async def start(self) -> None:
@@ -61,9 +61,9 @@
         self._do(self.core.tick(self.now()))
 
     def _take(self, data: bytes, source: Address) -> None:
-        letter = self.wire.unpack(data)
-        if letter is not None:
-            self._do(self.core.received(self.now(), letter, source))
+        message = self.wire.unpack(data)
+        if message is not None:
+            self._do(self.core.received(self.now(), message, source))
 
     def _table(self, fleet: str) -> Table | None:
         return self.core.table(self.now())
@@ -73,30 +73,30 @@
 
     def tell(self, names: Iterable[str], data: bytes) -> None:
         """The program's words for other members."""
-        self._do(self.core.words(names, data))
+        self._do(self.core.send_data(names, data))
 
     def _do(self, actions: Iterable[Action]) -> None:
         changed = False
         for action in actions:
             match action:
-                case Say(to, letter):
-                    self._say(to, letter)
+                case Say(to, message):
+                    self._say(to, message)
                 case Exchange(to):
                     self._exchange(to, self.settings.fleet)
                 case Heard(name, data, part):
                     self._heard(name, data, part)
-                case Told():
+                case Noticed():
                     self._told(action)
                     changed |= action.kind in CHANGING
         if changed:
             self._changed()
 
-    def _say(self, to: Address, letter: Letter) -> None:
-        if self._packed is None or self._packed[0] is not letter:
-            self._packed = letter, self.wire.pack(letter)
+    def _say(self, to: Address, message: MemberMessage) -> None:
+        if self._packed is None or self._packed[0] is not message:
+            self._packed = message, self.wire.pack(message)
         self._send(self._packed[1], to)
 
-    def _told(self, told: Told) -> None:
+    def _told(self, told: Noticed) -> None:
         if self._record is not None:
             self._record.write(told.kind, told.about)
         if told.kind in NOTED:
@@ -106,7 +106,7 @@
             log.info("fleet: member%s", plain(told))
 
 
-def plain(told: Told) -> str:
+def plain(told: Noticed) -> str:
     """What came to be, for the log's readers."""
     about = told.about
     match told.kind:
--- a/trackspread/membership/member.py
+++ b/trackspread/membership/member.py
@@ -13,19 +13,19 @@
 
 from msgspec import structs
 
+from .acceptor import Acceptor, Votes
 from .asking import RENEW, Asking
 from .coordinating import Coordinating
+from .gossip import GossipQueue
+from .member_table import MemberEntry, MemberTable
 from .parts import SPAN
-from .people import People, Person
 from .probing import HELPERS, Probing
-from .rumours import Rumours
-from .seat import Seat, Votes
 from .slots import from_bytes, text, to_bytes
 from .slowness import Slowness
 from .terms import (
-    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Forget, Forgotten, Fresh, Grant,
-    Heard, Help, Leader, Letter, Nack, Number, Ping, Release, Renew, Report, Rumour, Say, Settings, State,
-    Table, Told, View, Vote, Who, Words,
+    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Forget, Forgotten, Fresh,
+    GossipUpdate, Grant, Heard, Help, Leader, MemberMessage, Nack, Noticed, Number, Ping, Release, Renew,
+    Report, Say, Settings, State, Table, View, Vote, Who, PeerData,
 )
 
 TICK = 50 * MS  # ns between two calls of `tick`
@@ -46,9 +46,9 @@
 
     def __init__(self, settings: Settings, now: int, seed: int) -> None:
         self.settings, self.rng = settings, random.Random(seed)
-        me = Rumour(settings.name, settings.born, 0, State.ALIVE, *settings.address, settings.version)
-        self.people = People(me, settings.most)
-        self.rumours = Rumours()
+        me = GossipUpdate(settings.name, settings.born, 0, State.ALIVE, *settings.address, settings.version)
+        self.member_table = MemberTable(me, settings.most)
+        self.gossip = GossipQueue()
         self.probing = Probing(settings.period, self.rng)
         self.slowness = Slowness()
         self.asking = Asking(now, settings.place)
@@ -56,7 +56,7 @@
         self.view: View | None = None
         self.leader: Leader | None = None
         self.coordinating: Coordinating | None = None
-        self.seat = Seat(settings, now, self.rng)
+        self.acceptor = Acceptor(settings, now, self.rng)
         self._touch_at = self._seek_at = self._reach_at = self._differ_at = now
         self._entropy_at = now + ENTROPY
         self._helping: dict[int, tuple[int, Address, int]] = {}  # our number: theirs, whose, until when
@@ -69,7 +69,7 @@
 
     @property
     def who(self) -> Who:
-        return self.people.me.who
+        return self.member_table.me.who
 
     def number(self) -> Number:
         return self.view.number if self.view else NO_NUMBER
@@ -79,12 +79,12 @@
         return 0 if self.gone else self.holding.part(now)
 
     def owns(self, now: int) -> bool:
-        return self.coordinating is not None and self.seat.owns(now)
+        return self.coordinating is not None and self.acceptor.owns(now)
 
     # What the host calls.
 
     def start(self, now: int) -> list[Action]:
-        self.rumours.add(self.people.me)
+        self.gossip.add(self.member_table.me)
         self._told("started", who=self.who, address=self.settings.address)
         self._seek(now)
         return self._done()
@@ -98,36 +98,37 @@
             self._reach(now)
         return self._done()
 
-    def received(self, now: int, letter: Letter, source: Address) -> list[Action]:
+    def received(self, now: int, message: MemberMessage, source: Address) -> list[Action]:
         """A datagram of this fleet; `source`: where it came from."""
-        if self.gone or letter.who == self.who:
+        if self.gone or message.who == self.who:
             return []
-        if isinstance(letter.body, Forget):
-            self._forget(now, letter.body.name, source)
+        if isinstance(message.body, Forget):
+            self._forget(now, message.body.name, source)
             return self._done()
-        if letter.name == self.people.me.name:
-            self._namesake(now, letter.born, source)
+        if message.name == self.member_table.me.name:
+            self._namesake(now, message.born, source)
             return self._done()
-        for word in letter.rumours:
-            self._word(now, word, letter.name)
-        if letter.leader is not None:
-            self._leader(now, letter.leader)
-        self._body(now, letter.who, letter.body, source)
-        if letter.digest != self.people.digest() and not self.rumours and now >= self._differ_at:
+        for word in message.updates:
+            self._word(now, word, message.name)
+        if message.leader is not None:
+            self._leader(now, message.leader)
+        self._body(now, message.who, message.body, source)
+        if message.digest != self.member_table.digest() and not self.gossip and now >= self._differ_at:
             # Nothing is on its way that would settle it, as far as is known: words got lost.
             self._differ_at = now + int(DIFFER * self.rng.uniform(0.7, 1.3))
             self._out.append(Exchange(source))
         return self._done()
 
     def table(self, now: int) -> Table:
-        people = [p.rumour for p in self.people.by_name.values()]
-        return Table(self.settings.fleet, *self.who, (self.people.me, *people), self.view, self.leader)
+        members = self.member_table
+        updates = (members.me, *(each.update for each in members.by_name.values()))
+        return Table(self.settings.fleet, *self.who, updates, self.view, self.leader)
 
     def merge(self, now: int, table: Table) -> list[Action]:
         """What another holds."""
         if self.gone or table.fleet != self.settings.fleet:
             return []
-        for word in table.rumours[: 2 * self.settings.most]:
+        for word in table.updates[: 2 * self.settings.most]:
             self._word(now, word, table.name)
         if table.leader is not None:
             self._leader(now, table.leader)
@@ -138,13 +139,13 @@
     def leave(self, now: int) -> list[Action]:
         """In good order: told to as many as hear of it at once, and the part is given up."""
         if not self.gone:
-            self.people.me = structs.replace(self.people.me, state=State.LEFT)
-            self.rumours.add(self.people.me)
+            self.member_table.me = structs.replace(self.member_table.me, state=State.LEFT)
+            self.gossip.add(self.member_table.me)
             self.holding.drop()
-            some = self.people.here()
+            some = self.member_table.here()
             self.rng.shuffle(some)
             for person in some[: 2 * HELPERS]:
-                self._ping(person.rumour, self.probing.number())
+                self._ping(person.update, self.probing.number())
             if self.leader is not None:
                 self._say((self.leader.host, self.leader.port), Ping(self.probing.number(), self.leader.who))
             self._told("left")
@@ -166,12 +167,12 @@
             for _ in range(2):
                 self._say((self.leader.host, self.leader.port), Release(self.leader.epoch))
 
-    def words(self, names: Iterable[str], data: bytes) -> list[Action]:
-        """To those of these that are here, in one letter that is the same for all."""
-        letter = Letter(self.settings.fleet, *self.who, Words(data, to_bytes(self.holding.granted)),
-                        self.people.digest())
-        held = (self.people.by_name.get(name) for name in names)
-        return [Say(each.rumour.address, letter) for each in held if each is not None and each.here]
+    def send_data(self, names: Iterable[str], data: bytes) -> list[Action]:
+        """To those of these that are here, in one message that is the same for all."""
+        body = PeerData(data, to_bytes(self.holding.granted))
+        message = MemberMessage(self.settings.fleet, *self.who, body, self.member_table.digest())
+        held = (self.member_table.by_name.get(name) for name in names)
+        return [Say(each.update.address, message) for each in held if each is not None and each.here]
 
     def _done(self) -> list[Action]:
         out, self._out = self._out, []
@@ -179,42 +180,43 @@
 
     # Saying.
 
-    def _say(self, to: Address, body: Bodies, more: tuple[Rumour, ...] = ()) -> None:
-        rumours, digest = (*more, *self.rumours.some(self.people.count())), self.people.digest()
-        self._out.append(Say(to, Letter(self.settings.fleet, *self.who, body, digest, rumours, self.leader)))
+    def _say(self, to: Address, body: Bodies, more: tuple[GossipUpdate, ...] = ()) -> None:
+        updates, digest = (*more, *self.gossip.some(self.member_table.count())), self.member_table.digest()
+        message = MemberMessage(self.settings.fleet, *self.who, body, digest, updates, self.leader)
+        self._out.append(Say(to, message))
 
     def _told(self, kind: str, **about: object) -> None:
-        self._out.append(Told(kind, about))
+        self._out.append(Noticed(kind, about))
 
-    def _ping(self, word: Rumour, seq: int) -> None:
+    def _ping(self, word: GossipUpdate, seq: int) -> None:
         # Whoever is suspected hears of it by this very ping, and can clear itself at once.
         suspected = word.state in (State.SUSPECT, State.DEAD)
         self._say(word.address, Ping(seq, word.who), (word,) if suspected else ())
 
     # Words on members.
 
-    def _word(self, now: int, word: Rumour, teller: str) -> None:
-        people = self.people
-        before = people.by_name.get(word.name)
-        was = before.rumour if before is not None else None
-        if not people.take(now, word, teller):
-            if people.fenced is not None:
+    def _word(self, now: int, word: GossipUpdate, teller: str) -> None:
+        member_table = self.member_table
+        before = member_table.by_name.get(word.name)
+        was = before.update if before is not None else None
+        if not member_table.take(now, word, teller):
+            if member_table.fenced is not None:
                 self._fence(now)
             return
-        if word.name == people.me.name:
-            self.rumours.add(people.me)
+        if word.name == member_table.me.name:
+            self.gossip.add(member_table.me)
             self.probing.worse()
-            self._told("cleared", life=people.me.life)
+            self._told("cleared", life=member_table.me.life)
             return
-        held = people.by_name[word.name]
-        self.rumours.add(word)
+        held = member_table.by_name[word.name]
+        self.gossip.add(word)
         if was is None or was.rank != word.rank:
             if was is None or (was.state, was.born, was.slow) != (word.state, word.born, word.slow):
                 self._told("member", who=word.who, state=State(word.state).name, life=word.life,
                            slow=word.slow, by=teller)
-            looks = word.state == State.SUSPECT and self.rng.random() < LOOK_AT / max(1, people.count())
-            if looks and (probe := self.probing.extra(now, held.rumour.who)) is not None:
-                self._ping(held.rumour, probe.seq)
+            looks = word.state == State.SUSPECT and self.rng.random() < LOOK_AT / max(1, member_table.count())
+            if looks and (probe := self.probing.extra(now, held.update.who)) is not None:
+                self._ping(held.update, probe.seq)
         if not held.here:
             self.slowness.forget(word.name)
         if self.coordinating is None:
@@ -227,26 +229,27 @@
     def _fence(self, now: int) -> None:
         """A newer process under this name. One at this very address can only be a former self whose clock was
         ahead; else this one is the older of two, and gives up what it holds."""
-        word, self.people.fenced = self.people.fenced, None
+        word, self.member_table.fenced = self.member_table.fenced, None
         if word is None:
             return
         if word.address == self.settings.address or word.state >= State.DEAD:
-            self.people.me = structs.replace(self.people.me, born=word.born + 1, life=0)
+            self.member_table.me = structs.replace(self.member_table.me, born=word.born + 1, life=0)
             self.holding.drop()
-            self.rumours.add(self.people.me)
+            self.gossip.add(self.member_table.me)
             self._told("renamed", who=self.who)
         else:
             self._give_up(word)
 
     def _namesake(self, now: int, born: int, source: Address) -> None:
         """Word from another process under this name: the newer stays."""
-        if born > self.people.me.born:
-            me = self.people.me
-            self._give_up(Rumour(me.name, born, 0, State.ALIVE, *source))
+        if born > self.member_table.me.born:
+            me = self.member_table.me
+            self._give_up(GossipUpdate(me.name, born, 0, State.ALIVE, *source))
         else:
-            self._say(source, Ping(self.probing.number(), (self.people.me.name, born)), (self.people.me,))
+            me = self.member_table.me
+            self._say(source, Ping(self.probing.number(), (me.name, born)), (me,))
 
-    def _give_up(self, word: Rumour) -> None:
+    def _give_up(self, word: GossipUpdate) -> None:
         self._release()
         self.coordinating = None
         self.gone = self.fenced = True
@@ -255,56 +258,56 @@
     # Probing and judging.
 
     def _probe(self, now: int) -> None:
-        people = self.people
+        member_table = self.member_table
         if self.probing.due(now):
-            people.forget(now)
-            probe = self.probing.begin(now, [p.rumour.who for p in people.here()])
+            member_table.forget(now)
+            probe = self.probing.begin(now, [p.update.who for p in member_table.here()])
             if probe is not None:
-                self._ping(people.by_name[probe.who[0]].rumour, probe.seq)
+                self._ping(member_table.by_name[probe.who[0]].update, probe.seq)
         for probe in self.probing.wanting(now):
-            held = people.by_name.get(probe.who[0])
-            others = [p for p in people.here() if p is not held and p.rumour.state == State.ALIVE]
+            held = member_table.by_name.get(probe.who[0])
+            others = [p for p in member_table.here() if p is not held and p.update.state == State.ALIVE]
             if held is None:
                 continue
             self._late(now, held, True)
             chosen = self.rng.sample(others, min(HELPERS, len(others)))
             probe.helpers = len(chosen)
-            word = held.rumour
+            word = held.update
             for helper in chosen:
-                self._say(helper.rumour.address, Help(probe.seq, word.who, word.host, word.port))
+                self._say(helper.update.address, Help(probe.seq, word.who, word.host, word.port))
             self._ping(word, probe.seq)  # once more: the first may be lost
         for who in self.probing.failed(now):
-            held = people.by_name.get(who[0])
-            if held is not None and held.rumour.who == who and held.here:
-                word = held.rumour
-                self._word(now, structs.replace(word, state=State.SUSPECT), people.me.name)
+            held = member_table.by_name.get(who[0])
+            if held is not None and held.update.who == who and held.here:
+                word = held.update
+                self._word(now, structs.replace(word, state=State.SUSPECT), member_table.me.name)
         for seq in [s for s, (_, _, until) in self._helping.items() if now >= until]:
             theirs, whose, _ = self._helping.pop(seq)
             self._say(whose, Nack(theirs))
 
-    def _late(self, now: int, held: Person, late: bool) -> None:
+    def _late(self, now: int, held: MemberEntry, late: bool) -> None:
         """Whether it answered late; it is told of what is found, while that lasts."""
-        slow = self.slowness.noted(now, held.rumour.name, late)
+        slow = self.slowness.noted(now, held.update.name, late)
         if slow is not None:
-            self._say(held.rumour.address, Report(held.rumour.who, slow))
+            self._say(held.update.address, Report(held.update.who, slow))
 
     def _judge(self, now: int) -> None:
         """Suspects whose time is over are dead; and whether this member is slow itself."""
-        for person in [p for p in self.people.here() if p.rumour.state == State.SUSPECT]:
+        for person in [p for p in self.member_table.here() if p.update.state == State.SUSPECT]:
             if now - person.since >= self._grace(person):
-                self._word(now, structs.replace(person.rumour, state=State.DEAD), self.people.me.name)
-        me = self.people.me
-        slow = self.slowness.slow(now, self.people.count(), self.probing.health)
+                self._word(now, structs.replace(person.update, state=State.DEAD), self.member_table.me.name)
+        me = self.member_table.me
+        slow = self.slowness.slow(now, self.member_table.count(), self.probing.health)
         if slow != me.slow:
-            self.people.me = structs.replace(me, life=me.life + 1, slow=slow)
-            self.rumours.add(self.people.me)
+            self.member_table.me = structs.replace(me, life=me.life + 1, slow=slow)
+            self.gossip.add(self.member_table.me)
             self._told("slow" if slow else "well")
 
-    def _grace(self, person: Person) -> int:
+    def _grace(self, person: MemberEntry) -> int:
         """The more suspect the same, the shorter; longer while this member itself is not well."""
         most, least = SUSPECT_MOST, SUSPECT_LEAST
         by = min(CONFIRMED, len(person.suspected_by) - 1)
-        scale = max(1.0, log10(max(1, self.people.count())))
+        scale = max(1.0, log10(max(1, self.member_table.count())))
         share = 1.0 if by <= 0 else 1.0 - log10(by + 1) / log10(CONFIRMED + 1)
         return int((least + (most - least) * share) * scale * self.settings.period * self.probing.stretch())
 
@@ -315,8 +318,8 @@
             case Ping():
                 if body.to == self.who:
                     self._say(source, Ack(body.seq, self.holding.first))
-                elif body.to[0] == self.people.me.name:
-                    self._say(source, Nack(body.seq), (self.people.me,))  # a former process is meant
+                elif body.to[0] == self.member_table.me.name:
+                    self._say(source, Nack(body.seq), (self.member_table.me,))  # a former process is meant
             case Ack():
                 self._acked(now, body)
             case Nack():
@@ -327,7 +330,7 @@
                     self._helping[seq] = body.seq, source, now + self.settings.period // 3
                     self._say((body.host, body.port), Ping(seq, body.to))
             case Vote():
-                self._votes(self.seat.heard(now, body))
+                self._votes(self.acceptor.heard(now, body))
             case Renew():
                 self._asked(now, who, body, source)
             case Grant():
@@ -342,8 +345,8 @@
                     self._adopt(now, body.view)
                 elif body.number > self.number():
                     self._out.append(Exchange(source))
-            case Words():
-                if self.people.holds(who):
+            case PeerData():
+                if self.member_table.holds(who):
                     self._out.append(Heard(who[0], body.data, from_bytes(body.part)))
             case Report():
                 if body.of == self.who:
@@ -357,7 +360,7 @@
         elif self.asking.touched(seq, ack.first):
             self._held(now)
         elif (over := self.probing.acked(now, seq)) is not None:
-            held = self.people.by_name.get(over[0][0])
+            held = self.member_table.by_name.get(over[0][0])
             if held is not None:
                 self._late(now, held, not over[1])
 
@@ -370,41 +373,41 @@
     def _lead(self, now: int) -> None:
         # Who is slow leaves it to others to lead, unless nobody can or does.
         alone = len(self.settings.seeds) == 1
-        if alone or not self.people.me.slow or now - self.asking.led_at > UNLED:
-            self._votes(self.seat.tick(now))
-        if not self.seat.owns(now) or self.seat.election is None:
+        if alone or not self.member_table.me.slow or now - self.asking.led_at > UNLED:
+            self._votes(self.acceptor.tick(now))
+        if not self.acceptor.owns(now) or self.acceptor.election is None:
             if self.coordinating is not None:
                 self.coordinating = None
                 self._told("leads no more")
             return
-        epoch = (self.seat.election.epoch, self.seat.number)
+        epoch = (self.acceptor.election.epoch, self.acceptor.number)
         if self.coordinating is None or self.coordinating.epoch != epoch:
             settings = self.settings
             self.coordinating = Coordinating(now, epoch, self.view, len(settings.seeds), settings.keep)
             self._leader(now, Leader(epoch, self.who, *self.settings.address))
             self._told("leads", epoch=epoch)
-            for person in self.people.here():
-                self._say(person.rumour.address, Fresh(self.number(), None))
-        if (view := self.coordinating.tick(now, self.people.live())) is not None:
+            for person in self.member_table.here():
+                self._say(person.update.address, Fresh(self.number(), None))
+        if (view := self.coordinating.tick(now, self.member_table.live())) is not None:
             self._told("issued", number=view.number, parent=view.parent, members=view.members)
             self._adopt(now, view)
             for name, born in view.members:
-                held = self.people.by_name.get(name)
-                if held is not None and held.rumour.born == born:
-                    self._say(held.rumour.address, Fresh(view.number, view if len(view.members) <= INLINE
+                held = self.member_table.by_name.get(name)
+                if held is not None and held.update.born == born:
+                    self._say(held.update.address, Fresh(view.number, view if len(view.members) <= INLINE
                                                          else None))
 
     def _leader(self, now: int, leader: Leader) -> None:
         if self.leader is None or leader.epoch > self.leader.epoch:
             self.leader = leader
-            self.seat.newer(leader.epoch[0])
+            self.acceptor.newer(leader.epoch[0])
             self._told("leader", epoch=leader.epoch, who=leader.who)
             self.asking.at = now
 
     def _renew(self, now: int) -> None:
         """Ask for the part anew; the coordinator asks itself."""
         self._touch(now)
-        if self.leader is None or self.people.me.state == State.LEFT:
+        if self.leader is None or self.member_table.me.state == State.LEFT:
             return
         body = self.asking.due(now, self.leader.epoch, self.number())
         if body is None:
@@ -420,10 +423,10 @@
         if now < self._touch_at or not self.asking.unled(now):
             return
         self._touch_at = now + RENEW
-        if self.seat.number >= 0:
+        if self.acceptor.number >= 0:
             self.holding.touched(now)
             self._held(now)
-        for word in [p.rumour for p in self.people.here() if p.rumour.address in self.settings.seeds]:
+        for word in [p.update for p in self.member_table.here() if p.update.address in self.settings.seeds]:
             seq = self.probing.number()
             self.asking.touch(now, seq)
             self._ping(word, seq)
@@ -439,10 +442,10 @@
         """What this member, as the coordinator that is asked, grants; nothing where it is not."""
         if self.coordinating is None or not self._coordinates(now, body.epoch):
             return None
-        word = self.people.me if who == self.who else self.people.by_name[who[0]].rumour
+        word = self.member_table.me if who == self.who else self.member_table.by_name[who[0]].update
         address, seeds = word.address, self.settings.seeds
-        seat = seeds.index(address) if address in seeds else -1
-        serial, part = self.coordinating.asked(now, who, seat, body)
+        acceptor = seeds.index(address) if address in seeds else -1
+        serial, part = self.coordinating.asked(now, who, acceptor, body)
         return Grant(body.stamp, body.epoch, serial, to_bytes(part), self.number(), self.coordinating.keep)
 
     def _take(self, now: int, grant: Grant) -> None:
@@ -450,7 +453,7 @@
             self._held(now)
 
     def _asked(self, now: int, who: Who, body: Renew, source: Address) -> None:
-        if not self.people.holds(who):
+        if not self.member_table.holds(who):
             if self._coordinates(now, body.epoch):
                 self._out.append(Exchange(source))  # it is not known here: it, or word of it, is new
         elif (grant := self._grant(now, who, body)) is not None:
@@ -466,7 +469,7 @@
         """Only the coordinator answers: who asks has asked all seeds."""
         if self.coordinating is None or not self.owns(now):
             return
-        runs = name in {self.people.me.name, *(p.rumour.name for p in self.people.here())}
+        runs = name in {self.member_table.me.name, *(p.update.name for p in self.member_table.here())}
         slots = 0 if runs else self.coordinating.parts.forgotten(now, name)
         self._told("spared" if runs else "forgot", name=name, slots=text(slots))
         self._say(source, Forgotten(name, runs, slots.bit_count()))
@@ -480,21 +483,21 @@
 
     def _reach(self, now: int) -> None:
         """Nobody is given up for ever: who is gone may be on the other side of a cut that has healed."""
-        people = self.people
-        if now >= self._seek_at and not people.here():
+        member_table = self.member_table
+        if now >= self._seek_at and not member_table.here():
             self._seek(now)
         if now >= self._reach_at:
             self._reach_at = now + int(REACH * self.rng.uniform(0.7, 1.3))
-            if gone := [p for p in people.by_name.values() if p.rumour.state == State.DEAD]:
-                self._ping(self.rng.choice(gone).rumour, self.probing.number())
-            known = {p.rumour.address for p in people.here()} | {self.settings.address}
+            if gone := [p for p in member_table.by_name.values() if p.update.state == State.DEAD]:
+                self._ping(self.rng.choice(gone).update, self.probing.number())
+            known = {p.update.address for p in member_table.here()} | {self.settings.address}
             unknown = [seed for seed in self.settings.seeds if seed not in known]
-            if unknown and people.here():
+            if unknown and member_table.here():
                 self._out.append(Exchange(self.rng.choice(unknown)))
-        here = people.here()
+        here = member_table.here()
         if now >= self._entropy_at and here:
-            scale = max(1.0, log10(people.count()))
+            scale = max(1.0, log10(member_table.count()))
             self._entropy_at = now + int(ENTROPY * scale * self.rng.uniform(0.7, 1.3))
-            self._out.append(Exchange(self.rng.choice(here).rumour.address))
+            self._out.append(Exchange(self.rng.choice(here).update.address))
 
 
--- a/trackspread/membership/people.py
+++ b/trackspread/membership/member_table.py
@@ -18,37 +18,37 @@
 import xxhash
 from msgspec import structs
 
-from .terms import SECOND, Rumour, State, Who
+from .terms import SECOND, GossipUpdate, State, Who
 
 GONE_KEPT = 60 * SECOND  # ns for which a gone member is remembered: over the longest that an old word travels
 
 
 @dataclass(slots=True)
-class Person:
+class MemberEntry:
     """One member as it is known here."""
 
-    rumour: Rumour
+    update: GossipUpdate
     since: int  # when this state was first held here
     suspected_by: set[str] = field(default_factory=set)  # names, of those that said so
 
     @property
     def here(self) -> bool:
         """Alive or suspected: not yet known to be gone."""
-        return self.rumour.state <= State.SUSPECT
+        return self.update.state <= State.SUSPECT
 
 
-class People:
+class MemberTable:
     """All members known here but oneself, by name; bounded."""
 
-    def __init__(self, me: Rumour, most: int) -> None:
+    def __init__(self, me: GossipUpdate, most: int) -> None:
         self.me, self._most = me, most
-        self.by_name: dict[str, Person] = {}
+        self.by_name: dict[str, MemberEntry] = {}
         self.left_out = 0  # words on members beyond the bound
-        self.fenced: Rumour | None = None  # a newer process under one's own name
+        self.fenced: GossipUpdate | None = None  # a newer process under one's own name
         self._digest: tuple[tuple[int, int], int] | None = None  # by what of oneself it was made with
-        self._here: tuple[Person, ...] | None = None  # until a word is news: asked several times a tick
+        self._here: tuple[MemberEntry, ...] | None = None  # until a word is news: asked several times a tick
 
-    def take(self, now: int, word: Rumour, teller: str) -> bool:
+    def take(self, now: int, word: GossipUpdate, teller: str) -> bool:
         """Whether the word was news: the caller then tells it on."""
         if word.name == self.me.name:
             return self._of_me(word)
@@ -57,14 +57,14 @@
             if len(self.by_name) >= 2 * self._most and not self._make_room():
                 self.left_out += 1
                 return False
-            held = self.by_name[word.name] = Person(word, now)
-        elif word.rank > held.rumour.rank:
-            if word.state != held.rumour.state or word.born != held.rumour.born:
+            held = self.by_name[word.name] = MemberEntry(word, now)
+        elif word.rank > held.update.rank:
+            if word.state != held.update.state or word.born != held.update.born:
                 held.since = now
-            held.rumour = word
+            held.update = word
             held.suspected_by.clear()
         else:
-            if word.rank == held.rumour.rank and word.state == State.SUSPECT:
+            if word.rank == held.update.rank and word.state == State.SUSPECT:
                 return self._one_more(held, teller)
             return False
         self._digest = self._here = None
@@ -73,13 +73,13 @@
         return True
 
     @staticmethod
-    def _one_more(held: Person, teller: str) -> bool:
+    def _one_more(held: MemberEntry, teller: str) -> bool:
         """Another that suspects it; told on while it shortens the time that the suspect is given."""
         news = teller not in held.suspected_by and len(held.suspected_by) < 4
         held.suspected_by.add(teller)
         return news
 
-    def _of_me(self, word: Rumour) -> bool:
+    def _of_me(self, word: GossipUpdate) -> bool:
         me = self.me
         if word.born > me.born:
             self.fenced = word
@@ -98,7 +98,7 @@
         gone = [p for p in self.by_name.values() if not p.here]
         if not gone:
             return False
-        del self.by_name[min(gone, key=lambda p: p.since).rumour.name]
+        del self.by_name[min(gone, key=lambda p: p.since).update.name]
         return True
 
     def forget(self, now: int) -> None:
@@ -119,9 +119,9 @@
         if who == self.me.who:
             return True
         held = self.by_name.get(who[0])
-        return held is not None and held.here and held.rumour.born == who[1]
+        return held is not None and held.here and held.update.born == who[1]
 
-    def here(self) -> list[Person]:
+    def here(self) -> list[MemberEntry]:
         """Members that are not known to be gone; a list of the caller's own."""
         return list(self._members_here())
 
@@ -129,7 +129,7 @@
         """Of those here, oneself included."""
         return 1 + len(self._members_here())
 
-    def _members_here(self) -> tuple[Person, ...]:
+    def _members_here(self) -> tuple[MemberEntry, ...]:
         if self._here is None:
             self._here = tuple(p for p in self.by_name.values() if p.here)
         return self._here
@@ -137,8 +137,8 @@
     def live(self) -> tuple[Who, ...]:
         """All that are here and have not left, oneself included, sorted."""
         own = () if self.me.state == State.LEFT else (self.me.who,)
-        return tuple(sorted((*own, *(p.rumour.who for p in self.here()))))
+        return tuple(sorted((*own, *(p.update.who for p in self.here()))))
 
 
-def _alive(me: Rumour, life: int) -> Rumour:
+def _alive(me: GossipUpdate, life: int) -> GossipUpdate:
     return structs.replace(me, life=life, state=State.ALIVE)
--- a/trackspread/membership/probing.py
+++ b/trackspread/membership/probing.py
@@ -11,7 +11,7 @@
 
 Health counts what only this process can be to blame for: its own loop came late, helpers that are there did
 not answer, others suspected it. While it is bad, all its times are longer, so that a slow one does not blame
-all others. May know: members' names, acks, times handed in. May not know: addresses, states, rumours, views.
+all others. May know: members' names, acks, times handed in. May not know: addresses, states, updates, views.
 """
 
 from __future__ import annotations
--- a/trackspread/membership/report.py
+++ b/trackspread/membership/report.py
@@ -11,7 +11,7 @@
 
 from .member import Member
 from .slots import SLOTS
-from .terms import SECOND, Rumour, State
+from .terms import SECOND, GossipUpdate, State
 
 
 class Seen(msgspec.Struct, frozen=True):
@@ -62,19 +62,20 @@
 
 
 def report(now: int, core: Member, counts: Mapping[str, int], dropped: Mapping[str, int]) -> Report:
-    people, view = core.people, core.view
+    table, view = core.member_table, core.view
     inside = set(view.members) if view is not None else set()
 
-    def seen(word: Rumour, since: int) -> Seen:
+    def seen(word: GossipUpdate, since: int) -> Seen:
         state = "SLOW" if word.slow and word.state == State.ALIVE else State(word.state).name
         return Seen(word.name, state, word.born, word.life, word.version, f"{word.host}:{word.port}",
                     round((now - since) / SECOND, 1), word.who in inside)
 
-    everybody = [seen(people.me, core.begun), *(seen(p.rumour, p.since) for p in people.by_name.values())]
-    differ = {name for name, _ in inside ^ set(people.live())}
+    others = (seen(each.update, each.since) for each in table.by_name.values())
+    everybody = [seen(table.me, core.begun), *others]
+    differ = {name for name, _ in inside ^ set(table.live())}
     leader = core.leader
     return Report(
-        core.settings.fleet, people.me.name, standing(now, core), view.number if view is not None else None,
+        core.settings.fleet, table.me.name, standing(now, core), view.number if view is not None else None,
         len(inside), round(core.part(now).bit_count() / SLOTS, 4),
         leader.who[0] if leader is not None else "", core.owns(now), core.probing.health,
         tuple(sorted(everybody, key=lambda each: each.name)), tuple(sorted(differ)),
--- a/trackspread/membership/slots.py
+++ b/trackspread/membership/slots.py
@@ -20,7 +20,7 @@
 _BYTES = SLOTS // 8
 
 
-def seat(place: Place) -> int:
+def slots_of(place: Place) -> int:
     """The slots of place (number, of how many), counted from 0; nothing for none."""
     number, places = place
     if not 0 <= number < places:
@@ -69,7 +69,7 @@
     made = dict.fromkeys(members, 0)
     left = free
     for who in sorted(members):
-        made[who] = seat(places.get(who, (-1, 0))) & left
+        made[who] = slots_of(places.get(who, (-1, 0))) & left
         left &= ~made[who]
     least = free.bit_count() // len(members) if members else 0
 
--- a/trackspread/membership/terms.py
+++ b/trackspread/membership/terms.py
@@ -37,7 +37,7 @@
     LEFT = 3  # in good order; it never comes back but as another process
 
 
-class Rumour(msgspec.Struct, frozen=True, array_like=True):
+class GossipUpdate(msgspec.Struct, frozen=True, array_like=True):
     """One word on one member; the greater of two holds, whatever the order in which they come."""
 
     name: str
@@ -174,7 +174,7 @@
     slots: int
 
 
-class Words(Body, frozen=True):
+class PeerData(Body, frozen=True, tag="Words"):
     """What the program has to tell another gateway; what it means is not known here. `part`: the slots that
     its sender holds."""
 
@@ -183,7 +183,7 @@
 
 
 Bodies = (
-    Ping | Ack | Nack | Help | Vote | Renew | Grant | Release | Fresh | Report | Words | Forget | Forgotten
+    Ping | Ack | Nack | Help | Vote | Renew | Grant | Release | Fresh | Report | PeerData | Forget | Forgotten
 )
 
 
@@ -196,7 +196,7 @@
     port: int
 
 
-class Letter(msgspec.Struct, frozen=True, array_like=True):
+class MemberMessage(msgspec.Struct, frozen=True, array_like=True):
     """One datagram: who sends it, what it is about, what else its sender has to tell, and which coordinator
     it knows of. `digest`: of who is live for the sender; two that agree have the same."""
 
@@ -205,7 +205,7 @@
     born: int
     body: Bodies
     digest: int
-    rumours: tuple[Rumour, ...] = ()
+    updates: tuple[GossipUpdate, ...] = ()
     leader: Leader | None = None
 
     @property
@@ -214,12 +214,12 @@
 
 
 class Table(msgspec.Struct, frozen=True, array_like=True):
-    """All that one member knows, for another over a connection: what rumours missed."""
+    """All that one member knows, for another over a connection: what updates missed."""
 
     fleet: str
     name: str
     born: int
-    rumours: tuple[Rumour, ...]
+    updates: tuple[GossipUpdate, ...]
     view: View | None
     leader: Leader | None
 
@@ -231,7 +231,7 @@
     """Send this datagram."""
 
     to: Address
-    letter: Letter
+    message: MemberMessage
 
 
 class Exchange(NamedTuple):
@@ -248,14 +248,14 @@
     part: int  # the slots that it holds
 
 
-class Told(NamedTuple):
+class Noticed(NamedTuple):
     """Something came to be, for log, records and whoever hangs on the view."""
 
     kind: str
     about: dict[str, object]
 
 
-Action = Say | Exchange | Heard | Told
+Action = Say | Exchange | Heard | Noticed
 
 
 class Settings(NamedTuple):
--- a/trackspread/membership/wire.py
+++ b/trackspread/membership/wire.py
@@ -1,6 +1,6 @@
 """Members' words as bytes: datagrams and tables, each with a digest, keyed where the fleet has a key.
 
-A datagram is a mark, a digest of what follows, and the letter (MessagePack). Whatever does not fit its
+A datagram is a mark, a digest of what follows, and the message (MessagePack). Whatever does not fit its
 digest, its types, its bounds or the fleet's name is counted and dropped. May know: bytes, keys. May not know:
 what any of it means.
 """
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from .terms import Fresh, Letter, Table
+from .terms import Fresh, MemberMessage, Table
 
 MARK = b"ts\x01"  # and the version of what follows
 DIGEST = 16  # bytes
@@ -22,10 +22,10 @@
 TABLE_EACH, TABLE_LEAST = 512, 4 << 10  # bytes of a table for each member and beside them, at most
 NAME_MOST = 64  # characters of a member's or a fleet's name
 
-Read = TypeVar("Read", Letter, Table)
+Read = TypeVar("Read", MemberMessage, Table)
 
 _encode = msgspec.msgpack.Encoder().encode
-_letter = msgspec.msgpack.Decoder(Letter)
+_message = msgspec.msgpack.Decoder(MemberMessage)
 _table = msgspec.msgpack.Decoder(Table)
 
 
@@ -56,19 +56,19 @@
         self.table_most = TABLE_LEAST + 2 * most * TABLE_EACH
         self.dropped: Counter[str] = Counter()
 
-    def pack(self, letter: Letter) -> bytes:
-        """Rumours that do not fit are left out, they go with others; so is a view that is too large."""
-        while len(made := self._sealed(_encode(letter))) > DATAGRAM:
-            if letter.rumours:
-                letter = msgspec.structs.replace(letter, rumours=letter.rumours[:-2])
-            elif isinstance(letter.body, Fresh) and letter.body.view is not None:
-                letter = msgspec.structs.replace(letter, body=Fresh(letter.body.number, None))
+    def pack(self, message: MemberMessage) -> bytes:
+        """GossipQueue that do not fit are left out, they go with others; so is a view that is too large."""
+        while len(made := self._sealed(_encode(message))) > DATAGRAM:
+            if message.updates:
+                message = msgspec.structs.replace(message, updates=message.updates[:-2])
+            elif isinstance(message.body, Fresh) and message.body.view is not None:
+                message = msgspec.structs.replace(message, body=Fresh(message.body.number, None))
             else:
                 break
         return made
 
-    def unpack(self, data: bytes) -> Letter | None:
-        return self._read(data, _letter)
+    def unpack(self, data: bytes) -> MemberMessage | None:
+        return self._read(data, _message)
 
     def pack_table(self, table: Table) -> bytes:
         """With its length before it."""
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -46,7 +46,7 @@
     from .configured import Configured
     from .counted import Counted
     from .membered import Membered
-    from .planned import PlanBook
+    from .planned import PlanFollower
     from .uses import Uses
 
 log = logging.getLogger(__name__)
@@ -127,13 +127,13 @@
         if self.membered is not None:
             self.membered.begin()
 
-    def _book(self) -> PlanBook | None:
+    def _book(self) -> PlanFollower | None:
         """Where plans may have other figures than the platform's."""
         if not self.operator.plans.book:
             return None
-        from .planned import PlanBook  # not needed otherwise: it takes memory
+        from .planned import PlanFollower  # not needed otherwise: it takes memory
 
-        return PlanBook(Path(self.operator.plans.book), self.config, self._replanned)
+        return PlanFollower(Path(self.operator.plans.book), self.config, self._replanned)
 
     def _uses(self) -> Uses | None:
         """Where use is recorded; raises `ConfigError`."""
--- a/trackspread/node/membered.py
+++ b/trackspread/node/membered.py
@@ -20,7 +20,7 @@
 from ..decide.mail import MESSAGE
 from ..membership.host import DESCRIPTORS, Host, born_now
 from ..membership.report import Report, report
-from ..membership.slots import seat
+from ..membership.slots import slots_of
 from ..membership.terms import MS, SECOND, Place, Settings
 from ..membership.wire import NAME_MOST, Keys, Wire
 from .bind_retry import bound_within
@@ -80,7 +80,7 @@
         self._changed, self._heard = changed, heard
         self._names: dict[int, str] = {}  # of the others, by number
         self._theirs: dict[int, int] = {}  # the slots that each says it holds, by number
-        self._place, self._seats = place, tuple(seat((n, place[1])) for n in range(place[1]))
+        self._place, self._seats = place, tuple(slots_of((n, place[1])) for n in range(place[1]))
         self._last = FleetChanged(number(name), (), (number(name),), self._seats, 0, (), 0, 0)
 
     def begin(self) -> None:
@@ -114,9 +114,9 @@
             return
         core = host.core
         me, holding = number(self._name), core.holding
-        here = {number(p.rumour.name): p.rumour for p in core.people.here()}
+        here = {number(p.update.name): p.update for p in core.member_table.here()}
         here.pop(me, None)  # of two names with one number, one is not talked to: that is safe
-        slow = {n for n, word in here.items() if word.slow} | ({me} if core.people.me.slow else set())
+        slow = {n for n, word in here.items() if word.slow} | ({me} if core.member_table.me.slow else set())
         everybody = sorted((me, *here))
         slots, until = (0, 0) if core.gone else (holding.granted, holding.until)
         others = tuple(sorted(here))
--- a/trackspread/node/planned.py
+++ b/trackspread/node/planned.py
@@ -24,7 +24,7 @@
 LOOK = 1.0  # s between looks at the file: under a fifth of the notice that a version has
 
 
-class PlanBook:
+class PlanFollower:
     """`version`: of the figures in force; `changed` is called with new ones, by plan's index."""
 
     def __init__(self, path: Path, config: Config, changed: Callable[[PlansChanged], None]) -> None:
--- a/trackspread/node/replicating.py
+++ b/trackspread/node/replicating.py
@@ -33,7 +33,7 @@
         return tier.coordinating.epoch if tier.coordinating is not None and tier.owns(now()) else None
 
     def outdone(epoch: Epoch) -> None:
-        core.tier.seat.newer(epoch[0])  # the lease is given up, and the next bid is beyond it
+        core.tier.acceptor.newer(epoch[0])  # the lease is given up, and the next bid is beyond it
 
     now = time.monotonic_ns
     return ReplicaHost(
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -58,7 +58,7 @@
 
 if TYPE_CHECKING:
     from .counted import Counted
-    from .planned import PlanBook
+    from .planned import PlanFollower
     from .uses import Uses
 
 log = logging.getLogger(__name__)
@@ -89,7 +89,7 @@
 
     backends: Backends
     peers: Peers
-    book: PlanBook | None
+    book: PlanFollower | None
     uses: Uses | None
     counted: Counted | None
 
--- a/trackspread/virtual/cells/world.py
+++ b/trackspread/virtual/cells/world.py
@@ -20,7 +20,7 @@
 )
 from ...membership.member import Member
 from ...membership.slots import WHOLE
-from ...membership.terms import SECOND, Address, Exchange, Letter, Number, Say, Table, Told, View, Who
+from ...membership.terms import SECOND, Address, Exchange, MemberMessage, Number, Say, Table, View, Who
 from .. import stage
 from ..stage import Broken, Stage
 
@@ -148,16 +148,16 @@
             match action:
                 case Send(to, message):
                     self._send(process, to, message)
-                case InCell(_, Say(to, letter)):
-                    self._send(process, to, letter)
+                case InCell(_, Say(to, member_message)):
+                    self._send(process, to, member_message)
                 case InCell(fleet, Exchange(to)):
                     self._connect(process, fleet, to)
-                case InCell(fleet, Told() as told):
+                case InCell(fleet, Noticed() as told):
                     self._viewed(process, fleet, told)
                 case Joined() | Left() | Leads() | Noticed():
                     self._noticed(process, action)
 
-    def _send(self, process: Process, to: Address, what: Letter | Message) -> None:
+    def _send(self, process: Process, to: Address, what: MemberMessage | Message) -> None:
         size = len(self._encode(what)) + HEAD
         self.sent[process.name] += size
         self.datagrams[process.name] += 1
@@ -173,7 +173,7 @@
                     late += rng.randint(0, self.words_late)
                 self.clock.after(late, partial(self._arrive, process, target, what, size))
 
-    def _arrive(self, source: Process, target: Process, what: Letter | Message, size: int) -> None:
+    def _arrive(self, source: Process, target: Process, what: MemberMessage | Message, size: int) -> None:
         core = target.core
         if core is None or self.severed(source, target):
             return
@@ -181,7 +181,7 @@
 
         def there() -> Iterable[object]:
             now = target.now(self.clock.now)
-            if isinstance(what, Letter):
+            if isinstance(what, MemberMessage):
                 return core.received(now, what, source.address)
             self._note(target, core, what)
             return core.message(now, what, source.address)
@@ -266,7 +266,7 @@
             self.retired_with += [p.name for p, core in self.gateways()
                                   if core.held is not None and core.held.cell.name == what.about["cell"]]
 
-    def _viewed(self, process: Process, fleet: str, told: Told) -> None:
+    def _viewed(self, process: Process, fleet: str, told: Noticed) -> None:
         self.told.append((self.true, process.name, InCell(fleet, told)))
         if told.kind == "view":
             about = told.about
--- a/trackspread/virtual/distribution/world.py
+++ b/trackspread/virtual/distribution/world.py
@@ -19,8 +19,8 @@
 from ...distribution.replica import Replica
 from ...distribution.subscriber import Subscriber
 from ...distribution.terms import (
-    MS, NOTHING, SECOND, TICK, Action, Address, Begin, Bodies, Done, Epoch, Put, ReplicaSettings, Send,
-    SubscriberSettings, Told, Version,
+    MS, NOTHING, SECOND, TICK, Action, Address, Begin, Bodies, Done, Epoch, Noticed, Put, ReplicaSettings,
+    Send, SubscriberSettings, Version,
 )
 from ..clock import Clock
 from ..stage import Weather
@@ -206,7 +206,7 @@
             match action:
                 case Send(to, body):
                     self._send(process, to, body)
-                case Told():
+                case Noticed():
                     self._told(process, action)
 
     def _send(self, process: Process, to: Address, body: Bodies) -> None:
@@ -242,7 +242,7 @@
 
     # What came to be, and whether it may.
 
-    def _told(self, process: Process, told: Told) -> None:
+    def _told(self, process: Process, told: Noticed) -> None:
         about = told.about
         match told.kind, process.core:
             case "committed", Replica():
--- a/trackspread/virtual/membership/mutants.py
+++ b/trackspread/virtual/membership/mutants.py
@@ -15,9 +15,9 @@
 from ...membership.coordinating import Coordinating
 from ...membership.member import Member
 from ...membership.parts import Holding, Parts
-from ...membership.people import People, Person
+from ...membership.member_table import MemberTable, MemberEntry
 from ...membership.probing import Probing
-from ...membership.terms import MS, SECOND, Address, Epoch, Leader, Rumour, View, Who
+from ...membership.terms import MS, SECOND, Address, Epoch, Leader, GossipUpdate, View, Who
 from ...planning.election import Election
 from .world import Broken, World
 from .schedules import make, play
@@ -30,17 +30,17 @@
 def _life_ignored() -> list[Any]:
     """Whoever was ever suspected or dead stays so, whatever it says."""
     rank = property(lambda self: (self.born, 0, self.state))
-    return [patch.object(Rumour, "rank", rank)]
+    return [patch.object(GossipUpdate, "rank", rank)]
 
 
 def _never_cleared() -> list[Any]:
     """A suspicion is not answered."""
-    real = People._of_me
+    real = MemberTable._of_me
 
-    def mutant(self: People, word: Rumour) -> bool:
+    def mutant(self: MemberTable, word: GossipUpdate) -> bool:
         return real(self, word) if word.born > self.me.born else False
 
-    return [patch.object(People, "_of_me", mutant)]
+    return [patch.object(MemberTable, "_of_me", mutant)]
 
 
 def _minority_leads() -> list[Any]:
@@ -59,16 +59,17 @@
         return self.coordinating is not None
 
     def lead(self: Member, now: int) -> None:
-        election = self.seat.election
+        election = self.acceptor.election
         if election is None:
             return
-        self._votes(self.seat.tick(now))
+        self._votes(self.acceptor.tick(now))
         if election.owns(now) and self.coordinating is None:
             self.coordinating = Coordinating(
-                now, (election.epoch, self.seat.number), self.view, len(self.settings.seeds),
+                now, (election.epoch, self.acceptor.number), self.view, len(self.settings.seeds),
                 self.settings.keep)
-            self._leader(now, Leader((election.epoch, self.seat.number), self.who, *self.settings.address))
-        if self.coordinating is not None and (view := self.coordinating.tick(now, self.people.live())):
+            epoch = (election.epoch, self.acceptor.number)
+            self._leader(now, Leader(epoch, self.who, *self.settings.address))
+        if self.coordinating is not None and (view := self.coordinating.tick(now, self.member_table.live())):
             self._told("issued", number=view.number, parent=view.parent, members=view.members)
             self._adopt(now, view)
 
@@ -187,7 +188,7 @@
 def _given_up() -> list[Any]:
     """Nobody looks for those that are gone: two halves stay two."""
     return [patch.object(Member, "_reach", lambda self, now: None),
-            patch.object(People, "digest", lambda self: 0)]
+            patch.object(MemberTable, "digest", lambda self: 0)]
 
 
 def _not_fenced() -> list[Any]:
@@ -205,7 +206,7 @@
 
 def _blames_at_once() -> list[Any]:
     """One late answer, and it is dead."""
-    def mutant(self: Member, person: Person) -> int:
+    def mutant(self: Member, person: MemberEntry) -> int:
         return 0
 
     def failed(self: Probing, now: int) -> list[Who]:
--- a/trackspread/virtual/membership/world.py
+++ b/trackspread/virtual/membership/world.py
@@ -13,7 +13,7 @@
 from ...membership.member import Member
 from ...membership.slots import SLOTS, WHOLE
 from ...membership.terms import (
-    MS, SECOND, Address, Exchange, Letter, Number, Say, Settings, Table, Told, View,
+    MS, SECOND, Address, Exchange, MemberMessage, Noticed, Number, Say, Settings, Table, View,
 )
 from .. import stage
 from ..stage import Broken as Broken
@@ -37,7 +37,7 @@
         self.views: dict[Number, View] = {}
         self.issued: dict[Number, str] = {}
         self.bytes: dict[str, int] = {}  # sent, by name
-        self.told: list[tuple[int, str, Told]] = []  # true time, name
+        self.told: list[tuple[int, str, Noticed]] = []  # true time, name
         self._encode = msgspec.msgpack.Encoder().encode
         self.places = {f"n{number}": (number, count) for number in range(count)}  # who joins has none
         for number in range(count):
@@ -73,29 +73,29 @@
     def _do(self, process: Process, actions: Iterable[object]) -> None:
         for action in actions:
             match action:
-                case Say(to, letter):
-                    self._send(process, to, letter)
+                case Say(to, message):
+                    self._send(process, to, message)
                 case Exchange(to):
                     self._connect(process, to)
-                case Told():
+                case Noticed():
                     self._record(process, action)
 
-    def _send(self, process: Process, to: Address, letter: Letter) -> None:
+    def _send(self, process: Process, to: Address, message: MemberMessage) -> None:
         target = self._by_address.get(to)
         if self.bytes.get(process.name) is not None:
-            self.bytes[process.name] += len(self._encode(letter)) + 17
+            self.bytes[process.name] += len(self._encode(message)) + 17
         if target is None:
             return
         weather, rng = self.weather, self.rng
         for _ in range(1 + (bool(weather.twice) and rng.random() < weather.twice)):
             if not (weather.loss and rng.random() < weather.loss):
-                self.clock.after(self._late(), partial(self._arrive, process, target, letter))
+                self.clock.after(self._late(), partial(self._arrive, process, target, message))
 
-    def _arrive(self, source: Process, target: Process, letter: Letter) -> None:
+    def _arrive(self, source: Process, target: Process, message: MemberMessage) -> None:
         core = target.core
         if core is None or (source.name, target.name) in self.cut:
             return
-        self._on(target, core, lambda: core.received(target.now(self.clock.now), letter, source.address))
+        self._on(target, core, lambda: core.received(target.now(self.clock.now), message, source.address))
 
     def _connect(self, process: Process, to: Address) -> None:
         """Tables go there and back as one; over a cut way, or to nobody, nothing comes of it."""
@@ -122,7 +122,7 @@
 
     # What came to be, and whether it may.
 
-    def _record(self, process: Process, told: Told) -> None:
+    def _record(self, process: Process, told: Noticed) -> None:
         self.told.append((self.true, process.name, told))
         about = told.about
         match told.kind:
@@ -172,8 +172,8 @@
             return "not all run"
         who = tuple(sorted(core.who for core in cores.values()))
         for name, core in cores.items():
-            if core.people.live() != who:
-                return f"{name} takes {len(core.people.live())} for live, {len(who)} are"
+            if core.member_table.live() != who:
+                return f"{name} takes {len(core.member_table.live())} for live, {len(who)} are"
             if core.view is None or core.view.members != who:
                 return f"{name} holds another view, {core.number()}"
             if core.number() != next(iter(cores.values())).number():
