--- a/benchmarks/scale/demand.py
+++ b/benchmarks/scale/demand.py
@@ -71,7 +71,7 @@
     Line("carried_region", "the same with the backends of its own region alone",
          "links_most / backends_service_region", ""),
     Line("carried", "services that a gateway carries, as this page reckons", "carried_by_choice", "",
-         "**missing**: nothing in the program says of which service a request is, nor who carries it"),
+         "`services.carries` in the operator's file; nothing draws up which gateway carries which"),
     Line("links_gateway", "connections a gateway then holds", "carried * backends_service", ""),
     Line("descriptors_gateway", "descriptors then held, with as many clients as there is room for",
          "links_gateway + links_most + descriptors_kept", "", "of 1,024"),
