Under pressure a commitment is solved beside sums of the others, not beside each of them

Need: docs/CAPACITY.md has it among what breaks first: with 667 commitments, all due at once, solving them took 633 ms of one turn of the loop, and in service a twentieth of that every 0.1 s, as each looked at every other one. Now number in flight, least room and slowest response of all others are kept (decide/neighbours.py, a sum and two heaps), made anew at each beat. A commitment's least throughput is that of its own last evaluation, 2 s old at most, where it was worked out anew for every other's; a portrait holds it.

--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,60 @@
+"""What a commitment finds beside it, against a look at every other one."""
+
+from __future__ import annotations
+
+import random
+from math import inf
+
+import pytest
+
+from trackspread.decide.neighbours import BUSY, LEAST_RATE, Beside, Neighbours
+from trackspread.decide.quota import Quota
+from trackspread.decide.state import MEMORY, SECOND, Commitment, Mean
+
+from .helpers import settings
+
+
+def commitments(count: int, rng: random.Random) -> list[Commitment]:
+    quota = Quota(settings(), 1, 0, rng)
+    made = []
+    for customer in range(count):
+        each = Commitment(quota.account(0, customer, 0), 0, 0, Mean(MEMORY), Mean(MEMORY))
+        each.in_flight.add(0, rng.choice((0.0, BUSY, 0.3, rng.uniform(0.1, 9.0))))
+        changed(each, rng)
+        made.append(each)
+    return made
+
+
+def changed(commitment: Commitment, rng: random.Random) -> None:
+    commitment.cap, commitment.least = rng.randrange(6), rng.choice((0.0, rng.uniform(0.1, 50.0)))
+    commitment.room = rng.uniform(0.1, 2.0) * SECOND
+
+
+def looked_at(one: Commitment, all_of_them: list[Commitment]) -> Beside:
+    """By a look at each."""
+    busy = [c for c in all_of_them if c is not one and c.in_flight.value > BUSY]
+    spans = [c.cap * SECOND / max(c.least, LEAST_RATE) for c in busy if c.cap > 1]
+    return Beside(
+        sum(c.in_flight.value if c.cap > 1 else min(1.0, c.in_flight.value) for c in busy),
+        min((c.room for c in busy), default=inf), min(spans, default=inf),
+    )
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_the_sums_are_those_of_a_look_at_every_other_one(seed: int) -> None:
+    rng = random.Random(seed)
+    them = commitments(rng.randrange(1, 12), rng)
+    kept = Neighbours(them)
+    for _ in range(200):
+        one = rng.choice(them)
+        if rng.random() < 0.6:
+            changed(one, rng)
+            kept.put(one)
+        found, wanted = kept.beside(one), looked_at(one, them)
+        assert found.in_flight == pytest.approx(wanted.in_flight)
+        assert (found.room, found.slowest) == (wanted.room, wanted.slowest)
+
+
+def test_one_that_stands_alone_finds_nobody() -> None:
+    (alone,) = commitments(1, random.Random(1))
+    assert Neighbours([alone]).beside(alone) == Beside(0.0, inf, inf)
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -10,7 +10,7 @@
 
 import random
 from dataclasses import replace
-from math import ceil, sqrt
+from math import ceil, inf, sqrt
 
 from .fleet import Filter, Fleet
 from .interface import (
@@ -20,6 +20,7 @@
 )
 from .mail import Kind, is_draw
 from .model import TARGET, TICK, QueueModel, seven_cases
+from .neighbours import Neighbours
 from .quota import FRESH, OPEN, Quota
 from .state import LONG, MEMORY, SECOND, Account, Commitment, Mean, Open
 
@@ -54,6 +55,7 @@
         self.held: dict[int, Open] = {}  # waiting for a home's or the counter's answer, by the ask's number
         self.commitments: dict[int, Commitment] = {}  # by customer, for as long as its account
         self.active: dict[int, Commitment] = {}  # those that have a cap
+        self.neighbours = Neighbours()  # as of the last beat under pressure
         self.attempts: dict[tuple[int, int], Open] = {}
         self.out, self.lost, self.retries = 0, 0, RETRY_BURST
         self.arrivals: dict[tuple[int, int], Mean] = {}
@@ -164,6 +166,7 @@
             if now - commitment.last > IDLE and not commitment.open:
                 commitment.cap = 0  # the commitment ends; the bucket stays, as the quota does
                 del self.active[commitment.account.customer]
+        self.neighbours = Neighbours(self.active.values() if self.model.risen else ())
         due = [c for c in self.active.values() if now - c.evaluated >= EVALUATE_EVERY]
         for commitment in sorted(due, key=lambda c: (c.worth, c.account.customer)):
             self._evaluate(now, commitment)
@@ -193,26 +196,24 @@
 
     def _evaluate(self, now: int, commitment: Commitment) -> None:
         commitment.evaluated, self.active[commitment.account.customer] = now, commitment
-        wanted, least = self._wanted(now, commitment)
+        wanted, commitment.least = self._wanted(now, commitment)
         if not self.model.risen:
             commitment.cap = wanted
             return
-        busy = [c for c in self.active.values() if c is not commitment and c.in_flight.value > 0.05]
-        others = sum(c.in_flight.value if c.cap > 1 else min(1.0, c.in_flight.value) for c in busy)
-        room = min((c.room for c in busy), default=commitment.room)
-        spans = (c.cap * SECOND / max(self._wanted(now, c)[1], 1e-3) for c in busy if c.cap > 1)
-        slowest = min(spans, default=float("inf"))
+        beside = self.neighbours.beside(commitment)
+        room = commitment.room if beside.room == inf else beside.room
 
         def wait(n: int) -> float:
-            return self.model.response(others + n) - self.model.delay
+            return self.model.response(beside.in_flight + n) - self.model.delay
 
         offered = seven_cases(
             max(wanted, ceil(commitment.in_flight.value)), len(self.model.times),
             lambda n: wait(n) <= commitment.room,
-            lambda n: n * SECOND >= least * (self.model.delay + wait(n)),
-            lambda n: wait(n) <= room and self.model.delay + wait(n) <= slowest,
+            lambda n: n * SECOND >= commitment.least * (self.model.delay + wait(n)),
+            lambda n: wait(n) <= room and self.model.delay + wait(n) <= beside.slowest,
         )
         commitment.cap = max(1, offered)
+        self.neighbours.put(commitment)
 
     def commitment(self, now: int, account: Account) -> Commitment:
         """The customer's here, made where there is none."""
--- a/trackspread/decide/carried.py
+++ b/trackspread/decide/carried.py
@@ -18,7 +18,7 @@
 Plain = dict[str, Any]
 VERSION = 7  # of the portrait: raised with every change of what it holds: old and new program may differ
 _NOT_ACCOUNT = frozenset({"plan", "index", "home", "homed", "keeps", "taking", "tellers", "asking"})
-_COMMITMENT = ("last", "evaluated", "in_flight", "demand", "cap", "worth", "room", "aim")
+_COMMITMENT = ("last", "evaluated", "in_flight", "demand", "cap", "worth", "room", "aim", "least")
 _SERVER = ("slow", "pause", "fails", "suspended", "tokens", "tokens_at", "turn")  # the rest is the list's
 
 
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -145,6 +145,7 @@
     worth: float = 0.0
     room: float = 0.0
     aim: int = 0
+    least: float = 0.0  # requests a second that it is to be let through, as of its last evaluation
 
 
 @dataclass(slots=True)
