Broker and quota name the interface's types by their module

Now the interface is imported as one module and its types are named by it, and four expressions over several lines have names for their parts. No behaviour is changed.

--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -12,12 +12,8 @@
 from dataclasses import replace
 from math import ceil, inf, sqrt
 
+from . import interface as api
 from .fleet import Filter, Fleet
-from .interface import (
-    NEVER_RAN, Action, Arrival, AttemptEnded, Begun, ClassesChanged, ClientLeft, Counted, Event, Fail,
-    FleetChanged, Group, ListKind, LogLine, Outcome, PeerMessage, PlansChanged, Refuse, Repeat, RightsChanged,
-    Send, SetTimer, Settings, Tell, TimerFired, Topology, WantRights, Watch,
-)
 from .mail import Kind, is_draw
 from .model import TARGET, TICK, QueueModel, seven_cases
 from .neighbours import Neighbours
@@ -47,7 +43,7 @@
     """One gateway's decisions: hand it every event in order and carry out the actions it returns. `quota`:
     where several brokers, each for a service of its own, keep the same customers' quotas."""
 
-    def __init__(self, settings: Settings, seed: int, now: int, quota: Quota | None = None) -> None:
+    def __init__(self, settings: api.Settings, seed: int, now: int, quota: Quota | None = None) -> None:
         self.s, self.rng, self.model = settings, random.Random(seed), QueueModel(settings)
         self.quota = quota or Quota(settings, seed, now, self.rng)
         self.fleet = Fleet(settings, self.rng)
@@ -62,48 +58,48 @@
         self.started, self.retired = False, False
         self.swept, self.logged = now, now - LONG
 
-    def handle(self, now: int, event: Event) -> list[Action]:
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take in one event; the actions take effect at `now`."""
-        actions: list[Action] = []
+        actions: list[api.Action] = []
         if not self.started:
             self.started = True
-            actions += [SetTimer(TICK, EVERY_TICK), *[Watch(True)] * self.s.ask_discovery]
+            actions += [api.SetTimer(TICK, EVERY_TICK), *[api.Watch(True)] * self.s.ask_discovery]
         match event:
-            case Arrival():
+            case api.Arrival():
                 actions += self._arrived(now, event)
-            case AttemptEnded():
+            case api.AttemptEnded():
                 actions += self._ended(now, event)
-            case Begun():
+            case api.Begun():
                 self._began(event)
-            case Topology():
+            case api.Topology():
                 self.fleet.learn(now, event)
-                if event.kind is ListKind.FAILED:
-                    actions.append(SetTimer(SECOND, RETRY_LIST))
-            case PlansChanged():
+                if event.kind is api.ListKind.FAILED:
+                    actions.append(api.SetTimer(SECOND, RETRY_LIST))
+            case api.PlansChanged():
                 self.quota.replan(now, event)
                 actions.append(self.replan(now))
-            case ClassesChanged():
+            case api.ClassesChanged():
                 actions.append(self._reclass(event))
-            case FleetChanged():
+            case api.FleetChanged():
                 self.quota.joined(now, event)
                 self.joined(event)
-            case RightsChanged():
+            case api.RightsChanged():
                 self.quota.entitle(now, event)
                 actions += self.entitled(now, event.customer)
-            case ClientLeft():
+            case api.ClientLeft():
                 self.open.pop(event.request, None)
-            case TimerFired(token):
-                actions += self._tick(now) if token == EVERY_TICK else [Watch(True)]
-            case PeerMessage() if self.quota.gossip and not is_draw(event.data):
+            case api.TimerFired(token):
+                actions += self._tick(now) if token == EVERY_TICK else [api.Watch(True)]
+            case api.PeerMessage() if self.quota.gossip and not is_draw(event.data):
                 self.quota.heard(now, event)
-            case PeerMessage():
+            case api.PeerMessage():
                 actions += self.decided(now, *self.quota.drawn(now, event))
-            case Counted():
+            case api.Counted():
                 actions += self.decided(now, *self.quota.counted(now, event))
         return actions
 
-    def _tick(self, now: int) -> list[Action]:
-        actions: list[Action] = [SetTimer(TICK, EVERY_TICK), *self._overdue(now)]
+    def _tick(self, now: int) -> list[api.Action]:
+        actions: list[api.Action] = [api.SetTimer(TICK, EVERY_TICK), *self._overdue(now)]
         usual = [LOST * latency.value for latency in self.model.latency]
         outstanding = [  # overtaken, others wait in no shared queue: lost answers are no overload
             (r.arrival.cls, now - r.sent_at)
@@ -117,26 +113,26 @@
         quota = self.quota
         if quota.gossip and not self.retired and now - quota.told_at >= max(1, quota.every - TICK // 2):
             quota.told_at = now
-            actions.append(Tell(None, quota.message(now)))
+            actions.append(api.Tell(None, quota.message(now)))
         pressed = self.model.limit is not None and self.out >= CHEAPEST * self.model.limit
         if pressed and now - self.logged >= LONG:
             self.logged = now
-            actions.append(LogLine(f"pressed: in flight {self.out}, limit {self.model.limit}"))
+            actions.append(api.LogLine(f"pressed: in flight {self.out}, limit {self.model.limit}"))
         return actions
 
-    def joined(self, event: FleetChanged) -> None:
+    def joined(self, event: api.FleetChanged) -> None:
         """The fleet has another size."""
         self.s = self.fleet.s = replace(self.s, gateways=1 + len(event.others))
 
-    def replan(self, now: int) -> LogLine:
+    def replan(self, now: int) -> api.LogLine:
         """Commitments are solved anew beside one another, least worth first; what does not fit is told."""
         solved = sorted(self.active.values(), key=lambda c: (c.worth, c.account.customer))
         for commitment in solved:
             self._evaluate(now, commitment)
         less = sum(c.cap < self._wanted(now, c)[0] for c in solved)
-        return LogLine(f"plans changed: of {len(solved)} commitments {less} now have less than they ask")
+        return api.LogLine(f"plans changed: of {len(solved)} commitments {less} now have less than they ask")
 
-    def retire(self, now: int) -> list[Action]:
+    def retire(self, now: int) -> list[api.Action]:
         """Another process has the word from now on: nothing is granted here any more, nor told to peers.
         What is out ends here; who waited for word that goes elsewhere now is refused at once."""
         self.retired = self.fleet.retired = True
@@ -149,7 +145,7 @@
         """The other process is gone: this one has the word again."""
         self.retired = self.fleet.retired = False
 
-    def _reclass(self, event: ClassesChanged) -> LogLine:
+    def _reclass(self, event: api.ClassesChanged) -> api.LogLine:
         """What arrives from now on goes by other classes; open requests keep their class and attempts."""
         self.s = replace(self.s, classes=event.classes, max_attempts=event.max_attempts)
         self.model.reclass(event)
@@ -157,7 +153,7 @@
         was, self.arrivals = self.arrivals, {}
         for number, heir in enumerate(event.heirs):
             self.arrivals |= {(number, p): m for (cls, p), m in was.items() if cls == heir == number}
-        return LogLine(f"classes changed: {len(event.named)} now, {event.max_attempts} attempts at most")
+        return api.LogLine(f"classes changed: {len(event.named)} now, {event.max_attempts} attempts at most")
 
     def _evaluate_all(self, now: int) -> None:
         """Evaluate whoever is due, least worth first, so that cuts fall on the cheap before the dear."""
@@ -225,7 +221,7 @@
 
     # The life of a request.
 
-    def _arrived(self, now: int, a: Arrival) -> list[Action]:
+    def _arrived(self, now: int, a: api.Arrival) -> list[api.Action]:
         if self.retired:
             return [self._refusal(a)]
         account = self.quota.account(now, a.customer, a.plan, a.spread, a.first)
@@ -248,7 +244,7 @@
             return [self._refusal(a)]
         return self._within_quota(now, Open(a, commitment, self.s.max_attempts))
 
-    def _within_quota(self, now: int, request: Open) -> list[Action]:
+    def _within_quota(self, now: int, request: Open) -> list[api.Action]:
         """Decide by the store kept here, or ask whoever keeps it and hold the request a moment."""
         quota, account, a, plan = self.quota, request.account, request.arrival, request.account.plan
         pays = plan.over_worth > plan.over_cost and not self.model.risen
@@ -264,7 +260,7 @@
                 return [self._refusal(a), *quota.short(now, account)]
             quota.tag, request.asked_at = quota.tag + 1 & 0xFFFFFFFF, now
             self.held[quota.tag] = self.open[a.request] = request
-            return [WantRights(a.customer)]
+            return [api.WantRights(a.customer)]
         if not pays and quota.known_spent(account, a.units):
             return [self._refusal(a)]
         if not (quota.asks(account) or (quota.counter and self.rng.random() < quota.pace)):
@@ -281,19 +277,19 @@
         self.held[tag] = self.open[a.request] = request
         return [action]
 
-    def entitled(self, now: int, customer: int) -> list[Action]:
+    def entitled(self, now: int, customer: int) -> list[api.Action]:
         """What was held for want of rights is decided with those that are kept here now."""
         tags = [tag for tag, request in self.held.items() if request.account.customer == customer]
         held = [self.held.pop(tag) for tag in tags]
         still = [request for request in held if self.open.pop(request.arrival.request, None)]
         return [action for request in still for action in self._within_quota(now, request)]
 
-    def _alone(self, now: int, request: Open) -> list[Action]:
+    def _alone(self, now: int, request: Open) -> list[api.Action]:
         request.before = request.account.stores()
         may = self.quota.alone(now, request.account, request.arrival.units)
         return self._admit(now, request, False) if may else [self._refusal(request.arrival)]
 
-    def _admit(self, now: int, request: Open, tell: bool) -> list[Action]:
+    def _admit(self, now: int, request: Open, tell: bool) -> list[api.Action]:
         a, account = request.arrival, request.account
         if (send := self._send(now, request)) is None:
             account.give_back(account.taken_since(request.before))
@@ -306,7 +302,7 @@
         request.taken = account.taken_since(request.before)
         return [send, self.quota.ask(now, account, a.units, Kind.TAKE)[1]] if tell else [send]
 
-    def decided(self, now: int, tag: int, granted: bool | None, more: list[Action]) -> list[Action]:
+    def decided(self, now: int, tag: int, granted: bool | None, more: list[api.Action]) -> list[api.Action]:
         """A held request goes on, or is refused; without an answer this gateway decides alone."""
         request = self.held.pop(tag, None)
         if request is None:
@@ -320,13 +316,13 @@
                 more += self._admit(now, request, False) if granted else [self._refusal(request.arrival)]
         return more + self._release(now, request)
 
-    def _release(self, now: int, request: Open) -> list[Action]:
+    def _release(self, now: int, request: Open) -> list[api.Action]:
         if request.out or not request.placed:
             return []
         request.placed = False
         return self.quota.free(now, request.account)
 
-    def _overdue(self, now: int) -> list[Action]:
+    def _overdue(self, now: int) -> list[api.Action]:
         overdue = [tag for tag, request in self.held.items() if now - request.asked_at >= HOLD]
         actions = [action for tag in overdue for action in self.decided(now, tag, None, [])]
         # Places still counted though nobody holds them are told again, or customers would be shut out.
@@ -347,10 +343,10 @@
         below = sum(m.rate(now) for m in self.arrivals.values() if m.value < density)
         return out >= limit * (CHEAPEST + (1.0 - CHEAPEST) * below / max(total, 1e-9))
 
-    def _refusal(self, a: Arrival) -> Refuse:
-        return Refuse(a.request, min(ADVICE, self.s.max_retry_after) * self.s.retry_advice)
+    def _refusal(self, a: api.Arrival) -> api.Refuse:
+        return api.Refuse(a.request, min(ADVICE, self.s.max_retry_after) * self.s.retry_advice)
 
-    def _send(self, now: int, request: Open) -> Send | None:
+    def _send(self, now: int, request: Open) -> api.Send | None:
         a = request.arrival
         if now >= a.valid_until or request.sends >= request.most:
             return None
@@ -369,8 +365,8 @@
         self.out += 1
         self.opened(request, 1)
         cls, repeated = self.s.classes[a.cls], request.may_have_run
-        until = request.keyed_at + cls.window if repeated and cls.repeat is Repeat.KEYED else 0
-        return Send(a.request, server.entry.id, self._patience(now, request), until)
+        until = request.keyed_at + cls.window if repeated and cls.repeat is api.Repeat.KEYED else 0
+        return api.Send(a.request, server.entry.id, self._patience(now, request), until)
 
     def opened(self, request: Open, change: int) -> None:
         """So many attempts more of the request's customer are out."""
@@ -381,7 +377,7 @@
         """Time-out of an attempt, or 0: guards against lost answers, hung backends, classes left unanswered,
         where some were seen of late and another try is allowed; it would harm where all are slow."""
         a, cls = request.arrival, self.s.classes[request.arrival.cls]
-        again = cls.repeat is not Repeat.UNSAFE and request.sends < request.most
+        again = cls.repeat is not api.Repeat.UNSAFE and request.sends < request.most
         if not again or self.model.risen or self.fleet.silence[a.cls].blend(now, 0.0, 3.0) < SILENCE:
             return 0
         return max(cls.aim // 2, int(3 * self.model.latency[a.cls].value))
@@ -389,15 +385,15 @@
     def _repeat_filter(self, now: int, request: Open) -> Filter:
         """Rule 2: where another attempt of a keyed request that may have run may go."""
         cls, first = self.s.classes[request.arrival.cls], request.keyed_by
-        if not request.may_have_run or cls.repeat is not Repeat.KEYED or first is None:
+        if not request.may_have_run or cls.repeat is not api.Repeat.KEYED or first is None:
             return lambda b: True
         if now - request.keyed_at >= cls.window:
             return lambda b: False
-        if cls.group is Group.ZONE:
+        if cls.group is api.Group.ZONE:
             return lambda b: b.zone == first.zone
-        return lambda b: cls.group is Group.ALL or b.cell == first.cell
+        return lambda b: cls.group is api.Group.ALL or b.cell == first.cell
 
-    def _ended(self, now: int, event: AttemptEnded) -> list[Action]:
+    def _ended(self, now: int, event: api.AttemptEnded) -> list[api.Action]:
         request = self.attempts.pop((event.request, event.attempt), None)
         if request is None:
             return []
@@ -409,15 +405,15 @@
         if request.began:
             request.commitment.passing -= 1
             event = replace(event, elapsed=request.began)
-        if event.outcome is Outcome.OK:
+        if event.outcome is api.Outcome.OK:
             self.model.latency[cls].add(now, event.elapsed)
             if self.s.settled_after and event.true_units:
                 account.level -= event.true_units - request.arrival.units
         usual = max(1.0, self.model.latency[cls].value)
         self.fleet.ended(now, event, (cls, request.arrival.plan), event.elapsed / usual)
-        if event.outcome not in NEVER_RAN:
+        if event.outcome not in api.NEVER_RAN:
             request.may_have_run = True
-        request.came |= event.outcome not in (Outcome.CONNECT_FAILED, Outcome.MOOT)
+        request.came |= event.outcome not in (api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
         if event.finished:
             self.open.pop(event.request, None)
         again = [] if request.out or event.request not in self.open else self._try_again(now, request)
@@ -425,22 +421,22 @@
             account.give_back(request.taken)
         return again + self._release(now, request)
 
-    def _began(self, event: Begun) -> None:
+    def _began(self, event: api.Begun) -> None:
         """A long value is being passed on: no other attempt may follow, and its time was that of its first
         byte; how long the rest takes is up to whoever reads it."""
         if (request := self.attempts.get((event.request, event.attempt))) is not None:
             request.commitment.passing += not request.began
             request.most, request.began = 0, max(1, event.elapsed)
 
-    def _try_again(self, now: int, request: Open) -> list[Action]:
+    def _try_again(self, now: int, request: Open) -> list[api.Action]:
         """Another attempt where the class, the time left and the retry budget allow one; else the end."""
         a, cls = request.arrival, self.s.classes[request.arrival.cls]
-        repeatable = not request.may_have_run or cls.repeat is not Repeat.UNSAFE
+        repeatable = not request.may_have_run or cls.repeat is not api.Repeat.UNSAFE
         if repeatable and self.retries >= 1.0 and (send := self._send(now, request)):
             self.retries -= 1.0
             return [send]
         del self.open[a.request]
-        harmless = not request.may_have_run or cls.repeat is Repeat.SAFE
-        if harmless or (cls.repeat is Repeat.KEYED and cls.group is Group.ALL):
+        harmless = not request.may_have_run or cls.repeat is api.Repeat.SAFE
+        if harmless or (cls.repeat is api.Repeat.KEYED and cls.group is api.Group.ALL):
             return [self._refusal(a)]
-        return [Fail(a.request)]
+        return [api.Fail(a.request)]
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -11,16 +11,13 @@
 from dataclasses import replace
 from math import ceil
 
+from . import interface as api
 from .chance import blind_chance
-from .interface import (
-    Action, AddToCounter, Counted, FleetChanged, Outcome, PeerMessage, Plan, PlansChanged, RightsChanged,
-    Settings, Tell,
-)
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
 from .rendezvous import home_of
 from .state import LONG, MEMORY, SECOND, Account, Mean, carried
 
-Word = tuple[int, bool | None, list[Action]]  # number of the ask answered, the answer, what to send
+Word = tuple[int, bool | None, list[api.Action]]  # number of the ask answered, the answer, what to send
 
 # Tuned values: unit and reason behind each; times are chosen against aims of the order of a second.
 OVERTAKEN = 50  # tenths of a second by which word of a peer may be overtaken by newer word on its way
@@ -47,14 +44,14 @@
     """The companion bucket, limits on open attempts and ceilings, over all gateways: where word of all peers
     is fresh each keeps the store; else one home for each customer does, or the counter."""
 
-    def __init__(self, settings: Settings, seed: int, now: int, rng: random.Random) -> None:
+    def __init__(self, settings: api.Settings, seed: int, now: int, rng: random.Random) -> None:
         self.s, self.rng, self.me, self.born = settings, rng, seed & 0xFFFF, now
         self.accounts: dict[int, Account] = {}
         self.reserved: dict[int, tuple[float, float]] = {}  # by customer, on top of rate and burst
         self.peers: dict[int, tuple[int, int, int]] = {}  # incarnation, when last heard, the age told then
         self.back: dict[int, tuple[int, int]] = {}  # when a peer was last heard again, after how long, ns
         self.back_at = now - RETURNING  # when any was
-        self.view: FleetChanged | None = None
+        self.view: api.FleetChanged | None = None
         self.views, self.moved = 0, False  # taken in so far; whether homes are others than at the start
         self._sets: dict[tuple[int, int], int] = {}  # slots of the customers' sets
         self.rights = settings.rights
@@ -76,13 +73,13 @@
     def blind(self) -> bool:  # no word (a view brings it), no counter, no meter: nothing of others is known
         return not (self.s.may_message or self.rights or self.counter or self.s.meter_period)
 
-    def joined(self, now: int, event: FleetChanged) -> None:
+    def joined(self, now: int, event: api.FleetChanged) -> None:
         """Another view, or another part of all limits. What is here was filled by the old ones until now."""
         if self.rights:
             return  # those say it already, for each customer
         old = self.view
-        if old is None or (old.others, old.homes, old.slots, old.theirs) != (
-                event.others, event.homes, event.slots, event.theirs):
+        told = (event.others, event.homes, event.slots, event.theirs)
+        if old is None or (old.others, old.homes, old.slots, old.theirs) != told:
             for account in self.accounts.values():
                 self.refill(now, account)
         self.view = event
@@ -162,7 +159,7 @@
             self._slice(now, account, min(int(spread), n), int(first))
         return account
 
-    def _spared(self, plan: Plan) -> float:
+    def _spared(self, plan: api.Plan) -> float:
         """Of a ceiling's part at a home, what a predecessor that ran until just now surely left: it passed on
         a burst of the quota and then the quota's rate at most, as all that it grants is inside the quota."""
         pooled, pays = plan.ceiling_rate * POOLED, plan.over_worth > plan.over_cost
@@ -183,7 +180,7 @@
         account.part = even if chance >= 1.0 else self.s.largest * (self.rng.random() < chance)
         account.ceiling += plan.ceiling_slack * (1.0 - POOLED if self.homes else 1.0) * share
 
-    def entitle(self, now: int, event: RightsChanged) -> None:
+    def entitle(self, now: int, event: api.RightsChanged) -> None:
         """The stores are filled by the old shares until now. A store that is new here has filled since this
         gateway's start: whatever a former one spent, its rights went with it."""
         fresh, account = event.customer not in self.accounts, self.account(now, event.customer, event.plan)
@@ -198,14 +195,14 @@
         account.level = max(-plan.burst, min(plan.burst, level) - taken)
         account.ceiling = min(plan.ceiling_burst * event.hard, account.ceiling)
 
-    def replan(self, now: int, event: PlansChanged) -> None:
+    def replan(self, now: int, event: api.PlansChanged) -> None:
         """Other figures from now on, in every store that is kept here."""
         self.s = replace(self.s, plans=event.plans)
         self.reserved = {customer: (rate, burst) for customer, rate, burst in event.reserved}
         for account in self.accounts.values():
             self.carry(now, account, account.index)
 
-    def figures(self, customer: int, index: int) -> Plan:
+    def figures(self, customer: int, index: int) -> api.Plan:
         """The plan's, and what the customer has reserved on top; a ceiling rises with its quota."""
         plan, (rate, burst) = self.s.plans[index], self.reserved.get(customer, (0.0, 0.0))
         if not rate:
@@ -236,10 +233,10 @@
         if self.view is not None:
             view, own = self.view, self.even(now, account)
             if self.gossip:
-                heard = [(slots, self.peers[p][1]) for p, slots in zip(view.others, view.theirs, strict=True)
-                         if p in self.peers]
-                return min(1.0, own + sum(
-                    self._width(account, slots) * self._fresh(now, at) for slots, at in heard))
+                others = zip(view.others, view.theirs, strict=True)
+                heard = [(slots, self.peers[p][1]) for p, slots in others if p in self.peers]
+                widths = (self._width(account, slots) * self._fresh(now, at) for slots, at in heard)
+                return min(1.0, own + sum(widths))
             theirs = 0
             for slots in view.theirs:
                 theirs |= slots
@@ -316,7 +313,7 @@
         if account.plan.open_limit:
             account.tells = 3
 
-    def short(self, now: int, account: Account) -> list[Action]:
+    def short(self, now: int, account: Account) -> list[api.Action]:
         """Ask a peer for some of its part of a ceiling that runs short here. Parts are even while demand is
         not: a customer that comes through one gateway would get that one's part alone."""
         plan, demand = account.plan, account.demand
@@ -335,7 +332,7 @@
         to = others[self.tag % len(others)]
         return [self._tell(now, to, account, Kind.LACK, most - account.ceiling, self.tag)]
 
-    def _lent(self, now: int, sender: int, draw: Draw) -> list[Action]:
+    def _lent(self, now: int, sender: int, draw: Draw) -> list[api.Action]:
         """A peer asks for some of the part here, or gives of its own. What is given has left that part
         before it is told, and no part ever holds more than its even one: together they never hold more than
         the ceiling."""
@@ -428,7 +425,7 @@
         account.granted.add(now, float(granted))
         self.granted[account.index].add(now, float(granted))
 
-    def ask(self, now: int, account: Account, units: float, kind: Kind) -> tuple[int, Action]:
+    def ask(self, now: int, account: Account, units: float, kind: Kind) -> tuple[int, api.Action]:
         self.tag = self.tag + 1 & 0xFFFFFFFF
         if self.asks(account):
             action = self._tell(now, self.home(account), account, kind, units, self.tag)
@@ -438,15 +435,15 @@
         amount = units / self.pace + self.place(account)
         return self.tag, self.call(now, account, amount, self.tag * (kind == Kind.ASK))
 
-    def _tell(self, now: int, to: int, account: Account, kind: Kind, units: float, tag: int) -> Action:
+    def _tell(self, now: int, to: int, account: Account, kind: Kind, units: float, tag: int) -> api.Action:
         age = (now - self.born) * 10 // SECOND
-        draw = Draw(kind, account.customer, account.index, units, tag, age, account.sent,
-                    out=(account.open + account.asking) * (account.plan.open_limit > 0))
+        out = (account.open + account.asking) * (account.plan.open_limit > 0)
+        draw = Draw(kind, account.customer, account.index, units, tag, age, account.sent, out=out)
         if self.view is not None:  # whoever keeps slots has to know which of them are the customer's
             teller = account.teller * (now - account.told_at < TAKEN_OVER)
             draw = draw._replace(first=account.first, spread=account.spread, level=max(0.0, account.level),
                                  teller=teller)
-        return Tell(to, pack_draw(draw))
+        return api.Tell(to, pack_draw(draw))
 
     def _drawn_on(self, now: int, draw: Draw) -> Account:
         account = self.account(now, draw.customer, draw.plan)
@@ -466,7 +463,7 @@
             account.level, account.absent = min(most, here + draw.level), 0.0
         account.tellers[draw.teller] = now
 
-    def drawn(self, now: int, event: PeerMessage) -> Word:
+    def drawn(self, now: int, event: api.PeerMessage) -> Word:
         """Word with a home, either way, or of ceilings between equals: the number of the ask it answers, the
         answer, what to send."""
         draw = unpack_draw(event.data)
@@ -529,13 +526,13 @@
         account.asked[sender] = now
         account.heard[sender], account.given[sender] = taken, (rest, at)
 
-    def call(self, now: int, account: Account, amount: float, tag: int = 0, fix: bool = False) -> Action:
+    def call(self, now: int, account: Account, amount: float, tag: int = 0, fix: bool = False) -> api.Action:
         name = account.customer << 16 | (now // COUNTER_LIFE) & 0xFFFF
         self.calls.setdefault(name, deque()).append((tag, amount, fix, account.owed))
         amount, account.owed = amount + account.owed, 0.0
-        return AddToCounter(name, COUNTER_LIFE, amount)
+        return api.AddToCounter(name, COUNTER_LIFE, amount)
 
-    def free(self, now: int, account: Account) -> list[Action]:
+    def free(self, now: int, account: Account) -> list[api.Action]:
         """Nothing of a request that was counted as out elsewhere is out any more."""
         if self.place(account):
             return [self.call(now, account, -OPEN)]
@@ -547,7 +544,7 @@
         """What an attempt out adds to the counter's number where a plan limits how many may be."""
         return OPEN * (self.counter and account.plan.open_limit > 0)
 
-    def counted(self, now: int, event: Counted) -> Word:
+    def counted(self, now: int, event: api.Counted) -> Word:
         """The counter's answer. Its number stands for a store: what was taken since its name began, and the
         attempts out. When the store was full for a while (the number lags behind the fill) it is put right;
         who finds that another did so first takes it back."""
@@ -555,10 +552,10 @@
         if not queue or account is None:
             return 0, None, []
         tag, amount, fix, owed = queue.popleft()
-        if event.outcome is not Outcome.OK:
+        if event.outcome is not api.Outcome.OK:
             # A crowded counter answers nobody: fewer calls from here, and slowly more once it answers.
             self.pace = max(PACE_LEAST, self.pace * PACE_DOWN)
-            if event.outcome is Outcome.TIMEOUT:
+            if event.outcome is api.Outcome.TIMEOUT:
                 account.owed -= self.place(account) * (tag > 0)  # surely added late, and nobody holds it
             else:
                 account.owed += owed + amount * (not tag and not fix)  # known not to have been added
@@ -600,7 +597,7 @@
                 mine.level = min(mine.level, mine.plan.burst * own)
         return older
 
-    def heard(self, now: int, event: PeerMessage) -> None:
+    def heard(self, now: int, event: api.PeerMessage) -> None:
         if (word := unpack_totals(event.data)) is None:
             return
         last_word = self.peers.get(event.sender, (-1, 0, 0))
