--- /dev/null
+++ b/tests/test_net_client_bounds.py
@@ -0,0 +1,322 @@
+"""Clients' connections on sockets: their bounds, broken commands, and how they are closed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import hiredis
+import pytest
+
+from trackspread.config.operator import DEFAULTS, ClientBounds, Operator
+from trackspread.decide.interface import (
+    Action,
+    Arrival,
+    Refuse,
+    Send,
+)
+from trackspread.fronts import client as one_client
+from trackspread.fronts import connections as clients
+
+from .fakes import CUSTOMER, World, call, run, served, soon, until, world
+from .test_net_clients import MS, only_backend, script
+
+
+def test_clients_beyond_the_bound_make_resting_ones_give_way() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, lambda a: [])
+            w.node.clients.bound = 3
+            busy = await w.client()
+            busy.send(call())
+            await until(lambda: busy_requests(w) == 1)
+            resting = [await w.client() for _ in range(5)]
+            assert [await client.next() for client in resting[:3]] == [None] * 3
+            for client in resting[3:]:
+                client.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await client.next() == b"PONG"
+            assert w.node.clients.count() == 3 and busy_requests(w) == 1
+
+    run(test)
+
+
+def busy_requests(w: World) -> int:
+    return len(w.node.module.events)  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize(
+    ("words", "reason"),
+    [
+        ((b"CALL.GET", CUSTOMER, b"1"), "wrong number of arguments"),
+        ((b"CALL.GET", b"zz", b"1", b"c=look up,t=team,d=5"), "bad customer"),
+        ((b"CALL.GET", b"0000000200000000", b"1", b"c=look up,t=team,d=5"), "bad customer"),
+        ((b"CALL.GET", CUSTOMER, b"", b"c=look up,t=team,d=5"), "bad request id"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=none,t=team,d=5"), "unknown class"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=none,d=5"), "unknown plan"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=charge,t=team,d=5"), "the class is not served by this command"),
+        ((b"CALL.POST", CUSTOMER, b"1", b"c=submit,t=team,d=5"), "k missing"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team"), "d missing"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=-5"), "bad or missing d"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,d=6"), "a name stands twice"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,units=nan,spread=1,first=0"), "bad units"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=9,first=0"), "bad or missing spread"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=2"), "bad or missing first"),
+        *[((b"CALL.GET", customer, b"1", b"c=look up,t=team,d=5"), "bad customer") for customer in (
+            b"0x000000b4d65521", b"+0000000b4d65521", b"00000000b4d6_521", b" 0000000b4d65521", b"b4d65521")],
+        *[((b"CALL.GET", CUSTOMER, id_, b"c=look up,t=team,d=5"), "bad request id") for id_ in (
+            b"a b", b"\xff", b"c=look", b"x" * 65)],
+        *[((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=0,units=" + units),
+           "bad units")
+          for units in (b"", b"0", b"-1", b"+1", b"1_0", b" 1", b"1e0", b"inf", b"2", b"9" * 11, b"0x1")],
+        *[((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,units=1,spread=1,first=0,d=" + d),
+           "bad or missing d")
+          for d in (b"", b"1.5", b"+5", b"5_0", b"soon", b"99999999999999", "\u0665".encode())],
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,odd"), "name=value"),
+        ((b"CALL.GET", CUSTOMER, b"1", b""), "name=value"),
+        ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5", b"BODY"), "takes no value"),
+        ((b"CALL.POST", CUSTOMER, b"1", b"c=submit,t=team,d=5,k=a b"), "k missing"),
+        ((b"FLUSHALL",), "unknown command"),
+    ],
+)
+def test_bad_command_gets_a_plain_reason_and_the_connection_stays(
+    words: tuple[bytes, ...], reason: str
+) -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(hiredis.pack_command(words))  # type: ignore[arg-type]
+            answer = await client.next()
+            assert isinstance(answer, hiredis.ReplyError) and reason in str(answer)
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next() == b"PONG"
+
+    run(test)
+
+
+@pytest.mark.parametrize("behind", [b"", call()])
+@pytest.mark.parametrize(
+    "data",
+    [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n:5\r\n", b"*x\r\n", b"$4\r\nPING\r\n", b"*1000000\r\n", b"*-1\r\n",
+     b"*0\r\n", b"*" + b"1" * 4096, b"x" * 4096, b"*1\r\n$-1\r\n", b"*1\r\n$3\r\nPING\r\n", b"*+1\r\n",
+     b"*1\r\n$-9223372036854775808\r\n", b"*1\r\n*1\r\n", b"*1\r\n_\r\n", b"PING\r\n",
+     b"*2\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$65536\r\n",
+     b"*2\r\n$4\r\nPING\r\n$60000000\r\n" + b"x" * 300_000],
+)
+def test_broken_resp_is_told_and_closes_the_connection_and_no_other(data: bytes, behind: bytes) -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, lambda a: [Refuse(a.request, 0)])
+            other, client = await w.client(), await w.client()
+            # Behind another command, and with its header in two pieces.
+            client.send(behind + data[:2])
+            await asyncio.sleep(0)
+            client.send(data[2:])
+            if behind:
+                assert str(await client.next()) == "BUSY"
+            assert str(await client.next()).startswith("ERR Protocol error")
+            assert await client.next() is None
+            other.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await other.next() == b"PONG"
+
+    run(test)
+
+
+def test_close_with_bytes_unread_takes_no_answer_along() -> None:
+    """Half-close: the client may go on sending for a while, and reads all that it is owed."""
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call() + b"?" + b"x" * 200_000)
+            connection, _ = await w.backend.command()
+            value = b"v" * 60_000
+            connection.send(served(value))
+            await until(lambda: w.node.backends.idle() == 1)
+            for _ in range(20):
+                client.send(b"x" * 10_000)
+                await asyncio.sleep(0)
+            assert await client.next() == value
+            assert str(await client.next()).startswith("ERR Protocol error")
+            assert await client.next() is None
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "said", [b"", b"*", b"*4\r\n$8\r\nCALL.GET\r\n", b"*1\r\n$60000\r\n" + b"x" * 59_000]
+)
+def test_client_that_says_nothing_or_half_a_command_is_closed(
+    said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert DEFAULTS.clients.mute_s + clients.LOOK < 3.0
+    quick = Operator(clients=ClientBounds(mute_s=0.02))
+    monkeypatch.setattr(clients, "LOOK", 0.01)
+
+    async def test() -> None:
+        async with world(quick) as w:
+            client = await w.client()
+            client.send(said)
+            if said:
+                assert "without end" in str(await client.next())
+            assert await client.next() is None
+            await until(lambda: w.node.clients.count() == 0)
+
+    run(test)
+
+
+def test_client_that_does_not_read_is_closed_and_its_commands_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert DEFAULTS.clients.unread_s + clients.LOOK < 3.0
+    quick = Operator(clients=ClientBounds(unread_s=0.05))
+    monkeypatch.setattr(clients, "LOOK", 0.01)
+
+    async def test() -> None:
+        async with world(quick) as w:
+            backend, most = only_backend(w), 600  # some 40 MB of answers, far over the sockets' buffers
+            s = script(w, *[lambda a: [Send(a.request, backend, 0)]] * most)
+
+            async def answer() -> None:
+                while True:
+                    connection, _ = await w.backend.commands.get()
+                    connection.send(served(b"v" * 65_000))
+
+            answering = asyncio.create_task(answer())
+            client = await w.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(b"".join(call(number=number) for number in range(most)))
+            await until(lambda: bool(s.of(Arrival)) and w.node.clients.count() == 0)
+            answering.cancel()
+            assert len(s.of(Arrival)) < most
+            assert w.node.clients.held == 0
+
+    run(test)
+
+
+def test_commands_beyond_the_pipeline_wait_unread_and_are_all_answered_in_order() -> None:
+    async def test() -> None:
+        async with world() as w:
+            number = 3 * DEFAULTS.clients.pipeline
+            arrived: list[int] = []
+
+            def hold(a: Arrival) -> list[Action]:
+                arrived.append(a.request)
+                return []
+
+            script(w, *[hold] * number)
+            client = await w.client()
+            client.send(b"".join(call(number=n) for n in range(number)))
+            await until(lambda: len(arrived) == DEFAULTS.clients.pipeline)
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            while len(arrived) < number:
+                assert len(w.node.requests) <= DEFAULTS.clients.pipeline
+                before = len(arrived)
+                w.node.act(Refuse(arrived[before - 1], 7 * MS))  # out of order: the last of them first
+                for request in arrived[before - DEFAULTS.clients.pipeline:before - 1]:
+                    w.node.act(Refuse(request, 7 * MS))
+                await until(lambda before=before: len(arrived) > before)  # type: ignore[misc]
+            for request in arrived[-DEFAULTS.clients.pipeline:]:
+                w.node.act(Refuse(request, 7 * MS))
+            assert {str(await client.next()) for _ in range(number)} == {"BUSY 7"}
+            assert await client.next() == b"PONG"
+            assert w.node.clients.held == 0
+
+    run(test)
+
+
+def test_commands_that_wait_unread_are_bounded_over_all_clients() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.node.clients.memory = 10_000
+            script(w, *[lambda a: []] * DEFAULTS.clients.pipeline)
+            client = await w.client()
+            client.send(b"".join(call(number=n, wait_ms=60) for n in range(300)))
+            answers = [str(await client.next()) for _ in range(DEFAULTS.clients.pipeline)]
+            assert set(answers) == {"ERR out of time"}
+            assert "too many" in str(await client.next())
+            assert await client.next() is None and w.node.clients.held == 0
+
+    run(test)
+
+
+def test_id_of_an_open_request_is_not_taken_again() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, *[lambda a: []] * 3)
+            client, other = await w.client(), await w.client()
+            client.send(call(number=5))
+            await until(lambda: busy_requests(w) == 1)
+            other.send(call(number=5))
+            assert "open" in str(await other.next())
+            assert busy_requests(w) == 1
+            client.abort()
+            await until(lambda: busy_requests(w) == 2)  # told that the client has left
+            other.send(call(number=5, wait_ms=60))
+            assert str(await other.next()) == "ERR out of time"
+            other.send(call(number=5, wait_ms=60))
+            assert str(await other.next()) == "ERR out of time"
+
+    run(test)
+
+
+def test_resting_clients_are_closed_early_only_where_connections_are_few(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(one_client, "IDLE_CROWDED", 0.0)
+
+    async def test() -> None:
+        async with world() as w:
+            made = [await w.client() for _ in range(4)]
+            for client in made:
+                client.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await client.next() == b"PONG"
+            w.node.clients.bound = 6
+            w.node.clients._look()
+            await asyncio.sleep(0)
+            assert w.node.clients.count() == 4
+            w.node.clients.bound = 5
+            w.node.clients._look()
+            await until(lambda: w.node.clients.count() == 0)
+
+    run(test)
+
+
+def test_newcomer_is_closed_where_no_connection_rests() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.node.clients.bound = 2
+            script(w, *[lambda a: []] * 2)
+            busy = [await w.client() for _ in range(2)]
+            for number, client in enumerate(busy):
+                client.send(call(number=number))
+            await until(lambda: busy_requests(w) == 2)
+            assert await (await w.client()).next() is None
+            assert w.node.clients.count() == 2
+
+    run(test)
+
+
+def test_broken_resp_behind_a_request_does_not_lose_it() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send(call() + b"?\r\n")
+            connection, _ = await w.backend.command()
+            connection.send(served(b"v"))
+            assert await client.next() == b"v"
+            assert str(await client.next()).startswith("ERR Protocol error")
+            assert await client.next() is None
+
+    run(test)
+
+
+def test_command_in_pieces_is_read_whole() -> None:
+    async def test() -> None:
+        async with world() as w:
+            script(w, lambda a: [Refuse(a.request, 0)])
+            client = await w.client()
+            data = call("charge", body=b"y" * 2000)
+            for at in range(0, len(data), 700):
+                client.send(data[at:at + 700])
+                await soon(client.writer.drain())
+                await asyncio.sleep(0)
+            assert str(await client.next()) == "BUSY"
+
+    run(test)
--- /dev/null
+++ b/tests/test_net_connections.py
@@ -0,0 +1,288 @@
+"""Connections to backends on sockets: when they rest, are used again, and end."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import closing
+
+import pytest
+
+from trackspread.backends import pools as backends
+from trackspread.backends.ages import Ages
+from trackspread.backends.resp import read_answer, read_report
+from trackspread.decide.interface import Outcome
+
+from .fakes import LOCAL, Backend, Connection, bulk, listening, run, served, soon, until
+from .test_net_backends import bench
+
+
+def test_pooled_connection_that_ended_unnoticed_is_not_written_to(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(backends, "SETTLE", 0.0)
+
+    async def test() -> None:
+        with closing(socket.create_server((LOCAL, 0))) as server:
+            server.setblocking(False)
+            loop = asyncio.get_running_loop()
+            async with bench(port=server.getsockname()[1]) as b:
+                b.start(1)
+                for number in (1, 2, 3):
+                    taken, _ = await soon(loop.sock_accept(server))
+                    assert await soon(loop.sock_recv(taken, 4096))
+                    await soon(loop.sock_sendall(taken, served(b"v")))
+                    assert (await b.end())[:2] == (number, Outcome.OK)
+                    # Reset or ended between two turns of the loop: the gateway has not heard of it.
+                    if number == 1:
+                        taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    taken.close()
+                    if number < 3:
+                        b.start(number + 1)
+
+    run(test)
+
+
+def test_a_backend_that_has_started_anew_has_none_of_the_connections_that_rest(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A machine that vanished is back at its address: it never closed them, and a request that cannot be
+    repeated would be written, reset and lost."""
+    monkeypatch.setattr(backends, "SETTLE", 0.0)
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.pools.learn(7, (LOCAL, backend.port), booted=1)
+            b.start(1)
+            first, _ = await backend.command()
+            first.send(served(b"v"))
+            assert (await b.end())[:2] == (1, Outcome.OK)
+            b.pools.learn(7, (LOCAL, backend.port), booted=1)
+            assert b.pools.idle() == 1
+            b.start(2)
+            out, _ = await backend.command()
+            assert out is first
+            b.pools.learn(7, (LOCAL, backend.port), booted=2)
+            out.send(served(b"w"))  # what is out may still be answered
+            assert (await b.end())[:2] == (2, Outcome.OK)
+            assert b.pools.idle() == 0
+            b.start(3)
+            second, _ = await backend.command()
+            assert second is not first
+            second.send(served(b"x"))
+            assert (await b.end())[:2] == (3, Outcome.OK)
+            b.pools.learn(7, (LOCAL, backend.port), booted=3)
+            assert b.pools.idle() == 0
+
+    run(test)
+
+
+def test_late_answer_is_never_taken_for_the_next_attempt() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            attempt = b.start(1)
+            first, _ = await backend.command()
+            b.pools.expire(attempt)
+            assert (await b.end())[1] is Outcome.TIMEOUT
+            b.start(2)
+            second, _ = await backend.command()
+            assert second is not first
+            first.send(served(b"late"))
+            second.send(served(b"own"))
+            assert (await b.end())[:3] == (2, Outcome.OK, b"own")
+
+    run(test)
+
+
+def test_words_nobody_asked_for_close_the_connection() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            connection, _ = await backend.command()
+            connection.send(served(b"v") + served(b"again"))
+            assert (await b.end())[1] is Outcome.OK
+            await until(lambda: backend.ended == 1)
+            assert b.pools.open == 0
+
+    run(test)
+
+
+def test_connections_are_reused_last_in_first_out_with_one_request_each(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(backends, "SETTLE", 0.0)
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            b.start(2)
+            held = [await backend.command() for _ in range(2)]
+            assert held[0][0] is not held[1][0]
+            for connection, _ in held:
+                connection.send(served(b"v"))
+                await b.end()
+            for number in (3, 4):
+                b.start(number)
+                connection, _ = await backend.command()
+                assert connection is held[1][0]
+                connection.send(served(b"v"))
+                await b.end()
+            assert b.pools.open == 2
+
+    run(test)
+
+
+def test_idle_connections_are_retired_before_the_backend_closes_them() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend, idle=0.0) as b:
+            b.start(1)
+            connection, _ = await backend.command()
+            connection.send(served(b"v"))
+            await b.end()
+            b.start(2)  # the old one is past its time, looked for or not
+            other, _ = await backend.command()
+            assert other is not connection
+            other.send(served(b"v"))
+            await b.end()
+            await until(lambda: backend.ended == 2)  # the sweep finds the second
+
+    run(test)
+
+
+def test_connections_that_are_reset_after_a_rest_are_not_kept_so_long() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            clock = [100.0]
+            b.pools.time = lambda: clock[0]
+
+            async def rested(seconds: float, broken: bool) -> bool:
+                """A good answer, then another request after that rest; whether it came on the same one."""
+                b.start(1)
+                first, _ = await backend.command()
+                first.send(served(b"v"))
+                await b.end()
+                clock[0] += seconds
+                b.start(2)
+                second, _ = await backend.command()
+                second.abort() if broken else second.send(served(b"v"))
+                assert (await b.end())[1] is (Outcome.RESET if broken else Outcome.OK)
+                clock[0] += 1000.0  # nothing of this round is used again
+                return second is first
+
+            for _ in range(3):
+                assert await rested(0.3, True)
+            assert not await rested(0.3, False)
+            assert await rested(0.15, False)
+            for _ in range(120):
+                b.pools.ages.decay()
+            assert await rested(0.3, False)  # after a while it is tried again
+
+    run(test)
+
+
+def test_breaks_that_come_at_any_age_or_seldom_shorten_no_rest() -> None:
+    ages = Ages(15.0)
+    for age in (0.01, 0.02) * 10:
+        ages.tried(age)
+        ages.broke(age)
+    for _ in range(100):
+        ages.tried(1.0)
+    for _ in range(4):
+        ages.broke(1.0)
+    assert ages.limit == 15.0
+
+
+def test_connections_are_bounded_and_idle_ones_give_way() -> None:
+    async def test() -> None:
+        one, two = Backend(), Backend()
+        async with listening(two), bench(one, most=1) as b:
+            b.pools.learn(8, (LOCAL, two.port))
+            b.start(1)
+            connection, _ = await one.command()
+            b.start(2, backend=8)
+            assert (await b.end())[:2] == (2, Outcome.CONNECT_FAILED)
+            connection.send(served(b"v"))
+            assert (await b.end())[:2] == (1, Outcome.OK)
+            b.start(3, backend=8)
+            connection, _ = await two.command()
+            connection.send(served(b"v"))
+            assert (await b.end())[:2] == (3, Outcome.OK)
+            assert b.pools.open == 1
+
+    run(test)
+
+
+def test_backend_that_drains_loses_idle_connections_and_finishes_what_it_has() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1)
+            b.start(2)
+            held = [await backend.command() for _ in range(2)]
+            held[0][0].send(served(b"v"))
+            await b.end()
+            b.pools.learn(7, None)
+            await until(lambda: backend.ended == 1)
+            held[1][0].send(served(b"w"))
+            assert (await b.end())[1:3] == (Outcome.OK, b"w")
+            await until(lambda: backend.ended == 2)
+
+    run(test)
+
+
+@pytest.mark.parametrize(("grace", "old"), [(0.0, False), (20.0, True), (20.0, False)])
+def test_nothing_still_connecting_is_written_past_the_drain_grace(grace: float, old: bool) -> None:
+    """What a call's first line brings may have been told long ago: none of its grace is left."""
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend, grace=grace) as b:
+            b.start(1)
+            b.pools.learn(7, None, old)
+            if grace and not old:
+                await backend.command()
+                return
+            assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+            assert backend.commands.empty() and b.pools.open == 0
+
+    run(test)
+
+
+def test_unknown_backend_never_ran() -> None:
+    async def test() -> None:
+        async with bench(port=1) as b:
+            b.start(1, backend=99)
+            assert b.ends.empty()  # told in a turn of its own
+            assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+
+    run(test)
+
+
+@pytest.mark.parametrize("number", [b"much", b"nan", b"inf", b"-1", b"+1", b"1_0", b" 1", b"1e999", b""])
+def test_report_must_be_finite_numbers_from_0_up(number: bytes) -> None:
+    assert read_answer([b"v", None, b"util=" + number]) == (Outcome.OK, b"v", {})
+
+
+def test_report_is_read_as_the_protocol_writes_it() -> None:
+    assert read_report(b"inflight=7,util=0.61,tiny=1e-05") == {"inflight": 7.0, "util": 0.61, "tiny": 1e-05}
+
+
+def test_connection_helper_reads_whole_answers() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend):
+            client = Connection(*await asyncio.open_connection(LOCAL, backend.port))
+            client.send(b"*1\r\n$4\r\nPI")
+            client.send(b"NG\r\n")
+            connection, words = await backend.command()
+            assert words == [b"PING"]
+            connection.send(bulk(b"x"))
+            assert await client.next() == b"x"
+            client.abort()
+
+    run(test)
