--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -10,7 +10,8 @@
 from .latency import LIMIT, Latency
 from .presence import Presence, presence
 from .reckon import Break, Reckoned, State, Total, breaks, mends, reckon, totals
-from .roles import BOUNDS, ROLES, Role
+from .role_terms import Role
+from .roles import BOUNDS, ROLES
 from .slopes import Measurement, Run, Slopes
 from .sums import Worked, figure, work
 
--- a/benchmarks/scale/reckon.py
+++ b/benchmarks/scale/reckon.py
@@ -14,7 +14,8 @@
 
 from .extrapolation import unrefuted
 from .presence import Presence, presence
-from .roles import TOTALS, Bound, Role, Row
+from .role_terms import Bound, Role, Row
+from .roles import TOTALS
 from .slopes import Measurement, Slopes
 
 # A hold-out this near to the size asked for is the figure itself: no fit is needed.
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,7 +9,7 @@
 import pytest
 
 from benchmarks import capacity
-from benchmarks.scale import demand, faults, latency, reckon, roles, slopes
+from benchmarks.scale import demand, faults, latency, reckon, role_terms, roles, slopes
 from benchmarks.scale.extrapolation import unrefuted
 from benchmarks.scale.page import Page, amount
 from benchmarks.scale.presence import PROGRAM, Presence, presence, started
@@ -17,7 +17,7 @@
 from benchmarks.scale.sums import Line, SumError, Worked, figure, work
 
 RUN = Run(date="2026-12-02T05:10Z", command="python -m benchmarks.scale", commit="abc1234")
-ROW = roles.Row("memory: all", "cost", "gateways", "decide/fleet.py", "a mend")
+ROW = role_terms.Row("memory: all", "cost", "gateways", "decide/fleet.py", "a mend")
 FIGURES = {"gateways": 7200.0, "calls": 10.0, "memory": 64e6, "share": 0.018, "budget": 5000.0}
 LINES = [line for _, lines in demand.SECTIONS for line in lines]
 
@@ -31,7 +31,7 @@
     return measurement("cost", "gateways", "bytes", points, (800.0, held), RUN, limit=limit, void=void)
 
 
-def one(found: Measurement | None, row: roles.Row = ROW, size: float = 7200.0) -> reckon.Reckoned:
+def one(found: Measurement | None, row: role_terms.Row = ROW, size: float = 7200.0) -> reckon.Reckoned:
     """The row worked out at a size."""
     kept = Slopes((found,) if found is not None else ())
     return reckon.reckon(row, kept, FIGURES | {"gateways": size}, lambda mechanism: Presence.STARTED)
@@ -204,13 +204,13 @@
 
 
 def test_a_row_times_another_figure_has_no_limit_of_its_own() -> None:
-    told = one(slope(), roles.Row("bytes: all", "cost", "gateways", "decide/fleet.py", by="calls"))
+    told = one(slope(), role_terms.Row("bytes: all", "cost", "gateways", "decide/fleet.py", by="calls"))
     assert told.value == pytest.approx(144_000.0)
     assert (told.limit, told.breaks_at) == (None, None)
 
 
 def test_a_row_times_another_figure_is_held_against_the_limit_that_it_names() -> None:
-    row = roles.Row("bytes: all", "cost", "gateways", "decide/fleet.py", by="calls", limit="budget")
+    row = role_terms.Row("bytes: all", "cost", "gateways", "decide/fleet.py", by="calls", limit="budget")
     told = one(slope(), row)
     assert told.limit == 5000.0
     assert told.room == pytest.approx(5000 / 144_000)
@@ -218,8 +218,8 @@
 
 
 def test_rows_of_a_kind_are_added_up_and_those_without_a_figure_told() -> None:
-    role = roles.Role("a role", "state", (), added_up=True)
-    twice = roles.Row("memory: the same", "cost", "gateways", "decide/fleet.py", counted=False)
+    role = role_terms.Role("a role", "state", (), added_up=True)
+    twice = role_terms.Row("memory: the same", "cost", "gateways", "decide/fleet.py", counted=False)
     (total,) = reckon.totals(role, [one(slope()), one(None), one(slope(), twice)], FIGURES)
     assert (total.kind, total.missing, total.limit) == ("memory", 1, 64e6)
     assert total.value == pytest.approx(14400.0)
@@ -228,8 +228,8 @@
 
 
 def test_what_breaks_stands_in_order_and_what_holds_does_not() -> None:
-    bound = roles.Bound("slots", "slots", "gateways", "membership/slots.py", "cells")
-    holds = roles.Bound("more", "more", "gateways", "membership/slots.py", "cells")
+    bound = role_terms.Bound("slots", "slots", "gateways", "membership/slots.py", "cells")
+    holds = role_terms.Bound("more", "more", "gateways", "membership/slots.py", "cells")
     found = reckon.breaks(
         [one(slope()), one(slope(limit=1e9))], (bound, holds), {"gateways": 7200, "slots": 1024, "more": 8000}
     )
@@ -238,8 +238,8 @@
 
 
 def test_what_breaks_is_told_once_and_grouped_by_what_mends_it() -> None:
-    bound = roles.Bound("slots", "slots", "gateways", "membership/slots.py", "cells")
-    other = roles.Row("bytes: again", "cost", "gateways", "decide/fleet.py", "a mend")
+    bound = role_terms.Bound("slots", "slots", "gateways", "membership/slots.py", "cells")
+    other = role_terms.Row("bytes: again", "cost", "gateways", "decide/fleet.py", "a mend")
     figures = {"gateways": 7200.0, "slots": 1024.0}
     found = reckon.breaks([one(slope()), one(slope(), other)], (bound,), figures)
     assert [each.what for each in found] == ["slots", "memory: all"]
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -11,6 +11,7 @@
 import select
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import cast
 
@@ -39,24 +40,21 @@
 MILLISECOND, SECOND = 1_000_000, 1_000_000_000
 
 
+@dataclass(slots=True, eq=False)
 class Attempt:
     """One try of one request at one backend; a probe if `call` is None."""
 
-    __slots__ = ("backend", "call", "expires", "index", "link", "over", "request", "started", "timer",
-                 "until", "written")
-
-    def __init__(
-        self, request: int, index: int, backend: int, started: int, expires: int, call: Call | None,
-        until: int = 0,
-    ) -> None:
-        """`until`: ns of the clock by which its last byte has to be out, 0 for no such time."""
-        self.request, self.index, self.backend = request, index, backend
-        self.started, self.expires, self.until = started, expires, until
-        self.call = call
-        self.link: _Link | None = None
-        self.timer: Later | None = None
-        self.written = False
-        self.over = False  # its end has been told
+    request: int
+    index: int
+    backend: int
+    started: int
+    expires: int
+    call: Call | None
+    until: int = 0  # ns of the clock by which its last byte has to be out, 0 for no such time
+    link: _Link | None = None
+    timer: Later | None = None
+    written: bool = False
+    over: bool = False  # its end has been told
 
     def quiet(self) -> None:
         """It is waited for without a limit of its own from now on."""
--- a/trackspread/cells/controller.py
+++ b/trackspread/cells/controller.py
@@ -192,7 +192,7 @@
     def _leader(self) -> Address | None:
         """Where the newest leader that is known is reached."""
         leader = self.tier.leader
-        return (leader.host, leader.port) if leader is not None else None
+        return leader.address if leader is not None else None
 
     # Reports.
 
@@ -203,7 +203,7 @@
         self.epoch = max(self.epoch, leader.epoch)
         for seeding in self.cells.values():
             for report in seeding.reports(now, leader.epoch, self._names, self.rng):
-                self._say(now, (leader.host, leader.port), report)
+                self._say(now, leader.address, report)
 
     # Messages.
 
--- a/trackspread/membership/member.py
+++ b/trackspread/membership/member.py
@@ -13,6 +13,7 @@
 
 from msgspec import structs
 
+from . import terms
 from .acceptor import Acceptor, Votes
 from .asking import RENEW, Asking
 from .coordinating import Coordinating
@@ -22,21 +23,15 @@
 from .probing import HELPERS, Probing
 from .slots import from_bytes, text, to_bytes
 from .slowness import Slowness
-from .terms import (
-    MS, NO_NUMBER, SECOND, Ack, Action, Address, Bodies, Epoch, Exchange, Forget, Forgotten, Fresh,
-    GossipUpdate, Grant, Heard, Help, Leader, MemberMessage, Nack, Noticed, Number, Ping, Release, Renew,
-    Report, Say, Settings, State, Table, View, Vote, Who, PeerData,
-)
-
-TICK = 50 * MS  # ns between two calls of `tick`
-SUSPECT_LEAST, SUSPECT_MOST = 3, 9  # periods to clear itself for whom enough suspect, and for whom one does
-CONFIRMED = 3  # others that suspect the same, from which the time is the least
+from .suspicion import grace
+
+TICK = 50 * terms.MS  # ns between two calls of `tick`
 LOOK_AT = 6.0  # members, on average, that look at a suspect at once when they hear of it
 UNLED = 3 * SPAN  # ns after the last grant from which a slow seed would lead rather than nobody
-SEEK = 500 * MS  # ns between exchanges with seeds while nobody else is known
-REACH = 1 * SECOND  # ns between looks for those that are gone, or seeds that are not known
-DIFFER = 700 * MS  # ns between exchanges with those that know another fleet
-ENTROPY = 10 * SECOND  # ns between exchanges with one at random, in a fleet of ten; longer with its logarithm
+SEEK = 500 * terms.MS  # ns between exchanges with seeds while nobody else is known
+REACH = 1 * terms.SECOND  # ns between looks for those that are gone, or seeds that are not known
+DIFFER = 700 * terms.MS  # ns between exchanges with those that know another fleet
+ENTROPY = 10 * terms.SECOND  # ns between exchanges with one at random among ten; longer with the logarithm
 INLINE = 32  # members of a view that still fit into a datagram
 HELPED_MOST = 64  # pings under way for others; more are not helped
 
@@ -44,23 +39,24 @@
 class Member:
     """The core. `seed`: of all its chances; `born` in the settings: wall clock, ms, at its start."""
 
-    def __init__(self, settings: Settings, now: int, seed: int) -> None:
+    def __init__(self, settings: terms.Settings, now: int, seed: int) -> None:
         self.settings, self.rng = settings, random.Random(seed)
-        me = GossipUpdate(settings.name, settings.born, 0, State.ALIVE, *settings.address, settings.version)
+        alive, version = terms.State.ALIVE, settings.version
+        me = terms.GossipUpdate(settings.name, settings.born, 0, alive, *settings.address, version)
         self.member_table = MemberTable(me, settings.most)
         self.gossip = GossipQueue()
         self.probing = Probing(settings.period, self.rng)
         self.slowness = Slowness()
         self.asking = Asking(now, settings.place)
         self.holding = self.asking.holding
-        self.view: View | None = None
-        self.leader: Leader | None = None
+        self.view: terms.View | None = None
+        self.leader: terms.Leader | None = None
         self.coordinating: Coordinating | None = None
         self.acceptor = Acceptor(settings, now, self.rng)
         self._touch_at = self._seek_at = self._reach_at = self._differ_at = now
         self._entropy_at = now + ENTROPY
-        self._helping: dict[int, tuple[int, Address, int]] = {}  # our number: theirs, whose, until when
-        self._out: list[Action] = []
+        self._helping: dict[int, tuple[int, terms.Address, int]] = {}  # our number: theirs, whose, until when
+        self._out: list[terms.Action] = []
         self.begun = now
         self.gone = False  # left, or fenced off: nothing is said any more
         self.fenced = False
@@ -68,11 +64,11 @@
     # What hangs on the view.
 
     @property
-    def who(self) -> Who:
+    def who(self) -> terms.Who:
         return self.member_table.me.who
 
-    def number(self) -> Number:
-        return self.view.number if self.view else NO_NUMBER
+    def number(self) -> terms.Number:
+        return self.view.number if self.view else terms.NO_NUMBER
 
     def part(self, now: int) -> int:
         """The slots of all that is shared that this member may act on at this instant."""
@@ -83,13 +79,13 @@
 
     # What the host calls.
 
-    def start(self, now: int) -> list[Action]:
+    def start(self, now: int) -> list[terms.Action]:
         self.gossip.add(self.member_table.me)
         self._told("started", who=self.who, address=self.settings.address)
         self._seek(now)
         return self._done()
 
-    def tick(self, now: int) -> list[Action]:
+    def tick(self, now: int) -> list[terms.Action]:
         if not self.gone:
             self._probe(now)
             self._judge(now)
@@ -98,11 +94,11 @@
             self._reach(now)
         return self._done()
 
-    def received(self, now: int, message: MemberMessage, source: Address) -> list[Action]:
+    def received(self, now: int, message: terms.MemberMessage, source: terms.Address) -> list[terms.Action]:
         """A datagram of this fleet; `source`: where it came from."""
         if self.gone or message.who == self.who:
             return []
-        if isinstance(message.body, Forget):
+        if isinstance(message.body, terms.Forget):
             self._forget(now, message.body.name, source)
             return self._done()
         if message.name == self.member_table.me.name:
@@ -116,15 +112,15 @@
         if message.digest != self.member_table.digest() and not self.gossip and now >= self._differ_at:
             # Nothing is on its way that would settle it, as far as is known: words got lost.
             self._differ_at = now + int(DIFFER * self.rng.uniform(0.7, 1.3))
-            self._out.append(Exchange(source))
+            self._out.append(terms.Exchange(source))
         return self._done()
 
-    def table(self, now: int) -> Table:
+    def table(self, now: int) -> terms.Table:
         members = self.member_table
         updates = (members.me, *(each.update for each in members.by_name.values()))
-        return Table(self.settings.fleet, *self.who, updates, self.view, self.leader)
+        return terms.Table(self.settings.fleet, *self.who, updates, self.view, self.leader)
 
-    def merge(self, now: int, table: Table) -> list[Action]:
+    def merge(self, now: int, table: terms.Table) -> list[terms.Action]:
         """What another holds."""
         if self.gone or table.fleet != self.settings.fleet:
             return []
@@ -136,10 +132,10 @@
             self._adopt(now, table.view)
         return self._done()
 
-    def leave(self, now: int) -> list[Action]:
+    def leave(self, now: int) -> list[terms.Action]:
         """In good order: told to as many as hear of it at once, and the part is given up."""
         if not self.gone:
-            self.member_table.me = structs.replace(self.member_table.me, state=State.LEFT)
+            self.member_table.me = structs.replace(self.member_table.me, state=terms.State.LEFT)
             self.gossip.add(self.member_table.me)
             self.holding.drop()
             some = self.member_table.here()
@@ -147,12 +143,12 @@
             for person in some[: 2 * HELPERS]:
                 self._ping(person.update, self.probing.number())
             if self.leader is not None:
-                self._say((self.leader.host, self.leader.port), Ping(self.probing.number(), self.leader.who))
+                self._say(self.leader.address, terms.Ping(self.probing.number(), self.leader.who))
             self._told("left")
             self.gone = True
         return self._done()
 
-    def make_way(self) -> list[Action]:
+    def make_way(self) -> list[terms.Action]:
         """Another process goes on under this name: the fleet is told nothing but that the part is free."""
         if not self.gone:
             self._release()
@@ -165,37 +161,37 @@
         self.holding.drop()
         if self.leader is not None and self.leader.who != self.who:
             for _ in range(2):
-                self._say((self.leader.host, self.leader.port), Release(self.leader.epoch))
+                self._say(self.leader.address, terms.Release(self.leader.epoch))
 
-    def send_data(self, names: Iterable[str], data: bytes) -> list[Action]:
+    def send_data(self, names: Iterable[str], data: bytes) -> list[terms.Action]:
         """To those of these that are here, in one message that is the same for all."""
-        body = PeerData(data, to_bytes(self.holding.granted))
-        message = MemberMessage(self.settings.fleet, *self.who, body, self.member_table.digest())
+        body = terms.PeerData(data, to_bytes(self.holding.granted))
+        message = terms.MemberMessage(self.settings.fleet, *self.who, body, self.member_table.digest())
         held = (self.member_table.by_name.get(name) for name in names)
-        return [Say(each.update.address, message) for each in held if each is not None and each.here]
+        return [terms.Say(each.update.address, message) for each in held if each is not None and each.here]
 
-    def _done(self) -> list[Action]:
+    def _done(self) -> list[terms.Action]:
         out, self._out = self._out, []
         return out
 
     # Saying.
 
-    def _say(self, to: Address, body: Bodies, more: tuple[GossipUpdate, ...] = ()) -> None:
+    def _say(self, to: terms.Address, body: terms.Bodies, more: tuple[terms.GossipUpdate, ...] = ()) -> None:
         updates, digest = (*more, *self.gossip.some(self.member_table.count())), self.member_table.digest()
-        message = MemberMessage(self.settings.fleet, *self.who, body, digest, updates, self.leader)
-        self._out.append(Say(to, message))
+        message = terms.MemberMessage(self.settings.fleet, *self.who, body, digest, updates, self.leader)
+        self._out.append(terms.Say(to, message))
 
     def _told(self, kind: str, **about: object) -> None:
-        self._out.append(Noticed(kind, about))
+        self._out.append(terms.Noticed(kind, about))
 
-    def _ping(self, word: GossipUpdate, seq: int) -> None:
+    def _ping(self, word: terms.GossipUpdate, seq: int) -> None:
         # Whoever is suspected hears of it by this very ping, and can clear itself at once.
-        suspected = word.state in (State.SUSPECT, State.DEAD)
-        self._say(word.address, Ping(seq, word.who), (word,) if suspected else ())
+        suspected = word.state in (terms.State.SUSPECT, terms.State.DEAD)
+        self._say(word.address, terms.Ping(seq, word.who), (word,) if suspected else ())
 
     # Words on members.
 
-    def _word(self, now: int, word: GossipUpdate, teller: str) -> None:
+    def _word(self, now: int, word: terms.GossipUpdate, teller: str) -> None:
         member_table = self.member_table
         before = member_table.by_name.get(word.name)
         was = before.update if before is not None else None
@@ -212,16 +208,17 @@
         self.gossip.add(word)
         if was is None or was.rank != word.rank:
             if was is None or (was.state, was.born, was.slow) != (word.state, word.born, word.slow):
-                self._told("member", who=word.who, state=State(word.state).name, life=word.life,
-                           slow=word.slow, by=teller)
-            looks = word.state == State.SUSPECT and self.rng.random() < LOOK_AT / max(1, member_table.count())
+                state = terms.State(word.state).name
+                self._told("member", who=word.who, state=state, life=word.life, slow=word.slow, by=teller)
+            part = LOOK_AT / max(1, member_table.count())
+            looks = word.state == terms.State.SUSPECT and self.rng.random() < part
             if looks and (probe := self.probing.extra(now, held.update.who)) is not None:
                 self._ping(held.update, probe.seq)
         if not held.here:
             self.slowness.forget(word.name)
         if self.coordinating is None:
             return
-        if word.state == State.LEFT:
+        if word.state == terms.State.LEFT:
             self.coordinating.parts.released(word.who)  # it had given it up before it said so
         if was is not None and was.born < word.born and was.address == word.address:
             self.coordinating.parts.released(was.who)  # an address is one process's: the former one is gone
@@ -232,7 +229,7 @@
         word, self.member_table.fenced = self.member_table.fenced, None
         if word is None:
             return
-        if word.address == self.settings.address or word.state >= State.DEAD:
+        if word.address == self.settings.address or word.state >= terms.State.DEAD:
             self.member_table.me = structs.replace(self.member_table.me, born=word.born + 1, life=0)
             self.holding.drop()
             self.gossip.add(self.member_table.me)
@@ -240,16 +237,15 @@
         else:
             self._give_up(word)
 
-    def _namesake(self, now: int, born: int, source: Address) -> None:
+    def _namesake(self, now: int, born: int, source: terms.Address) -> None:
         """Word from another process under this name: the newer stays."""
-        if born > self.member_table.me.born:
-            me = self.member_table.me
-            self._give_up(GossipUpdate(me.name, born, 0, State.ALIVE, *source))
+        me = self.member_table.me
+        if born > me.born:
+            self._give_up(terms.GossipUpdate(me.name, born, 0, terms.State.ALIVE, *source))
         else:
-            me = self.member_table.me
-            self._say(source, Ping(self.probing.number(), (me.name, born)), (me,))
+            self._say(source, terms.Ping(self.probing.number(), (me.name, born)), (me,))
 
-    def _give_up(self, word: GossipUpdate) -> None:
+    def _give_up(self, word: terms.GossipUpdate) -> None:
         self._release()
         self.coordinating = None
         self.gone = self.fenced = True
@@ -266,7 +262,7 @@
                 self._ping(member_table.by_name[probe.who[0]].update, probe.seq)
         for probe in self.probing.wanting(now):
             held = member_table.by_name.get(probe.who[0])
-            others = [p for p in member_table.here() if p is not held and p.update.state == State.ALIVE]
+            others = [p for p in member_table.here() if p is not held and p.update.state == terms.State.ALIVE]
             if held is None:
                 continue
             self._late(now, held, True)
@@ -274,28 +270,29 @@
             probe.helpers = len(chosen)
             word = held.update
             for helper in chosen:
-                self._say(helper.update.address, Help(probe.seq, word.who, word.host, word.port))
+                self._say(helper.update.address, terms.Help(probe.seq, word.who, word.host, word.port))
             self._ping(word, probe.seq)  # once more: the first may be lost
         for who in self.probing.failed(now):
             held = member_table.by_name.get(who[0])
             if held is not None and held.update.who == who and held.here:
                 word = held.update
-                self._word(now, structs.replace(word, state=State.SUSPECT), member_table.me.name)
+                self._word(now, structs.replace(word, state=terms.State.SUSPECT), member_table.me.name)
         for seq in [s for s, (_, _, until) in self._helping.items() if now >= until]:
             theirs, whose, _ = self._helping.pop(seq)
-            self._say(whose, Nack(theirs))
+            self._say(whose, terms.Nack(theirs))
 
     def _late(self, now: int, held: MemberEntry, late: bool) -> None:
         """Whether it answered late; it is told of what is found, while that lasts."""
         slow = self.slowness.noted(now, held.update.name, late)
         if slow is not None:
-            self._say(held.update.address, Report(held.update.who, slow))
+            self._say(held.update.address, terms.Report(held.update.who, slow))
 
     def _judge(self, now: int) -> None:
         """Suspects whose time is over are dead; and whether this member is slow itself."""
-        for person in [p for p in self.member_table.here() if p.update.state == State.SUSPECT]:
-            if now - person.since >= self._grace(person):
-                self._word(now, structs.replace(person.update, state=State.DEAD), self.member_table.me.name)
+        name = self.member_table.me.name
+        for suspect in [p for p in self.member_table.here() if p.update.state == terms.State.SUSPECT]:
+            if now - suspect.since >= self._grace(suspect):
+                self._word(now, structs.replace(suspect.update, state=terms.State.DEAD), name)
         me = self.member_table.me
         slow = self.slowness.slow(now, self.member_table.count(), self.probing.health)
         if slow != me.slow:
@@ -303,60 +300,57 @@
             self.gossip.add(self.member_table.me)
             self._told("slow" if slow else "well")
 
-    def _grace(self, person: MemberEntry) -> int:
-        """The more suspect the same, the shorter; longer while this member itself is not well."""
-        most, least = SUSPECT_MOST, SUSPECT_LEAST
-        by = min(CONFIRMED, len(person.suspected_by) - 1)
-        scale = max(1.0, log10(max(1, self.member_table.count())))
-        share = 1.0 if by <= 0 else 1.0 - log10(by + 1) / log10(CONFIRMED + 1)
-        return int((least + (most - least) * share) * scale * self.settings.period * self.probing.stretch())
+    def _grace(self, suspect: MemberEntry) -> int:
+        period, stretch = self.settings.period, self.probing.stretch()
+        return grace(len(suspect.suspected_by), self.member_table.count(), period, stretch)
 
     # One datagram's body.
 
-    def _body(self, now: int, who: Who, body: Bodies, source: Address) -> None:
+    def _body(self, now: int, who: terms.Who, body: terms.Bodies, source: terms.Address) -> None:
         match body:
-            case Ping():
+            case terms.Ping():
                 if body.to == self.who:
-                    self._say(source, Ack(body.seq, self.holding.first))
+                    self._say(source, terms.Ack(body.seq, self.holding.first))
                 elif body.to[0] == self.member_table.me.name:
-                    self._say(source, Nack(body.seq), (self.member_table.me,))  # a former process is meant
-            case Ack():
+                    # A former process is meant.
+                    self._say(source, terms.Nack(body.seq), (self.member_table.me,))
+            case terms.Ack():
                 self._acked(now, body)
-            case Nack():
+            case terms.Nack():
                 self.probing.nacked(body.seq)
-            case Help():
+            case terms.Help():
                 if len(self._helping) < HELPED_MOST:
                     seq = self.probing.number()
                     self._helping[seq] = body.seq, source, now + self.settings.period // 3
-                    self._say((body.host, body.port), Ping(seq, body.to))
-            case Vote():
+                    self._say((body.host, body.port), terms.Ping(seq, body.to))
+            case terms.Vote():
                 self._votes(self.acceptor.heard(now, body))
-            case Renew():
+            case terms.Renew():
                 self._asked(now, who, body, source)
-            case Grant():
+            case terms.Grant():
                 self._take(now, body)
                 if body.number > self.number():
-                    self._out.append(Exchange(source))
-            case Release():
+                    self._out.append(terms.Exchange(source))
+            case terms.Release():
                 if self.coordinating is not None and self._coordinates(now, body.epoch):
                     self.coordinating.parts.released(who)
-            case Fresh():
+            case terms.Fresh():
                 if body.view is not None:
                     self._adopt(now, body.view)
                 elif body.number > self.number():
-                    self._out.append(Exchange(source))
-            case PeerData():
+                    self._out.append(terms.Exchange(source))
+            case terms.PeerData():
                 if self.member_table.holds(who):
-                    self._out.append(Heard(who[0], body.data, from_bytes(body.part)))
-            case Report():
+                    self._out.append(terms.Heard(who[0], body.data, from_bytes(body.part)))
+            case terms.Report():
                 if body.of == self.who:
                     self.slowness.reported(now, who[0], body.slow)
 
-    def _acked(self, now: int, ack: Ack) -> None:
+    def _acked(self, now: int, ack: terms.Ack) -> None:
         seq = ack.seq
         if seq in self._helping:
             theirs, whose, _ = self._helping.pop(seq)
-            self._say(whose, Ack(theirs))
+            self._say(whose, terms.Ack(theirs))
         elif self.asking.touched(seq, ack.first):
             self._held(now)
         elif (over := self.probing.acked(now, seq)) is not None:
@@ -384,20 +378,20 @@
         if self.coordinating is None or self.coordinating.epoch != epoch:
             settings = self.settings
             self.coordinating = Coordinating(now, epoch, self.view, len(settings.seeds), settings.keep)
-            self._leader(now, Leader(epoch, self.who, *self.settings.address))
+            self._leader(now, terms.Leader(epoch, self.who, *self.settings.address))
             self._told("leads", epoch=epoch)
             for person in self.member_table.here():
-                self._say(person.update.address, Fresh(self.number(), None))
+                self._say(person.update.address, terms.Fresh(self.number(), None))
         if (view := self.coordinating.tick(now, self.member_table.live())) is not None:
             self._told("issued", number=view.number, parent=view.parent, members=view.members)
             self._adopt(now, view)
             for name, born in view.members:
                 held = self.member_table.by_name.get(name)
                 if held is not None and held.update.born == born:
-                    self._say(held.update.address, Fresh(view.number, view if len(view.members) <= INLINE
-                                                         else None))
+                    inline = view if len(view.members) <= INLINE else None
+                    self._say(held.update.address, terms.Fresh(view.number, inline))
 
-    def _leader(self, now: int, leader: Leader) -> None:
+    def _leader(self, now: int, leader: terms.Leader) -> None:
         if self.leader is None or leader.epoch > self.leader.epoch:
             self.leader = leader
             self.acceptor.newer(leader.epoch[0])
@@ -407,7 +401,7 @@
     def _renew(self, now: int) -> None:
         """Ask for the part anew; the coordinator asks itself."""
         self._touch(now)
-        if self.leader is None or self.member_table.me.state == State.LEFT:
+        if self.leader is None or self.member_table.me.state == terms.State.LEFT:
             return
         body = self.asking.due(now, self.leader.epoch, self.number())
         if body is None:
@@ -416,7 +410,7 @@
             if (grant := self._grant(now, self.who, body)) is not None:
                 self._take(now, grant)
         else:
-            self._say((self.leader.host, self.leader.port), body)
+            self._say(self.leader.address, body)
 
     def _touch(self, now: int) -> None:
         """While the coordinator does not answer: whether some seed of the view is there, oneself perhaps."""
@@ -435,10 +429,10 @@
         part, lasts = text(self.holding.granted), max(0, self.holding.until - now)
         self._told("part", part=part, lasts=lasts, epoch=self.holding.epoch, serial=self.holding.serial)
 
-    def _coordinates(self, now: int, epoch: Epoch) -> bool:
+    def _coordinates(self, now: int, epoch: terms.Epoch) -> bool:
         return self.coordinating is not None and self.coordinating.epoch == epoch and self.owns(now)
 
-    def _grant(self, now: int, who: Who, body: Renew) -> Grant | None:
+    def _grant(self, now: int, who: terms.Who, body: terms.Renew) -> terms.Grant | None:
         """What this member, as the coordinator that is asked, grants; nothing where it is not."""
         if self.coordinating is None or not self._coordinates(now, body.epoch):
             return None
@@ -446,40 +440,41 @@
         address, seeds = word.address, self.settings.seeds
         acceptor = seeds.index(address) if address in seeds else -1
         serial, part = self.coordinating.asked(now, who, acceptor, body)
-        return Grant(body.stamp, body.epoch, serial, to_bytes(part), self.number(), self.coordinating.keep)
+        keep = self.coordinating.keep
+        return terms.Grant(body.stamp, body.epoch, serial, to_bytes(part), self.number(), keep)
 
-    def _take(self, now: int, grant: Grant) -> None:
+    def _take(self, now: int, grant: terms.Grant) -> None:
         if self.asking.take(now, grant):
             self._held(now)
 
-    def _asked(self, now: int, who: Who, body: Renew, source: Address) -> None:
+    def _asked(self, now: int, who: terms.Who, body: terms.Renew, source: terms.Address) -> None:
         if not self.member_table.holds(who):
             if self._coordinates(now, body.epoch):
-                self._out.append(Exchange(source))  # it is not known here: it, or word of it, is new
+                self._out.append(terms.Exchange(source))  # it is not known here: it, or word of it, is new
         elif (grant := self._grant(now, who, body)) is not None:
             self._say(source, grant)
 
-    def _adopt(self, now: int, view: View) -> None:
+    def _adopt(self, now: int, view: terms.View) -> None:
         if view.number > self.number():
             self.view = view
             self.asking.at = min(self.asking.at, now + int(self.rng.random() * TICK))
             self._told("view", number=view.number, parent=view.parent, members=view.members)
 
-    def _forget(self, now: int, name: str, source: Address) -> None:
+    def _forget(self, now: int, name: str, source: terms.Address) -> None:
         """Only the coordinator answers: who asks has asked all seeds."""
         if self.coordinating is None or not self.owns(now):
             return
         runs = name in {self.member_table.me.name, *(p.update.name for p in self.member_table.here())}
         slots = 0 if runs else self.coordinating.parts.forgotten(now, name)
         self._told("spared" if runs else "forgot", name=name, slots=text(slots))
-        self._say(source, Forgotten(name, runs, slots.bit_count()))
+        self._say(source, terms.Forgotten(name, runs, slots.bit_count()))
 
     # Finding others.
 
     def _seek(self, now: int) -> None:
         self._seek_at = now + SEEK
         if others := [seed for seed in self.settings.seeds if seed != self.settings.address]:
-            self._out.append(Exchange(self.rng.choice(others)))
+            self._out.append(terms.Exchange(self.rng.choice(others)))
 
     def _reach(self, now: int) -> None:
         """Nobody is given up for ever: who is gone may be on the other side of a cut that has healed."""
@@ -488,16 +483,16 @@
             self._seek(now)
         if now >= self._reach_at:
             self._reach_at = now + int(REACH * self.rng.uniform(0.7, 1.3))
-            if gone := [p for p in member_table.by_name.values() if p.update.state == State.DEAD]:
+            if gone := [p for p in member_table.by_name.values() if p.update.state == terms.State.DEAD]:
                 self._ping(self.rng.choice(gone).update, self.probing.number())
             known = {p.update.address for p in member_table.here()} | {self.settings.address}
             unknown = [seed for seed in self.settings.seeds if seed not in known]
             if unknown and member_table.here():
-                self._out.append(Exchange(self.rng.choice(unknown)))
+                self._out.append(terms.Exchange(self.rng.choice(unknown)))
         here = member_table.here()
         if now >= self._entropy_at and here:
             scale = max(1.0, log10(member_table.count()))
             self._entropy_at = now + int(ENTROPY * scale * self.rng.uniform(0.7, 1.3))
-            self._out.append(Exchange(self.rng.choice(here).update.address))
+            self._out.append(terms.Exchange(self.rng.choice(here).update.address))
 
 
--- a/trackspread/membership/terms.py
+++ b/trackspread/membership/terms.py
@@ -195,6 +195,10 @@
     host: str
     port: int
 
+    @property
+    def address(self) -> Address:
+        return self.host, self.port
+
 
 class MemberMessage(msgspec.Struct, frozen=True, array_like=True):
     """One datagram: who sends it, what it is about, what else its sender has to tell, and which coordinator
