--- a/tests/test_endings_stop.py
+++ b/tests/test_endings_stop.py
@@ -50,7 +50,7 @@
     run(test)
 
 
-def test_a_request_that_comes_in_the_drain_has_no_more_time_than_sigkill_leaves_where_deadlines_are_long(
+def test_a_request_in_the_drain_has_no_more_time_than_sigkill_leaves_where_deadlines_are_long(
 ) -> None:
     """Another customer's classes have deadlines of 12 s; SIGKILL waits for 3 s and 0.7 s at most."""
 
--- a/trackspread/harness/celled.py
+++ b/trackspread/harness/celled.py
@@ -106,7 +106,8 @@
     def table(self, name: str) -> str:
         """The table [fleet] of a gateway, or of a control machine."""
         place = "" if name in self.control_names else (
-            f'advertise = "{_text(self.reached[name])}"\nregion = "r"\nzone = "z{int(name[1:]) % ZONES}"\n')
+            f'advertise = "{_text(self.reached[name])}"\n'
+            f'region = "r"\nzone = "z{int(name[1:]) % ZONES}"\n')
         seats = "".join(
             f'[[fleet.control]]\nname = "{each}"\nregion = "r"\nzone = "z{number % ZONES}"\n'
             f'address = "{_text(self.reached[each])}"\n' for number, each in enumerate(self.control_names))
