--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -42,7 +42,10 @@
 
 
 def play(
-    work: Work, gateways: int = MANY, keys: str = "", held: bool = False,
+    work: Work,
+    gateways: int = MANY,
+    keys: str = "",
+    held: bool = False,
     seats: tuple[int, ...] = (0, 1, 2),
 ) -> None:
     """The rules and the records are decided on after it; one in which the rig lagged is played again."""
@@ -83,7 +86,11 @@
 async def command(*words: str) -> tuple[int | None, str]:
     """Exit status and what it prints."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "trackspread", *words, stdout=asyncio.subprocess.PIPE,
+        sys.executable,
+        "-m",
+        "trackspread",
+        *words,
+        stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.DEVNULL,
     )
     out, _ = await process.communicate()
@@ -126,8 +133,10 @@
         # The half without a majority of seeds made no view, and knew that it holds nothing.
         last = {b.name: b for b in held if b.kind == "part"}
         assert all(last[name].about["part"] for name in half)
-        assert all(last[name].at + int(last[name].about["lasts"]) < held[-1].at  # type: ignore[call-overload]
-                   for name in other)
+        assert all(
+            last[name].at + int(last[name].about["lasts"]) < held[-1].at  # type: ignore[call-overload]
+            for name in other
+        )
         await faulty(fleet, 4.0, Cut(0.0, 4.0, faults.one_way(half[:3], NAMES)))
         await settled(fleet, HEAL)
         await faulty(fleet, 4.0, Cut(0.0, 4.0, faults.ring(NAMES)))
@@ -143,8 +152,9 @@
         since = fleet.beliefs()[-1].at
         slow = (3, 7)
         await faulty(fleet, 6.0, Duty(0.0, 6.0, slow, 0.3, 0.3))
-        dead = [b for b in fleet.beliefs()
-                if b.at > since and b.kind == "member" and b.about["state"] == "DEAD"]
+        dead = [
+            b for b in fleet.beliefs() if b.at > since and b.kind == "member" and b.about["state"] == "DEAD"
+        ]
         assert dead == []
         await faulty(fleet, 4.0, Loop(0.0, 4.0, 2, 0.3))
         await settled(fleet, JOIN)
@@ -183,16 +193,29 @@
         listen = fleet.members["n3"]
         own = fleet.folder / "twin.toml"
         # At another port of the same host: it has no wire in between.
-        own.write_text(fleet.table("n3").replace(f'listen = "{listen[0]}:{listen[1]}"',
-                                                 f'listen = "{listen[0]}:{listen[1] + 1}"')
-                       .replace('advertise = "{}:{}"'.format(*fleet.reached["n3"]),
-                                f'advertise = "{listen[0]}:{listen[1] + 1}"'))
+        own.write_text(
+            fleet.table("n3")
+            .replace(f'listen = "{listen[0]}:{listen[1]}"', f'listen = "{listen[0]}:{listen[1] + 1}"')
+            .replace(
+                'advertise = "{}:{}"'.format(*fleet.reached["n3"]),
+                f'advertise = "{listen[0]}:{listen[1] + 1}"',
+            )
+        )
         config = fleet.folder / "twin.json"
         at = fleet.clients.addresses[3]
-        config.write_text(json.dumps({**first.config, "listen": f"{at[0]}:0", "control": "", "peers": [],
-                                      "peer_listen": None}))
+        config.write_text(
+            json.dumps(
+                {**first.config, "listen": f"{at[0]}:0", "control": "", "peers": [], "peer_listen": None}
+            )
+        )
         twin = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "trackspread", "run", "--file", str(own), stderr=asyncio.subprocess.DEVNULL,
+            sys.executable,
+            "-m",
+            "trackspread",
+            "run",
+            "--file",
+            str(own),
+            stderr=asyncio.subprocess.DEVNULL,
             env={**os.environ, "ROUTER_CONFIG": str(config)},
         )
         try:
@@ -227,8 +250,10 @@
         status, out = await command("fleet", "view", door, "--json", "--wait", "3")
         dropped = json.loads(out)["dropped"]
         assert status == 0 and dropped["digest"] > 100 and dropped["foreign"] > 100
-        for stage in ((b"the newer key, 16 or more", b"the older key, 16 or more"),
-                      (b"the newer key, 16 or more", b"")):
+        for stage in (
+            (b"the newer key, 16 or more", b"the older key, 16 or more"),
+            (b"the newer key, 16 or more", b""),
+        ):
             for gateway in fleet.gateways:
                 (fleet.folder / "key").write_bytes(stage[0])
                 (fleet.folder / "previous").write_bytes(stage[1] or stage[0])
@@ -261,8 +286,14 @@
 
         async def run() -> tuple[int | None, bytes]:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "trackspread", "run", "--file", str(own),
-                stderr=asyncio.subprocess.PIPE, env={**os.environ, "ROUTER_CONFIG": str(config)},
+                sys.executable,
+                "-m",
+                "trackspread",
+                "run",
+                "--file",
+                str(own),
+                stderr=asyncio.subprocess.PIPE,
+                env={**os.environ, "ROUTER_CONFIG": str(config)},
             )
             _, err = await process.communicate()
             return process.returncode, err
--- a/tests/test_mutation.py
+++ b/tests/test_mutation.py
@@ -40,8 +40,6 @@
     assert modules("planning.turns") == [TURNS] and PLACEMENT in modules("planning")
 
 
-
-
 def test_a_mutant_is_found_by_the_checks_and_the_file_stays_as_it_is() -> None:
     text = source(PLACEMENT)
     wrong = Mutant(PLACEMENT, "hand-made", 1, "", "", text.replace("% SLOTS", "% 2"))
@@ -60,7 +58,7 @@
 
 
 def test_checks_that_find_fault_with_the_text_as_it_is_give_no_figure(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     plant.require_sound([PLACEMENT], 1)
     monkeypatch.setattr(plant, "source", lambda module: "raise RuntimeError\n")
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -10,16 +10,58 @@
 
 ROOT = Path(__file__).parent.parent
 # Words of the earlier house style: docs/GLOSSARY.md has the field's.
-WITHDRAWN = frozenset({
-    "beat", "book", "deed", "desk", "elder", "estate", "gathering", "happening", "heir", "home",
-    "inheritance", "keeper", "letter", "moment", "people", "rumour", "seat", "shelf", "survey", "tally",
-    "testator", "told", "witness", "word",
-})
+WITHDRAWN = frozenset(
+    {
+        "beat",
+        "book",
+        "deed",
+        "desk",
+        "elder",
+        "estate",
+        "gathering",
+        "happening",
+        "heir",
+        "home",
+        "inheritance",
+        "keeper",
+        "letter",
+        "moment",
+        "people",
+        "rumour",
+        "seat",
+        "shelf",
+        "survey",
+        "tally",
+        "testator",
+        "told",
+        "witness",
+        "word",
+    }
+)
 # What is done, as folders and files of the program: this only gets longer.
 DONE = (
-    "backends", "cells", "config", "control", "counter", "decide/services.py", "distribution", "fronts",
-    "handover", "lists", "membership", "mutation", "node", "peers", "plans", "simulator", "storage", "usage",
-    "virtual/cells", "virtual/distribution", "virtual/handover", "virtual/usage",
+    "backends",
+    "cells",
+    "config",
+    "control",
+    "counter",
+    "decide/services.py",
+    "distribution",
+    "fronts",
+    "handover",
+    "lists",
+    "membership",
+    "mutation",
+    "node",
+    "peers",
+    "plans",
+    "simulator",
+    "storage",
+    "usage",
+    "virtual/cells",
+    "virtual/distribution",
+    "virtual/handover",
+    "virtual/usage",
 )
 
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -36,7 +36,8 @@
     spans = [c.cap * SECOND / max(c.least, LEAST_RATE) for c in busy if c.cap > 1]
     return Beside(
         sum(c.in_flight.value if c.cap > 1 else min(1.0, c.in_flight.value) for c in busy),
-        min((c.room for c in busy), default=inf), min(spans, default=inf),
+        min((c.room for c in busy), default=inf),
+        min(spans, default=inf),
     )
 
 
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -34,7 +34,14 @@
         self.ends: asyncio.Queue[Ended] = asyncio.Queue()
         self.written = 0
         self.pools = Backends(
-            most, connect, idle, grace, CLOCK, RespDialect(), self, 64 << 20,
+            most,
+            connect,
+            idle,
+            grace,
+            CLOCK,
+            RespDialect(),
+            self,
+            64 << 20,
         )
 
     def attempt_ended(self, attempt: Attempt, *end: Any) -> None:
@@ -53,7 +60,11 @@
         raise AssertionError("not wanted")
 
     def start(
-        self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7,
+        self,
+        request: int,
+        body: bytes = b"B",
+        timeout: float | None = None,
+        backend: int = 7,
         until: int = 0,
     ) -> Attempt:
         now = CLOCK()
@@ -69,8 +80,12 @@
 
 @asynccontextmanager
 async def bench(
-    backend: Backend | None = None, most: int = 100, connect: float = 20.0, idle: float = 30.0,
-    grace: float = 20.0, port: int = 0,
+    backend: Backend | None = None,
+    most: int = 100,
+    connect: float = 20.0,
+    idle: float = 30.0,
+    grace: float = 20.0,
+    port: int = 0,
 ) -> AsyncIterator[Bench]:
     made = Bench(most, connect, idle, grace)
     try:
@@ -102,9 +117,7 @@
         (b"*3\r\n$1\r\nv\r\n-odd\r\n+odd\r\n", Outcome.OK, b"v", {}),
     ],
 )
-def test_outcome_of_each_answer(
-    answer: bytes, outcome: Outcome, value: bytes | None, report: Report
-) -> None:
+def test_outcome_of_each_answer(answer: bytes, outcome: Outcome, value: bytes | None, report: Report) -> None:
     async def test() -> None:
         backend = Backend()
         async with bench(backend) as b:
@@ -122,15 +135,39 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        b"-SYNTAX\r\n", b"-ERRfailed\r\n", b"-BUSYBODY\r\n", b"-\r\n", b"-\xff\xfe\r\n",
-        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"*3\r\n:1\r\n$-1\r\n$-1\r\n", b"*3\r\n*1\r\n$1\r\nv\r\n",
-        b"*0\r\n", b"*-1\r\n", b"*2\r\n$1\r\nv\r\n$-1\r\n", b"*4\r\n$1\r\nv\r\n", b"*100000000\r\n",
-        b"$1\r\nx\r\n", b"$-1\r\n", b"+OK\r\n", b":7\r\n", b"_\r\n", b"%1\r\n+a\r\n:1\r\n", b">3\r\n",
-        b"!not resp\r\n", b"x" * 4096, b"-" + b"e" * 4096,
-        b"*3\r\n$3000000000\r\n" + b"x" * 90_000, b"*3\r\n$4194305\r\n", b"*3\r\n$+1\r\nv\r\n",
-        b"*3\r\n$1\r\nvXX$-1\r\n$-1\r\n", b"*3\r\n$4\r\nv\r\n$-1\r\n$-1\r\n", b"*3\n$1\nv\n$-1\n$-1\n",
-        b"*3\r\n$1\r\nv\r\n*100000000\r\n", b"*3\r\n$1\r\nv\r\n*1\r\n*1\r\n*1\r\n",
-        b"*3\r\n$1\r\nv\r\n$-1\r\n$70000\r\n", b"*3\r\n$5\r\nhal",
+        b"-SYNTAX\r\n",
+        b"-ERRfailed\r\n",
+        b"-BUSYBODY\r\n",
+        b"-\r\n",
+        b"-\xff\xfe\r\n",
+        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n:1\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n*1\r\n$1\r\nv\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*2\r\n$1\r\nv\r\n$-1\r\n",
+        b"*4\r\n$1\r\nv\r\n",
+        b"*100000000\r\n",
+        b"$1\r\nx\r\n",
+        b"$-1\r\n",
+        b"+OK\r\n",
+        b":7\r\n",
+        b"_\r\n",
+        b"%1\r\n+a\r\n:1\r\n",
+        b">3\r\n",
+        b"!not resp\r\n",
+        b"x" * 4096,
+        b"-" + b"e" * 4096,
+        b"*3\r\n$3000000000\r\n" + b"x" * 90_000,
+        b"*3\r\n$4194305\r\n",
+        b"*3\r\n$+1\r\nv\r\n",
+        b"*3\r\n$1\r\nvXX$-1\r\n$-1\r\n",
+        b"*3\r\n$4\r\nv\r\n$-1\r\n$-1\r\n",
+        b"*3\n$1\nv\n$-1\n$-1\n",
+        b"*3\r\n$1\r\nv\r\n*100000000\r\n",
+        b"*3\r\n$1\r\nv\r\n*1\r\n*1\r\n*1\r\n",
+        b"*3\r\n$1\r\nv\r\n$-1\r\n$70000\r\n",
+        b"*3\r\n$5\r\nhal",
     ],
 )
 @pytest.mark.parametrize("pieces", [False, True])
@@ -148,7 +185,7 @@
             head = answer[:3] if pieces else b""
             connection.send(head)
             await asyncio.sleep(0)
-            connection.send(answer[len(head):])
+            connection.send(answer[len(head) :])
             assert await b.end() == (1, Outcome.RESET, None, {})
             await until(lambda: backend.ended == 1)
             assert b.pools.open == 0 and b.ends.empty()
@@ -183,7 +220,7 @@
 def test_answer_in_pieces_is_read_whole(size: int) -> None:
     async def test() -> None:
         frames, whole = AnswerFrames(), served(b"\r\n$1\r\n" * 20)
-        ends = [frames.scan(whole[at:at + size], 0) for at in range(0, len(whole), size)]
+        ends = [frames.scan(whole[at : at + size], 0) for at in range(0, len(whole), size)]
         assert ends[:-1] == [-1] * (len(ends) - 1) and ends[-1] == (len(whole) - 1) % size + 1
         assert not frames.midway
 
@@ -191,7 +228,7 @@
 
 
 def test_no_answer_has_places_set_aside_before_its_elements_have_come(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What hiredis is given is bounded: an array of a hundred million places stalls every collection."""
     fed: list[bytes] = []
@@ -215,7 +252,7 @@
 
 
 def test_second_copy_in_a_later_packet_is_never_taken_for_the_next_answer(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(backends, "SETTLE", 0.0)
 
--- a/tests/test_net_client_bounds.py
+++ b/tests/test_net_client_bounds.py
@@ -60,16 +60,34 @@
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,units=nan,spread=1,first=0"), "bad units"),
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=9,first=0"), "bad or missing spread"),
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=2"), "bad or missing first"),
-        *[((b"CALL.GET", customer, b"1", b"c=look up,t=team,d=5"), "bad customer") for customer in (
-            b"0x000000b4d65521", b"+0000000b4d65521", b"00000000b4d6_521", b" 0000000b4d65521", b"b4d65521")],
-        *[((b"CALL.GET", CUSTOMER, id_, b"c=look up,t=team,d=5"), "bad request id") for id_ in (
-            b"a b", b"\xff", b"c=look", b"x" * 65)],
-        *[((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=0,units=" + units),
-           "bad units")
-          for units in (b"", b"0", b"-1", b"+1", b"1_0", b" 1", b"1e0", b"inf", b"2", b"9" * 11, b"0x1")],
-        *[((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,units=1,spread=1,first=0,d=" + d),
-           "bad or missing d")
-          for d in (b"", b"1.5", b"+5", b"5_0", b"soon", b"99999999999999", "\u0665".encode())],
+        *[
+            ((b"CALL.GET", customer, b"1", b"c=look up,t=team,d=5"), "bad customer")
+            for customer in (
+                b"0x000000b4d65521",
+                b"+0000000b4d65521",
+                b"00000000b4d6_521",
+                b" 0000000b4d65521",
+                b"b4d65521",
+            )
+        ],
+        *[
+            ((b"CALL.GET", CUSTOMER, id_, b"c=look up,t=team,d=5"), "bad request id")
+            for id_ in (b"a b", b"\xff", b"c=look", b"x" * 65)
+        ],
+        *[
+            (
+                (b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,spread=1,first=0,units=" + units),
+                "bad units",
+            )
+            for units in (b"", b"0", b"-1", b"+1", b"1_0", b" 1", b"1e0", b"inf", b"2", b"9" * 11, b"0x1")
+        ],
+        *[
+            (
+                (b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,units=1,spread=1,first=0,d=" + d),
+                "bad or missing d",
+            )
+            for d in (b"", b"1.5", b"+5", b"5_0", b"soon", b"99999999999999", "\u0665".encode())
+        ],
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5,odd"), "name=value"),
         ((b"CALL.GET", CUSTOMER, b"1", b""), "name=value"),
         ((b"CALL.GET", CUSTOMER, b"1", b"c=look up,t=team,d=5", b"BODY"), "takes no value"),
@@ -95,11 +113,26 @@
 @pytest.mark.parametrize("behind", [b"", call()])
 @pytest.mark.parametrize(
     "data",
-    [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n:5\r\n", b"*x\r\n", b"$4\r\nPING\r\n", b"*1000000\r\n", b"*-1\r\n",
-     b"*0\r\n", b"*" + b"1" * 4096, b"x" * 4096, b"*1\r\n$-1\r\n", b"*1\r\n$3\r\nPING\r\n", b"*+1\r\n",
-     b"*1\r\n$-9223372036854775808\r\n", b"*1\r\n*1\r\n", b"*1\r\n_\r\n", b"PING\r\n",
-     b"*2\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$65536\r\n",
-     b"*2\r\n$4\r\nPING\r\n$60000000\r\n" + b"x" * 300_000],
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*1\r\n:5\r\n",
+        b"*x\r\n",
+        b"$4\r\nPING\r\n",
+        b"*1000000\r\n",
+        b"*-1\r\n",
+        b"*0\r\n",
+        b"*" + b"1" * 4096,
+        b"x" * 4096,
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$3\r\nPING\r\n",
+        b"*+1\r\n",
+        b"*1\r\n$-9223372036854775808\r\n",
+        b"*1\r\n*1\r\n",
+        b"*1\r\n_\r\n",
+        b"PING\r\n",
+        b"*2\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$65536\r\n",
+        b"*2\r\n$4\r\nPING\r\n$60000000\r\n" + b"x" * 300_000,
+    ],
 )
 def test_broken_resp_is_told_and_closes_the_connection_and_no_other(data: bytes, behind: bytes) -> None:
     async def test() -> None:
@@ -209,10 +242,10 @@
                 assert len(w.node.requests) <= DEFAULTS.clients.pipeline
                 before = len(arrived)
                 w.node.act(Refuse(arrived[before - 1], 7 * MS))  # out of order: the last of them first
-                for request in arrived[before - DEFAULTS.clients.pipeline:before - 1]:
+                for request in arrived[before - DEFAULTS.clients.pipeline : before - 1]:
                     w.node.act(Refuse(request, 7 * MS))
                 await until(lambda before=before: len(arrived) > before)  # type: ignore[misc]
-            for request in arrived[-DEFAULTS.clients.pipeline:]:
+            for request in arrived[-DEFAULTS.clients.pipeline :]:
                 w.node.act(Refuse(request, 7 * MS))
             assert {str(await client.next()) for _ in range(number)} == {"BUSY 7"}
             assert await client.next() == b"PONG"
@@ -257,7 +290,7 @@
 
 
 def test_resting_clients_are_closed_early_only_where_connections_are_few(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(one_client, "IDLE_CROWDED", 0.0)
 
@@ -314,7 +347,7 @@
             client = await w.client()
             data = call("charge", body=b"y" * 2000)
             for at in range(0, len(data), 700):
-                client.send(data[at:at + 700])
+                client.send(data[at : at + 700])
                 await soon(client.writer.drain())
                 await asyncio.sleep(0)
             assert str(await client.next()) == "BUSY"
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -82,7 +82,9 @@
             left = int(words[3].split(b",d=")[1].split(b",")[0])
             assert 500 < left < 1500
             assert words == [
-                b"CALL.POST", CUSTOMER, b"0000000000009b1f",
+                b"CALL.POST",
+                CUSTOMER,
+                b"0000000000009b1f",
                 b"c=submit,t=team,d=%d,k=5c0f6e1a2b3d4c59,units=1,spread=2,first=0,r=1,odd=\xc3\xbf" % left,
                 body,
             ]
@@ -117,8 +119,16 @@
     async def test() -> None:
         async with world() as w:
             module, backends = w.node.broker, w.node.backends
-            endings = [served(b"v"), b"-ERR failed\r\n", b"-BUSY\r\n", b"*100000000\r\n", served(b"v") * 2,
-                       b"", None, served(b"v")]
+            endings = [
+                served(b"v"),
+                b"-ERR failed\r\n",
+                b"-BUSY\r\n",
+                b"*100000000\r\n",
+                served(b"v") * 2,
+                b"",
+                None,
+                served(b"v"),
+            ]
             for number, ending in enumerate(endings):
                 client = await w.client()
                 client.send(call("charge", number, wait_ms=1500))
@@ -215,8 +225,11 @@
     async def test() -> None:
         async with world() as w:
             backend = only_backend(w)
-            s = script(w, lambda a: [Fail(a.request), Send(a.request, backend, 0)],
-                       lambda a: [Send(a.request, backend, 0)])
+            s = script(
+                w,
+                lambda a: [Fail(a.request), Send(a.request, backend, 0)],
+                lambda a: [Send(a.request, backend, 0)],
+            )
             client = await w.client()
             client.send(call(number=1))
             assert str(await client.next()) == "ERR failed"
@@ -400,8 +413,11 @@
     async def test() -> None:
         async with world() as w:
             backend = only_backend(w)
-            s = script(w, lambda a: [Send(a.request, backend, 0)],
-                       lambda a: [Cancel(a.request - 1, 0), Refuse(a.request, 0)])
+            s = script(
+                w,
+                lambda a: [Send(a.request, backend, 0)],
+                lambda a: [Cancel(a.request - 1, 0), Refuse(a.request, 0)],
+            )
             client = await w.client()
             client.send(call(number=1) + call(number=2))
             await until(lambda: bool(s.of(AttemptEnded)))
@@ -415,8 +431,11 @@
     async def test() -> None:
         async with world() as w:
             backend = only_backend(w)
-            script(w, lambda a: [Send(a.request, backend, 0)],
-                   lambda a: [CloseIdle(backend), Refuse(a.request, 0)])
+            script(
+                w,
+                lambda a: [Send(a.request, backend, 0)],
+                lambda a: [CloseIdle(backend), Refuse(a.request, 0)],
+            )
             client = await w.client()
             client.send(call(number=1))
             connection, _ = await w.backend.command()
--- a/tests/test_net_connections.py
+++ b/tests/test_net_connections.py
@@ -43,7 +43,7 @@
 
 
 def test_a_backend_that_has_started_anew_has_none_of_the_connections_that_rest(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A machine that vanished is back at its address: it never closed them, and a request that cannot be
     repeated would be written, reset and lost."""
@@ -110,7 +110,7 @@
 
 
 def test_connections_are_reused_last_in_first_out_with_one_request_each(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(backends, "SETTLE", 0.0)
 
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -98,8 +98,13 @@
 @pytest.mark.parametrize(
     "raw",
     [
-        [], {}, {"seq": 1, "whole": True}, listing(1, {"host": "s"}), listing(1, host("s", 1, "odd")),
-        {"seq": "x", "whole": True, "hosts": []}, listing(1, host("s", 1) | {"dial": "nowhere"}),
+        [],
+        {},
+        {"seq": 1, "whole": True},
+        listing(1, {"host": "s"}),
+        listing(1, host("s", 1, "odd")),
+        {"seq": "x", "whole": True, "hosts": []},
+        listing(1, host("s", 1) | {"dial": "nowhere"}),
     ],
 )
 def test_unreadable_list_is_an_error_not_a_crash(raw: Any) -> None:
@@ -339,9 +344,7 @@
             told: list[bool] = []
             learn = w.node.backends.learn
 
-            def noted(
-                number: int, where: tuple[str, int] | None, old: bool = False, booted: int = 0
-            ) -> None:
+            def noted(number: int, where: tuple[str, int] | None, old: bool = False, booted: int = 0) -> None:
                 told.append(old)
                 learn(number, where, old, booted)
 
@@ -383,7 +386,7 @@
 
 
 def test_stopping_gateway_has_word_for_its_peers_up_to_the_longest_deadline(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Or they would hold its slices of the quotas back for one that fell silent, while its customers lean
     on them."""
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -66,7 +66,11 @@
     own.write_text(operator)
     path.write_text(json.dumps(config or raw_config(agent.port)))
     process = await asyncio.create_subprocess_exec(
-        *COMMAND, "run", "--file", str(own), stderr=asyncio.subprocess.PIPE,
+        *COMMAND,
+        "run",
+        "--file",
+        str(own),
+        stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}"},
     )
     try:
@@ -304,8 +308,10 @@
         if raw is not None:
             path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
         process = await asyncio.create_subprocess_exec(
-            *COMMAND, env={**os.environ, "ROUTER_CONFIG": str(path)},
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+            *COMMAND,
+            env={**os.environ, "ROUTER_CONFIG": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
         )
         out, err = await soon(process.communicate())
         assert process.returncode == 2 and out == b""
@@ -336,10 +342,14 @@
 def test_environment_comes_before_the_file(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(raw_config(1)))
-    config = load({
-        "ROUTER_CONFIG": str(path), "ROUTER_NAME": "n7", "ROUTER_LISTEN": "127.0.0.9:1",
-        "ROUTER_DISCOVERY": "127.0.0.8:2",
-    })
+    config = load(
+        {
+            "ROUTER_CONFIG": str(path),
+            "ROUTER_NAME": "n7",
+            "ROUTER_LISTEN": "127.0.0.9:1",
+            "ROUTER_DISCOVERY": "127.0.0.8:2",
+        }
+    )
     assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.9", 1), ("127.0.0.8", 2))
     assert config.seed == 0x8C1F30D27A5BE964
     with pytest.raises(ConfigError):
@@ -361,7 +371,12 @@
 def test_nested_settings_become_the_start_messages_lines() -> None:
     nested = {"a": [{"name": "look up, twice", "on": True}], "b": {"c": [1, 2.5], "d": []}, "e": 10**12}
     assert list(flatten(nested)) == [
-        "a.count=1", "a.0.name=look_up__twice", "a.0.on=true", "b.c=1,2.5", "b.d=", "e=1000000000000",
+        "a.count=1",
+        "a.0.name=look_up__twice",
+        "a.0.on=true",
+        "b.c=1,2.5",
+        "b.d=",
+        "e=1000000000000",
     ]
 
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -43,10 +43,14 @@
         ("clients = 3", "clients: found 3, wanted object"),
         ("[[listeners]]\nprotocol = 'resp'", "listeners[0].address: found nothing, wanted a value"),
         ("[[listeners]]\naddress = 'here'", "listeners[0].address: found 'here', wanted host:port"),
-        ("[[listeners]]\naddress = 'a:1'\nprotocol = 'grpc'",
-         "listeners[0].protocol: found 'grpc', wanted one of 'resp'"),
-        ("[[listeners]]\naddress = 'a:1'\n[[listeners]]\naddress = 'a:1'",
-         "listeners[1].address: found 'a:1' twice, wanted once each"),
+        (
+            "[[listeners]]\naddress = 'a:1'\nprotocol = 'grpc'",
+            "listeners[0].protocol: found 'grpc', wanted one of 'resp'",
+        ),
+        (
+            "[[listeners]]\naddress = 'a:1'\n[[listeners]]\naddress = 'a:1'",
+            "listeners[1].address: found 'a:1' twice, wanted once each",
+        ),
         ("[clients", "not TOML: "),
     ],
 )
@@ -73,8 +77,10 @@
     assert main(["check", str(own), "--config", str(platform)]) == 0
     assert capsys.readouterr().out.count(": ok: ") == 2
     listen = json.loads(platform.read_text())["listen"]
-    for text, word in (("[clients]\npipeline = -8", "clients.pipeline: found -8"),
-                       (f"[[listeners]]\naddress = '{listen}'", "gives already")):
+    for text, word in (
+        ("[clients]\npipeline = -8", "clients.pipeline: found -8"),
+        (f"[[listeners]]\naddress = '{listen}'", "gives already"),
+    ):
         own.write_text(text)
         assert main(["check", str(own), "--config", str(platform)]) == 2
         told = capsys.readouterr().err
@@ -88,8 +94,13 @@
 @pytest.mark.parametrize("words", [[], ["run"], ["run", "--file", "none.toml"]])
 def test_start_without_a_configuration_is_one_plain_line(words: list[str], tmp_path: Path) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "trackspread", *words], capture_output=True, text=True, check=False, env={},
-        cwd=SAMPLE.parent.parent, timeout=60,
+        [sys.executable, "-m", "trackspread", *words],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={},
+        cwd=SAMPLE.parent.parent,
+        timeout=60,
     )
     assert done.returncode == 2 and done.stderr.startswith("trackspread: ") and done.stderr.count("\n") == 1
 
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -41,8 +41,11 @@
         self.refused: list[int] = []
         self.gateways: list[Broker] = []
         for number in range(gateways):
-            made = Broker(settings(gateways=gateways, position=number, **{"plans": (OPEN_ONLY,), **changes}),
-                          number + 7, 0)
+            made = Broker(
+                settings(gateways=gateways, position=number, **{"plans": (OPEN_ONLY,), **changes}),
+                number + 7,
+                0,
+            )
             self.gateways.append(made)
             self.give(0, number, full_list(*[backend(i) for i in range(1, 9)]))
         assert made.quota.gossip is (gateways == FEW) and made.quota.homes is (gateways == MANY)
--- a/tests/test_planned.py
+++ b/tests/test_planned.py
@@ -11,6 +11,8 @@
 from trackspread.virtual.planning.schedules import FAULTS, LARGE, make, play
 
 SEEDS = range(300, 340)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_invariant_holds_at_every_step_of_a_seeded_schedule(seed: int) -> None:
     schedule = make(seed)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -16,7 +16,15 @@
 from trackspread.planning.placement import SLOTS, ranked, slot
 from trackspread.planning.planner import Planner
 from trackspread.planning.terms import (
-    BEAT, CARRIED, LEASE, NONE, SECOND, Ask, Cap, Grant, Limit,
+    BEAT,
+    CARRIED,
+    LEASE,
+    NONE,
+    SECOND,
+    Ask,
+    Cap,
+    Grant,
+    Limit,
 )
 
 LIMIT = Limit(10.0, 20.0)
@@ -119,13 +127,16 @@
 
 
 @hypothesis_settings(max_examples=150, deadline=None)
-@given(st.lists(
-    st.tuples(st.integers(0, 3), st.integers(0, 2 * SECOND), st.floats(0.0, 50.0), st.booleans(),
-              st.booleans()),
-    max_size=40,
-))
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 3), st.integers(0, 2 * SECOND), st.floats(0.0, 50.0), st.booleans(), st.booleans()
+        ),
+        max_size=40,
+    )
+)
 def test_whatever_is_asked_no_more_than_the_limit_is_out(
-    words: list[tuple[int, int, float, bool, bool]]
+    words: list[tuple[int, int, float, bool, bool]],
 ) -> None:
     b, now, had = book(), SETTLED, dict[int, Grant]()
     for number, (f, wait, rate, lost, waits) in enumerate(words):
@@ -152,9 +163,7 @@
 SMALL = Limit(4.0, 8.0)
 
 
-def answer(
-    word: Ask, number: tuple[int, int] = (1, 1), right: Limit = SMALL, tokens: float = 2.0
-) -> Grant:
+def answer(word: Ask, number: tuple[int, int] = (1, 1), right: Limit = SMALL, tokens: float = 2.0) -> Grant:
     return Grant(number[0], 1, 0, word.sequence, word.base, number, right, tokens)
 
 
--- a/tests/test_planning_turns.py
+++ b/tests/test_planning_turns.py
@@ -12,7 +12,14 @@
 from trackspread.planning.holder import KEPT, Holder
 from trackspread.planning.placement import even_part
 from trackspread.planning.terms import (
-    BEAT, DRIFT, LEASE, SECOND, Cap, Grant, Limit, places,
+    BEAT,
+    DRIFT,
+    LEASE,
+    SECOND,
+    Cap,
+    Grant,
+    Limit,
+    places,
 )
 from trackspread.planning.turns import TURN, Turns
 from .test_planning import CAP, SETTLED, START, answer, ask, book, granted, take
@@ -38,8 +45,10 @@
         assert sum(parts) == pytest.approx((1.0 - planned) if served else 0.0)
         assert all(part * 8.0 >= 1.2 for part in parts if part)
     assert even_part(7, 9, ways, Cap(Limit(10.0, 8.0), 0.2, False), 1.0) == 0.0
-    chosen = {tuple(even_part(m, me, ways, Cap(Limit(10.0, 8.0), 0.7, False), 1.2) > 0 for me in ways)
-              for m in range(40)}
+    chosen = {
+        tuple(even_part(m, me, ways, Cap(Limit(10.0, 8.0), 0.7, False), 1.2) > 0 for me in ways)
+        for m in range(40)
+    }
     assert len(chosen) > 3  # not the same ones for every member
 
 
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -88,7 +88,9 @@
 
 def test_differences_are_told_figure_by_figure() -> None:
     assert differences(FULL, LESS) == [
-        "full.rate: 10 -> 5", "full.burst: 20 -> 10", "full.ceiling_rate: 0 -> 8",
+        "full.rate: 10 -> 5",
+        "full.burst: 20 -> 10",
+        "full.ceiling_rate: 0 -> 8",
         "full.ceiling_burst: 0 -> 12",
     ]
     assert differences(FULL, FULL) == [] and differences({}, FULL) == ["full: named"]
--- a/tests/test_quiet.py
+++ b/tests/test_quiet.py
@@ -49,7 +49,8 @@
     assert (day.policy.inside, day.policy.over_price, day.policy.refused_with_room) == (1.0, 1.0, 0.0)
     assert (day.late.inside, day.late.over_price) == (1.0, 2.0)
     late: list[Entry] = [
-        Asked(0, "r0", "r0", "a", cls, "p", 7, 2.0, SECOND), Attempted(0, 0, "r0", "s", "a", 1),
+        Asked(0, "r0", "r0", "a", cls, "p", 7, 2.0, SECOND),
+        Attempted(0, 0, "r0", "s", "a", 1),
         Asked(LATE + 1, "r1", "r1", "b", cls, "p", 7, 1.0, SECOND),
     ]
     assert judged(scene, late).late.over_price == 0.0
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -38,10 +38,7 @@
     """None of them has ever seen a warm backend, so none knows what one carries."""
     aim = min(c.aim for c in settings().classes)
     changes: dict[str, Any] = {"gateways": GATEWAYS, "plans": (WIDE,), "may_message": False}
-    fleet = [
-        Broker(settings(position=n, warm_up=60 * SECOND, **changes), n, SECOND)
-        for n in range(GATEWAYS)
-    ]
+    fleet = [Broker(settings(position=n, warm_up=60 * SECOND, **changes), n, SECOND) for n in range(GATEWAYS)]
     for gateway in fleet:
         gateway.handle(SECOND, full_list(backend(1, booted=1), backend(2, booted=1)))
     sent: Counter[tuple[int, int]] = Counter()
--- a/tests/test_ready_process.py
+++ b/tests/test_ready_process.py
@@ -31,8 +31,13 @@
 MOST = 40.0  # s for a case in all: only a hang reaches it
 # None: connections are refused.
 TROUBLES = {
-    "refused": None, "error": Trouble.ERROR, "kept waiting": Trouble.KEPT_WAITING, "reset": Trouble.RESET,
-    "ended": Trouble.ENDED, "silent": Trouble.SILENT, "trickle": Trouble.TRICKLE,
+    "refused": None,
+    "error": Trouble.ERROR,
+    "kept waiting": Trouble.KEPT_WAITING,
+    "reset": Trouble.RESET,
+    "ended": Trouble.ENDED,
+    "silent": Trouble.SILENT,
+    "trickle": Trouble.TRICKLE,
 }
 LISTS = ("with the list last known", "without a list")
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -35,7 +35,8 @@
 
 def test_a_class_whose_rules_change_has_another_number_and_the_same_past() -> None:
     roster, heirs = Roster.first(NAMES, CLASSES).follow(
-        NAMES, (replace(CLASSES[0], repeat=Repeat.UNSAFE), *CLASSES[1:]), set())
+        NAMES, (replace(CLASSES[0], repeat=Repeat.UNSAFE), *CLASSES[1:]), set()
+    )
     assert roster.numbers()[b"read"] == 3 and heirs == (0, 1, 2, 0)
     assert roster.rules[0].repeat is Repeat.SAFE
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -350,8 +350,6 @@
     ManyBench(may_message=False, counter=True).play(steps)
 
 
-
-
 def asks(home: Broker, now: int, units: float, taken: int, kind: Kind = Kind.ASK) -> Kind:
     """What the home answers to one ask of gateway 5, which has sent on `taken` quarters in all."""
     draw = Draw(kind, HOMED, 0, units, 9, 0, taken)
@@ -427,8 +425,13 @@
 def _least_of_a_ceiling(pays: bool) -> float:
     """How low a ceiling's store comes while its home, asked for all it gives, starts anew every second."""
     figures = plan(
-        rate=2.0, burst=4.0, over_worth=float(pays), over_cost=0.5,
-        ceiling_rate=6.0, ceiling_burst=16.0, ceiling_slack=2.0,
+        rate=2.0,
+        burst=4.0,
+        over_worth=float(pays),
+        over_cost=0.5,
+        ceiling_rate=6.0,
+        ceiling_burst=16.0,
+        ceiling_slack=2.0,
     )
     store, least, at = 16.0, 16.0, 0
     for life in range(6):
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -16,7 +16,12 @@
 from benchmarks.scale.bounds import Guard, OverBound, ProcessEntry, Use, tree
 from benchmarks.scale.celled import CelledFleet, CellsCost, amiss
 from benchmarks.scale.celling_messages import (
-    Holding, InView, Layout, gateway_zone, in_rack, region_of_member,
+    Holding,
+    InView,
+    Layout,
+    gateway_zone,
+    in_rack,
+    region_of_member,
 )
 from benchmarks.scale.configuration import Configured, Waits
 from benchmarks.scale.extrapolation import extrapolate
@@ -28,7 +33,17 @@
 from benchmarks.scale.lag import LATE, WORST_MOST, Lag, LagWatch, together
 from benchmarks.scale.messages import DeadVerdict, Held, Life, Measured, Traffic
 from benchmarks.scale.placement import (
-    PORT, RACKS, REGIONS, ZONES, Partition, Placement, control_name, name_of, number_of, of_rack, of_zone,
+    PORT,
+    RACKS,
+    REGIONS,
+    ZONES,
+    Partition,
+    Placement,
+    control_name,
+    name_of,
+    number_of,
+    of_rack,
+    of_zone,
     region_of,
 )
 from benchmarks.scale.verdicts import Cutoff, hearsay, wrong
@@ -214,16 +229,42 @@
 
 RUN = slopes.Run("2026-12-02T05:10Z", "python -m benchmarks.scale --quick", "abc1234")
 KEYS = {
-    "sizes", "holdout_error_worst", "gateway_cpu_share_at_size", "gateway_memory_mb_at_size",
-    "gateway_bytes_s_at_size", "busiest_control_bytes_s_at_size", "control_machines_at_size",
-    "change_s_worst", "settle_s_zone", "settle_s_region_heal", "false_dead", "added_p99_ms", "hollow",
-    "processes", "memory_gb", "violations", "void", "not_run", "limits_kept",
+    "sizes",
+    "holdout_error_worst",
+    "gateway_cpu_share_at_size",
+    "gateway_memory_mb_at_size",
+    "gateway_bytes_s_at_size",
+    "busiest_control_bytes_s_at_size",
+    "control_machines_at_size",
+    "change_s_worst",
+    "settle_s_zone",
+    "settle_s_region_heal",
+    "false_dead",
+    "added_p99_ms",
+    "hollow",
+    "processes",
+    "memory_gb",
+    "violations",
+    "void",
+    "not_run",
+    "limits_kept",
 }
 
 
 def priced(members: int, cpu: float, lag: Lag | None = None) -> Cost:
-    return Cost(members, cpu, 2000.0, 2100.0, 10.0, 1e5, 600.0 * members, 600.0 * members, 0.1,
-                lag or Lag(100, 0, 0.01), Lag())
+    return Cost(
+        members,
+        cpu,
+        2000.0,
+        2100.0,
+        10.0,
+        1e5,
+        600.0 * members,
+        600.0 * members,
+        0.1,
+        lag or Lag(100, 0, 0.01),
+        Lag(),
+    )
 
 
 def fitted(held_out: float, lag: Lag | None = None) -> report.Report:
@@ -275,8 +316,20 @@
 
 def in_cells(gateways: int) -> CellsCost:
     cells = gateways // 24
-    return CellsCost(gateways, 19, cells, 0.0015, 2000.0, 5e4, 0.001 * cells, 800.0 * cells, 1e4 * cells,
-                     0.002 * cells, 1200.0 * cells, Lag(100, 0, 0.01))
+    return CellsCost(
+        gateways,
+        19,
+        cells,
+        0.0015,
+        2000.0,
+        5e4,
+        0.001 * cells,
+        800.0 * cells,
+        1e4 * cells,
+        0.002 * cells,
+        1200.0 * cells,
+        Lag(100, 0, 0.01),
+    )
 
 
 def handed_down(gateways: int, rate: float) -> HandedCost:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -12,8 +12,23 @@
 from trackspread.config.operator import parse
 from trackspread.decide.broker import EVERY_TICK, Broker
 from trackspread.decide.interface import (
-    Action, ClassesChanged, ClientLeft, Health, ListKind, LogLine, Outcome, PeerMessage, PlansChanged, Refuse,
-    RequestClass, Send, SetTimer, Tell, TimerFired, Topology, Watch,
+    Action,
+    ClassesChanged,
+    ClientLeft,
+    Health,
+    ListKind,
+    LogLine,
+    Outcome,
+    PeerMessage,
+    PlansChanged,
+    Refuse,
+    RequestClass,
+    Send,
+    SetTimer,
+    Tell,
+    TimerFired,
+    Topology,
+    Watch,
 )
 from trackspread.decide.report import cap, excluded, services
 from trackspread.decide.services import ServiceBrokers
@@ -22,7 +37,18 @@
 from trackspread.lists.services import CarriedServices
 
 from .helpers import (
-    CLASSES, KEYED, MS, SAFE, SECOND, UNSAFE, arrival, backend, ended, full_list, plan, settings,
+    CLASSES,
+    KEYED,
+    MS,
+    SAFE,
+    SECOND,
+    UNSAFE,
+    arrival,
+    backend,
+    ended,
+    full_list,
+    plan,
+    settings,
 )
 
 CARRIED = ("", "lookups", "charges")
@@ -69,8 +95,11 @@
     assert [type(each) for each in made.handle(2 * MS, arrival(1, 2 * MS, UNSAFE))] == [Refuse]
     assert sends(made.handle(2 * MS, arrival(2, 2 * MS, SAFE)))
     assert excluded(made, 2 * MS) == 2
-    assert [(each.service, each.backends, each.excluded) for each in services(made, 2 * MS)] \
-        == [("", 2, 0), ("lookups", 2, 0), ("charges", 2, 2)]
+    assert [(each.service, each.backends, each.excluded) for each in services(made, 2 * MS)] == [
+        ("", 2, 0),
+        ("lookups", 2, 0),
+        ("charges", 2, 2),
+    ]
 
 
 def test_a_request_whose_service_is_not_carried_is_refused() -> None:
@@ -161,8 +190,11 @@
         timers += sum(isinstance(each, SetTimer) for each in actions)
         words += sum(isinstance(each, Tell) for each in actions)
     plain = Broker(settings(gateways=2, plans=(WIDE,)), 7, 0)
-    told = sum(isinstance(each, Tell) for beat in range(1, 101)
-               for each in plain.handle(beat * 100 * MS, TimerFired(EVERY_TICK)))
+    told = sum(
+        isinstance(each, Tell)
+        for beat in range(1, 101)
+        for each in plain.handle(beat * 100 * MS, TimerFired(EVERY_TICK))
+    )
     assert timers == 100 and words == told > 0
 
 
@@ -186,8 +218,9 @@
     assert 11 in taken
     gone = Topology(ListKind.DELTA, 3, tuple(of(DEFAULT, 11, health=Health.GONE)))
     made.handle(2 * MS, gone)  # whatever service its end is told under
-    assert 11 not in {n for at in range(100, 160)
-                      for n in sends(made.handle(2 * MS, arrival(at, 2 * MS, UNSAFE)))}
+    assert 11 not in {
+        n for at in range(100, 160) for n in sends(made.handle(2 * MS, arrival(at, 2 * MS, UNSAFE)))
+    }
 
 
 def test_classes_that_change_keep_their_service_and_past_or_begin_anew() -> None:
@@ -264,16 +297,27 @@
         for event in events:
             told = one.handle(now, event)
             assert several.handle(now, event) == told
-            out += [(each.request, one.open[each.request].sends - 1, each.backend)
-                    for each in told if isinstance(each, Send)]
+            out += [
+                (each.request, one.open[each.request].sends - 1, each.backend)
+                for each in told
+                if isinstance(each, Send)
+            ]
 
 
 # The list and the operator's file.
 
 
 def entry(name: str, service: str | None = None, health: str = "in_service") -> dict[str, Any]:
-    told = {"host": name, "dial": "127.0.0.1:1", "site": "a", "class": "m1", "block": 0, "health": health,
-            "share": 1.0, "born_ms": 0}
+    told = {
+        "host": name,
+        "dial": "127.0.0.1:1",
+        "site": "a",
+        "class": "m1",
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
+    }
     return told if service is None else {**told, "service": service}
 
 
@@ -286,8 +330,11 @@
     carried = CarriedServices(("", "charges"), lambda number: number == backend_id("was-here"))
     hosts = entry("plain"), entry("mine", "charges"), entry("other", "lookups"), entry("was-here", "lookups")
     plain, mine, was = (backend_id(name) for name in ("plain", "mine", "was-here"))
-    assert parsed(carried, False, *hosts) \
-        == [(plain, 0, Health.READY), (mine, 1, Health.READY), (was, 0, Health.GONE)]
+    assert parsed(carried, False, *hosts) == [
+        (plain, 0, Health.READY),
+        (mine, 1, Health.READY),
+        (was, 0, Health.GONE),
+    ]
     alike = CarriedServices()
     assert [service for _, service, _ in parsed(alike, True, *hosts)] == [0, 0, 0, 0]
     with pytest.raises(ListError):
@@ -300,21 +347,30 @@
 def test_the_operators_file_says_what_is_carried() -> None:
     told = parse(SERVICES, "f").services
     assert told.carried() == ("", "a") and told.service_of("y") == "a" and told.service_of("other") == ""
-    assert parse(SERVICES.replace('"a"', ''), "f").services.carried() == ("", "a", "b")
+    assert parse(SERVICES.replace('"a"', ""), "f").services.carried() == ("", "a", "b")
     assert parse("", "f").services.carried() == ()
 
 
-@pytest.mark.parametrize(("text", "line"), [
-    ('[services]\nclasses = {a = ["x"], b = ["x"]}',
-     "services.classes.b: found 'x', which is of 'a', wanted each class in one service"),
-    ('[services]\nclasses = {a = []}', "services.classes.a: found nothing, wanted classes of request"),
-    ('[services]\nclasses = {"" = ["x"]}', "services.classes: found one without a name, wanted a name"),
-    ('[services]\ncarries = ["a"]', "services.carries[0]: found 'a', wanted one of services.classes"),
-    ('[services]\ncarries = ["a", "a"]\nclasses = {a = ["x"]}',
-     "services.carries: found one twice, wanted once each"),
-    ("[services]\nclasses = {" + ", ".join(f'a{n} = ["x{n}"]' for n in range(256)) + "}",
-     "services.carries: found 256 services, wanted 255 at most"),
-])
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        (
+            '[services]\nclasses = {a = ["x"], b = ["x"]}',
+            "services.classes.b: found 'x', which is of 'a', wanted each class in one service",
+        ),
+        ("[services]\nclasses = {a = []}", "services.classes.a: found nothing, wanted classes of request"),
+        ('[services]\nclasses = {"" = ["x"]}', "services.classes: found one without a name, wanted a name"),
+        ('[services]\ncarries = ["a"]', "services.carries[0]: found 'a', wanted one of services.classes"),
+        (
+            '[services]\ncarries = ["a", "a"]\nclasses = {a = ["x"]}',
+            "services.carries: found one twice, wanted once each",
+        ),
+        (
+            "[services]\nclasses = {" + ", ".join(f'a{n} = ["x{n}"]' for n in range(256)) + "}",
+            "services.carries: found 256 services, wanted 255 at most",
+        ),
+    ],
+)
 def test_a_mistake_is_one_plain_line(text: str, line: str) -> None:
     with pytest.raises(ConfigError) as caught:
         parse(text, "f")
--- a/tests/test_services_process.py
+++ b/tests/test_services_process.py
@@ -45,8 +45,9 @@
 
 def answers(entries: list[Entry], since: int, until: int) -> dict[str, Counter[str]]:
     """How requests ended that were asked in this span, by class."""
-    classes = {each.request: each.cls for each in entries
-               if isinstance(each, Asked) and since <= each.at < until}
+    classes = {
+        each.request: each.cls for each in entries if isinstance(each, Asked) and since <= each.at < until
+    }
     found: dict[str, Counter[str]] = {}
     for each in entries:
         if isinstance(each, Answered) and each.request in classes:
@@ -78,6 +79,7 @@
 
 async def asked(fleet: Fleet, cls: str, more: int) -> None:
     """Until so many more requests of a class were asked."""
+
     def count() -> int:
         return sum(isinstance(each, Asked) and each.cls == cls for each in fleet.ledger.entries)
 
@@ -89,8 +91,10 @@
 async def replaced(fleet: Fleet) -> None:
     """Nodes of both services are replaced, and a gateway starts anew."""
     await asked(fleet, CHARGE, 20)
-    chosen = [next(n for n in fleet.listed() if (fleet.scene.service(n.spec) != "") is charging)
-              for charging in (True, False)]
+    chosen = [
+        next(n for n in fleet.listed() if (fleet.scene.service(n.spec) != "") is charging)
+        for charging in (True, False)
+    ]
     await asyncio.gather(fleet.restart([0], 0.1), *(fleet.replace(node, 1.5) for node in chosen))
     await asked(fleet, CHARGE, 40)
 
--- a/tests/test_settings_at_their_ends.py
+++ b/tests/test_settings_at_their_ends.py
@@ -15,14 +15,30 @@
 
 SECOND = 1_000_000_000
 ENDS: list[dict[str, Any]] = [
-    {"limits__connIdle": 0}, {"limits__connIdle": 1}, {"limits__connectTimeout": 0},
-    {"limits__connectTimeout": 1}, {"limits__maxAttempts": 1}, {"limits__maxRetryAfter": 0},
-    {"limits__retryAfter": False}, {"rules__drainGrace": 0}, {"rules__fallMultiple": 0},
-    {"rules__startCapacity": 0}, {"rules__warmUp": 0}, {"rules__askWithin": 0}, {"zones": []}, {"kinds": []},
-    {"replicasOfMe": 10**6}, {"familyInfo__largest": 0}, {"familyInfo__mailPerS": 0},
-    {"familyInfo__counter": True}, {"familyInfo__usePeriod": SECOND}, {"discovery": "on_request"},
-    {"report": {"how": "none", "names": []}}, {"prices__crossZone": 0},
-    {"packages": [plan_settings("team", 0.0, 0.0)]}, {"packages": [plan_settings("team", 1e12, 1e12)]},
+    {"limits__connIdle": 0},
+    {"limits__connIdle": 1},
+    {"limits__connectTimeout": 0},
+    {"limits__connectTimeout": 1},
+    {"limits__maxAttempts": 1},
+    {"limits__maxRetryAfter": 0},
+    {"limits__retryAfter": False},
+    {"rules__drainGrace": 0},
+    {"rules__fallMultiple": 0},
+    {"rules__startCapacity": 0},
+    {"rules__warmUp": 0},
+    {"rules__askWithin": 0},
+    {"zones": []},
+    {"kinds": []},
+    {"replicasOfMe": 10**6},
+    {"familyInfo__largest": 0},
+    {"familyInfo__mailPerS": 0},
+    {"familyInfo__counter": True},
+    {"familyInfo__usePeriod": SECOND},
+    {"discovery": "on_request"},
+    {"report": {"how": "none", "names": []}},
+    {"prices__crossZone": 0},
+    {"packages": [plan_settings("team", 0.0, 0.0)]},
+    {"packages": [plan_settings("team", 1e12, 1e12)]},
 ]
 
 
@@ -44,11 +60,14 @@
     run(test)
 
 
-@pytest.mark.parametrize(("end", "words"), [
-    ({"rules__fall": 0}, "settings.rules.fall: 0.0 is impossible"),
-    ({"replicasOfMe": 0}, "settings.replicasOfMe: "),
-    ({"limits__maxAttempts": 0}, "settings.limits.maxAttempts: "),
-])
+@pytest.mark.parametrize(
+    ("end", "words"),
+    [
+        ({"rules__fall": 0}, "settings.rules.fall: 0.0 is impossible"),
+        ({"replicasOfMe": 0}, "settings.replicasOfMe: "),
+        ({"limits__maxAttempts": 0}, "settings.limits.maxAttempts: "),
+    ],
+)
 def test_what_cannot_be_used_is_named_by_its_key(end: dict[str, Any], words: str) -> None:
     with pytest.raises(ConfigError) as error:
         config(1, None, **end)
--- a/tests/test_small_planning.py
+++ b/tests/test_small_planning.py
@@ -14,7 +14,9 @@
 
 STATES = 2500  # in CI; benchmarks.convict goes further
 SHORTEST = {  # each mutant's trace is no longer than this
-    "others-forgotten": (elected, 1), "no-learning": (elected, 5), "out-too-short": (elected, 5),
+    "others-forgotten": (elected, 1),
+    "no-learning": (elected, 5),
+    "out-too-short": (elected, 5),
     "minority": (SmallWorld, 6),
 }
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -11,13 +11,32 @@
 import pytest
 
 from trackspread.storage.calls import (
-    Create, Found, Look, Read, Replace, Save, perform, segment_name, segment_of,
+    Create,
+    Found,
+    Look,
+    Read,
+    Replace,
+    Save,
+    perform,
+    segment_name,
+    segment_of,
 )
 from trackspread.storage.directory import Directory
 from trackspread.storage.document import DocumentError, Schema
 from trackspread.storage.journal import MARK_EVERY, Journal
 from trackspread.storage.slots import (
-    HEAD, PAYLOAD, SLOT, Head, Scan, SegmentError, pack_head, pack_slot, place, scan, seed_of, unpack_head,
+    HEAD,
+    PAYLOAD,
+    SLOT,
+    Head,
+    Scan,
+    SegmentError,
+    pack_head,
+    pack_slot,
+    place,
+    scan,
+    seed_of,
+    unpack_head,
     written,
 )
 from trackspread.virtual.usage.disk import Disk, VirtualFiles
@@ -38,7 +57,7 @@
     assert schema.unpack(data + b"rest of a longer one", Thing) == Thing("a", 3)
     for at in range(len(data) - 1):
         with pytest.raises(DocumentError):
-            schema.unpack(data[:at] + bytes([data[at] ^ 1]) + data[at + 1:], Thing)
+            schema.unpack(data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :], Thing)
 
 
 def test_older_documents_are_upgraded_step_by_step_and_newer_ones_refused() -> None:
@@ -58,9 +77,9 @@
     head, seed = Head(1, 0, 8, b"n" * 16), seed_of(b"n" * 16)
     data = bytearray(8 * SLOT)
     for number in (1, 2, 4):
-        data[(number - 1) * SLOT:number * SLOT] = pack_slot(_payload(number), seed, number)
+        data[(number - 1) * SLOT : number * SLOT] = pack_slot(_payload(number), seed, number)
     data[SLOT + 7] ^= 4  # the second is damaged
-    data[5 * SLOT:6 * SLOT] = pack_slot(_payload(4), seed, 4)  # the fourth once more, in the sixth place
+    data[5 * SLOT : 6 * SLOT] = pack_slot(_payload(4), seed, 4)  # the fourth once more, in the sixth place
     found = scan(bytes(data), head, 1)
     assert sorted(found.payloads) == [1, 4] and found.bad == [2, 6] and found.last == 6
     other = scan(bytes(data), Head(1, 0, 8, b"m" * 16), 1)
--- a/tests/test_told_process.py
+++ b/tests/test_told_process.py
@@ -187,7 +187,9 @@
 
 
 OTHERS: dict[str, Callable[[Stage], None]] = {
-    "silent watch": silent_watch, "refused": refused, "never comes up": never_comes_up,
+    "silent watch": silent_watch,
+    "refused": refused,
+    "never comes up": never_comes_up,
 }
 
 
--- a/tests/test_try.py
+++ b/tests/test_try.py
@@ -65,8 +65,15 @@
         return [*made, Answered(0, request, kind)] if kind else [*made, Cut(0, request)]
 
     tallies.take([*one("a", False, "refused"), *one("b", True, "served")])
-    tallies.take([*one("c", True, "refused"), *one("d", False, "refused"),
-                  *one("e", True, "served"), *one("f", True, ""), *one("g", False, "refused", "free")])
+    tallies.take(
+        [
+            *one("c", True, "refused"),
+            *one("d", False, "refused"),
+            *one("e", True, "served"),
+            *one("f", True, ""),
+            *one("g", False, "refused", "free"),
+        ]
+    )
     assert tallies.by_gateway["n0"] == Counter(refused=4, served=2, unanswered=1)
     assert sorted(tallies.refusals.values()) == [1, 1, 2] and len(tallies.refusals) == 3
     assert tallies.refusals["its customer's quota is used up"] == 1 and tallies.total["beyond"] == 2
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -13,7 +13,15 @@
 from trackspread.usage import meter as meters
 from trackspread.usage.batch import Batch, decode, digest, encode, rows, signature, signed
 from trackspread.usage.control import (
-    AREA_SIZE, STREAMS_MOST, Control, Intent, Names, Part, Stream, newest, pack,
+    AREA_SIZE,
+    STREAMS_MOST,
+    Control,
+    Intent,
+    Names,
+    Part,
+    Stream,
+    newest,
+    pack,
 )
 from trackspread.usage.exporter import Exporter, forked
 from trackspread.usage.ledger import Bounds, State
@@ -106,8 +114,16 @@
 def test_the_control_fits_its_area_with_every_stream_that_may_wait() -> None:
     names = [Names("gateway", ("c" * 40,) * 10, ("p" * 40,) * 10)] * 16
     stream = Stream("f" * 32, 65536, 15, [Part(1, "f" * 32)] * 2, 10**9, 10**9, 10**5, False)
-    control = Control("f" * 32, 10**9, 10**7, 10**13, names, dict.fromkeys(range(STREAMS_MOST), stream),
-                      Intent(10**7, 10**9, 10**9, None, "f" * 64), {"dropped": 10**9})
+    control = Control(
+        "f" * 32,
+        10**9,
+        10**7,
+        10**13,
+        names,
+        dict.fromkeys(range(STREAMS_MOST), stream),
+        Intent(10**7, 10**9, 10**9, None, "f" * 64),
+        {"dropped": 10**9},
+    )
     assert len(pack(control)) < AREA_SIZE
 
 
@@ -233,7 +249,7 @@
 
 
 def test_a_clock_set_back_across_a_month_and_members_past_the_bound_are_told_once(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(meters, "SUMS_MOST", 1)
     world, disk = World(BOUNDS, 3), Disk(random.Random(1))
@@ -249,5 +265,6 @@
     assert sum("nobody's" in text for text in life.alarms) == 1
     kinds = [(row.kind, row.requests) for row in world.memory.rows]
     assert sum(n for _, n in kinds) == 4 and {kind for kind, _ in kinds} == {Kind.SUM, Kind.LOST}
-    assert len({row.time for row in world.memory.rows}) == 2 and min(row.time for row in world.memory.rows) \
-        >= month_start(world.wall_ms() + 60_000)
+    assert len({row.time for row in world.memory.rows}) == 2 and min(
+        row.time for row in world.memory.rows
+    ) >= month_start(world.wall_ms() + 60_000)
--- a/tests/test_use_process.py
+++ b/tests/test_use_process.py
@@ -40,8 +40,10 @@
     (folder / "secret").write_bytes(SECRET + b"\n")
 
     def own(name: str) -> str:
-        return (f'[use]\nfolder = "{folder / name}"\nbilling = "{server.url}"\nsecret = "{folder}/secret"\n'
-                "batch_s = 0.1\ncommit_ms = 5\nsegment_mb = 0.05\ndisk_mb = 4\n")
+        return (
+            f'[use]\nfolder = "{folder / name}"\nbilling = "{server.url}"\nsecret = "{folder}/secret"\n'
+            "batch_s = 0.1\ncommit_ms = 5\nsegment_mb = 0.05\ndisk_mb = 4\n"
+        )
 
     rng = random.Random(5)
     async with Fleet(Scene(gateways=2, nodes=3, load=0.6, seed=9), own=own) as fleet:
@@ -232,7 +234,8 @@
 
     uvloop.run(recorded())
     assert _words(capsys, "verify", str(folder)) == (
-        0, "40 records check, 0 are damaged, 0 are missing; 0 were torn by a loss of power\n"
+        0,
+        "40 records check, 0 are damaged, 0 are missing; 0 were torn by a loss of power\n",
     )
     assert "nothing to repair" in _words(capsys, "repair", str(folder))[1]
     for name in ("control-a", "control-b"):
@@ -249,5 +252,6 @@
     assert status == 1 and "epoch 1: 1 records are damaged, the first at place 4" in told
     assert "39 records check, 1 are damaged" in told, "the mark of a clean end lies behind it"
     assert _words(capsys, "verify", str(tmp_path / "none")) == (
-        2, f"trackspread: {tmp_path / 'none'}: found no folder, wanted a gateway's use.folder\n"
+        2,
+        f"trackspread: {tmp_path / 'none'}: found no folder, wanted a gateway's use.folder\n",
     )
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -65,6 +65,7 @@
 @pytest.mark.parametrize("loss", [0.02, 0.5])
 def test_where_gateways_are_many_homes_hear_of_what_was_sent_on_alone(loss: float) -> None:
     """Before, a home went on granting all of a quota that others spent beside it."""
+
     def beyond(seed: int) -> float:
         scene = Scene(gateways=8, nodes=12, load=0.35, greedy=0.3, seed=seed)
         fleet = VirtualFleet(scene, seed)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -168,8 +168,7 @@
 def test_a_view_comes_as_a_record_of_this_projects_own() -> None:
     _, events = wire.decode(struct.pack("<Q", 8) + select(3) + fleet(WHOLE))
     seats = slots_of((0, 2)), slots_of((1, 2))
-    assert events == [
-        (3, FleetChanged(70, (71,), (70, 71), seats, WHOLE, (seats[1],), 10**12, 10**12))]
+    assert events == [(3, FleetChanged(70, (71,), (70, 71), seats, WHOLE, (seats[1],), 10**12, 10**12))]
     with pytest.raises(wire.WireError, match="impossible count in fleet"):
         wire.decode(struct.pack("<Q", 8) + select(3) + struct.pack("<HIQQHHH", wire.FLEET, 1, 0, 0, 2, 1, 0))
     with pytest.raises(wire.WireError, match="runs past the end"):
@@ -177,8 +176,12 @@
 
 
 def test_without_slots_of_the_view_what_all_share_is_refused_and_with_them_it_is_served() -> None:
-    done = run(frame(select(3), up(), listed(1, 2), fleet(0), inbound(4)) + frame(select(3), fleet(WHOLE))
-               + frame(select(3), inbound(5)) + frame(select(3), fleet(WHOLE, until=1), inbound(6)))
+    done = run(
+        frame(select(3), up(), listed(1, 2), fleet(0), inbound(4))
+        + frame(select(3), fleet(WHOLE))
+        + frame(select(3), inbound(5))
+        + frame(select(3), fleet(WHOLE, until=1), inbound(6))
+    )
     assert done.returncode == 0
     first, _, third, fourth = replies(done.stdout)
     assert struct.pack("<HQ", 1010, 4) in first[1]
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -72,8 +72,21 @@
 class _Link(asyncio.Protocol):
     """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
 
-    __slots__ = ("_paused", "age", "answers", "attempt", "booted", "idle_at", "passing", "pool", "task",
-                 "timer", "transport", "unsent", "written_at")
+    __slots__ = (
+        "_paused",
+        "age",
+        "answers",
+        "attempt",
+        "booted",
+        "idle_at",
+        "passing",
+        "pool",
+        "task",
+        "timer",
+        "transport",
+        "unsent",
+        "written_at",
+    )
 
     def __init__(self, pool: _Pool, attempt: Attempt) -> None:
         self.pool, self.booted = pool, pool.booted
@@ -342,8 +355,15 @@
     """All pools, bounded together so that descriptors never run out."""
 
     def __init__(
-        self, most: int, connect_timeout: float, idle_limit: float, grace: float,
-        clock: Callable[[], int], dialect: Dialect, hearer: Hearer, memory: int,
+        self,
+        most: int,
+        connect_timeout: float,
+        idle_limit: float,
+        grace: float,
+        clock: Callable[[], int],
+        dialect: Dialect,
+        hearer: Hearer,
+        memory: int,
     ) -> None:
         """`memory`: bytes that the process may use."""
         self.loop = asyncio.get_running_loop()
--- a/trackspread/backends/resp.py
+++ b/trackspread/backends/resp.py
@@ -43,7 +43,7 @@
             if line == words:
                 return outcome, None, {}
             if line.startswith(words + " "):
-                return outcome, None, read_report(line[len(words) + 1:].encode())
+                return outcome, None, read_report(line[len(words) + 1 :].encode())
     raise Spoilt(f"{answer!r:.80}")
 
 
@@ -80,7 +80,7 @@
                     self._passing, self._parts, at = True, [EMPTIED], frames.long_at
                     sink.begins(frames.rest)
                 if taken := min(frames.rest, len(data) - at):
-                    sink.piece(data[at:at + taken])
+                    sink.piece(data[at : at + taken])
                     frames.take(taken)
                     at += taken
                 if frames.long:
--- a/trackspread/backends/seam.py
+++ b/trackspread/backends/seam.py
@@ -33,9 +33,7 @@
 class Hearer(Protocol):
     """Who is told of attempts, probes among them."""
 
-    def attempt_ended(
-        self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report
-    ) -> None:
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
         """Once for each; a value that was passed on as it came is empty."""
 
     def wanted(self, attempt: Attempt) -> bool:
--- a/trackspread/call.py
+++ b/trackspread/call.py
@@ -30,12 +30,32 @@
     """
 
     __slots__ = (
-        "cls", "customer", "first", "form", "id", "options", "plan", "size", "spread", "units", "wait_ms",
+        "cls",
+        "customer",
+        "first",
+        "form",
+        "id",
+        "options",
+        "plan",
+        "size",
+        "spread",
+        "units",
+        "wait_ms",
     )
 
     def __init__(
-        self, form: object, id: bytes, cls: int, plan: int, customer: int, wait_ms: int, units: float,
-        spread: int, first: int, options: int, size: int = 0,
+        self,
+        form: object,
+        id: bytes,
+        cls: int,
+        plan: int,
+        customer: int,
+        wait_ms: int,
+        units: float,
+        spread: int,
+        first: int,
+        options: int,
+        size: int = 0,
     ) -> None:
         """`size`: bytes of a long body, 0 for a short one."""
         self.form, self.id = form, id
--- a/trackspread/cells/controller.py
+++ b/trackspread/cells/controller.py
@@ -24,13 +24,43 @@
 
 from ..membership.member import Member
 from ..membership.terms import (
-    WITNESS, Action, Address, Epoch, MemberMessage, Settings, State, Table, Who,
+    WITNESS,
+    Action,
+    Address,
+    Epoch,
+    MemberMessage,
+    Settings,
+    State,
+    Table,
+    Who,
 )
 from .leading import Leading
 from .seeding import Seeding
 from .terms import (
-    MS, SECOND, Bodies, Cell, CellReport, CellsAction, ControlMachine, Describe, Described, Forwarded, InCell,
-    Leads, Locate, Located, Message, Move, Noted, Noticed, Placed, Placement, Policy, Retire, Seed, Send,
+    MS,
+    SECOND,
+    Bodies,
+    Cell,
+    CellReport,
+    CellsAction,
+    ControlMachine,
+    Describe,
+    Described,
+    Forwarded,
+    InCell,
+    Leads,
+    Locate,
+    Located,
+    Message,
+    Move,
+    Noted,
+    Noticed,
+    Placed,
+    Placement,
+    Policy,
+    Retire,
+    Seed,
+    Send,
     Zone,
 )
 
@@ -83,8 +113,18 @@
 
     def _member(self, fleet: str, seeds: tuple[Address, ...], most: int) -> Settings:
         mine = self.settings
-        return Settings(fleet, mine.name, mine.born, self.me.address, seeds, mine.version, mine.period,
-                        max(CELL_MOST, most), WITNESS, mine.keep)
+        return Settings(
+            fleet,
+            mine.name,
+            mine.born,
+            self.me.address,
+            seeds,
+            mine.version,
+            mine.period,
+            max(CELL_MOST, most),
+            WITNESS,
+            mine.keep,
+        )
 
     @property
     def who(self) -> Who:
@@ -166,8 +206,11 @@
         if self.leading is None or self.leading.epoch != epoch:
             self.leading = Leading(now, epoch, self.settings.policy, self.settings.machines)
             self._led(epoch)
-        live = {p.update.name: p.update.born for p in self.tier.member_table.here()
-                if p.update.state == State.ALIVE}
+        live = {
+            p.update.name: p.update.born
+            for p in self.tier.member_table.here()
+            if p.update.state == State.ALIVE
+        }
         live[self.settings.name] = self.settings.born
         for to, body in self.leading.tick(now, live):
             self._say(now, to, body, epoch)
--- a/trackspread/cells/directory.py
+++ b/trackspread/cells/directory.py
@@ -77,9 +77,7 @@
 class Directory:
     """One leader's, under its epoch. `entries` by the cell's name; `given_up`: those that are no more."""
 
-    def __init__(
-        self, now: int, epoch: Epoch, policy: Policy, machines: tuple[ControlMachine, ...]
-    ) -> None:
+    def __init__(self, now: int, epoch: Epoch, policy: Policy, machines: tuple[ControlMachine, ...]) -> None:
         self.epoch, self.policy = epoch, policy
         self._machines = {machine.address: machine for machine in machines}
         self._begun, self._count = now, 0
@@ -104,8 +102,12 @@
         if (moving := self._moving.get(name)) is not None:
             return moving.placement
         held = locate.held
-        if held is not None and (entry := self._known(now, held.cell)) is not None \
-                and not entry.cell.closing and entry.cell.place == zone:
+        if (
+            held is not None
+            and (entry := self._known(now, held.cell)) is not None
+            and not entry.cell.closing
+            and entry.cell.place == zone
+        ):
             self._sent(now, name, entry)
             return Placement(held.number, entry.cell)
         former = self.entries.get(self._where.get(name, ""))
@@ -188,8 +190,9 @@
 
     def _room(self, now: int, zone: Zone) -> Entry | None:
         """The fullest cell of the zone that takes one more and has all its seeds; else a new one."""
-        fitting = [e for e in self._open(zone)
-                   if e.count() < self.policy.target and not self._without_seed(now, e)]
+        fitting = [
+            e for e in self._open(zone) if e.count() < self.policy.target and not self._without_seed(now, e)
+        ]
         if fitting:
             return max(fitting, key=lambda e: (e.count(), e.cell.name))
         return self._opened(now, zone)
@@ -211,13 +214,22 @@
         for entry in self.entries.values():
             for seed in entry.cell.seeds:
                 load[seed] += 1
-        live = sorted((m for m in self._machines.values() if m.address not in self._lost),
-                      key=lambda m: (m.region != zone.region, load[m.address], m.name))
+        live = sorted(
+            (m for m in self._machines.values() if m.address not in self._lost),
+            key=lambda m: (m.region != zone.region, load[m.address], m.name),
+        )
         chosen: list[ControlMachine] = []
         while live and len(chosen) < SEEDS:
             zones = [(m.region, m.zone) for m in chosen]
-            best = min(live, key=lambda m: (m.region != zone.region, zones.count((m.region, m.zone)),
-                                            load[m.address], m.name))
+            best = min(
+                live,
+                key=lambda m: (
+                    m.region != zone.region,
+                    zones.count((m.region, m.zone)),
+                    load[m.address],
+                    m.name,
+                ),
+            )
             chosen.append(best)
             live.remove(best)
         return tuple(machine.address for machine in chosen)
@@ -227,8 +239,13 @@
         lost = [s for s in entry.cell.seeds if now - self._lost.get(s, now) >= self.policy.replace]
         if not lost:
             return False
-        spare = [m for m in self._machines.values() if m.region == entry.cell.region
-                 and m.address not in self._lost and m.address not in entry.cell.seeds]
+        spare = [
+            m
+            for m in self._machines.values()
+            if m.region == entry.cell.region
+            and m.address not in self._lost
+            and m.address not in entry.cell.seeds
+        ]
         return len(spare) >= len(lost)
 
     # As time goes on.
@@ -317,7 +334,7 @@
         full = [e for e in entries if len(e.members) > self.policy.most]
         if full:
             names = sorted(full[0].members)
-            self._to_split[zone] = [(name, full[0].cell.name) for name in names[len(names) // 2:]]
+            self._to_split[zone] = [(name, full[0].cell.name) for name in names[len(names) // 2 :]]
             return
         for entry in sorted(entries, key=Entry.count):
             if self._without_seed(now, entry) or self._spare(now, entry, entries):
--- a/trackspread/cells/gateway.py
+++ b/trackspread/cells/gateway.py
@@ -27,7 +27,18 @@
 from ..membership.member import Member
 from ..membership.terms import Action, Address, MemberMessage, Settings, Table, Who
 from .terms import (
-    MS, SECOND, CellsAction, ControlMachine, InCell, Joined, Left, Locate, Located, Message, Placement, Send,
+    MS,
+    SECOND,
+    CellsAction,
+    ControlMachine,
+    InCell,
+    Joined,
+    Left,
+    Locate,
+    Located,
+    Message,
+    Placement,
+    Send,
     Zone,
 )
 
@@ -193,8 +204,17 @@
         """As another process of its name: the former one has left, should it ever come back to a cell."""
         mine, cell = self.settings, placement.cell
         self.held, self._born = placement, self._born + 1
-        settings = Settings(cell.name, mine.name, self._born, mine.address, cell.seeds, mine.version,
-                            mine.period, CELL_MOST, keep=mine.keep)
+        settings = Settings(
+            cell.name,
+            mine.name,
+            self._born,
+            mine.address,
+            cell.seeds,
+            mine.version,
+            mine.period,
+            CELL_MOST,
+            keep=mine.keep,
+        )
         self.member = Member(settings, now, self.rng.getrandbits(60))
         self._out.append(Joined(placement))
         self._do(self.member.start(now))
--- a/trackspread/cells/host.py
+++ b/trackspread/cells/host.py
@@ -33,8 +33,13 @@
     name, or the fleet's for the control machines' own view) that it came to be in."""
 
     def __init__(
-        self, core: Controller | Gateway, listen: Address, wire: CellsWire, now: Callable[[], int],
-        record: Path | None = None, changed: Callable[[], None] = lambda: None,
+        self,
+        core: Controller | Gateway,
+        listen: Address,
+        wire: CellsWire,
+        now: Callable[[], int],
+        record: Path | None = None,
+        changed: Callable[[], None] = lambda: None,
         heard: Callable[[str, bytes, int], None] = lambda name, data, part: None,
         led: Callable[[Epoch | None], None] = lambda epoch: None,
     ) -> None:
@@ -142,8 +147,10 @@
 
     def _noticed(self, kind: str, about: dict[str, object]) -> None:
         if kind == "full":
-            log.warning("fleet.gateways: found more than %s gateways, wanted at most that: one is not placed",
-                        about["gateways"])
+            log.warning(
+                "fleet.gateways: found more than %s gateways, wanted at most that: one is not placed",
+                about["gateways"],
+            )
         else:
             of_note.info("control: %s %s", kind, about)
         self._line(f"control {kind}", about)
--- a/trackspread/cells/leading.py
+++ b/trackspread/cells/leading.py
@@ -16,8 +16,19 @@
 from ..membership.terms import MS, Address, Epoch, Number, Who
 from .directory import Directory, MoveWanted
 from .terms import (
-    SECOND, Bodies, CellReport, CellRow, ControlMachine, Described, Forwarded, Move, Noted, Placed, Policy,
-    Retire, Seed,
+    SECOND,
+    Bodies,
+    CellReport,
+    CellRow,
+    ControlMachine,
+    Described,
+    Forwarded,
+    Move,
+    Noted,
+    Placed,
+    Policy,
+    Retire,
+    Seed,
 )
 
 LOOK = 250 * MS  # ns between two looks at what is to be told
@@ -39,9 +50,7 @@
 class Leading:
     """Under one epoch. All that is returned is to be sent under it."""
 
-    def __init__(
-        self, now: int, epoch: Epoch, policy: Policy, machines: tuple[ControlMachine, ...]
-    ) -> None:
+    def __init__(self, now: int, epoch: Epoch, policy: Policy, machines: tuple[ControlMachine, ...]) -> None:
         self.epoch, self.directory = epoch, Directory(now, epoch, policy, machines)
         self._machines = {machine.name: machine for machine in machines}
         self._has: dict[tuple[str, Address], Number] = {}  # entries that seeds reported
@@ -73,8 +82,14 @@
         """One page of all cells; `address`: of the leader."""
         entries = sorted(self.directory.entries.values(), key=lambda entry: entry.cell.name)
         pages = max(1, -(-len(entries) // ROWS))
-        rows = tuple(CellRow(e.cell.name, len(e.members), e.cell.closing)
-                     for e in entries[page * ROWS: (page + 1) * ROWS]) if page >= 0 else ()
+        rows = (
+            tuple(
+                CellRow(e.cell.name, len(e.members), e.cell.closing)
+                for e in entries[page * ROWS : (page + 1) * ROWS]
+            )
+            if page >= 0
+            else ()
+        )
         return Described(address, page, pages, self.directory.refused, rows)
 
     def _whole(self, machine: str, report: CellReport) -> tuple[Who, ...] | None:
@@ -124,8 +139,11 @@
     @staticmethod
     def _moves(wanted: list[MoveWanted]) -> Outgoing:
         """Each to all seeds of the cell: whoever reaches the gateway tells it."""
-        return [(seed, Move(each.cell.name, (each.gateway,), each.placement))
-                for each in wanted for seed in each.cell.seeds]
+        return [
+            (seed, Move(each.cell.name, (each.gateway,), each.placement))
+            for each in wanted
+            for seed in each.cell.seeds
+        ]
 
     def _seeding(self, now: int, here: set[Address]) -> Outgoing:
         """Entries that live seeds do not have yet."""
--- a/trackspread/cells/seeding.py
+++ b/trackspread/cells/seeding.py
@@ -48,8 +48,9 @@
             self.epoch = epoch
         view, leads = self.member.number(), self.member.owns(now)
         known = self.noted
-        told = known is not None and known[:2] == (epoch, self.cell.number) and (
-            known[2] == view or not leads)
+        told = (
+            known is not None and known[:2] == (epoch, self.cell.number) and (known[2] == view or not leads)
+        )
         if now < (self.fresh_at if told else self.due_at):
             return []
         self.due_at = now + int(RESEND * rng.uniform(0.8, 1.2))
--- a/trackspread/cli.py
+++ b/trackspread/cli.py
@@ -38,27 +38,35 @@
     )
     commands = parser.add_subparsers(dest="command", metavar="COMMAND", title="commands")
     runs = commands.add_parser(
-        "run", help="run one gateway in the foreground (the same as no command at all)", epilog=ENVIRONMENT,
+        "run",
+        help="run one gateway in the foreground (the same as no command at all)",
+        epilog=ENVIRONMENT,
         formatter_class=shape,
     )
     runs.add_argument(
-        "--file", metavar="FILE",
+        "--file",
+        metavar="FILE",
         help=f"the operator's own file (left out: {serve.OWN_FILE}, if it is there, else defaults)",
     )
     checks = commands.add_parser("check", help="check configuration files without starting anything")
     checks.add_argument("file", metavar="FILE", nargs="?", help="the operator's own file")
     checks.add_argument(
-        "--config", metavar="JSON",
+        "--config",
+        metavar="JSON",
         help="the platform's configuration (left out: ROUTER_CONFIG, if it is set)",
     )
     tries = commands.add_parser(
-        "try", help="bring up gateways, rating nodes and clients on loopback, and watch them",
+        "try",
+        help="bring up gateways, rating nodes and clients on loopback, and watch them",
         description="Three gateways, nine rating nodes and clients on loopback: shows live what is served "
         "and refused, and why. In a terminal, keys kill a gateway (g) or a node (n), and q ends it.",
     )
     tries.add_argument("--seconds", type=float, default=20.0, help="how long it runs (20)")
     tries.add_argument(
-        "--kill", action="append", default=[], metavar="NAME[@S]",
+        "--kill",
+        action="append",
+        default=[],
+        metavar="NAME[@S]",
         help="kill a gateway (n0 to n2) or a node (s-0 to s-8) after S seconds (a third of the time); more "
         "than one may be given",
     )
@@ -80,14 +88,20 @@
     if own is None and told is None:
         raise ConfigError("nothing to check: name a FILE, --config JSON or ROUTER_CONFIG")
     if own is not None and told is not None and told.listen in own.addresses():
-        raise ConfigError(f"{file}: listeners: found {told.listen[0]}:{told.listen[1]}, which the platform's "
-                          "configuration gives already, wanted another address")
+        raise ConfigError(
+            f"{file}: listeners: found {told.listen[0]}:{told.listen[1]}, which the platform's "
+            "configuration gives already, wanted another address"
+        )
     if own is not None:
-        print(f"{file}: ok: role {own.role}, list from {own.list.source}, "
-              f"{len(own.listeners)} listener(s) besides the platform's")
+        print(
+            f"{file}: ok: role {own.role}, list from {own.list.source}, "
+            f"{len(own.listeners)} listener(s) besides the platform's"
+        )
     if told is not None:
-        print(f"{environment['ROUTER_CONFIG']}: ok: {told.name}, {len(told.classes)} classes, "
-              f"{len(told.plans)} plans, {told.settings.gateways} gateways")
+        print(
+            f"{environment['ROUTER_CONFIG']}: ok: {told.name}, {len(told.classes)} classes, "
+            f"{len(told.plans)} plans, {told.settings.gateways} gateways"
+        )
 
 
 def main(arguments: Sequence[str]) -> int:
--- a/trackspread/commands/arguments.py
+++ b/trackspread/commands/arguments.py
@@ -22,7 +22,10 @@
         each.add_argument("file", metavar="FILE", type=Path, help="TOML: a table [plans.NAME] for each plan")
         each.add_argument("--config", metavar="JSON", help="the platform's, for the plans that there are")
     applies.add_argument(
-        "--from", dest="since", metavar="WHEN", required=True,
+        "--from",
+        dest="since",
+        metavar="WHEN",
+        required=True,
         help="+SECONDS, or a moment as 2026-12-05T00:00:00Z",
     )
     applies.add_argument("--note", default="", help="why, for the history")
@@ -47,8 +50,11 @@
     adds.add_argument("--to", dest="until", metavar="WHEN", required=True)
     adds.add_argument("--note", default="", help="why, for the list")
     cancels.add_argument("number", metavar="NUMBER", type=int)
-    for name, what in (("delay-ms", "shortest latency of one unit"), ("demand-ms", "queue's time for a unit"),
-                       ("aim-ms", "within which answers are to come")):
+    for name, what in (
+        ("delay-ms", "shortest latency of one unit"),
+        ("demand-ms", "queue's time for a unit"),
+        ("aim-ms", "within which answers are to come"),
+    ):
         fleets.add_argument(f"--{name}", type=float, required=True, help=what)
     fleets.add_argument("--kept", type=float, default=0.0, help="units a second kept for all others (0)")
 
@@ -66,36 +72,52 @@
     own = commands.add_parser("fleet", help="the gateways' view of their own fleet")
     group = own.add_subparsers(dest="fleet", metavar="ACTION", title="actions", required=True)
     views = group.add_parser(
-        "view", help="who is in the fleet, as one gateway or several know it",
+        "view",
+        help="who is in the fleet, as one gateway or several know it",
         description="Exit status: 0 where all that were asked hold one view and are settled in it, 1 where "
         "not, 2 where one can't be asked.",
     )
     views.add_argument("door", metavar="HOST:PORT", nargs="+", help="gateways' doors, as `control` has them")
     views.add_argument("--json", action="store_true", help="the answers as they came, a line each")
-    views.add_argument("--wait", type=float, default=0.0, metavar="S",
-                       help="ask again for up to S seconds until the exit status is 0")
+    views.add_argument(
+        "--wait",
+        type=float,
+        default=0.0,
+        metavar="S",
+        help="ask again for up to S seconds until the exit status is 0",
+    )
     cells = group.add_parser(
-        "cells", help="which cells there are and how many gateways each has, as their leader knows it",
+        "cells",
+        help="which cells there are and how many gateways each has, as their leader knows it",
         description="Exit status: 0, or 2 where no leader answers.",
     )
-    cells.add_argument("--file", metavar="FILE", required=True,
-                       help="the operator's file of any process of the fleet: its control machines and its "
-                       "key are used")
+    cells.add_argument(
+        "--file",
+        metavar="FILE",
+        required=True,
+        help="the operator's file of any process of the fleet: its control machines and its key are used",
+    )
     goes = group.add_parser(
-        "forget", help="a gateway is gone for good: what it kept of all that is shared is free at once",
+        "forget",
+        help="a gateway is gone for good: what it kept of all that is shared is free at once",
         description="Say so only of one that is surely down: a gateway that is merely cut off would act on "
         "the same slots as those that have them next. Exit status: 0 where it is forgotten, 1 where it is in "
         "the fleet, 2 where no coordinator answers.",
     )
     goes.add_argument("name", metavar="NAME", help="the gateway's, as `fleet view` shows it")
-    goes.add_argument("--file", metavar="FILE", required=True,
-                      help="the operator's file of any gateway of the fleet: its seeds and its key are used")
+    goes.add_argument(
+        "--file",
+        metavar="FILE",
+        required=True,
+        help="the operator's file of any gateway of the fleet: its seeds and its key are used",
+    )
 
 
 def add_control(commands: Commands[argparse.ArgumentParser]) -> None:
     """`trackspread control`."""
     own = commands.add_parser(
-        "control", help="run one control machine of a fleet with cells, in the foreground",
+        "control",
+        help="run one control machine of a fleet with cells, in the foreground",
         description="Seeds cells of gateways, and keeps their directory where it leads. SIGTERM ends it in "
         "good order, SIGHUP has the fleet's keys read again.",
     )
@@ -110,26 +132,35 @@
     puts = group.add_parser("put", help="set a key's value; says the version under which it is committed")
     deletes = group.add_parser("delete", help="take a key out")
     shows = group.add_parser(
-        "show", help="what replicas hold, or gateways, and whether they agree",
+        "show",
+        help="what replicas hold, or gateways, and whether they agree",
         description="Exit status: 0 where all that were asked hold one version, 1 where not, 2 where nobody "
         "can be asked.",
     )
     begins = group.add_parser(
-        "begin", help="begin a new history: at first, or once a majority of replicas is lost for good",
+        "begin",
+        help="begin a new history: at first, or once a majority of replicas is lost for good",
         description="Where a majority of replicas has lost what it held, this goes on with the most that any "
         "of the others holds: a change that was committed on lost ones alone is gone then. Does nothing "
         "where a leader goes on.",
     )
     for each in (puts, deletes, shows, begins):
-        each.add_argument("--file", metavar="FILE", required=True,
-                          help="the operator's file of any gateway: configuration.replicas and the fleet's "
-                          "key are used")
+        each.add_argument(
+            "--file",
+            metavar="FILE",
+            required=True,
+            help="the operator's file of any gateway: configuration.replicas and the fleet's key are used",
+        )
     for each in (puts, deletes):
         each.add_argument("service", metavar="SERVICE")
         each.add_argument("key", metavar="KEY")
     puts.add_argument("value", metavar="VALUE", help="text, 640 bytes at most")
-    shows.add_argument("door", metavar="HOST:PORT", nargs="*",
-                       help="gateways' doors, as `control` has them; none: the replicas are asked")
+    shows.add_argument(
+        "door",
+        metavar="HOST:PORT",
+        nargs="*",
+        help="gateways' doors, as `control` has them; none: the replicas are asked",
+    )
     shows.add_argument("--key", metavar="SERVICE/KEY", default="", help="a value that replicas hold, too")
 
 
@@ -141,7 +172,8 @@
     checks = group.add_parser("verify", help="check every record; exit status 1 if some are damaged")
     sends = group.add_parser("export", help="send what is left in a folder whose gateway does not run")
     compares = group.add_parser(
-        "reconcile", help="compare folders with what billing received; exit status 1 if they differ",
+        "reconcile",
+        help="compare folders with what billing received; exit status 1 if they differ",
     )
     repairs = group.add_parser("repair", help="make a lost control anew from the segments")
     for each in (shows, checks, sends, repairs):
@@ -151,7 +183,9 @@
     sends.add_argument("--seconds", type=float, default=600.0, help="how long it may take (600)")
     compares.add_argument("folder", metavar="FOLDER", type=Path, nargs="+", help="all gateways' folders")
     compares.add_argument(
-        "--received", metavar="FILE|URL", required=True,
+        "--received",
+        metavar="FILE|URL",
+        required=True,
         help="billing's totals: a JSON array of [customer, day, ending, requests, units]",
     )
     repairs.add_argument("--config", metavar="JSON", help="the platform's, for the names of classes")
--- a/trackspread/commands/configuration.py
+++ b/trackspread/commands/configuration.py
@@ -34,8 +34,10 @@
     except TooMany as error:
         raise ConfigError(f"KEY: {error}") from None
     except Unanswered as error:
-        raise ConfigError(f"{path}: configuration.replicas: {error}; wanted a majority of them up, with the "
-                          "fleet's key, and a history begun") from None
+        raise ConfigError(
+            f"{path}: configuration.replicas: {error}; wanted a majority of them up, with the "
+            "fleet's key, and a history begun"
+        ) from None
 
 
 def _act(given: argparse.Namespace, client: Client, replicas: Sequence[str]) -> int:
@@ -109,6 +111,8 @@
             raise ConfigError(f"{door}: not a gateway's answer: {error}") from None
     for each in reports:
         age = f"{each.age_s:.1f} s ago" if each.age_s is not None else "never"
-        print(f"{each.name:<20} version {_dotted(each.history, each.epoch, each.sequence)}, {each.keys} keys "
-              f"of {each.services} services ({each.values}), surely the newest {age}, asks {each.replica}")
+        print(
+            f"{each.name:<20} version {_dotted(each.history, each.epoch, each.sequence)}, {each.keys} keys "
+            f"of {each.services} services ({each.values}), surely the newest {age}, asks {each.replica}"
+        )
     return 0 if len({(each.history, each.epoch, each.sequence) for each in reports}) == 1 else 1
--- a/trackspread/commands/fleet.py
+++ b/trackspread/commands/fleet.py
@@ -53,8 +53,10 @@
         while page < pages:
             answer = _described(line, wire, to, page)
             if answer is None or answer.leader is None:
-                raise ConfigError(f"{file}: fleet.control: no leader answered within {PATIENCE:.0f} s; "
-                                  "wanted a majority of the control machines up, and the fleet's key")
+                raise ConfigError(
+                    f"{file}: fleet.control: no leader answered within {PATIENCE:.0f} s; "
+                    "wanted a majority of the control machines up, and the fleet's key"
+                )
             rows += answer.rows
             to, page, pages, refused = [answer.leader], page + 1, answer.pages, answer.refused
     gateways = sum(row.gateways for row in rows)
@@ -64,9 +66,7 @@
     return 0
 
 
-def _described(
-    line: socket.socket, wire: CellsWire, to: Sequence[Address], page: int
-) -> Described | None:
+def _described(line: socket.socket, wire: CellsWire, to: Sequence[Address], page: int) -> Described | None:
     """The leader's answer; whoever answers for it is not asked again."""
     question = wire.pack_message(Message(wire.fleet, "", 0, Describe(page)))
     end = time.monotonic() + PATIENCE
@@ -106,8 +106,10 @@
                 continue
             if message is not None and isinstance(message.body, Forgotten) and message.body.name == name:
                 return _forgotten(message.body)
-    raise ConfigError(f"{file}: fleet.seeds: no coordinator answered within {PATIENCE:.0f} s; wanted a "
-                      "majority of them up, and the fleet's key")
+    raise ConfigError(
+        f"{file}: fleet.seeds: no coordinator answered within {PATIENCE:.0f} s; wanted a "
+        "majority of them up, and the fleet's key"
+    )
 
 
 def _forgotten(answer: Forgotten) -> int:
@@ -170,8 +172,9 @@
 def differences(reports: Sequence[Report]) -> list[str]:
     """What keeps these gateways from being settled in one view, for a person."""
     found = [f"{r.name} is {r.standing}" for r in reports if r.standing != "settled"]
-    found += [f"{r.name}: the view and who is live differ in {', '.join(r.differ)}"
-              for r in reports if r.differ]
+    found += [
+        f"{r.name}: the view and who is live differ in {', '.join(r.differ)}" for r in reports if r.differ
+    ]
     if len({r.fleet for r in reports}) > 1:
         found.append("these are of different fleets: " + ", ".join(sorted({r.fleet for r in reports})))
     for cell in sorted({r.cell for r in reports}):
--- a/trackspread/commands/plans.py
+++ b/trackspread/commands/plans.py
@@ -118,8 +118,15 @@
     if not registry.versions:
         print("no versions: the platform's figures hold")
     for version in registry.versions:
-        state = "withdrawn" if version.withdrawn else "in force" if version is current else \
-            "to come" if version.since > now else "past"
+        state = (
+            "withdrawn"
+            if version.withdrawn
+            else "in force"
+            if version is current
+            else "to come"
+            if version.since > now
+            else "past"
+        )
         print(f"{version.number:>4} from {shown(version.since)} {state:<9} {version.note}".rstrip())
         for line in differences(before, version.plans):
             print(f"       {line}")
--- a/trackspread/commands/quota.py
+++ b/trackspread/commands/quota.py
@@ -46,8 +46,10 @@
             while len(data) < ANSWER_MOST and (part := line.recv(65_536)):
                 data += part
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror or error}; wanted the socket that counter.status names, "
-                          "of a gateway that runs") from None
+        raise ConfigError(
+            f"{path}: {error.strerror or error}; wanted the socket that counter.status names, "
+            "of a gateway that runs"
+        ) from None
     return data
 
 
@@ -66,8 +68,10 @@
         f"({told.soft:.1%} of the whole)",
     ]
     if told.ceiling_burst:
-        made.append(f"  ceiling here      {told.ceiling:.2f} of {told.ceiling_burst:.2f} units "
-                    f"({told.hard:.1%} of the whole)")
+        made.append(
+            f"  ceiling here      {told.ceiling:.2f} of {told.ceiling_burst:.2f} units "
+            f"({told.hard:.1%} of the whole)"
+        )
     if told.open_most:
         made.append(f"  open attempts     {told.open} of {told.open_most}")
     made += [
@@ -78,6 +82,8 @@
     ]
     for other in told.others:
         seen = f"seen alive {other.seen_s:.1f} s ago" if other.seen_s >= 0 else "never seen alive"
-        made.append(f"  gateway {other.gateway:<9} claims {other.share:.1%}, asked for {other.want:.2f} a "
-                    f"second, {seen}")
+        made.append(
+            f"  gateway {other.gateway:<9} claims {other.share:.1%}, asked for {other.want:.2f} a "
+            f"second, {seen}"
+        )
     return made
--- a/trackspread/commands/reserve.py
+++ b/trackspread/commands/reserve.py
@@ -26,15 +26,20 @@
         case "add":
             return _add(given, now)
         case "cancel":
-            change_registry(given.book, lambda registry: msgspec.structs.replace(
-                registry, reservations=cancelled(registry.reservations, given.number, now)
-            ))
+            change_registry(
+                given.book,
+                lambda registry: msgspec.structs.replace(
+                    registry, reservations=cancelled(registry.reservations, given.number, now)
+                ),
+            )
             print(f"reservation {given.number} is given back")
         case "fleet":
             fleet = _fleet(given)
             change_registry(given.book, lambda registry: msgspec.structs.replace(registry, fleet=fleet))
-            print(f"{capacity(fleet):.6g} units a second within {fleet.aim_ms:g} ms, "
-                  f"{fleet.kept:g} of them kept")
+            print(
+                f"{capacity(fleet):.6g} units a second within {fleet.aim_ms:g} ms, "
+                f"{fleet.kept:g} of them kept"
+            )
         case _:
             _list(load_registry(given.book), now)
     return 0
@@ -60,17 +65,28 @@
         return msgspec.structs.replace(registry, reservations=(*registry.reservations, made))
 
     made = change_registry(given.book, change).reservations[-1]
-    print(f"reservation {made.number}: {made.rate:.6g} units a second for {made.customer:016x} from "
-          f"{shown(start)} to {shown(end)}")
+    print(
+        f"reservation {made.number}: {made.rate:.6g} units a second for {made.customer:016x} from "
+        f"{shown(start)} to {shown(end)}"
+    )
     return 0
 
 
 def _list(registry: PlanRegistry, now: int) -> None:
     for each in registry.reservations:
-        state = "given back" if each.cancelled else "over" if each.end <= now else \
-            "in force" if each.start <= now else "to come"
-        print(f"{each.number:>4} {each.customer:016x} {each.rate:.6g}/s {shown(each.start)} to "
-              f"{shown(each.end)} {state} {each.note}".rstrip())
+        state = (
+            "given back"
+            if each.cancelled
+            else "over"
+            if each.end <= now
+            else "in force"
+            if each.start <= now
+            else "to come"
+        )
+        print(
+            f"{each.number:>4} {each.customer:016x} {each.rate:.6g}/s {shown(each.start)} to "
+            f"{shown(each.end)} {state} {each.note}".rstrip()
+        )
     if registry.fleet is None:
         print("the fleet is not described: nothing can be reserved (`trackspread reserve fleet`)")
         return
--- a/trackspread/commands/use.py
+++ b/trackspread/commands/use.py
@@ -69,18 +69,24 @@
         print("; ".join(found.wrong) or "nothing was recorded here yet")
         return 1 if found.wrong else 0
     print(f"producer {control.producer}: {found.segments} segments, {found.bytes / (1 << 20):.1f} MB")
-    print(f"{'life':>6} {'gateway':<16} {'state':<8} {'places':>10} {'records':>10} {'billing has':>12} "
-          f"{'to go':>10}")
+    print(
+        f"{'life':>6} {'gateway':<16} {'state':<8} {'places':>10} {'records':>10} {'billing has':>12} "
+        f"{'to go':>10}"
+    )
     for each in found.streams:
         stream = each.stream
         state = "open" if each.live else "sealed" if stream.sealed else "ended"
-        print(f"{each.epoch:>6} {control.names[stream.names].gateway:<16} {state:<8} {each.length:>10} "
-              f"{each.records:>10} {stream.acked:>12} {each.length - stream.acked:>10}")
+        print(
+            f"{each.epoch:>6} {control.names[stream.names].gateway:<16} {state:<8} {each.length:>10} "
+            f"{each.records:>10} {stream.acked:>12} {each.length - stream.acked:>10}"
+        )
     for ending in Ending:
         rows = [held for (_, _, own), held in found.journal.rows.items() if own == ending]
         if rows:
-            print(f"{ending.name.lower()}: {sum(n for n, _ in rows)} requests, "
-                  f"{_units(sum(u for _, u in rows))} units")
+            print(
+                f"{ending.name.lower()}: {sum(n for n, _ in rows)} requests, "
+                f"{_units(sum(u for _, u in rows))} units"
+            )
     for reason, number in control.lost.items():
         print(f"lost, {reason}: {number} records")
     for text in found.wrong:
@@ -93,8 +99,10 @@
     torn = sum(len(each.torn) for each in found.streams)
     for text in found.wrong:
         print(text)
-    print(f"{records} records check, {sum(len(each.damaged) for each in found.streams)} are damaged, "
-          f"{sum(each.missing for each in found.streams)} are missing; {torn} were torn by a loss of power")
+    print(
+        f"{records} records check, {sum(len(each.damaged) for each in found.streams)} are damaged, "
+        f"{sum(each.missing for each in found.streams)} are missing; {torn} were torn by a loss of power"
+    )
     return 1 if found.wrong else 0
 
 
@@ -140,10 +148,12 @@
     differences = reconcile(audits, received)
     for each in differences[:SHOWN]:
         day = datetime.fromtimestamp(each.day * 86_400, UTC).date()
-        print(f"{each.customer:016x} {day} {Ending(each.ending).name.lower():<8} "
-              f"journal {each.journal[0]} / {_units(each.journal[1])}, "
-              f"exported {each.exported[0]} / {_units(each.exported[1])}, "
-              f"received {each.received[0]} / {_units(each.received[1])}: {each.kind}")
+        print(
+            f"{each.customer:016x} {day} {Ending(each.ending).name.lower():<8} "
+            f"journal {each.journal[0]} / {_units(each.journal[1])}, "
+            f"exported {each.exported[0]} / {_units(each.exported[1])}, "
+            f"received {each.received[0]} / {_units(each.received[1])}: {each.kind}"
+        )
     if len(differences) > SHOWN:
         print(f"and {len(differences) - SHOWN} more")
     gateways: dict[str, int] = {}
@@ -156,8 +166,9 @@
     for name in sorted(name for name, folders in gateways.items() if folders > 1):
         print(f"{gateways[name]} folders are of gateways called {name}: wanted a name of its own for each")
     requests, units = _total(audits)
-    print(f"{requests} requests, {_units(units)} units in the journals: "
-          f"{len(differences) or 'no'} differences")
+    print(
+        f"{requests} requests, {_units(units)} units in the journals: {len(differences) or 'no'} differences"
+    )
     return 1 if differences else 0
 
 
@@ -183,6 +194,8 @@
     finally:
         files.close()
     places = sum(stream.length or 0 for stream in control.streams.values())
-    print(f"{len(control.streams)} lives are known again, {places} places; billing is offered all "
-          "of them, and takes what it has not")
+    print(
+        f"{len(control.streams)} lives are known again, {places} places; billing is offered all "
+        "of them, and takes what it has not"
+    )
     return 0
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -186,8 +186,11 @@
 
 def needs_restart(old: Operator, new: Operator) -> list[str]:
     """Tables that a running gateway does not take up."""
-    return [name for name in Operator.__struct_fields__
-            if name not in LIVE and getattr(old, name) != getattr(new, name)]
+    return [
+        name
+        for name in Operator.__struct_fields__
+        if name not in LIVE and getattr(old, name) != getattr(new, name)
+    ]
 
 
 def load(path: Path) -> Operator:
@@ -234,8 +237,10 @@
         raise ConfigError(f"{name}: use.disk_mb: found {use.disk_mb:g}, wanted 4 times segment_mb or more")
     scheme = use.billing.partition("://")[0]
     if use.billing and (scheme not in ("http", "https", "file") or "://" not in use.billing):
-        raise ConfigError(f"{name}: use.billing: found {use.billing!r}, wanted http://HOST:PORT/PATH, "
-                          "https://HOST:PORT/PATH or file:///FOLDER")
+        raise ConfigError(
+            f"{name}: use.billing: found {use.billing!r}, wanted http://HOST:PORT/PATH, "
+            "https://HOST:PORT/PATH or file:///FOLDER"
+        )
 
 
 def _literal(name: str, key: str, text: str, example: str) -> Address:
@@ -244,8 +249,10 @@
         host, port = address(text, key)
         ip_address(host)
     except ValueError:
-        raise ConfigError(f"{name}: {key}: found {text!r}, wanted an address and a port, as {example}: names "
-                          "are not looked up") from None
+        raise ConfigError(
+            f"{name}: {key}: found {text!r}, wanted an address and a port, as {example}: names "
+            "are not looked up"
+        ) from None
     if not port:
         raise ConfigError(f"{name}: {key}: found port 0, wanted 1 to 65535")
     return host, port
@@ -268,8 +275,7 @@
 
 def _check_fleet(fleet: Fleet, name: str) -> None:
     if not fleet.name:
-        for key in ("listen", "advertise", "seeds", "region", "zone", "control", "key", "previous",
-                    "record"):
+        for key in ("listen", "advertise", "seeds", "region", "zone", "control", "key", "previous", "record"):
             if getattr(fleet, key):
                 raise ConfigError(f"{name}: fleet.name: found nothing, wanted a name: fleet.{key} is set")
         return
@@ -278,13 +284,18 @@
     if fleet.control:
         _check_control(fleet, name)
     elif fleet.region or fleet.zone:
-        raise ConfigError(f"{name}: fleet.control: found nothing, wanted control machines: fleet.region or "
-                          "fleet.zone is set")
+        raise ConfigError(
+            f"{name}: fleet.control: found nothing, wanted control machines: fleet.region or "
+            "fleet.zone is set"
+        )
     elif not 1 <= len(fleet.seeds) <= SEEDS_MOST:
-        raise ConfigError(f"{name}: fleet.seeds: found {len(fleet.seeds)}, wanted 1 to {SEEDS_MOST} "
-                          "addresses, best 3 or 5")
-    keys = [*((key, text) for key in ("listen", "advertise") if (text := getattr(fleet, key))),
-            *((f"seeds[{number}]", seed) for number, seed in enumerate(fleet.seeds))]
+        raise ConfigError(
+            f"{name}: fleet.seeds: found {len(fleet.seeds)}, wanted 1 to {SEEDS_MOST} addresses, best 3 or 5"
+        )
+    keys = [
+        *((key, text) for key in ("listen", "advertise") if (text := getattr(fleet, key))),
+        *((f"seeds[{number}]", seed) for number, seed in enumerate(fleet.seeds)),
+    ]
     for key, text in keys:
         host, _ = _literal(name, f"fleet.{key}", text, "127.0.0.1:7400")
         if ip_address(host).is_unspecified and (key != "listen" or not fleet.advertise):
@@ -298,8 +309,10 @@
 def _check_control(fleet: Fleet, name: str) -> None:
     """Raises `ConfigError` unless cells can be made of it."""
     if fleet.seeds:
-        raise ConfigError(f"{name}: fleet.seeds: found {len(fleet.seeds)}, wanted none: the control machines "
-                          "are the cells' seeds")
+        raise ConfigError(
+            f"{name}: fleet.seeds: found {len(fleet.seeds)}, wanted none: the control machines "
+            "are the cells' seeds"
+        )
     seen: dict[str, set[str]] = {"name": set(), "address": set()}
     for number, seat in enumerate(fleet.control):
         key = f"fleet.control[{number}]"
@@ -308,20 +321,24 @@
                 raise ConfigError(f"{name}: {key}.{each}: found nothing, wanted the {each} that it is in")
         host, _ = _literal(name, f"{key}.address", seat.address, "127.0.0.1:7500")
         if ip_address(host).is_unspecified:
-            raise ConfigError(f"{name}: {key}.address: found {seat.address!r}, wanted an address that others "
-                              "can reach")
+            raise ConfigError(
+                f"{name}: {key}.address: found {seat.address!r}, wanted an address that others can reach"
+            )
         for each, values in seen.items():
             if (value := getattr(seat, each)) in values:
                 raise ConfigError(f"{name}: {key}.{each}: found {value!r} twice, wanted once each")
             values.add(value)
     if bool(fleet.region) != bool(fleet.zone):
         lacking = "zone" if fleet.region else "region"
-        raise ConfigError(f"{name}: fleet.{lacking}: found nothing, wanted the {lacking} that this gateway "
-                          "runs in")
+        raise ConfigError(
+            f"{name}: fleet.{lacking}: found nothing, wanted the {lacking} that this gateway runs in"
+        )
     regions = sorted({seat.region for seat in fleet.control})
     if fleet.region and fleet.region not in regions:
-        raise ConfigError(f"{name}: fleet.region: found {fleet.region!r}, wanted one that has control "
-                          f"machines: {', '.join(regions)}")
+        raise ConfigError(
+            f"{name}: fleet.region: found {fleet.region!r}, wanted one that has control "
+            f"machines: {', '.join(regions)}"
+        )
 
 
 REPLICAS_MOST = 31  # a majority of more is waited for longer than it gains
@@ -333,8 +350,10 @@
     if not table.replicas:
         for key in ("listen", "near", "services", "record"):
             if getattr(table, key):
-                raise ConfigError(f"{name}: configuration.replicas: found nothing, wanted addresses: "
-                                  f"configuration.{key} is set")
+                raise ConfigError(
+                    f"{name}: configuration.replicas: found nothing, wanted addresses: "
+                    f"configuration.{key} is set"
+                )
         return
     if not made.fleet.name:
         raise ConfigError(f"{name}: fleet.name: found nothing, wanted a name: configuration.replicas is set")
@@ -344,19 +363,25 @@
             raise ConfigError(f"{name}: configuration.{key}: found {len(values)}, wanted {most} at most")
         if len(set(values)) < len(values):
             raise ConfigError(f"{name}: configuration.{key}: found one twice, wanted once each")
-    texts = [*((f"replicas[{number}]", text) for number, text in enumerate(table.replicas)),
-             *([("listen", table.listen)] if table.listen else [])]
+    texts = [
+        *((f"replicas[{number}]", text) for number, text in enumerate(table.replicas)),
+        *([("listen", table.listen)] if table.listen else []),
+    ]
     for key, text in texts:
         if ip_address(_literal(name, f"configuration.{key}", text, "127.0.0.1:7600")[0]).is_unspecified:
-            raise ConfigError(f"{name}: configuration.{key}: found {text!r}, wanted an address that others "
-                              "can reach")
+            raise ConfigError(
+                f"{name}: configuration.{key}: found {text!r}, wanted an address that others can reach"
+            )
     if made.fleet.control and len(table.replicas) != len(made.fleet.control):
-        raise ConfigError(f"{name}: configuration.replicas: found {len(table.replicas)}, wanted "
-                          f"{len(made.fleet.control)}: one for each of fleet.control, in its order")
+        raise ConfigError(
+            f"{name}: configuration.replicas: found {len(table.replicas)}, wanted "
+            f"{len(made.fleet.control)}: one for each of fleet.control, in its order"
+        )
     for number, text in enumerate(table.near):
         if text not in table.replicas:
-            raise ConfigError(f"{name}: configuration.near[{number}]: found {text!r}, wanted one of "
-                              "configuration.replicas")
+            raise ConfigError(
+                f"{name}: configuration.near[{number}]: found {text!r}, wanted one of configuration.replicas"
+            )
 
 
 CARRIED_MOST = 256  # services at one gateway: each has a table of commitments and a model of its own
@@ -372,18 +397,23 @@
             raise ConfigError(f"{name}: {key}: found nothing, wanted classes of request")
         for cls in classes:
             if cls in owner:
-                raise ConfigError(f"{name}: {key}: found {cls!r}, which is of {owner[cls]!r}, wanted each "
-                                  "class in one service")
+                raise ConfigError(
+                    f"{name}: {key}: found {cls!r}, which is of {owner[cls]!r}, wanted each "
+                    "class in one service"
+                )
             owner[cls] = service
     for number, service in enumerate(services.carries):
         if service not in services.classes:
-            raise ConfigError(f"{name}: services.carries[{number}]: found {service!r}, wanted one of "
-                              "services.classes")
+            raise ConfigError(
+                f"{name}: services.carries[{number}]: found {service!r}, wanted one of services.classes"
+            )
     if len(set(services.carries)) < len(services.carries):
         raise ConfigError(f"{name}: services.carries: found one twice, wanted once each")
     if len(services.carried()) > CARRIED_MOST:
-        raise ConfigError(f"{name}: services.carries: found {len(services.carried()) - 1} services, wanted "
-                          f"{CARRIED_MOST - 1} at most")
+        raise ConfigError(
+            f"{name}: services.carries: found {len(services.carried()) - 1} services, wanted "
+            f"{CARRIED_MOST - 1} at most"
+        )
 
 
 def _plain(error: Exception) -> str:
--- a/trackspread/config/platform.py
+++ b/trackspread/config/platform.py
@@ -109,10 +109,16 @@
 
 def needs_restart(old: Config, new: Config) -> list[str]:
     """What a new configuration changes that a running gateway does not take up."""
-    changed = [f.name for f in fields(Config) if f.name not in LIVE | {"settings"}
-               and getattr(old, f.name) != getattr(new, f.name)]
-    return changed + [f"settings.{f.name}" for f in fields(Settings) if f.name not in LIVE_SETTINGS
-                      and getattr(old.settings, f.name) != getattr(new.settings, f.name)]
+    changed = [
+        f.name
+        for f in fields(Config)
+        if f.name not in LIVE | {"settings"} and getattr(old, f.name) != getattr(new, f.name)
+    ]
+    return changed + [
+        f"settings.{f.name}"
+        for f in fields(Settings)
+        if f.name not in LIVE_SETTINGS and getattr(old.settings, f.name) != getattr(new.settings, f.name)
+    ]
 
 
 def reload(environment: Mapping[str, str]) -> Config:
--- a/trackspread/control/door.py
+++ b/trackspread/control/door.py
@@ -57,8 +57,11 @@
 
     def _answer(self, status: int, text: str) -> None:
         body, transport = text.encode(), cast(asyncio.Transport, self._transport)
-        headers = [("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
-                   ("Connection", "close")]
+        headers = [
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
         if status == 405:
             headers.append(("Allow", "GET"))
         out = self._http.send(h11.Response(status_code=status, headers=headers)) or b""
--- a/trackspread/control/figures.py
+++ b/trackspread/control/figures.py
@@ -26,7 +26,7 @@
         names = list(dict.fromkeys(classes))
         for name in names:
             self._ended.setdefault(name, dict.fromkeys(_NAMES, 0))
-        for name in [n for n in self._ended if n not in names][:max(0, len(self._ended) - CLASSES_MOST)]:
+        for name in [n for n in self._ended if n not in names][: max(0, len(self._ended) - CLASSES_MOST)]:
             del self._ended[name]
 
     def ended(self, name: bytes, ending: Ending) -> None:
@@ -36,11 +36,17 @@
 
     def lines(self, in_flight: int, known: int, excluded: int) -> str:
         """All names, always: what has not happened reads 0."""
-        lines = [f"router.{word}.{name.decode()}={counts[ending]}"
-                 for ending, word in _NAMES.items() for name, counts in self._ended.items()]
+        lines = [
+            f"router.{word}.{name.decode()}={counts[ending]}"
+            for ending, word in _NAMES.items()
+            for name, counts in self._ended.items()
+        ]
         plain = {
-            "attempts": self.attempts, "in_flight": in_flight, "backends_known": known,
-            "backends_excluded": excluded, "reloads_ok": self.reloads_ok,
+            "attempts": self.attempts,
+            "in_flight": in_flight,
+            "backends_known": known,
+            "backends_excluded": excluded,
+            "reloads_ok": self.reloads_ok,
             "reloads_failed": self.reloads_failed,
         }
         return "".join(f"{line}\n" for line in [*lines, *(f"router.{k}={v}" for k, v in plain.items())])
--- a/trackspread/counter/allot.py
+++ b/trackspread/counter/allot.py
@@ -23,7 +23,11 @@
 
 
 def allot(
-    member: int, terms: Terms, evens: Mapping[int, float], wants: Mapping[int, float], budget: float,
+    member: int,
+    terms: Terms,
+    evens: Mapping[int, float],
+    wants: Mapping[int, float],
+    budget: float,
     turn: int,
 ) -> dict[int, float]:
     """Shares that sum to `budget` at most: the least of wants first, whole; the rest alike. Where a share
--- a/trackspread/counter/commands.py
+++ b/trackspread/counter/commands.py
@@ -58,13 +58,15 @@
             raise CounterError(result.text)
     try:
         *_, pairs, _, (seconds, micros) = results
-        whole = dict(pairs) if isinstance(pairs, Mapping) else dict(
-            zip(pairs[::2], pairs[1::2], strict=True))
+        whole = dict(pairs) if isinstance(pairs, Mapping) else dict(zip(pairs[::2], pairs[1::2], strict=True))
         clock = int(seconds) * 1000 + int(micros) // 1000
         if len(whole) > MOST_FIELDS or not 0 <= clock < MOST_CLOCK:
             raise ValueError
-        fields = {int(field): value for field, value in whole.items()
-                  if field != TOKEN and isinstance(value, bytes) and field.isdigit()}
+        fields = {
+            int(field): value
+            for field, value in whole.items()
+            if field != TOKEN and isinstance(value, bytes) and field.isdigit()
+        }
     except (AttributeError, TypeError, ValueError):
         raise CounterError("not a counter's reply") from None
     token = whole.get(TOKEN, b"")
--- a/trackspread/counter/failure_detector.py
+++ b/trackspread/counter/failure_detector.py
@@ -137,7 +137,8 @@
         been silent for so long that it holds its even slice at most."""
         return all(
             slot in self.gone or (slot in self.seen and self.seen[slot].changes >= marks.get(slot, 0) + 2)
-            for slot in range(self.slots) if slot != self.slot
+            for slot in range(self.slots)
+            if slot != self.slot
         )
 
     def state(self, now: int) -> str:
--- a/trackspread/counter/host.py
+++ b/trackspread/counter/host.py
@@ -30,8 +30,14 @@
     """`events` takes what the module is to be told."""
 
     def __init__(
-        self, client: QuotaClient, routes: Routes, access: Access, prefix: str, slot: int,
-        now: Callable[[], int], events: Callable[[RightsChanged], None],
+        self,
+        client: QuotaClient,
+        routes: Routes,
+        access: Access,
+        prefix: str,
+        slot: int,
+        now: Callable[[], int],
+        events: Callable[[RightsChanged], None],
     ) -> None:
         self.client, self.routes = client, routes
         self._access, self._prefix, self._slot, self._now, self._events = access, prefix, slot, now, events
--- a/trackspread/counter/lease.py
+++ b/trackspread/counter/lease.py
@@ -201,16 +201,27 @@
         else:
             self.fit(detector)
             self._aim(now, detector, want)
-        ripe = [step.share for step in self._steps
-                if now - step.at >= PROVE and detector.advanced_since(step.marks)]
+        ripe = [
+            step.share
+            for step in self._steps
+            if now - step.at >= PROVE and detector.advanced_since(step.marks)
+        ]
         self.proving = max(ripe, default=0.0)
         self._number = max(self._number + 1, now)  # by the clock: a member that comes again goes on
         if not self.known:
             level = self.terms.burst  # nothing is known of it here
         clock = detector.clock(now)
-        return pack_claim(Claim(
-            detector.incarnation, self._number, self.said, want, self.spent, level, clock if self.known else 0
-        ))
+        return pack_claim(
+            Claim(
+                detector.incarnation,
+                self._number,
+                self.said,
+                want,
+                self.spent,
+                level,
+                clock if self.known else 0,
+            )
+        )
 
     def _aim(self, now: int, detector: FailureDetector, want: float) -> None:
         budget = max(0.0, 1.0 - self.reserved(detector))
@@ -243,8 +254,11 @@
 
     def answered(self, now: int, sent: int, said: float, reply: Reply, detector: FailureDetector) -> None:
         """The answer to a claim of `said`, sent at `sent`."""
-        claims = {slot: claim for slot, data in reply.fields.items()
-                  if slot != self.slot and (claim := unpack_claim(data)) is not None}
+        claims = {
+            slot: claim
+            for slot, data in reply.fields.items()
+            if slot != self.slot and (claim := unpack_claim(data)) is not None
+        }
         if not self.known:
             self.known, self.level = True, self._level_from_claims(now, reply, detector, claims)
             self.due = min(self.due, now + SHORT)
@@ -308,8 +322,9 @@
         own = reply.fields.get(self.slot)
         known = [*claims.values(), *([mine] if own is not None and (mine := unpack_claim(own)) else [])]
         rate, burst = self.terms.rate, self.terms.burst
-        levels = [claim.level + rate * max(0, reply.clock - claim.clock) / 1000
-                  for claim in known if claim.clock]
+        levels = [
+            claim.level + rate * max(0, reply.clock - claim.clock) / 1000 for claim in known if claim.clock
+        ]
         levels = levels or [rate * (now - detector.token_since) / SECOND]
         return max(-burst, min(burst, *levels))
 
--- a/trackspread/counter/quota_client.py
+++ b/trackspread/counter/quota_client.py
@@ -93,9 +93,18 @@
                 made.append(each)
             elif each.member in self._index:
                 plan = self._index[each.member]
-                made.append(RightsChanged(
-                    each.member, plan, each.soft, each.hard, each.places, each.taken, each.level, each.more
-                ))
+                made.append(
+                    RightsChanged(
+                        each.member,
+                        plan,
+                        each.soft,
+                        each.hard,
+                        each.places,
+                        each.taken,
+                        each.level,
+                        each.more,
+                    )
+                )
                 if each.member not in self.manager.leases:
                     del self._index[each.member]
         return made
--- a/trackspread/counter/report.py
+++ b/trackspread/counter/report.py
@@ -61,12 +61,22 @@
     detector = manager.parts[partition].detector
     detector.look(now)
     state, held = detector.state(now), manager.leases.get(member)
-    made = Report(f"{member & (1 << 64) - 1:016x}", partition, state, SOURCES[state], detector.replaced,
-                  held is not None)
+    made = Report(
+        f"{member & (1 << 64) - 1:016x}",
+        partition,
+        state,
+        SOURCES[state],
+        detector.replaced,
+        held is not None,
+    )
     if held is not None:
         others = tuple(
-            Other(slot, claim.share, claim.want,
-                  detector.age(now, slot) / SECOND if slot in detector.seen else -1.0)
+            Other(
+                slot,
+                claim.share,
+                claim.want,
+                detector.age(now, slot) / SECOND if slot in detector.seen else -1.0,
+            )
             for slot, claim in sorted(held.others.items())
         )
         made = msgspec.structs.replace(
@@ -75,10 +85,18 @@
     if account is not None:
         plan = account.plan
         made = msgspec.structs.replace(
-            made, soft=account.soft, hard=account.hard, plan=plan.name, level=account.level,
-            burst=plan.burst * account.soft, rate=plan.rate * account.soft, ceiling=account.ceiling,
-            ceiling_burst=plan.ceiling_burst * account.hard, open=account.open,
-            open_most=int(plan.open_limit * account.places + 1e-6), cap=cap,
+            made,
+            soft=account.soft,
+            hard=account.hard,
+            plan=plan.name,
+            level=account.level,
+            burst=plan.burst * account.soft,
+            rate=plan.rate * account.soft,
+            ceiling=account.ceiling,
+            ceiling_burst=plan.ceiling_burst * account.hard,
+            open=account.open,
+            open_most=int(plan.open_limit * account.places + 1e-6),
+            cap=cap,
             refused_for=account.refused_for,
         )
     return made
--- a/trackspread/counter/routes.py
+++ b/trackspread/counter/routes.py
@@ -26,7 +26,7 @@
     """Of all names of a partition, by their common tag."""
     name = name_of(prefix, partition, None)
     start = name.index(b"{")
-    return crc_hqx(name[start + 1:name.index(b"}")], 0) % SLOTS
+    return crc_hqx(name[start + 1 : name.index(b"}")], 0) % SLOTS
 
 
 def _literal(host: str, port: Any) -> Server | None:
--- a/trackspread/counter/terms.py
+++ b/trackspread/counter/terms.py
@@ -81,8 +81,9 @@
 
 def pack_claim(claim: Claim) -> bytes:
     """The claim as bytes of a field on the counter."""
-    return _CLAIM.pack(claim.incarnation, claim.number, claim.share, claim.want, claim.spent, claim.level,
-                       claim.clock)
+    return _CLAIM.pack(
+        claim.incarnation, claim.number, claim.share, claim.want, claim.spent, claim.level, claim.clock
+    )
 
 
 def unpack_claim(data: bytes) -> Claim | None:
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -203,7 +203,8 @@
             return self.model.response(beside.in_flight + n) - self.model.delay
 
         offered = seven_cases(
-            max(wanted, ceil(commitment.in_flight.value)), len(self.model.times),
+            max(wanted, ceil(commitment.in_flight.value)),
+            len(self.model.times),
             lambda n: wait(n) <= commitment.room,
             lambda n: n * SECOND >= commitment.least * (self.model.delay + wait(n)),
             lambda n: wait(n) <= room and self.model.delay + wait(n) <= beside.slowest,
--- a/trackspread/decide/carried.py
+++ b/trackspread/decide/carried.py
@@ -49,25 +49,41 @@
         for a in quota.accounts.values()
     ]
     servers = [
-        {"id": s.entry.id, "booted": s.entry.booted,
-         "met": [[names[cls], at, bad] for cls, (at, bad) in s.met.items()],
-         "full": [[names[cls], plans[plan], until] for (cls, plan), until in s.full.items()]}
+        {
+            "id": s.entry.id,
+            "booted": s.entry.booted,
+            "met": [[names[cls], at, bad] for cls, (at, bad) in s.met.items()],
+            "full": [[names[cls], plans[plan], until] for (cls, plan), until in s.full.items()],
+        }
         | {name: _plain(getattr(s, name)) for name in _SERVER}
         for s in fleet.servers.values()
     ]
     attempts = [
         [number, attempt, by, *_arrival(module.attempts[number, attempt].arrival, names, plans)]
-        for (number, attempt), by in out.items() if (number, attempt) in module.attempts
+        for (number, attempt), by in out.items()
+        if (number, attempt) in module.attempts
     ]
     return {
         "version": VERSION,
-        "classes": [[name, _mean(model.latency[n]), model.shortest[n], _mean(fleet.silence[n])]
-                    for n, name in enumerate(names) if n in model.named],
-        "in_flight": _mean(model.in_flight), "retries": module.retries, "told_at": quota.told_at,
-        "me": quota.me, "born": quota.born, "tag": quota.tag, "pace": quota.pace,
-        "restarted": quota.restarted, "peers": [[p, *word] for p, word in quota.peers.items()],
+        "classes": [
+            [name, _mean(model.latency[n]), model.shortest[n], _mean(fleet.silence[n])]
+            for n, name in enumerate(names)
+            if n in model.named
+        ],
+        "in_flight": _mean(model.in_flight),
+        "retries": module.retries,
+        "told_at": quota.told_at,
+        "me": quota.me,
+        "born": quota.born,
+        "tag": quota.tag,
+        "pace": quota.pace,
+        "restarted": quota.restarted,
+        "peers": [[p, *word] for p, word in quota.peers.items()],
         "granted": [[plans[n], _mean(m)] for n, m in enumerate(quota.granted)],
-        "accounts": accounts, "servers": servers, "sends": _mean(fleet.sends), "newest": fleet.newest,
+        "accounts": accounts,
+        "servers": servers,
+        "sends": _mean(fleet.sends),
+        "newest": fleet.newest,
         "out": attempts,
     }
 
@@ -120,8 +136,9 @@
     values["out"] = {int(p): (int(word[0]), int(word[1])) for p, word in values["out"]}
     values["peers"] = tuple(values["peers"])
     values["open"] = 0  # those that are out are told one by one
-    account = Account(plan=quota.figures(customer, index), index=index,
-                      home=customer % module.s.gateways, **values)
+    account = Account(
+        plan=quota.figures(customer, index), index=index, home=customer % module.s.gateways, **values
+    )
     quota.accounts[customer] = account
     if told["_commitment"] is None:
         return
@@ -146,8 +163,11 @@
     for name in _SERVER[1:]:
         setattr(server, name, told[name])
     server.met = {classes[cls]: (at, bad) for cls, at, bad in told["met"] if cls in classes}
-    server.full = {(classes[cls], plans[plan]): until for cls, plan, until in told["full"]
-                   if cls in classes and plan in plans}
+    server.full = {
+        (classes[cls], plans[plan]): until
+        for cls, plan, until in told["full"]
+        if cls in classes and plan in plans
+    }
 
 
 def mirror(module: Broker, names: tuple[str, ...], told: list[Any]) -> None:
--- a/trackspread/decide/interface.py
+++ b/trackspread/decide/interface.py
@@ -289,8 +289,19 @@
 
 
 Event = (
-    Topology | Arrival | Begun | AttemptEnded | ClientLeft | TimerFired | Probed | PeerMessage | Counted
-    | PlansChanged | RightsChanged | ClassesChanged | FleetChanged
+    Topology
+    | Arrival
+    | Begun
+    | AttemptEnded
+    | ClientLeft
+    | TimerFired
+    | Probed
+    | PeerMessage
+    | Counted
+    | PlansChanged
+    | RightsChanged
+    | ClassesChanged
+    | FleetChanged
 )
 
 
@@ -394,6 +405,17 @@
 
 
 Action = (
-    Send | Refuse | Fail | Cancel | SetTimer | Probe
-    | CloseIdle | Tell | AddToCounter | WantRights | Watch | Fetch | LogLine
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Tell
+    | AddToCounter
+    | WantRights
+    | Watch
+    | Fetch
+    | LogLine
 )
--- a/trackspread/decide/mail.py
+++ b/trackspread/decide/mail.py
@@ -76,7 +76,8 @@
     byte, customer, plan, quarters, tag, age, taken = _DRAW.unpack_from(data)
     kind, out = byte & (1 << KIND_BITS) - 1, byte >> KIND_BITS
     first, spread, level, teller = (
-        _SET.unpack_from(data, _DRAW.size) if len(data) > _DRAW.size else (0, 0, 0, 0))
+        _SET.unpack_from(data, _DRAW.size) if len(data) > _DRAW.size else (0, 0, 0, 0)
+    )
     made = Draw(kind, customer, plan, quarters / 4, tag, age, taken, first, spread, level / 4, teller, out)
     return made if kind in tuple(Kind) else None
 
--- a/trackspread/decide/quota.py
+++ b/trackspread/decide/quota.py
@@ -209,7 +209,9 @@
             return plan
         quota, ceiling = plan.rate > 0.0, plan.ceiling_rate > 0.0
         return replace(
-            plan, rate=plan.rate + rate * quota, burst=plan.burst + burst * quota,
+            plan,
+            rate=plan.rate + rate * quota,
+            burst=plan.burst + burst * quota,
             ceiling_rate=plan.ceiling_rate + rate * ceiling,
             ceiling_burst=plan.ceiling_burst + burst * ceiling,
         )
@@ -304,8 +306,11 @@
             others = sum(out for out, at in account.out.values() if now - at < SILENT)
             few = account.open + others < limit * self.share(now, account)
         limited = account.plan.rate or limit or account.plan.ceiling_rate
-        return few and (not account.plan.ceiling_rate or account.ceiling >= units) and not (
-            limited and self.barred(now))
+        return (
+            few
+            and (not account.plan.ceiling_rate or account.ceiling >= units)
+            and not (limited and self.barred(now))
+        )
 
     def opened(self, account: Account, more: int) -> None:
         """An attempt of the customer's is out, or over."""
@@ -441,8 +446,9 @@
         draw = Draw(kind, account.customer, account.index, units, tag, age, account.sent, out=out)
         if self.view is not None:  # whoever keeps slots has to know which of them are the customer's
             teller = account.teller * (now - account.told_at < TAKEN_OVER)
-            draw = draw._replace(first=account.first, spread=account.spread, level=max(0.0, account.level),
-                                 teller=teller)
+            draw = draw._replace(
+                first=account.first, spread=account.spread, level=max(0.0, account.level), teller=teller
+            )
         return api.Tell(to, pack_draw(draw))
 
     def _drawn_on(self, now: int, draw: Draw) -> Account:
--- a/trackspread/decide/report.py
+++ b/trackspread/decide/report.py
@@ -57,8 +57,13 @@
     """All that this gateway carries, in their order."""
     return [
         ServiceReport(
-            name, sum(s.listed for s in broker.fleet.servers.values()), broker.fleet.warm,
-            _excluded(broker, now), broker.out, broker.model.limit, len(broker.active),
+            name,
+            sum(s.listed for s in broker.fleet.servers.values()),
+            broker.fleet.warm,
+            _excluded(broker, now),
+            broker.out,
+            broker.model.limit,
+            len(broker.active),
         )
         for name, broker in zip(module.carried, module.brokers, strict=True)
     ]
--- a/trackspread/decide/services.py
+++ b/trackspread/decide/services.py
@@ -14,9 +14,30 @@
 
 from .broker import Broker
 from .interface import (
-    Action, Arrival, AttemptEnded, Backend, Begun, ClassesChanged, ClientLeft, Counted, Event, FleetChanged,
-    Health, ListKind, LogLine, PeerMessage, PlansChanged, Probed, Refuse, RequestClass, RightsChanged,
-    SetTimer, Settings, TimerFired, Topology, Watch,
+    Action,
+    Arrival,
+    AttemptEnded,
+    Backend,
+    Begun,
+    ClassesChanged,
+    ClientLeft,
+    Counted,
+    Event,
+    FleetChanged,
+    Health,
+    ListKind,
+    LogLine,
+    PeerMessage,
+    PlansChanged,
+    Probed,
+    Refuse,
+    RequestClass,
+    RightsChanged,
+    SetTimer,
+    Settings,
+    TimerFired,
+    Topology,
+    Watch,
 )
 from .mail import is_draw
 
@@ -66,8 +87,10 @@
         self._table = ClassTable(settings.classes, self.carried, service_of)
         first = Broker(self._of_service(0), seed, now)
         self.quota = first.quota
-        others = [Broker(self._of_service(place), seed + place, now, self.quota)
-                  for place in range(1, len(self.carried))]
+        others = [
+            Broker(self._of_service(place), seed + place, now, self.quota)
+            for place in range(1, len(self.carried))
+        ]
         self.brokers = [first, *others]
         self._backends: dict[int, int] = {}  # the service that each listed backend was last told to be of
         self._started = False
@@ -90,8 +113,12 @@
             case AttemptEnded() | Begun():
                 return self._of_attempt(now, event)
             case ClientLeft():
-                return [action for broker in self.brokers if event.request in broker.open
-                        for action in broker.handle(now, event)]
+                return [
+                    action
+                    for broker in self.brokers
+                    if event.request in broker.open
+                    for action in broker.handle(now, event)
+                ]
             case Topology():
                 return self._listed(now, event)
             case ClassesChanged():
@@ -112,8 +139,12 @@
     def _of_attempt(self, now: int, event: AttemptEnded | Begun) -> Iterable[Action]:
         """Attempts are numbered over all services: just one broker has it, or none any more."""
         key = event.request, event.attempt
-        return [action for broker in self.brokers if key in broker.attempts
-                for action in broker.handle(now, event)]
+        return [
+            action
+            for broker in self.brokers
+            if key in broker.attempts
+            for action in broker.handle(now, event)
+        ]
 
     # Backends and classes.
 
@@ -134,8 +165,11 @@
                 entries[entry.service].append(entry)
         self._backends = here
         concerned = [n for n, mine in enumerate(entries) if mine or whole or event.kind is ListKind.FAILED]
-        return [action for n in concerned
-                for action in self.brokers[n].handle(now, replace(event, entries=tuple(entries[n])))]
+        return [
+            action
+            for n in concerned
+            for action in self.brokers[n].handle(now, replace(event, entries=tuple(entries[n])))
+        ]
 
     def _reclassed(self, now: int, event: ClassesChanged) -> Iterable[Action]:
         old = self._table
@@ -179,8 +213,11 @@
     def _named(self, place: int, actions: Iterable[Action]) -> Iterator[Action]:
         """Lines for the operators say of which service they are."""
         for action in actions:
-            yield LogLine(f"{self.carried[place] or 'default'}: {action.text}") \
-                if isinstance(action, LogLine) else action
+            yield (
+                LogLine(f"{self.carried[place] or 'default'}: {action.text}")
+                if isinstance(action, LogLine)
+                else action
+            )
 
     # Another process that takes over.
 
--- a/trackspread/decide/state.py
+++ b/trackspread/decide/state.py
@@ -119,8 +119,12 @@
         return self.level, self.part, self.ceiling, self.unspent - self.sent
 
     def taken_since(self, before: Stores) -> Stores:
-        return (before[0] - self.level, before[1] - self.part, before[2] - self.ceiling,
-                before[3] - self.unspent + self.sent)
+        return (
+            before[0] - self.level,
+            before[1] - self.part,
+            before[2] - self.ceiling,
+            before[3] - self.unspent + self.sent,
+        )
 
     def give_back(self, taken: Stores) -> None:
         """What the stores had more before; they are not overfilled for long, as each refill is bounded."""
@@ -170,9 +174,7 @@
         """What was met under a class goes with the one that now inherits it, or is forgotten."""
         self.met = {n: self.met[h] for n, h in enumerate(heirs) if h in self.met}
         full = self.full.items()
-        self.full = {
-            (n, plan): until for n, h in enumerate(heirs) for (cls, plan), until in full if cls == h
-        }
+        self.full = {(n, plan): until for n, h in enumerate(heirs) for (cls, plan), until in full if cls == h}
 
     def refill(self, now: int, rate: float) -> None:
         """Add the tokens that came since the last time, at `rate` a second."""
--- a/trackspread/distribution/client.py
+++ b/trackspread/distribution/client.py
@@ -10,7 +10,18 @@
 import time
 
 from .terms import (
-    Address, Begin, Bodies, Done, Full, Message, NotLeader, Put, Refused, Show, Shown, Version,
+    Address,
+    Begin,
+    Bodies,
+    Done,
+    Full,
+    Message,
+    NotLeader,
+    Put,
+    Refused,
+    Show,
+    Shown,
+    Version,
 )
 from .wire import DATAGRAM, Wire
 
@@ -32,7 +43,11 @@
     same value."""
 
     def __init__(
-        self, wire: Wire, replicas: tuple[Address, ...], patience: float = PATIENCE, first: int | None = None,
+        self,
+        wire: Wire,
+        replicas: tuple[Address, ...],
+        patience: float = PATIENCE,
+        first: int | None = None,
     ) -> None:
         """`first`: the replica that is asked first; any, where it is left out."""
         self._first = first
--- a/trackspread/distribution/host.py
+++ b/trackspread/distribution/host.py
@@ -19,7 +19,17 @@
 from .replica import Replica
 from .subscriber import Subscriber
 from .terms import (
-    SECOND, TICK, Action, Address, Bodies, Epoch, Message, Noticed, ReplicaSettings, Send, SubscriberSettings,
+    SECOND,
+    TICK,
+    Action,
+    Address,
+    Bodies,
+    Epoch,
+    Message,
+    Noticed,
+    ReplicaSettings,
+    Send,
+    SubscriberSettings,
 )
 from .wire import Wire
 
@@ -45,7 +55,13 @@
     """A socket for a core; `counts`: datagrams and bytes, sent and received."""
 
     def __init__(
-        self, name: str, replica: int, born: int, listen: Address, wire: Wire, now: Callable[[], int],
+        self,
+        name: str,
+        replica: int,
+        born: int,
+        listen: Address,
+        wire: Wire,
+        now: Callable[[], int],
         record: Path | None = None,
     ) -> None:
         """`replica`: the core's number, -1 for a gateway. Raises `OSError` where the record can't be
@@ -141,8 +157,14 @@
     """One replica that runs."""
 
     def __init__(
-        self, settings: ReplicaSettings, listen: Address, wire: Wire, seed: int, now: Callable[[], int],
-        leads: Callable[[], Epoch | None], outdone: Callable[[Epoch], None] = lambda epoch: None,
+        self,
+        settings: ReplicaSettings,
+        listen: Address,
+        wire: Wire,
+        seed: int,
+        now: Callable[[], int],
+        leads: Callable[[], Epoch | None],
+        outdone: Callable[[Epoch], None] = lambda epoch: None,
         record: Path | None = None,
     ) -> None:
         """`leads`: the lease election's word at this instant, asked before each thing that is done;
@@ -176,8 +198,16 @@
     """One gateway's subscription that runs."""
 
     def __init__(
-        self, name: str, settings: SubscriberSettings, listen: Address, wire: Wire, seed: int, born: int,
-        now: Callable[[], int], changed: Callable[[], None] = lambda: None, record: Path | None = None,
+        self,
+        name: str,
+        settings: SubscriberSettings,
+        listen: Address,
+        wire: Wire,
+        seed: int,
+        born: int,
+        now: Callable[[], int],
+        changed: Callable[[], None] = lambda: None,
+        record: Path | None = None,
     ) -> None:
         """`changed` is called after other values are in force."""
         super().__init__(name, -1, born, listen, wire, now, record)
--- a/trackspread/distribution/leading.py
+++ b/trackspread/distribution/leading.py
@@ -26,8 +26,29 @@
 
 from .log import Log, fitting
 from .terms import (
-    MS, NOTHING, SECOND, Accepted, Action, Address, Append, Behind, Bodies, Done, Entry, Epoch, Full,
-    Noticed, NotLeader, Prepare, Promise, Refused, ReplicaSettings, Send, Tail, TailEntries, Version,
+    MS,
+    NOTHING,
+    SECOND,
+    Accepted,
+    Action,
+    Address,
+    Append,
+    Behind,
+    Bodies,
+    Done,
+    Entry,
+    Epoch,
+    Full,
+    Noticed,
+    NotLeader,
+    Prepare,
+    Promise,
+    Refused,
+    ReplicaSettings,
+    Send,
+    Tail,
+    TailEntries,
+    Version,
 )
 
 ASK = 200 * MS  # ns between two askings of one step
@@ -135,8 +156,9 @@
                 return []
             self._round += 1
             self._began_at, self._confirmed = now, {}
-            made: list[Action] = [self._to(n, Prepare(self.epoch, self._round, self.begin))
-                                  for n in self._promises]
+            made: list[Action] = [
+                self._to(n, Prepare(self.epoch, self._round, self.begin)) for n in self._promises
+            ]
             return made + (self._proceed(now) if not self._promises else [])
         if self.adopting is not None or self._count(self._confirmed) < self.settings.majority:
             return []
@@ -204,7 +226,13 @@
     # Established.
 
     def put(
-        self, now: int, source: Address, number: int, service: str, key: str, value: bytes | None,
+        self,
+        now: int,
+        source: Address,
+        number: int,
+        service: str,
+        key: str,
+        value: bytes | None,
     ) -> list[Action]:
         """A change; who asks for it hears of its commit."""
         if not self.established:
@@ -254,7 +282,7 @@
             made.append(self._to(number, body))
             if not more:
                 break
-            previous, entries = fit[-1].version, entries[len(fit):]
+            previous, entries = fit[-1].version, entries[len(fit) :]
         follower.sent = fit[-1].version if fit else previous
         return made
 
--- a/trackspread/distribution/replica.py
+++ b/trackspread/distribution/replica.py
@@ -20,9 +20,38 @@
 from .serving import Serving
 from .subscriber import Subscriber
 from .terms import (
-    MS, NAME_MOST, SECOND, VALUE_MOST, Accepted, Action, Address, Append, Begin, Behind, Bodies, Done, Epoch,
-    Noticed, NotLeader, Poll, Prepare, Promise, Put, Recover, Refused, ReplicaSettings, Send, Show, Shown,
-    Stale, Standing, Subscribe, SubscriberSettings, Tail, TailEntries, Version,
+    MS,
+    NAME_MOST,
+    SECOND,
+    VALUE_MOST,
+    Accepted,
+    Action,
+    Address,
+    Append,
+    Begin,
+    Behind,
+    Bodies,
+    Done,
+    Epoch,
+    Noticed,
+    NotLeader,
+    Poll,
+    Prepare,
+    Promise,
+    Put,
+    Recover,
+    Refused,
+    ReplicaSettings,
+    Send,
+    Show,
+    Shown,
+    Stale,
+    Standing,
+    Subscribe,
+    SubscriberSettings,
+    Tail,
+    TailEntries,
+    Version,
 )
 
 RECOVER = 300 * MS  # ns between questions of one that is not whole
@@ -124,7 +153,12 @@
         return self.serving.answer(now, poll, self._heard_at, bounded=not replica)
 
     def _from_replica(
-        self, now: int, replica: int, born: int, body: Bodies, source: Address,
+        self,
+        now: int,
+        replica: int,
+        born: int,
+        body: Bodies,
+        source: Address,
     ) -> list[Action]:
         match body:
             case Prepare():
@@ -299,8 +333,9 @@
 
     def _shown(self, asked: Show) -> Shown:
         entry = self.log.snapshot.get(asked.service, {}).get(asked.key)
-        return Shown(asked.number, self.role, self.promised, self.log.committed, self.log.last, len(self.log),
-                     entry)
+        return Shown(
+            asked.number, self.role, self.promised, self.log.committed, self.log.last, len(self.log), entry
+        )
 
 
 def _fits(put: Put) -> bool:
--- a/trackspread/distribution/report.py
+++ b/trackspread/distribution/report.py
@@ -33,8 +33,15 @@
     core = host.core
     age, version = core.age(now), core.version
     return Report(
-        host.name, version.history, version.epoch, version.sequence,
-        round(age / SECOND, 3) if age is not None else None, "{}:{}".format(*core.target),
-        len(core.snapshot), sum(map(len, core.snapshot.values())), fingerprint(core.snapshot),
-        dict(host.counts), dict(host.wire.dropped),
+        host.name,
+        version.history,
+        version.epoch,
+        version.sequence,
+        round(age / SECOND, 3) if age is not None else None,
+        "{}:{}".format(*core.target),
+        len(core.snapshot),
+        sum(map(len, core.snapshot.values())),
+        fingerprint(core.snapshot),
+        dict(host.counts),
+        dict(host.wire.dropped),
     )
--- a/trackspread/distribution/serving.py
+++ b/trackspread/distribution/serving.py
@@ -15,8 +15,21 @@
 
 from .log import Log
 from .terms import (
-    ENTRIES_MOST, MS, SECOND, SERVICES_MOST, Address, Bodies, Cursor, Delta, Entry, NeedSnapshot,
-    NeedSubscription, Piece, Poll, Refused, Subscribe,
+    ENTRIES_MOST,
+    MS,
+    SECOND,
+    SERVICES_MOST,
+    Address,
+    Bodies,
+    Cursor,
+    Delta,
+    Entry,
+    NeedSnapshot,
+    NeedSubscription,
+    Piece,
+    Poll,
+    Refused,
+    Subscribe,
 )
 
 PIECES = 12  # that answer one poll, at most: a burst that sockets' buffers hold
@@ -130,7 +143,11 @@
         return Delta(poll.number, complete, age, tuple(made), False)
 
     def _pieces(
-        self, now: int, poll: Poll, cursor: Cursor, wanted: Callable[[str], bool],
+        self,
+        now: int,
+        poll: Poll,
+        cursor: Cursor,
+        wanted: Callable[[str], bool],
     ) -> list[Bodies]:
         most = PIECES_ALL if poll.subscription == ALL else PIECES
         found, end = list[tuple[Entry, ...]](), False
@@ -140,8 +157,10 @@
             if entries:
                 cursor = Cursor(entries[-1].service, entries[-1].key)
         self._spend(now, poll, len(found))
-        return [Piece(poll.number, part, len(found), self._log.committed, entries, end)
-                for part, entries in enumerate(found)]
+        return [
+            Piece(poll.number, part, len(found), self._log.committed, entries, end)
+            for part, entries in enumerate(found)
+        ]
 
     def _again(self, now: int) -> int:
         """ms: each that is refused is told a later moment than the one before it."""
--- a/trackspread/distribution/subscriber.py
+++ b/trackspread/distribution/subscriber.py
@@ -28,8 +28,27 @@
 from .log import Snapshot
 from .serving import ALL, digest
 from .terms import (
-    BEGINNING, MS, NOTHING, SECOND, SUBSCRIPTION_PART, TICK, Action, Address, Bodies, Cursor, Delta, Entry,
-    NeedSnapshot, NeedSubscription, Noticed, Piece, Poll, Refused, Send, Subscribe, SubscriberSettings,
+    BEGINNING,
+    MS,
+    NOTHING,
+    SECOND,
+    SUBSCRIPTION_PART,
+    TICK,
+    Action,
+    Address,
+    Bodies,
+    Cursor,
+    Delta,
+    Entry,
+    NeedSnapshot,
+    NeedSubscription,
+    Noticed,
+    Piece,
+    Poll,
+    Refused,
+    Send,
+    Subscribe,
+    SubscriberSettings,
     Version,
 )
 
@@ -179,8 +198,10 @@
                 parts.append([])
                 size = len(service.encode()) + 3
             parts[-1].append(service)
-        return [Send(self.target, Subscribe(self._subscription, number, len(parts), tuple(part)))
-                for number, part in enumerate(parts)]
+        return [
+            Send(self.target, Subscribe(self._subscription, number, len(parts), tuple(part)))
+            for number, part in enumerate(parts)
+        ]
 
     def _refused(self, now: int, told: Refused) -> list[Action]:
         if told.again:
--- a/trackspread/distribution/terms.py
+++ b/trackspread/distribution/terms.py
@@ -281,9 +281,30 @@
 
 
 Bodies = (
-    Prepare | Promise | Stale | Tail | TailEntries | Append | Accepted | Behind | Recover | Standing
-    | Subscribe | Poll | Delta | Piece | NeedSnapshot | NeedSubscription | Refused | Put | Done | NotLeader
-    | Begin | Show | Shown | Full
+    Prepare
+    | Promise
+    | Stale
+    | Tail
+    | TailEntries
+    | Append
+    | Accepted
+    | Behind
+    | Recover
+    | Standing
+    | Subscribe
+    | Poll
+    | Delta
+    | Piece
+    | NeedSnapshot
+    | NeedSubscription
+    | Refused
+    | Put
+    | Done
+    | NotLeader
+    | Begin
+    | Show
+    | Shown
+    | Full
 )
 
 
--- a/trackspread/distribution/wire.py
+++ b/trackspread/distribution/wire.py
@@ -37,7 +37,7 @@
         if not _HEAD < len(data) <= DATAGRAM or not data.startswith(MARK):
             return self._dropped("foreign")
         payload = data[_HEAD:]
-        if not self.keys.fits(data[len(MARK):_HEAD], payload):
+        if not self.keys.fits(data[len(MARK) : _HEAD], payload):
             return self._dropped("digest")
         try:
             message = _message.decode(payload)
--- a/trackspread/framing/resp.py
+++ b/trackspread/framing/resp.py
@@ -73,7 +73,7 @@
                     return -1
             else:
                 end = data.find(b"\n", at, at + LINE_MOST)
-                line = self._part + (data[at:end + 1] if end >= 0 else data[at:at + LINE_MOST])
+                line = self._part + (data[at : end + 1] if end >= 0 else data[at : at + LINE_MOST])
                 if end < 0:
                     if len(line) >= LINE_MOST:
                         raise FrameError("line too long")
@@ -89,7 +89,7 @@
                         return -1
                     end = at + length + 2
                     if end <= size:  # the usual case: the value has come whole
-                        if data[end - 2:end] != b"\r\n":
+                        if data[end - 2 : end] != b"\r\n":
                             raise FrameError("value longer than its length")
                         at = end
                     else:
@@ -106,7 +106,7 @@
         at, self._value = at + take, self._value - take
         if self._value == 0:
             take = 2 - len(self._part)
-            self._part += data[at:at + take]
+            self._part += data[at : at + take]
             at = min(len(data), at + take)
             if not b"\r\n".startswith(self._part):
                 raise FrameError("value longer than its length")
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -87,9 +87,29 @@
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = ("_before", "_blocked", "_end_poll", "_ending", "_half", "_late", "_lingering", "_long",
-                 "_owner", "_read_on", "_reading", "_rest", "_rest_at", "_taking", "_transport", "_unsent",
-                 "front", "roomless", "said", "seen", "slots")
+    __slots__ = (
+        "_before",
+        "_blocked",
+        "_end_poll",
+        "_ending",
+        "_half",
+        "_late",
+        "_lingering",
+        "_long",
+        "_owner",
+        "_read_on",
+        "_reading",
+        "_rest",
+        "_rest_at",
+        "_taking",
+        "_transport",
+        "_unsent",
+        "front",
+        "roomless",
+        "said",
+        "seen",
+        "slots",
+    )
 
     def __init__(self, owner: Clients, front: Front, before: bytes = b"") -> None:
         """`before`: what another process had read of it."""
@@ -187,8 +207,11 @@
 
     def _gate(self) -> None:
         """Read only what can be taken."""
-        read_on = self._late <= LINGER_MOST if self._ending else not (
-            self._rest or self._blocked or self._owner.handing or self.roomless)
+        read_on = (
+            self._late <= LINGER_MOST
+            if self._ending
+            else not (self._rest or self._blocked or self._owner.handing or self.roomless)
+        )
         if read_on is not self._read_on:
             self._read_on, transport = read_on, cast(asyncio.Transport, self._transport)
             if not transport.is_closing():
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -51,8 +51,13 @@
     """The listening sockets and the connections that came through them, bounded together."""
 
     def __init__(
-        self, listeners: Sequence[tuple[Address, Front]], requests: Requests, most: int, memory: int,
-        bounds: ClientBounds, inherited: int | None = None,
+        self,
+        listeners: Sequence[tuple[Address, Front]],
+        requests: Requests,
+        most: int,
+        memory: int,
+        bounds: ClientBounds,
+        inherited: int | None = None,
     ) -> None:
         """`memory`: bytes that the process may use; `inherited`: descriptor of the first listener's socket,
         where the platform holds it: never shut down, only closed."""
--- a/trackspread/fronts/resp.py
+++ b/trackspread/fronts/resp.py
@@ -68,10 +68,12 @@
         if b"d" not in named:
             raise BadCall("d missing")
         at = next(i for i, pair in enumerate(pairs) if pair[0] == b"d")
-        before, after = b",".join(items[:at]), b",".join(items[at + 1:])
+        before, after = b",".join(items[:at]), b",".join(items[at + 1 :])
         return Call(
             form=Words(
-                (args[0], args[1], args[2]), before + b"," if before else b"", b"," + after if after else b"",
+                (args[0], args[1], args[2]),
+                before + b"," if before else b"",
+                b"," + after if after else b"",
                 tuple(args[4:]),
             ),
             id=args[2],
@@ -147,7 +149,7 @@
                 if not self.held:
                     begin = self._long_begins(data, begin)
                 taken = min(frames.rest, len(data) - begin)
-                self._body.append(data[begin:begin + taken])
+                self._body.append(data[begin : begin + taken])
                 self.held, begin = self.held + taken, begin + taken
                 frames.take(taken)
                 if frames.long:
@@ -167,8 +169,8 @@
 
     def _long_begins(self, data: bytes, begin: int) -> int:
         """The reader is told of an empty word in its place; returns where its bytes begin."""
-        head = b"".join(self._parts) + data[begin:self._frames.long_at]
-        self._parts = [head[:head.rindex(b"$")] + b"$0\r\n"]
+        head = b"".join(self._parts) + data[begin : self._frames.long_at]
+        self._parts = [head[: head.rindex(b"$")] + b"$0\r\n"]
         return self._frames.long_at
 
     def _item(self, words: list[bytes]) -> Item:
--- a/trackspread/handover/link.py
+++ b/trackspread/handover/link.py
@@ -49,8 +49,11 @@
         self._retry = None
         while self._out and not self._closed:
             packet, descriptor = self._out[0]
-            extra = [] if descriptor is None else [
-                (socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [descriptor]))]
+            extra = (
+                []
+                if descriptor is None
+                else [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [descriptor]))]
+            )
             try:
                 self._socket.sendmsg([packet], extra)
             except OSError as error:
@@ -104,7 +107,7 @@
     found = array.array("i")
     for level, kind, data in extra:
         if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS:
-            found.frombytes(data[:len(data) - len(data) % found.itemsize])
+            found.frombytes(data[: len(data) - len(data) % found.itemsize])
     for descriptor in found[1:]:
         os.close(descriptor)
     return found[0] if found else None
--- a/trackspread/handover/states.py
+++ b/trackspread/handover/states.py
@@ -66,7 +66,7 @@
             case "giving", Event.TAKEN:
                 self.step = "handed"
                 return [(Action.PASS, 0.0)]
-            case ("giving" | "handed"), Event.LOST:
+            case (("giving" | "handed"), Event.LOST):
                 # It died after TAKEN, or before it: nobody serves but this process.
                 self.step = "serving"
                 return [(Action.DROP, 0.0), (Action.RESUME, 0.0)]
@@ -113,14 +113,14 @@
             case "asking", Event.GIVEN:
                 self.step = "taking"
                 return [(Action.TAKE, 0.0)]
-            case ("greeting" | "met" | "asking" | "taking"), Event.LOST:
+            case (("greeting" | "met" | "asking" | "taking"), Event.LOST):
                 # It may have handed over to another newcomer meanwhile: that one is there now.
                 self._tries += 1
                 if self._tries >= TRIES:
                     return self._cold()
                 self.step = "seeking"
                 return [(Action.DROP, 0.0), (Action.SEEK, 0.0)]
-            case ("greeting" | "met" | "asking"), (Event.LATE | Event.STRANGE):
+            case (("greeting" | "met" | "asking"), (Event.LATE | Event.STRANGE)):
                 return self._cold()
         return []
 
--- a/trackspread/handover/wire.py
+++ b/trackspread/handover/wire.py
@@ -62,7 +62,7 @@
         raise WireError(f"protocol {protocol}, this is {PROTOCOL}")
     if kind not in Kind.__members__.values():
         raise WireError(f"kind {kind}")
-    body = data[_HEAD.size:]
+    body = data[_HEAD.size :]
     if zlib.crc32(body) != check:
         raise WireError("check fails")
     return Packet(Kind(kind), body)
@@ -83,7 +83,7 @@
 
 def pieces(whole: bytes) -> list[bytes]:
     """As packets, the last of which is to follow as GIVEN by `given`."""
-    return [pack(Kind.PIECE, whole[at:at + PIECE]) for at in range(0, len(whole), PIECE)]
+    return [pack(Kind.PIECE, whole[at : at + PIECE]) for at in range(0, len(whole), PIECE)]
 
 
 def given(whole: bytes) -> bytes:
--- a/trackspread/harness/billed.py
+++ b/trackspread/harness/billed.py
@@ -49,6 +49,8 @@
         billed[customer] += units * (ending == Ending.SERVED)
     members = sure.keys() | maybe.keys() | billed.keys()
     return Billed(
-        sum(sure.values()), sum(billed.values()), sum(max(0, sure[m] - billed[m]) for m in members),
+        sum(sure.values()),
+        sum(billed.values()),
+        sum(max(0, sure[m] - billed[m]) for m in members),
         sum(max(0, billed[m] - sure[m] - maybe[m]) for m in members),
     )
--- a/trackspread/harness/celled.py
+++ b/trackspread/harness/celled.py
@@ -45,8 +45,15 @@
         bounded = (sys.executable, "-I", "-S", "-c", BOUNDED, str(SOCKETS), sys.executable)
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *bounded, *self._command, "control", self.name, "--file", str(self._file),
-                stdout=log, stderr=log, env=dict(os.environ),
+                *bounded,
+                *self._command,
+                "control",
+                self.name,
+                "--file",
+                str(self._file),
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ),
             )
 
     async def kill(self) -> None:
@@ -78,8 +85,12 @@
     and z1 of one region, control machines c0, c1, ... beside them."""
 
     def __init__(
-        self, scene: Scene, control: int, keys: str = "",
-        runs: tuple[str, ...] = ("-m", "trackspread", "run"), controls: tuple[str, ...] = COMMAND,
+        self,
+        scene: Scene,
+        control: int,
+        keys: str = "",
+        runs: tuple[str, ...] = ("-m", "trackspread", "run"),
+        controls: tuple[str, ...] = COMMAND,
     ) -> None:
         """`keys`: further ones of every table [fleet]; `runs`, `controls`: what runs a gateway, and a control
         machine."""
@@ -105,14 +116,23 @@
 
     def table(self, name: str) -> str:
         """The table [fleet] of a gateway, or of a control machine."""
-        place = "" if name in self.control_names else (
-            f'advertise = "{_text(self.reached[name])}"\n'
-            f'region = "r"\nzone = "z{int(name[1:]) % ZONES}"\n')
+        place = (
+            ""
+            if name in self.control_names
+            else (
+                f'advertise = "{_text(self.reached[name])}"\n'
+                f'region = "r"\nzone = "z{int(name[1:]) % ZONES}"\n'
+            )
+        )
         seats = "".join(
             f'[[fleet.control]]\nname = "{each}"\nregion = "r"\nzone = "z{number % ZONES}"\n'
-            f'address = "{_text(self.reached[each])}"\n' for number, each in enumerate(self.control_names))
-        return (f'\n[fleet]\nname = "test"\nlisten = "{_text(self.members[name])}"\n{place}'
-                f'record = "{self.record(name)}"\n{self._viewed}\n{seats}')
+            f'address = "{_text(self.reached[each])}"\n'
+            for number, each in enumerate(self.control_names)
+        )
+        return (
+            f'\n[fleet]\nname = "test"\nlisten = "{_text(self.members[name])}"\n{place}'
+            f'record = "{self.record(name)}"\n{self._viewed}\n{seats}'
+        )
 
     async def _close(self) -> None:
         for control in self.control.values():
@@ -147,8 +167,9 @@
 
     def amiss_in_cells(self) -> list[Amiss]:
         """What does not fit together in the records of every view, the control machines' own among them."""
-        gone = [(entry.at, entry.gateway) for entry in self.ledger.entries
-                if isinstance(entry, Killed | Ended)]
+        gone = [
+            (entry.at, entry.gateway) for entry in self.ledger.entries if isinstance(entry, Killed | Ended)
+        ]
         found: list[Amiss] = []
         for cell in sorted({str(each.about["fleet"]) for each in self.beliefs() if "fleet" in each.about}):
             told = self.of(cell)
--- a/trackspread/harness/configured.py
+++ b/trackspread/harness/configured.py
@@ -47,8 +47,16 @@
         words = "-m", "trackspread.harness.configuring", msgspec.json.encode(self.spec).decode()
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", BOUNDED, str(SOCKETS), sys.executable, *words,
-                stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log, env={**os.environ},
+                sys.executable,
+                "-c",
+                BOUNDED,
+                str(SOCKETS),
+                sys.executable,
+                *words,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                env={**os.environ},
             )
         assert self._process.stdout is not None
         if await self._process.stdout.readline() != b"ready\n":
@@ -76,25 +84,42 @@
     """A fleet: a process for each replica, and one with all gateways."""
 
     def __init__(
-        self, folder: Path, replicas: int = 5, gateways: int = 30, regions: int = 2, services: int = 6,
-        mutant: str = "", recent: int = 8192, pieces: int = 2000, key: str = "a key of many bytes",
+        self,
+        folder: Path,
+        replicas: int = 5,
+        gateways: int = 30,
+        regions: int = 2,
+        services: int = 6,
+        mutant: str = "",
+        recent: int = 8192,
+        pieces: int = 2000,
+        key: str = "a key of many bytes",
     ) -> None:
         self._ports, self._folder, self._key = Ports(), folder, key
         self.services = tuple(f"service-{n}" for n in range(services))
         self.addresses = tuple(self._ports.udp() for _ in range(replicas))
         self._gateways = tuple(
-            Gateway(f"g{n}", self._ports.udp(), n % regions, frozenset(
-                (self.services[n % services], self.services[(n + 1) % services])))
-            for n in range(gateways))
-        spec = Spec(str(folder), self.addresses, regions, key=key, mutant=mutant, recent=recent,
-                    pieces=pieces)
+            Gateway(
+                f"g{n}",
+                self._ports.udp(),
+                n % regions,
+                frozenset((self.services[n % services], self.services[(n + 1) % services])),
+            )
+            for n in range(gateways)
+        )
+        spec = Spec(
+            str(folder), self.addresses, regions, key=key, mutant=mutant, recent=recent, pieces=pieces
+        )
         self.replicas = [
             Process(msgspec.structs.replace(spec, replica=n), folder / f"replica-{n}.log")
-            for n in range(replicas)]
-        self.gateways = Process(msgspec.structs.replace(spec, gateways=self._gateways),
-                                folder / "gateways.log")
-        self._reader = Reader([*(folder / f"replica-{n}.jsonl" for n in range(replicas)),
-                               folder / "gateways.jsonl"])
+            for n in range(replicas)
+        ]
+        self.gateways = Process(
+            msgspec.structs.replace(spec, gateways=self._gateways), folder / "gateways.log"
+        )
+        self._reader = Reader(
+            [*(folder / f"replica-{n}.jsonl" for n in range(replicas)), folder / "gateways.jsonl"]
+        )
         self._round = 0
         self.put_at: list[tuple[int, Version]] = []  # ns of the answer, and what it said
 
@@ -133,15 +158,22 @@
                 process.tell(msgspec.structs.replace(process.told, lead=None))
 
     def cut(
-        self, some: Iterable[int], others: Iterable[int], gateways: bool = False, both: bool = True,
+        self,
+        some: Iterable[int],
+        others: Iterable[int],
+        gateways: bool = False,
+        both: bool = True,
     ) -> None:
         """Nothing goes from the one replicas to the others; `gateways`: nor to gateways; `both`: nor back."""
         theirs = [self.addresses[n] for n in others]
         theirs += [each.address for each in self._gateways] if gateways else []
         for number in some:
             process = self.replicas[number]
-            process.tell(msgspec.structs.replace(process.told, cut=frozenset(theirs),
-                                                 deaf=frozenset(theirs if both else ())))
+            process.tell(
+                msgspec.structs.replace(
+                    process.told, cut=frozenset(theirs), deaf=frozenset(theirs if both else ())
+                )
+            )
 
     def cut_gateways(self, off: bool) -> None:
         """All gateways from all replicas."""
@@ -157,7 +189,12 @@
             process.tell(msgspec.structs.replace(process.told, loss=loss))
 
     async def put(
-        self, service: str, key: str, value: bytes | None, patience: float = 5.0, first: int | None = None,
+        self,
+        service: str,
+        key: str,
+        value: bytes | None,
+        patience: float = 5.0,
+        first: int | None = None,
     ) -> Version | None:
         """The version, once committed; None where nobody answered. `first`: the replica that is asked
         first."""
--- a/trackspread/harness/configuring.py
+++ b/trackspread/harness/configuring.py
@@ -95,16 +95,33 @@
     wire, born, folder = Wire(FLEET, Keys(spec.key.encode())), time.time_ns() // 1_000_000, Path(spec.folder)
     if spec.replica >= 0:
         settings = ReplicaSettings(spec.replica, born, spec.replicas, spec.recent, pieces=spec.pieces)
-        return [ReplicaHost(settings, spec.replicas[spec.replica], wire, random.getrandbits(60),
-                            time.monotonic_ns, lambda: faulty.told.lead,
-                            record=folder / f"replica-{spec.replica}.jsonl")]
+        return [
+            ReplicaHost(
+                settings,
+                spec.replicas[spec.replica],
+                wire,
+                random.getrandbits(60),
+                time.monotonic_ns,
+                lambda: faulty.told.lead,
+                record=folder / f"replica-{spec.replica}.jsonl",
+            )
+        ]
     hosts: list[Endpoint] = []
     for each in spec.gateways:
-        near = spec.replicas[each.region::spec.regions]
+        near = spec.replicas[each.region :: spec.regions]
         others = tuple(a for a in spec.replicas if a not in near)
-        hosts.append(SubscriberHost(
-            each.name, SubscriberSettings(near, each.services, others), each.address, wire,
-            random.getrandbits(60), born, time.monotonic_ns, record=folder / "gateways.jsonl"))
+        hosts.append(
+            SubscriberHost(
+                each.name,
+                SubscriberSettings(near, each.services, others),
+                each.address,
+                wire,
+                random.getrandbits(60),
+                born,
+                time.monotonic_ns,
+                record=folder / "gateways.jsonl",
+            )
+        )
     return hosts
 
 
--- a/trackspread/harness/counted.py
+++ b/trackspread/harness/counted.py
@@ -20,7 +20,10 @@
 
 @asynccontextmanager
 async def counted(
-    scene: Scene, shards: int = 1, cluster: bool = False, more: Callable[[str], str] = lambda name: "",
+    scene: Scene,
+    shards: int = 1,
+    cluster: bool = False,
+    more: Callable[[str], str] = lambda name: "",
 ) -> AsyncIterator[tuple[Fleet, CounterServer]]:
     """A fleet that runs, with its counter; `more`: further keys of the table [counter], by name."""
     made = Cluster(shards) if cluster else None
@@ -124,8 +127,10 @@
                 over[key] = over.get(key, 0.0) + asked.units
     span = (end - start) / 1e9
     shares = {key: units / (stores[key].most + stores[key].rate * span) for key, units in over.items()}
-    return (max((s for (_, hard), s in shares.items() if hard), default=0.0),
-            max((s for (_, hard), s in shares.items() if not hard), default=0.0))
+    return (
+        max((s for (_, hard), s in shares.items() if hard), default=0.0),
+        max((s for (_, hard), s in shares.items() if not hard), default=0.0),
+    )
 
 
 def inside(fleet: Fleet, since: int) -> float:
--- a/trackspread/harness/faulted.py
+++ b/trackspread/harness/faulted.py
@@ -59,13 +59,21 @@
 
 
 async def play(
-    schedule: Schedule, keep: Path | None = None, command: tuple[str, ...] = ("-m", "trackspread", "run"),
+    schedule: Schedule,
+    keep: Path | None = None,
+    command: tuple[str, ...] = ("-m", "trackspread", "run"),
     view: str | None = None,
 ) -> Played:
     """Once, from a fleet that has just started to its end in good order. `view`: further keys of the table
     [fleet], where the gateways keep a view of their fleet."""
-    scene = Scene(gateways=schedule.gateways, nodes=NODES * schedule.gateways, load=LOAD, greedy=0.2,
-                  warm=6 * SECOND, seed=schedule.seed)
+    scene = Scene(
+        gateways=schedule.gateways,
+        nodes=NODES * schedule.gateways,
+        load=LOAD,
+        greedy=0.2,
+        warm=6 * SECOND,
+        seed=schedule.seed,
+    )
     count = schedule.gateways
     seats = 0, count // 3, 2 * count // 3  # as the pages say: not all on one side of a likely cut
     async with Fleet(scene, command, viewed=view, seats=seats) as fleet:
@@ -82,20 +90,33 @@
         use = Use(case)
         shares = [use.over[member] / units for member, units in use.sent.items() if units >= MEMBER_LEAST]
         return Played(
-            schedule.name, schedule.seed, schedule.gateways, verdict.state,
-            tuple(f"{v.rule}: {v.text}" for v in verdict.violations), verdict.figures.tries,
-            _late_by_halt(case), _rooms(entries, use), verdict.figures.beyond_share,
-            max(shares, default=0.0), over_ceilings(case), verdict.figures.lag / 1e6, _windows(entries, use),
+            schedule.name,
+            schedule.seed,
+            schedule.gateways,
+            verdict.state,
+            tuple(f"{v.rule}: {v.text}" for v in verdict.violations),
+            verdict.figures.tries,
+            _late_by_halt(case),
+            _rooms(entries, use),
+            verdict.figures.beyond_share,
+            max(shares, default=0.0),
+            over_ceilings(case),
+            verdict.figures.lag / 1e6,
+            _windows(entries, use),
         )
 
 
 async def play_clear(
-    schedule: Schedule, tries: int, keep: Path | None = None, view: str | None = None,
+    schedule: Schedule,
+    tries: int,
+    keep: Path | None = None,
+    view: str | None = None,
 ) -> Played:
     """Played again under other seeds while the rig lagged; the last play, if it lagged in all."""
     for number in range(tries):
         played = await play(
-            msgspec.structs.replace(schedule, seed=schedule.seed + AGAIN * number), keep, view=view)
+            msgspec.structs.replace(schedule, seed=schedule.seed + AGAIN * number), keep, view=view
+        )
         if played.state != "void":
             break
     return played
--- a/trackspread/harness/fleet.py
+++ b/trackspread/harness/fleet.py
@@ -42,9 +42,15 @@
     """Use as `async with Fleet(scene) as fleet`; it starts everything but the clients."""
 
     def __init__(
-        self, scene: Scene, command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 256,
-        relays: bool = False, own: Callable[[str], str] = lambda name: "", held: bool = False,
-        viewed: str | None = None, seats: tuple[int, ...] = (0, 1, 2),
+        self,
+        scene: Scene,
+        command: tuple[str, ...] = ("-m", "trackspread", "run"),
+        sockets: int = 256,
+        relays: bool = False,
+        own: Callable[[str], str] = lambda name: "",
+        held: bool = False,
+        viewed: str | None = None,
+        seats: tuple[int, ...] = (0, 1, 2),
     ) -> None:
         """`own`: each gateway's operator's file, by name. `viewed`: further keys of the table [fleet], where
         the gateways keep a view of their fleet; `seats`: which are seeds. `held`: the clients' sockets are
@@ -96,10 +102,13 @@
         for number, name in enumerate(names):
             told = [_text(heard_at[other] if other == name else peers[name, other]) for other in names]
             config = {
-                "name": name, "listen": _text(self.clients.addresses[number]),
+                "name": name,
+                "listen": _text(self.clients.addresses[number]),
                 "discovery": _text(self.agents[number].address),
                 "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self._sockets},
-                "peer_listen": _text(heard_at[name]), "peers": told, "known": self.list.whole(number),
+                "peer_listen": _text(heard_at[name]),
+                "peers": told,
+                "known": self.list.whole(number),
                 "settings": scene.settings(number),
             }
             at = self.clients.addresses[number]
@@ -107,11 +116,27 @@
                 self.doors[name] = self._ports.tcp()
                 config["control"] = _text(self.doors[name])
             self.gateways.append(
-                HeldProcess(name, at, config, self.folder, self.ledger, self._sockets, self._ports,
-                            self._own(name) + self.table(name))
-                if self._held else
-                GatewayProcess(name, at, config, self.folder, self.ledger, self._command, self._sockets,
-                               self._own(name) + self.table(name))
+                HeldProcess(
+                    name,
+                    at,
+                    config,
+                    self.folder,
+                    self.ledger,
+                    self._sockets,
+                    self._ports,
+                    self._own(name) + self.table(name),
+                )
+                if self._held
+                else GatewayProcess(
+                    name,
+                    at,
+                    config,
+                    self.folder,
+                    self.ledger,
+                    self._command,
+                    self._sockets,
+                    self._own(name) + self.table(name),
+                )
             )
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
         self._beat = asyncio.get_running_loop().create_task(self._watch_lag())
@@ -127,9 +152,11 @@
         if self._viewed is None:
             return ""
         seeds = ", ".join(f'"{_text(self.reached[f"n{n}"])}"' for n in self._seats)
-        return (f'\n[fleet]\nname = "test"\nlisten = "{_text(self.members[name])}"\n'
-                f'advertise = "{_text(self.reached[name])}"\nseeds = [{seeds}]\nmost = 128\n'
-                f'record = "{self.record(name)}"\n{self._viewed}\n')
+        return (
+            f'\n[fleet]\nname = "test"\nlisten = "{_text(self.members[name])}"\n'
+            f'advertise = "{_text(self.reached[name])}"\nseeds = [{seeds}]\nmost = 128\n'
+            f'record = "{self.record(name)}"\n{self._viewed}\n'
+        )
 
     def beliefs(self) -> list[Belief]:
         """All that the gateways have recorded so far, in its order."""
@@ -180,10 +207,18 @@
     def told(self, node: NodeServer, health: str) -> None:
         """What the list says of a node from now on."""
         spec = node.spec
-        self.list.put(Listed(
-            spec.name, self._dials[spec.name], spec.zone, spec.kind, spec.cell, health, node.born_ms,
-            self.scene.service(spec),
-        ))
+        self.list.put(
+            Listed(
+                spec.name,
+                self._dials[spec.name],
+                spec.zone,
+                spec.kind,
+                spec.cell,
+                health,
+                node.born_ms,
+                self.scene.service(spec),
+            )
+        )
 
     def drain(self, node: NodeServer) -> None:
         node.model.draining = True
--- a/trackspread/harness/mutant.py
+++ b/trackspread/harness/mutant.py
@@ -90,8 +90,13 @@
 
 # What only virtual time convicts: the pool's own grace holds back a drain that the decisions ignore, and the
 # rest need a crowd or a cold node that the scenarios do not bring, or are faults of the virtual host.
-VIRTUAL_ONLY = {"drains-ignored", "whole-ceiling-each", "cold-flooded", "window-forgotten",
-                "window-outlasted"}  # the last: no scenario has connections that come up so late
+VIRTUAL_ONLY = {
+    "drains-ignored",
+    "whole-ceiling-each",
+    "cold-flooded",
+    "window-forgotten",
+    "window-outlasted",
+}  # the last: no scenario has connections that come up so late
 VIRTUAL_ONLY |= {"used-units-back"}  # not played on processes yet
 VIRTUAL_ONLY |= {"answers-lost", "answers-twice", "answers-late", "answers-swapped", "sent-after-answer"}
 PROCESSES = tuple(name for name in (*MUTANTS, *ON_SOCKETS) if name not in VIRTUAL_ONLY)
--- a/trackspread/harness/process.py
+++ b/trackspread/harness/process.py
@@ -43,8 +43,15 @@
     """Starts, kills and ends one gateway; `command` is what runs it, without the interpreter."""
 
     def __init__(
-        self, name: str, address: Address, config: dict[str, Any], folder: Path, ledger: Ledger,
-        command: tuple[str, ...] = ("-m", "trackspread", "run"), sockets: int = 1024, own: str = "",
+        self,
+        name: str,
+        address: Address,
+        config: dict[str, Any],
+        folder: Path,
+        ledger: Ledger,
+        command: tuple[str, ...] = ("-m", "trackspread", "run"),
+        sockets: int = 1024,
+        own: str = "",
     ) -> None:
         """`own`: the text of the operator's file."""
         self.name, self.address, self.config = name, address, config
@@ -72,7 +79,9 @@
         self.write_config()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *self.command(), stdout=log, stderr=log,
+                *self.command(),
+                stdout=log,
+                stderr=log,
                 env={**os.environ, "ROUTER_CONFIG": str(self._path)},
             )
         self._watch = asyncio.get_running_loop().create_task(self._ended(self._process))
--- a/trackspread/harness/screen.py
+++ b/trackspread/harness/screen.py
@@ -48,8 +48,10 @@
 def _gateway(row: GatewayRow) -> str:
     c = row.counts
     state = "up" if row.up else "DOWN"
-    return (f"  {row.name:<8}{state:<10}{c['served']:>7} served {c['refused']:>7} refused "
-            f"{c['failed']:>5} failed {c['unanswered']:>4} unanswered")
+    return (
+        f"  {row.name:<8}{state:<10}{c['served']:>7} served {c['refused']:>7} refused "
+        f"{c['failed']:>5} failed {c['unanswered']:>4} unanswered"
+    )
 
 
 def _node(row: NodeRow) -> str:
@@ -61,15 +63,21 @@
     past = list(shot.past)[-WIDTH:]
     most = max((c["asked"] for c in past), default=0)
     now = past[-1] if past else Counter[str]()
-    lines = [f"trackspread try: {shot.elapsed:.0f} of {shot.seconds:.0f} s"
-             + ("   keys: g kill a gateway, n kill a node, q quit" if keys else ""), "", "gateways"]
+    lines = [
+        f"trackspread try: {shot.elapsed:.0f} of {shot.seconds:.0f} s"
+        + ("   keys: g kill a gateway, n kill a node, q quit" if keys else ""),
+        "",
+        "gateways",
+    ]
     lines += [_gateway(row) for row in shot.gateways]
     lines += ["", "rating nodes (busy, requests held)"]
     cells = [_node(row) for row in shot.nodes]
-    lines += ["  " + "   ".join(f"{cell:<21}" for cell in cells[i:i + 3]) for i in range(0, len(cells), 3)]
+    lines += ["  " + "   ".join(f"{cell:<21}" for cell in cells[i : i + 3]) for i in range(0, len(cells), 3)]
     lines += ["", f"a second        now  the last {len(past)} s, the highest bar is {most}"]
-    lines += [f"  {kind:<11}{now[kind]:>6}  {bars([c[kind] for c in past], most)}"
-              for kind in ("asked", "served", "refused", "failed")]
+    lines += [
+        f"  {kind:<11}{now[kind]:>6}  {bars([c[kind] for c in past], most)}"
+        for kind in ("asked", "served", "refused", "failed")
+    ]
     lines += ["", "why refused"]
     lines += [f"  {count:>6}  {why}" for why, count in shot.refusals.most_common()] or ["  nothing yet"]
     lines += ["", *(f"  {text}" for text in shot.happened[-4:])]
@@ -81,6 +89,8 @@
     now = shot.past[-1] if shot.past else Counter[str]()
     up = sum(row.up for row in shot.gateways)
     nodes = sum(row.state in ("ready", "cold") for row in shot.nodes)
-    return (f"{shot.elapsed:5.1f} s  {up}/{len(shot.gateways)} gateways, {nodes}/{len(shot.nodes)} nodes  "
-            f"asked {now['asked']:>4}  served {now['served']:>4}  refused {now['refused']:>4}  "
-            f"failed {now['failed']:>3}  unanswered {now['unanswered']:>3}")
+    return (
+        f"{shot.elapsed:5.1f} s  {up}/{len(shot.gateways)} gateways, {nodes}/{len(shot.nodes)} nodes  "
+        f"asked {now['asked']:>4}  served {now['served']:>4}  refused {now['refused']:>4}  "
+        f"failed {now['failed']:>3}  unanswered {now['unanswered']:>3}"
+    )
--- a/trackspread/harness/trial.py
+++ b/trackspread/harness/trial.py
@@ -42,8 +42,10 @@
     for word in words:
         match = _KILL.fullmatch(word)
         if match is None or match["what"] not in known:
-            raise ConfigError(f"--kill: found {word!r}, wanted n0 to n{scene.gateways - 1} or s-0 to "
-                              f"s-{scene.nodes - 1}, with @SECONDS behind it or not")
+            raise ConfigError(
+                f"--kill: found {word!r}, wanted n0 to n{scene.gateways - 1} or s-0 to "
+                f"s-{scene.nodes - 1}, with @SECONDS behind it or not"
+            )
         at = float(match["at"]) if match["at"] else seconds / 3
         if at > seconds:
             raise ConfigError(f"--kill: found {word!r}, wanted at most {seconds:g} s")
@@ -112,7 +114,7 @@
 
     def step(self) -> Snapshot:
         entries = self.fleet.ledger.entries
-        self.tallies.take(entries[self._read:])
+        self.tallies.take(entries[self._read :])
         self._read = len(entries)
         tallies, fleet = self.tallies, self.fleet
         nodes = []
@@ -127,10 +129,19 @@
             else:
                 state = "silent" if node.silent else "draining" if node.model.draining else "ready"
             nodes.append(NodeRow(node.spec.name, state, busy, int(held)))
-        gateways = [GatewayRow(g.name, g.running, tallies.by_gateway.get(g.name, Counter()))
-                    for g in fleet.gateways]
-        return Snapshot(self.elapsed, self.seconds, gateways, nodes, tallies.total, tallies.refusals,
-                        tuple(tallies.seconds), tuple(self.happened))
+        gateways = [
+            GatewayRow(g.name, g.running, tallies.by_gateway.get(g.name, Counter())) for g in fleet.gateways
+        ]
+        return Snapshot(
+            self.elapsed,
+            self.seconds,
+            gateways,
+            nodes,
+            tallies.total,
+            tallies.refusals,
+            tuple(tallies.seconds),
+            tuple(self.happened),
+        )
 
 
 @contextlib.contextmanager
@@ -154,8 +165,10 @@
 
 async def _run(seconds: float, kills: list[tuple[float, str]], seed: int) -> Verdict:
     scene = _scene(seed)
-    print(f"starting {scene.gateways} gateways and {scene.nodes} rating nodes on loopback (seed {seed}) ...",
-          flush=True)
+    print(
+        f"starting {scene.gateways} gateways and {scene.nodes} rating nodes on loopback (seed {seed}) ...",
+        flush=True,
+    )
     async with Fleet(scene) as fleet:
         trial = Trial(fleet, seconds, seed)
         fleet.ask()
@@ -198,8 +211,10 @@
     gc.disable()  # a collection over the ledger would be a lag of the stand-ins
     verdict = uvloop.run(_run(seconds, kills, seed))
     f = verdict.figures
-    print(f"\n{f.tries} requests: {f.served} served, {f.refused} refused, {f.failed} failed, {f.unanswered} "
-          f"left unanswered; {f.beyond_share:.1%} of what was sent on lay beyond quotas")
+    print(
+        f"\n{f.tries} requests: {f.served} served, {f.refused} refused, {f.failed} failed, {f.unanswered} "
+        f"left unanswered; {f.beyond_share:.1%} of what was sent on lay beyond quotas"
+    )
     if verdict.state == "void":
         print(f"no verdict: this machine was too busy, the stand-ins lagged by {f.lag / 1e6:.0f} ms")
         return 0
--- a/trackspread/harness/upgraded.py
+++ b/trackspread/harness/upgraded.py
@@ -43,8 +43,15 @@
     """As `GatewayProcess`, with a door, a common folder and the listening socket inherited."""
 
     def __init__(
-        self, name: str, address: Address, config: dict[str, Any], folder: Path, ledger: Ledger, sockets: int,
-        ports: Ports, own: str = "",
+        self,
+        name: str,
+        address: Address,
+        config: dict[str, Any],
+        folder: Path,
+        ledger: Ledger,
+        sockets: int,
+        ports: Ports,
+        own: str = "",
     ) -> None:
         super().__init__(name, address, config, folder, ledger, sockets=sockets, own=own)
         self._ports = ports
@@ -57,11 +64,17 @@
 
     async def _spawn(self) -> asyncio.subprocess.Process:
         environment = {
-            **os.environ, "ROUTER_CONFIG": str(self._path), "ROUTER_CONTROL": "{}:{}".format(*self.door),
-            "ROUTER_ACCEPT_FD": str(self.socket.fileno()), "TMPDIR": str(self.common),
+            **os.environ,
+            "ROUTER_CONFIG": str(self._path),
+            "ROUTER_CONTROL": "{}:{}".format(*self.door),
+            "ROUTER_ACCEPT_FD": str(self.socket.fileno()),
+            "TMPDIR": str(self.common),
         }
         return await asyncio.create_subprocess_exec(
-            *self.command(), stdout=self._log, stderr=self._log, env=environment,
+            *self.command(),
+            stdout=self._log,
+            stderr=self._log,
+            env=environment,
             pass_fds=[self.socket.fileno()],
         )
 
--- a/trackspread/harness/viewed.py
+++ b/trackspread/harness/viewed.py
@@ -20,8 +20,11 @@
 def running(fleet: Fleet, found: Iterable[Belief]) -> list[Who]:
     """The processes that run now, by their records: the last that began under each name."""
     born = {each.name: each.born for each in found if each.kind == "started"}
-    return [(gateway.name, born[gateway.name]) for gateway in fleet.gateways
-            if gateway.running and gateway.name in born]
+    return [
+        (gateway.name, born[gateway.name])
+        for gateway in fleet.gateways
+        if gateway.running and gateway.name in born
+    ]
 
 
 async def until_settled(fleet: Fleet, most: float, since: int | None = None) -> float | None:
--- a/trackspread/judge/judge.py
+++ b/trackspread/judge/judge.py
@@ -14,8 +14,27 @@
 from collections.abc import Iterator, Sequence
 
 from .ledger import (
-    Answered, Asked, Attempted, Booted, ClassRule, Cut, Ended, Entry, Fell, Garbled, Halted, Killed, Lagged,
-    Left, PlanRule, Resumed, Started, Stopping, Stray, Told, World,
+    Answered,
+    Asked,
+    Attempted,
+    Booted,
+    ClassRule,
+    Cut,
+    Ended,
+    Entry,
+    Fell,
+    Garbled,
+    Halted,
+    Killed,
+    Lagged,
+    Left,
+    PlanRule,
+    Resumed,
+    Started,
+    Stopping,
+    Stray,
+    Told,
+    World,
 )
 from .verdict import Figures, State, Verdict, Violation
 
@@ -84,8 +103,11 @@
 
     def firsts(self) -> list[tuple[Attempted, Asked]]:
         """Each request's first attempt, in the order in which they came."""
-        made = [(min(a, key=lambda each: each.at), self.asked[r])
-                for r, a in self.attempts.items() if r in self.asked]
+        made = [
+            (min(a, key=lambda each: each.at), self.asked[r])
+            for r, a in self.attempts.items()
+            if r in self.asked
+        ]
         return sorted(made, key=lambda pair: pair[0].at)
 
 
@@ -107,7 +129,8 @@
                     yield Violation(int(due), "answers", f"{request}: no answer from {asked.gateway}")
             elif case.left[request].at > due and not case.excused(asked, int(due)):
                 yield Violation(
-                    int(due), "answers", f"{request}: no answer from {asked.gateway} in time", True)
+                    int(due), "answers", f"{request}: no answer from {asked.gateway} in time", True
+                )
             continue
         if len(got) > 1:
             yield Violation(got[1].at, "answers", f"{request}: {len(got)} final answers")
@@ -159,8 +182,10 @@
     if later.at - first.at > rule.window + case.world.tolerance:
         yield Violation(later.at, "effects", f"{later.request}: keyed, sent after its window", True)
     a, b = case.where(first.backend, first.at), case.where(later.backend, later.at)
-    same = a is not None and b is not None and (
-        rule.group == "all" or (a.zone == b.zone if rule.group == "zone" else a.cell == b.cell)
+    same = (
+        a is not None
+        and b is not None
+        and (rule.group == "all" or (a.zone == b.zone if rule.group == "zone" else a.cell == b.cell))
     )
     if not same:
         text = f"{later.request}: keyed, run at {first.backend} and, outside its group, at {later.backend}"
@@ -206,7 +231,7 @@
             sent = sorted((a for a in work.get(backend, []) if start.at <= a.at < end), key=lambda a: a.at)
             for last in range(len(sent)):
                 since = sent[last].at - span
-                amount = sum(a.work for a in sent[:last + 1] if a.at > since)
+                amount = sum(a.work for a in sent[: last + 1] if a.at > since)
                 able = _able(start, sent[last].at, span)
                 if amount > multiple * able:
                     text = f"{backend}: cold, sent {amount / able:.1f} times what it can do"
@@ -243,9 +268,7 @@
         plan: PlanRule = case.world.plans[asked.plan]
         if not plan.ceiling_rate:
             continue
-        store = stores.setdefault(
-            asked.customer, Store(plan.ceiling_rate, plan.ceiling_burst, attempt.at)
-        )
+        store = stores.setdefault(asked.customer, Store(plan.ceiling_rate, plan.ceiling_burst, attempt.at))
         store.fill(attempt.at)
         store.level -= asked.units
         slack = plan.ceiling_slack + plan.ceiling_rate * case.world.ceiling_tolerance / SECOND
@@ -277,8 +300,12 @@
         self.refused_at: list[tuple[int, bool]] = []  # when each refusal was given, and whether with room
         self.sent: defaultdict[int, float] = defaultdict(float)  # units, by customer
         self.over: defaultdict[int, float] = defaultdict(float)  # of these, beyond the quota
-        refused = [(a.at, case.asked[r]) for r, each in case.answers.items() for a in each[:1]
-                   if a.kind == "refused" and r in case.asked]
+        refused = [
+            (a.at, case.asked[r])
+            for r, each in case.answers.items()
+            for a in each[:1]
+            if a.kind == "refused" and r in case.asked
+        ]
         happenings = [(first.at, asked, True) for first, asked in case.firsts()]
         happenings += [(at, asked, False) for at, asked in refused if asked.request not in case.attempts]
         stores: dict[int, Store] = {}
@@ -325,10 +352,16 @@
     lag = max((entry.late for entry in case.entries if isinstance(entry, Lagged)), default=0)
     kinds = [each[0].kind for each in case.answers.values() if each]
     figures = Figures(
-        tries=len(case.asked), served=kinds.count("served"), refused=kinds.count("refused"),
-        failed=kinds.count("failed"), unanswered=len(case.asked) - len(kinds),
-        attempts=sum(len(each) for each in case.attempts.values()), units=use.units, beyond=use.beyond,
-        refused_with_room=use.with_room, lag=lag,
+        tries=len(case.asked),
+        served=kinds.count("served"),
+        refused=kinds.count("refused"),
+        failed=kinds.count("failed"),
+        unanswered=len(case.asked) - len(kinds),
+        attempts=sum(len(each) for each in case.attempts.values()),
+        units=use.units,
+        beyond=use.beyond,
+        refused_with_room=use.with_room,
+        lag=lag,
     )
     if figures.beyond_share > world.beyond_most:
         text = f"{figures.beyond_share:.1%} of the units sent on lie beyond quotas"
--- a/trackspread/judge/ledger.py
+++ b/trackspread/judge/ledger.py
@@ -166,8 +166,24 @@
 
 
 Entry = (
-    Asked | Answered | Cut | Left | Stray | Attempted | Garbled | Told | Booted | Fell
-    | Started | Stopping | Killed | Halted | Resumed | Faulted | Ended | Lagged
+    Asked
+    | Answered
+    | Cut
+    | Left
+    | Stray
+    | Attempted
+    | Garbled
+    | Told
+    | Booted
+    | Fell
+    | Started
+    | Stopping
+    | Killed
+    | Halted
+    | Resumed
+    | Faulted
+    | Ended
+    | Lagged
 )
 
 
--- a/trackspread/lists/agent.py
+++ b/trackspread/lists/agent.py
@@ -37,7 +37,10 @@
 
 
 def parse_update(
-    raw: Any, zones: tuple[str, ...], kinds: tuple[str, ...], cached: bool = False,
+    raw: Any,
+    zones: tuple[str, ...],
+    kinds: tuple[str, ...],
+    cached: bool = False,
     services: CarriedServices = ALL_ALIKE,
 ) -> Update:
     """Discovery's form to the module's; zone, kind and service become indices, as on the simulator's wire."""
@@ -84,8 +87,14 @@
     """Keeps one watch open. The list last told goes on serving while there is none."""
 
     def __init__(
-        self, agent: Address, zones: tuple[str, ...], kinds: tuple[str, ...], index: int | None,
-        told: Callable[[Update], None], gateways: int = 1, grace: float = 1.0,
+        self,
+        agent: Address,
+        zones: tuple[str, ...],
+        kinds: tuple[str, ...],
+        index: int | None,
+        told: Callable[[Update], None],
+        gateways: int = 1,
+        grace: float = 1.0,
         services: CarriedServices = ALL_ALIKE,
     ) -> None:
         """`grace`: s after the notice of a drain in which a request may still be sent. `services`: those that
@@ -194,7 +203,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         request = h11.Request(
-            method="GET", target=f"/api/targets?stream=1&index={self._index or 0}",
+            method="GET",
+            target=f"/api/targets?stream=1&index={self._index or 0}",
             headers=[("Host", self._host), ("Accept", "application/json")],
         )
         out = (self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
--- a/trackspread/membership/coordinating.py
+++ b/trackspread/membership/coordinating.py
@@ -54,8 +54,9 @@
     def _members(self, now: int, live: tuple[Who, ...]) -> tuple[Who, ...]:
         before = self.view or self._known
         kept = set(before.members) if before is not None and now - self._began < LAPSE else set()
-        return tuple(who for who in live
-                     if who in kept or now - self._asked.get(who, self._began - LAPSE) < LAPSE)
+        return tuple(
+            who for who in live if who in kept or now - self._asked.get(who, self._began - LAPSE) < LAPSE
+        )
 
     def tick(self, now: int, live: tuple[Who, ...]) -> View | None:
         """A new view, where one is due."""
