--- a/trackspread/membership/host.py
+++ b/trackspread/membership/host.py
@@ -28,8 +28,14 @@
     """One member that runs."""
 
     def __init__(
-        self, settings: Settings, listen: Address, wire: Wire, seed: int, now: Callable[[], int],
-        record: Path | None = None, changed: Callable[[], None] = lambda: None,
+        self,
+        settings: Settings,
+        listen: Address,
+        wire: Wire,
+        seed: int,
+        now: Callable[[], int],
+        record: Path | None = None,
+        changed: Callable[[], None] = lambda: None,
         heard: Callable[[str, bytes, int], None] = lambda name, data, part: None,
     ) -> None:
         """`changed` is called when members or this one's part are not as they were, `heard` with the words of
--- a/trackspread/membership/member.py
+++ b/trackspread/membership/member.py
@@ -494,5 +494,3 @@
             scale = max(1.0, log10(member_table.count()))
             self._entropy_at = now + int(ENTROPY * scale * self.rng.uniform(0.7, 1.3))
             self._out.append(terms.Exchange(self.rng.choice(here).update.address))
-
-
--- a/trackspread/membership/port.py
+++ b/trackspread/membership/port.py
@@ -149,7 +149,8 @@
         try:
             async with asyncio.timeout(EXCHANGE_MOST):
                 reader, writer = await asyncio.open_connection(
-                    *to, limit=self.wire.table_most, local_addr=local)
+                    *to, limit=self.wire.table_most, local_addr=local
+                )
                 if (table := self._table(fleet)) is not None:
                     self._write(writer, table)
                     await self._merge(reader)
--- a/trackspread/membership/report.py
+++ b/trackspread/membership/report.py
@@ -67,17 +67,33 @@
 
     def seen(word: GossipUpdate, since: int) -> Seen:
         state = "SLOW" if word.slow and word.state == State.ALIVE else State(word.state).name
-        return Seen(word.name, state, word.born, word.life, word.version, f"{word.host}:{word.port}",
-                    round((now - since) / SECOND, 1), word.who in inside)
+        return Seen(
+            word.name,
+            state,
+            word.born,
+            word.life,
+            word.version,
+            f"{word.host}:{word.port}",
+            round((now - since) / SECOND, 1),
+            word.who in inside,
+        )
 
     others = (seen(each.update, each.since) for each in table.by_name.values())
     everybody = [seen(table.me, core.begun), *others]
     differ = {name for name, _ in inside ^ set(table.live())}
     leader = core.leader
     return Report(
-        core.settings.fleet, table.me.name, standing(now, core), view.number if view is not None else None,
-        len(inside), round(core.part(now).bit_count() / SLOTS, 4),
-        leader.who[0] if leader is not None else "", core.owns(now), core.probing.health,
-        tuple(sorted(everybody, key=lambda each: each.name)), tuple(sorted(differ)),
-        dict(counts), dict(dropped),
+        core.settings.fleet,
+        table.me.name,
+        standing(now, core),
+        view.number if view is not None else None,
+        len(inside),
+        round(core.part(now).bit_count() / SLOTS, 4),
+        leader.who[0] if leader is not None else "",
+        core.owns(now),
+        core.probing.health,
+        tuple(sorted(everybody, key=lambda each: each.name)),
+        tuple(sorted(differ)),
+        dict(counts),
+        dict(dropped),
     )
--- a/trackspread/membership/slots.py
+++ b/trackspread/membership/slots.py
@@ -62,8 +62,9 @@
     return made
 
 
-def assign(members: Sequence[Who], places: Mapping[Who, Place], held: Mapping[Who, int], free: int
-           ) -> dict[Who, int]:
+def assign(
+    members: Sequence[Who], places: Mapping[Who, Place], held: Mapping[Who, int], free: int
+) -> dict[Who, int]:
     """Who of `members` is to have which of the `free` slots: its own place's, and an even share of the rest.
     `held`: what each has now, which it rather keeps than other slots."""
     made = dict.fromkeys(members, 0)
--- a/trackspread/membership/wire.py
+++ b/trackspread/membership/wire.py
@@ -105,7 +105,7 @@
             self.dropped["foreign"] += 1
             return None
         payload = data[head:]
-        if not self.keys.fits(data[len(mark):head], payload):
+        if not self.keys.fits(data[len(mark) : head], payload):
             self.dropped["digest"] += 1
             return None
         return payload
--- a/trackspread/mutation/checks.py
+++ b/trackspread/mutation/checks.py
@@ -29,10 +29,19 @@
         import pytest
 
         with contextlib.redirect_stdout(io.StringIO()), contextlib.redirect_stderr(io.StringIO()):
-            return pytest.main([
-                "-x", "-q", "-p", "no:cacheprovider", "--hypothesis-seed=0",
-                *(f"tests/{path}.py" for path in paths),
-            ]) != 0
+            return (
+                pytest.main(
+                    [
+                        "-x",
+                        "-q",
+                        "-p",
+                        "no:cacheprovider",
+                        "--hypothesis-seed=0",
+                        *(f"tests/{path}.py" for path in paths),
+                    ]
+                )
+                != 0
+            )
 
     return Named("tests", run)
 
--- a/trackspread/mutation/generate.py
+++ b/trackspread/mutation/generate.py
@@ -158,8 +158,12 @@
     pairs = zip(old.body, new.body, strict=False)
     changed = next((a for a, b in pairs if ast.dump(a) != ast.dump(b)), None)
     union = ast.BinOp | ast.Subscript
-    return not (isinstance(changed, ast.Assign) and isinstance(changed.value, union)
-                and isinstance(changed.targets[0], ast.Name) and not changed.targets[0].id.isupper())
+    return not (
+        isinstance(changed, ast.Assign)
+        and isinstance(changed.value, union)
+        and isinstance(changed.targets[0], ast.Name)
+        and not changed.targets[0].id.isupper()
+    )
 
 
 def _told(module: str, name: str, text: str, made: str) -> Mutant:
--- a/trackspread/mutation/operators.py
+++ b/trackspread/mutation/operators.py
@@ -19,15 +19,32 @@
 _PAIRS = {
     "ReplaceBinaryOperator": ("Add_Sub", "Sub_Add", "Mul_Div", "Div_Mul", "FloorDiv_Div", "Mod_FloorDiv"),
     "ReplaceComparisonOperator": (
-        "Lt_LtE", "LtE_Lt", "Gt_GtE", "GtE_Gt", "Lt_GtE", "LtE_Gt", "Gt_LtE", "GtE_Lt", "Eq_NotEq",
+        "Lt_LtE",
+        "LtE_Lt",
+        "Gt_GtE",
+        "GtE_Gt",
+        "Lt_GtE",
+        "LtE_Gt",
+        "Gt_LtE",
+        "GtE_Lt",
+        "Eq_NotEq",
         "NotEq_Eq",
-        "Is_IsNot", "IsNot_Is",
+        "Is_IsNot",
+        "IsNot_Is",
     ),
     "ReplaceUnaryOperator": ("Delete_Not", "Delete_USub"),
 }
-_SINGLE = ("AddNot", "NumberReplacer", "ReplaceAndWithOr", "ReplaceOrWithAnd", "ReplaceTrueWithFalse",
-           "ReplaceFalseWithTrue", "ReplaceBreakWithContinue", "ReplaceContinueWithBreak",
-           "ZeroIterationForLoop")
+_SINGLE = (
+    "AddNot",
+    "NumberReplacer",
+    "ReplaceAndWithOr",
+    "ReplaceOrWithAnd",
+    "ReplaceTrueWithFalse",
+    "ReplaceFalseWithTrue",
+    "ReplaceBreakWithContinue",
+    "ReplaceContinueWithBreak",
+    "ZeroIterationForLoop",
+)
 
 
 class DropStatement(Operator):  # type: ignore[misc]
--- a/trackspread/mutation/plant.py
+++ b/trackspread/mutation/plant.py
@@ -107,8 +107,17 @@
     if not planted:  # nothing was tried: that is no verdict on any check
         raise RuntimeError(f"{mutant.module} could not be planted: is it imported by what starts the checks?")
     fate: Fate = "killed" if by else "survived"
-    return Result(mutant.key, mutant.module, mutant.line, mutant.operator, mutant.before, mutant.after, fate,
-                  by, round(time.monotonic() - began, 2))
+    return Result(
+        mutant.key,
+        mutant.module,
+        mutant.line,
+        mutant.operator,
+        mutant.before,
+        mutant.after,
+        fate,
+        by,
+        round(time.monotonic() - began, 2),
+    )
 
 
 def require_sound(modules: Iterable[str], schedules: int = SCHEDULES) -> None:
--- a/trackspread/node/celled.py
+++ b/trackspread/node/celled.py
@@ -32,8 +32,10 @@
 
 def machines(fleet: Fleet) -> tuple[ControlMachine, ...]:
     """The control machines, as the file has them."""
-    return tuple(ControlMachine(seat.name, seat.region, seat.zone, address(seat.address, "fleet.control"))
-                 for seat in fleet.control)
+    return tuple(
+        ControlMachine(seat.name, seat.region, seat.zone, address(seat.address, "fleet.control"))
+        for seat in fleet.control
+    )
 
 
 class Celled:
@@ -44,8 +46,9 @@
     def __init__(self, name: str, fleet: Fleet, now: Callable[[], int]) -> None:
         """Raises `ConfigError`."""
         if len(name) > NAME_MOST:
-            raise ConfigError(f"name: found {len(name)} characters, wanted {NAME_MOST} at most: "
-                              "fleet.name is set")
+            raise ConfigError(
+                f"name: found {len(name)} characters, wanted {NAME_MOST} at most: fleet.name is set"
+            )
         if not fleet.region:
             raise ConfigError("fleet.region: found nothing, wanted this gateway's: fleet.control is set")
         if any(seat.name == name for seat in fleet.control):
@@ -62,11 +65,25 @@
         fleet, listen = self._fleet, address(self._fleet.listen, "fleet.listen")
         reached = address(fleet.advertise, "fleet.advertise") if fleet.advertise else listen
         zone = Zone(fleet.region, fleet.zone)
-        settings = GatewaySettings(fleet.name, self._name, born_now(), reached, zone, machines(fleet),
-                                   program_version(), int(fleet.period_ms * MS), int(fleet.keep_s * SECOND))
+        settings = GatewaySettings(
+            fleet.name,
+            self._name,
+            born_now(),
+            reached,
+            zone,
+            machines(fleet),
+            program_version(),
+            int(fleet.period_ms * MS),
+            int(fleet.keep_s * SECOND),
+        )
         core = Gateway(settings, self._now(), int.from_bytes(os.urandom(8)))
-        host = Host(core, listen, CellsWire(fleet.name, self._keys, CELL_MOST), self._now,
-                    Path(fleet.record) if fleet.record else None)
+        host = Host(
+            core,
+            listen,
+            CellsWire(fleet.name, self._keys, CELL_MOST),
+            self._now,
+            Path(fleet.record) if fleet.record else None,
+        )
         try:
             await host.start()
         except OSError:
--- a/trackspread/node/configured.py
+++ b/trackspread/node/configured.py
@@ -53,9 +53,14 @@
         carried = frozenset(self._operator.services.carries)
         services = frozenset(table.services) or carried or None
         return SubscriberHost(
-            self._name, SubscriberSettings(near, services, others),
-            address(table.listen, "configuration.listen"), self._wire, int.from_bytes(os.urandom(8)),
-            born_now(), self._now, record=Path(table.record) if table.record else None,
+            self._name,
+            SubscriberSettings(near, services, others),
+            address(table.listen, "configuration.listen"),
+            self._wire,
+            int.from_bytes(os.urandom(8)),
+            born_now(),
+            self._now,
+            record=Path(table.record) if table.record else None,
         )
 
     def _of_region(self, replicas: tuple[Address, ...]) -> tuple[Address, ...]:
--- a/trackspread/node/controlling.py
+++ b/trackspread/node/controlling.py
@@ -40,8 +40,14 @@
         names = ", ".join(machine.name for machine in known) or "none, as fleet.control is empty"
         raise ConfigError(f"NAME: found {name!r}, wanted a control machine's: {names}")
     settings = ControlSettings(
-        fleet.name, name, born_now(), known, program_version(), Policy(gateways=fleet.gateways),
-        int(fleet.period_ms * MS), int(fleet.keep_s * SECOND),
+        fleet.name,
+        name,
+        born_now(),
+        known,
+        program_version(),
+        Policy(gateways=fleet.gateways),
+        int(fleet.period_ms * MS),
+        int(fleet.keep_s * SECOND),
     )
     core = Controller(settings, time.monotonic_ns(), int.from_bytes(os.urandom(8)))
     wire = CellsWire(fleet.name, keys(fleet), max(CELL_MOST, 2 * len(known)))
--- a/trackspread/node/counted.py
+++ b/trackspread/node/counted.py
@@ -65,19 +65,29 @@
     """What the gateway holds while a counter is shared."""
 
     def __init__(
-        self, config: Config, counter: Counter, now: Callable[[], int], module: Module,
+        self,
+        config: Config,
+        counter: Counter,
+        now: Callable[[], int],
+        module: Module,
         handle: Callable[[Event], None],
     ) -> None:
         self._counter, self._now, self._module, self._settings = counter, now, module, config.settings
         self._server: asyncio.Server | None = None
         seed = config.seed ^ int.from_bytes(os.urandom(8))  # a name may start twice from one configuration
         self.client = QuotaClient(
-            config.settings, counter.partitions, time.time_ns() // 1_000_000, seed, now(),
+            config.settings,
+            counter.partitions,
+            time.time_ns() // 1_000_000,
+            seed,
+            now(),
             partial(kept, module.quota),
         )
         routes = Routes(
-            [address(server, "counter.servers") for server in counter.servers], counter.cluster,
-            counter.prefix, counter.partitions,
+            [address(server, "counter.servers") for server in counter.servers],
+            counter.cluster,
+            counter.prefix,
+            counter.partitions,
         )
         slot = config.settings.position
         self.host = CounterHost(self.client, routes, access(counter), counter.prefix, slot, now, handle)
@@ -99,9 +109,9 @@
     def before(self, call: Call) -> None:
         """A fault here must not cost the request: it is decided by what is kept."""
         try:
-            self.host.do(self.client.before(
-                self._now(), call.customer, call.plan, call.units, call.spread, call.first
-            ))
+            self.host.do(
+                self.client.before(self._now(), call.customer, call.plan, call.units, call.spread, call.first)
+            )
         except Exception:
             log.exception("fault before a request")
 
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -94,13 +94,23 @@
         settings, most = config.settings, int(spare * operator.backends.descriptor_part)
         grace = settings.drain_grace / SECOND * operator.backends.grace_part  # a loop may lag
         self.backends = Backends(
-            most, config.connect_timeout / SECOND, config.connection_idle / SECOND,
-            grace, self.now, RespDialect(), self, config.memory,
+            most,
+            config.connect_timeout / SECOND,
+            config.connection_idle / SECOND,
+            grace,
+            self.now,
+            RespDialect(),
+            self,
+            config.memory,
         )
         self._front = front = RespFront(settings, self.roster, config.plans)
         self.clients = Clients(
-            [(each, front) for each in (config.listen, *operator.addresses())], self, spare - most,
-            config.memory, operator.clients, config.accept_fd,
+            [(each, front) for each in (config.listen, *operator.addresses())],
+            self,
+            spare - most,
+            config.memory,
+            operator.clients,
+            config.accept_fd,
         )
         self.book = self._book()
         self.uses = self._uses()
@@ -112,8 +122,7 @@
         carried = CarriedServices(operator.services.carried(), lambda number: number in self._seen)
         if config.known is not None:
             try:
-                cached = parse_update(
-                    config.known, config.zones, config.kinds, cached=True, services=carried)
+                cached = parse_update(config.known, config.zones, config.kinds, cached=True, services=carried)
                 self._learn(cached)
                 index = cached.topology.version
             except ListError as error:
@@ -121,8 +130,14 @@
         if index is None:
             self.handle(Topology(ListKind.CACHED, 0, ()))
         self.discovery = Discovery(
-            config.discovery, config.zones, config.kinds, index, self._listed, settings.gateways,
-            settings.drain_grace / SECOND, carried,
+            config.discovery,
+            config.zones,
+            config.kinds,
+            index,
+            self._listed,
+            settings.gateways,
+            settings.drain_grace / SECOND,
+            carried,
         )
         if self.membered is not None:
             self.membered.begin()
@@ -304,9 +319,14 @@
     def _tally(self) -> None:
         """One line for the operators, which shows trouble that no single attempt does."""
         ends = ", ".join(f"{outcome.name} {n}" for outcome, n in sorted(self._ends.items()))
-        log.info("attempts: %s; requests %d, connections of clients %d, to backends %d, of these idle %d",
-                 ends or "none", len(self.requests), self.clients.count(), self.backends.open,
-                 self.backends.idle())
+        log.info(
+            "attempts: %s; requests %d, connections of clients %d, to backends %d, of these idle %d",
+            ends or "none",
+            len(self.requests),
+            self.clients.count(),
+            self.backends.open,
+            self.backends.idle(),
+        )
         self._ends.clear()
         self._teller = self._loop.call_later(self.operator.log.tally_s, self._tally)
 
@@ -356,8 +376,11 @@
         if roster == self.roster and most == self.config.settings.max_attempts:
             return
         self.roster = roster
-        self.config = replace(self.config, classes=fresh.classes, settings=replace(
-            self.config.settings, classes=fresh.settings.classes, max_attempts=most))
+        self.config = replace(
+            self.config,
+            classes=fresh.classes,
+            settings=replace(self.config.settings, classes=fresh.settings.classes, max_attempts=most),
+        )
         self.handle(change(roster, heirs, most))
         self._front.configure(roster)
         self.figures.configured(fresh.classes)
--- a/trackspread/node/handover_state.py
+++ b/trackspread/node/handover_state.py
@@ -44,6 +44,7 @@
 
     config: Config
     now: Clock
+
     @property
     def broker(self) -> Broker:
         """The decision module."""
@@ -107,14 +108,23 @@
     def export(self) -> bytes:
         """All that is known at this moment."""
         table = self._table
-        out = {(number, index): attempt.backend
-               for number, request in table.requests.items() for index, attempt in request.out.items()}
+        out = {
+            (number, index): attempt.backend
+            for number, request in table.requests.items()
+            for index, attempt in request.out.items()
+        }
         ids = [(number, r.call.id) for number, r in table.requests.items() if not r.closed]
         number = table.next_number()
-        return wire.encode(HandoverState(
-            carried.portrait(table.broker, table.class_names(), out), table.now.base, ids, number,
-            len(ids), len(out),
-        ))
+        return wire.encode(
+            HandoverState(
+                carried.portrait(table.broker, table.class_names(), out),
+                table.now.base,
+                ids,
+                number,
+                len(ids),
+                len(out),
+            )
+        )
 
     def _send(self, progress: Progress) -> None:
         self._tell(wire.pack(wire.Kind.PROGRESS, wire.encode(progress)))
@@ -123,13 +133,32 @@
         """An attempt was sent here after the state was exported."""
         if (call := attempt.call) is not None:
             names, plans = self._table.class_names(), self._table.broker.s.plans
-            self._send(Progress("sent", attempt.request, attempt.index, attempt.backend, cls=names[call.cls],
-                           plan=plans[call.plan].name, customer=call.customer, units=call.units))
+            self._send(
+                Progress(
+                    "sent",
+                    attempt.request,
+                    attempt.index,
+                    attempt.backend,
+                    cls=names[call.cls],
+                    plan=plans[call.plan].name,
+                    customer=call.customer,
+                    units=call.units,
+                )
+            )
 
     def ended(self, event: AttemptEnded) -> None:
         """An attempt that was still out has ended."""
-        self._send(Progress("ended", event.request, event.attempt, event.backend, int(event.outcome),
-                       event.elapsed, event.report))
+        self._send(
+            Progress(
+                "ended",
+                event.request,
+                event.attempt,
+                event.backend,
+                int(event.outcome),
+                event.elapsed,
+                event.report,
+            )
+        )
 
     def closed(self, number: int) -> None:
         """A request that was open has its final answer."""
@@ -163,8 +192,11 @@
         match progress.what:
             case "sent":
                 self._out[key] = progress.backend
-                carried.mirror(self._table.broker, self._table.class_names(), [
-                    *key, progress.backend, progress.cls, progress.plan, progress.customer, progress.units])
+                carried.mirror(
+                    self._table.broker,
+                    self._table.class_names(),
+                    [*key, progress.backend, progress.cls, progress.plan, progress.customer, progress.units],
+                )
             case "ended" if self._out.pop(key, None) is not None:
                 known = progress.outcome in Outcome.__members__.values()
                 outcome = Outcome(progress.outcome) if known else Outcome.ERROR
--- a/trackspread/node/membered.py
+++ b/trackspread/node/membered.py
@@ -66,15 +66,20 @@
     descriptors = DESCRIPTORS
 
     def __init__(
-        self, name: str, fleet: Fleet, now: Callable[[], int], place: Place = (0, 1),
+        self,
+        name: str,
+        fleet: Fleet,
+        now: Callable[[], int],
+        place: Place = (0, 1),
         changed: Callable[[FleetChanged], None] = lambda event: None,
         heard: Callable[[int, bytes], None] = lambda sender, data: None,
     ) -> None:
         """`place`: in the platform's list of gateways. `changed` is told of the fleet whenever it is not as
         it was, `heard` of what another has to say. Raises `ConfigError`."""
         if len(name) > NAME_MOST:
-            raise ConfigError(f"name: found {len(name)} characters, wanted {NAME_MOST} at most: "
-                              "fleet.name is set")
+            raise ConfigError(
+                f"name: found {len(name)} characters, wanted {NAME_MOST} at most: fleet.name is set"
+            )
         self._name, self._fleet, self._now, self._keys = name, fleet, now, keys(fleet)
         self.host: Host | None = None
         self._changed, self._heard = changed, heard
@@ -136,12 +141,27 @@
     async def _start(self) -> None:
         fleet, listen = self._fleet, address(self._fleet.listen, "fleet.listen")
         reached = address(fleet.advertise, "fleet.advertise") if fleet.advertise else listen
-        settings = Settings(fleet.name, self._name, born_now(), reached, fleet.seed_addresses(),
-                            program_version(), int(fleet.period_ms * MS), fleet.most, self._place,
-                            int(fleet.keep_s * SECOND))
+        settings = Settings(
+            fleet.name,
+            self._name,
+            born_now(),
+            reached,
+            fleet.seed_addresses(),
+            program_version(),
+            int(fleet.period_ms * MS),
+            fleet.most,
+            self._place,
+            int(fleet.keep_s * SECOND),
+        )
         host = Host(
-            settings, listen, Wire(fleet.name, self._keys, fleet.most), int.from_bytes(os.urandom(8)),
-            self._now, Path(fleet.record) if fleet.record else None, self._look, self._came,
+            settings,
+            listen,
+            Wire(fleet.name, self._keys, fleet.most),
+            int.from_bytes(os.urandom(8)),
+            self._now,
+            Path(fleet.record) if fleet.record else None,
+            self._look,
+            self._came,
         )
         self.host = host
         try:
--- a/trackspread/node/planned.py
+++ b/trackspread/node/planned.py
@@ -54,10 +54,15 @@
         if rates is not None:
             log.warning("plans: reservations of %d members are in force", len(rates))
         if due is not None or rates is not None:
-            self._changed(PlansChanged(self._plans, tuple(
-                (customer, rate, MEMBERS_BURST_S * rate)
-                for customer, rate in sorted(self._follower.reserved.items())
-            )))
+            self._changed(
+                PlansChanged(
+                    self._plans,
+                    tuple(
+                        (customer, rate, MEMBERS_BURST_S * rate)
+                        for customer, rate in sorted(self._follower.reserved.items())
+                    ),
+                )
+            )
         wait = self._follower.wait(time.time_ns() // 1_000_000)
         pause = LOOK if wait is None else min(LOOK, max(0.0, wait / 1000))
         self._timer = asyncio.get_running_loop().call_later(pause, self._look)
@@ -90,7 +95,11 @@
     if figures is None:
         return plan
     return replace(
-        plan, rate=figures.rate, burst=figures.burst, open_limit=figures.open_limit,
-        ceiling_rate=figures.ceiling_rate, ceiling_burst=figures.ceiling_burst,
+        plan,
+        rate=figures.rate,
+        burst=figures.burst,
+        open_limit=figures.open_limit,
+        ceiling_rate=figures.ceiling_rate,
+        ceiling_burst=figures.ceiling_burst,
         ceiling_slack=figures.ceiling_slack,
     )
--- a/trackspread/node/replicating.py
+++ b/trackspread/node/replicating.py
@@ -37,7 +37,12 @@
 
     now = time.monotonic_ns
     return ReplicaHost(
-        ReplicaSettings(number, born_now(), addresses), addresses[number],
-        Wire(operator.fleet.name, keys(operator.fleet)), int.from_bytes(os.urandom(8)), now, leads, outdone,
+        ReplicaSettings(number, born_now(), addresses),
+        addresses[number],
+        Wire(operator.fleet.name, keys(operator.fleet)),
+        int.from_bytes(os.urandom(8)),
+        now,
+        leads,
+        outdone,
         Path(table.record) if table.record else None,
     )
--- a/trackspread/node/requests.py
+++ b/trackspread/node/requests.py
@@ -112,8 +112,9 @@
         config, carried = self.config, self.services.carried()
         if not carried:
             return Broker(config.settings, config.seed, self.now())
-        return ServiceBrokers(config.settings, config.seed, self.now(), carried,
-                              lambda cls: self.services.service_of(cls.name))
+        return ServiceBrokers(
+            config.settings, config.seed, self.now(), carried, lambda cls: self.services.service_of(cls.name)
+        )
 
     @property
     def broker(self) -> Broker:
@@ -153,8 +154,17 @@
         if self.counted is not None:
             self.counted.before(call)
         self.handle(
-            Arrival(number, call.cls, call.plan, call.customer, valid_until, call.units, call.spread,
-                    call.first, call.options),
+            Arrival(
+                number,
+                call.cls,
+                call.plan,
+                call.customer,
+                valid_until,
+                call.units,
+                call.spread,
+                call.first,
+                call.options,
+            ),
             number,
         )
         if number in self.requests:
--- a/trackspread/node/serve.py
+++ b/trackspread/node/serve.py
@@ -81,6 +81,9 @@
     log.setLevel(operator.log.level.upper())
     config = granted(named_config)
     if config.sockets < named_config.sockets:
-        log.warning("limits.sockets: %d, but the system grants %d descriptors: these bound the connections",
-                    named_config.sockets, config.sockets)
+        log.warning(
+            "limits.sockets: %d, but the system grants %d descriptors: these bound the connections",
+            named_config.sockets,
+            config.sockets,
+        )
     uvloop.run(serve(config, operator, named))
--- a/trackspread/node/uses.py
+++ b/trackspread/node/uses.py
@@ -24,8 +24,13 @@
 
 def bounds(use: Use) -> Bounds:
     slots = max(64, int(use.segment_mb * MEGABYTE) // SLOT)
-    return Bounds(slots, max(4, int(use.disk_mb / use.segment_mb)), int(use.commit_ms * 1e6),
-                  int(use.batch_s * 1e9), use.when_full)
+    return Bounds(
+        slots,
+        max(4, int(use.disk_mb / use.segment_mb)),
+        int(use.commit_ms * 1e6),
+        int(use.batch_s * 1e9),
+        use.when_full,
+    )
 
 
 def way(use: Use) -> Sender | None:
--- a/trackspread/peers/datagrams.py
+++ b/trackspread/peers/datagrams.py
@@ -20,7 +20,10 @@
     """The UDP socket that all messages to and from other gateways go through."""
 
     def __init__(
-        self, peers: tuple[Address, ...], everyone: Address | None, me: int,
+        self,
+        peers: tuple[Address, ...],
+        everyone: Address | None,
+        me: int,
         heard: Callable[[int, bytes], None],
     ) -> None:
         self._peers = peers
--- a/trackspread/planning/forwarder.py
+++ b/trackspread/planning/forwarder.py
@@ -36,7 +36,11 @@
     """`take` for each request, `beat` once a `BEAT`, `granted` and `declined` for what comes back."""
 
     def __init__(
-        self, me: int, incarnation: int, planners: int, caps_of: Callable[[int], tuple[Cap, ...]],
+        self,
+        me: int,
+        incarnation: int,
+        planners: int,
+        caps_of: Callable[[int], tuple[Cap, ...]],
         parts_of: Parts,
     ) -> None:
         self.me, self._incarnation, self._planners = me, incarnation, planners
@@ -69,8 +73,10 @@
 
     def _asks(self, now: int, number: int, member: Member) -> list[tuple[int, Ask]]:
         to = self._planner(number)
-        return [(to, holder.ask(now, self.me, self._incarnation, number, which))
-                for which, holder in enumerate(member.holders)]
+        return [
+            (to, holder.ask(now, self.me, self._incarnation, number, which))
+            for which, holder in enumerate(member.holders)
+        ]
 
     def beat(self, now: int) -> list[tuple[int, Ask]]:
         """To whom to say what."""
--- a/trackspread/planning/holder.py
+++ b/trackspread/planning/holder.py
@@ -84,8 +84,18 @@
         self._sequence = max(self._sequence + 1, now)
         self._asked = self._sequence, now, self.number
         returned, self.returned = self.returned, 0.0
-        return Ask(forwarder, incarnation, self._sequence, member, which, self.number, self.right, self.level,
-                   returned, *self._said)
+        return Ask(
+            forwarder,
+            incarnation,
+            self._sequence,
+            member,
+            which,
+            self.number,
+            self.right,
+            self.level,
+            returned,
+            *self._said,
+        )
 
     def granted(self, now: int, grant: Grant) -> bool:
         """Take up a grant, or leave it be."""
--- a/trackspread/plans/calendar.py
+++ b/trackspread/plans/calendar.py
@@ -84,24 +84,36 @@
 
 
 def admitted(
-    fleet: Fleet | None, reservations: tuple[Reservation, ...], customer: int, rate: float, start: int,
-    end: int, now: int, note: str,
+    fleet: Fleet | None,
+    reservations: tuple[Reservation, ...],
+    customer: int,
+    rate: float,
+    start: int,
+    end: int,
+    now: int,
+    note: str,
 ) -> Reservation:
     """The reservation, if it fits; raises `PlanError` with what would."""
     if fleet is None:
         raise PlanError("fleet: found nothing, wanted its figures (`trackspread reserve fleet`)")
     if start < now + NOTICE_MS:
-        raise PlanError(f"from: found a moment {(start - now) / 1000:.1f} s from now, wanted at least "
-                        f"{NOTICE_MS / 1000:g} s: gateways have to read it first")
+        raise PlanError(
+            f"from: found a moment {(start - now) / 1000:.1f} s from now, wanted at least "
+            f"{NOTICE_MS / 1000:g} s: gateways have to read it first"
+        )
     if not start < end <= start + SPAN_MOST_MS:
-        raise PlanError(f"to: found a span of {(end - start) / 1000:.0f} s, wanted one of up to "
-                        f"{SPAN_MOST_MS // 86_400_000} days")
+        raise PlanError(
+            f"to: found a span of {(end - start) / 1000:.0f} s, wanted one of up to "
+            f"{SPAN_MOST_MS // 86_400_000} days"
+        )
     if not rate > 0.0:
         raise PlanError(f"rate: found {rate:g}, wanted more than 0")
     fits = room(fleet, reservations, start, end)
     if rate > fits:
-        raise PlanError(f"rate: found {rate:g} units a second, of which {fits:.6g} would fit over the whole "
-                        f"span beside {fleet.kept:g} kept for others and what is reserved")
+        raise PlanError(
+            f"rate: found {rate:g} units a second, of which {fits:.6g} would fit over the whole "
+            f"span beside {fleet.kept:g} kept for others and what is reserved"
+        )
     number = max((each.number for each in reservations), default=0) + 1
     return Reservation(number, customer, rate, start, end, now, note)
 
--- a/trackspread/plans/registry.py
+++ b/trackspread/plans/registry.py
@@ -81,11 +81,15 @@
     check(plans, names)
     last = max([version.since for version in standing(registry)], default=0)
     if since < now + NOTICE_MS:
-        raise PlanError(f"from: found a moment {(since - now) / 1000:.1f} s from now, wanted at least "
-                        f"{NOTICE_MS / 1000:g} s: gateways have to read it first")
+        raise PlanError(
+            f"from: found a moment {(since - now) / 1000:.1f} s from now, wanted at least "
+            f"{NOTICE_MS / 1000:g} s: gateways have to read it first"
+        )
     if since <= last:
-        raise PlanError("from: found a moment before that of a version that stands, wanted a later one "
-                        "(or withdraw that one)")
+        raise PlanError(
+            "from: found a moment before that of a version that stands, wanted a later one "
+            "(or withdraw that one)"
+        )
     if len(registry.versions) >= VERSIONS_MOST:
         raise PlanError(f"found {VERSIONS_MOST} versions, wanted a new registry")
     number = max([version.number for version in registry.versions], default=0) + 1
@@ -100,8 +104,10 @@
     if version is None or version.withdrawn:
         raise PlanError(f"version: found {number}, wanted one that stands")
     if version.since < now + NOTICE_MS:
-        raise PlanError(f"version: {number} is in force within {NOTICE_MS / 1000:g} s or already, wanted a "
-                        "later one: apply the former figures anew")
+        raise PlanError(
+            f"version: {number} is in force within {NOTICE_MS / 1000:g} s or already, wanted a "
+            "later one: apply the former figures anew"
+        )
     changed = msgspec.structs.replace(version, withdrawn=now)
     versions = tuple(changed if each is version else each for each in registry.versions)
     return msgspec.structs.replace(registry, versions=versions)
@@ -115,15 +121,21 @@
         if names is not None and name not in names:
             raise PlanError(f"plans.{name}: found an unknown plan, wanted one of {', '.join(sorted(names))}")
         if (figures.rate > 0.0) != (figures.burst > 0.0):
-            raise PlanError(f"plans.{name}: found rate {figures.rate:g} and burst {figures.burst:g}, wanted "
-                            "both over 0, or both 0 for no quota")
+            raise PlanError(
+                f"plans.{name}: found rate {figures.rate:g} and burst {figures.burst:g}, wanted "
+                "both over 0, or both 0 for no quota"
+            )
         ceilings = figures.ceiling_rate, figures.ceiling_burst
         if (ceilings[0] > 0.0) != (ceilings[1] > 0.0):
-            raise PlanError(f"plans.{name}: found ceiling_rate {ceilings[0]:g} and ceiling_burst "
-                            f"{ceilings[1]:g}, wanted both over 0, or both 0 for no ceiling")
+            raise PlanError(
+                f"plans.{name}: found ceiling_rate {ceilings[0]:g} and ceiling_burst "
+                f"{ceilings[1]:g}, wanted both over 0, or both 0 for no ceiling"
+            )
         if figures.ceiling_slack > ceilings[1]:
-            raise PlanError(f"plans.{name}.ceiling_slack: found {figures.ceiling_slack:g}, wanted at most "
-                            f"ceiling_burst, {ceilings[1]:g}")
+            raise PlanError(
+                f"plans.{name}.ceiling_slack: found {figures.ceiling_slack:g}, wanted at most "
+                f"ceiling_burst, {ceilings[1]:g}"
+            )
 
 
 def differences(old: Plans, new: Plans) -> list[str]:
@@ -136,7 +148,8 @@
             continue
         lines += [
             f"{name}.{field}: {getattr(before, field):g} -> {getattr(after, field):g}"
-            for field in Figures.__struct_fields__ if getattr(before, field) != getattr(after, field)
+            for field in Figures.__struct_fields__
+            if getattr(before, field) != getattr(after, field)
         ]
     return lines
 
--- a/trackspread/standins/agent.py
+++ b/trackspread/standins/agent.py
@@ -54,8 +54,14 @@
     def told(self, gateway: int) -> dict[str, Any]:
         host, port = self.dial[gateway]
         told = {
-            "host": self.host, "dial": f"{host}:{port}", "site": self.zone, "class": self.kind,
-            "block": self.cell, "health": self.health, "share": 1.0, "born_ms": self.born_ms,
+            "host": self.host,
+            "dial": f"{host}:{port}",
+            "site": self.zone,
+            "class": self.kind,
+            "block": self.cell,
+            "health": self.health,
+            "share": 1.0,
+            "born_ms": self.born_ms,
         }
         return {**told, "service": self.service} if self.service else told
 
@@ -76,7 +82,7 @@
             self.hosts.pop(entry.host, None)
         else:
             self.hosts[entry.host] = entry
-        self._changes = [*self._changes[-CHANGES_MOST + 1:], (self.version, entry)]
+        self._changes = [*self._changes[-CHANGES_MOST + 1 :], (self.version, entry)]
         for agent in self.agents:
             agent.news([entry])
 
@@ -186,8 +192,9 @@
             agent.watched(self, True)
             index = int(asked.get("index", ["0"])[0])
             if not agent.mute:
-                self.tell(agent.listed.since(agent.gateway, index) if index
-                          else agent.listed.whole(agent.gateway))
+                self.tell(
+                    agent.listed.since(agent.gateway, index) if index else agent.listed.whole(agent.gateway)
+                )
             self._heartbeat()
 
     def _fail(self, trouble: Trouble) -> None:
--- a/trackspread/standins/billing.py
+++ b/trackspread/standins/billing.py
@@ -123,9 +123,7 @@
         """)
 
     def known(self, stream: str) -> Known | None:
-        row = self._db.execute(
-            "SELECT taken, sealed FROM streams WHERE stream = ?", (stream,)
-        ).fetchone()
+        row = self._db.execute("SELECT taken, sealed FROM streams WHERE stream = ?", (stream,)).fetchone()
         return Known(*row) if row else None
 
     def digest(self, key: str) -> str | None:
@@ -136,13 +134,31 @@
         known, run = taking.known, self._db.execute
         run("BEGIN IMMEDIATE")
         try:
-            run("INSERT OR REPLACE INTO streams VALUES (?, ?, ?, ?, ?)",
-                (taking.stream, known.taken, known.sealed, taking.producer, taking.name))
+            run(
+                "INSERT OR REPLACE INTO streams VALUES (?, ?, ?, ?, ?)",
+                (taking.stream, known.taken, known.sealed, taking.producer, taking.name),
+            )
             run("INSERT OR REPLACE INTO batches VALUES (?, ?, ?)", (taking.key, taking.digest, taking.holes))
-            self._db.executemany("INSERT INTO uses VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)", [
-                (taking.stream, row.sequence, row.kind, row.ending, row.time, row.customer, row.cls, row.plan,
-                 row.version, row.requests, row.attempts, row.units) for row in taking.rows
-            ])
+            self._db.executemany(
+                "INSERT INTO uses VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
+                [
+                    (
+                        taking.stream,
+                        row.sequence,
+                        row.kind,
+                        row.ending,
+                        row.time,
+                        row.customer,
+                        row.cls,
+                        row.plan,
+                        row.version,
+                        row.requests,
+                        row.attempts,
+                        row.units,
+                    )
+                    for row in taking.rows
+                ],
+            )
             run("COMMIT")
         except BaseException:
             run("ROLLBACK")
@@ -162,8 +178,9 @@
     def streams(self) -> list[dict[str, object]]:
         """For reconciling: what it has of each stream."""
         rows = self._db.execute("SELECT stream, taken, sealed, producer, name FROM streams")
-        return [dict(zip(("stream", "taken", "sealed", "producer", "name"), row, strict=True))
-                for row in rows]
+        return [
+            dict(zip(("stream", "taken", "sealed", "producer", "name"), row, strict=True)) for row in rows
+        ]
 
     def close(self) -> None:
         self._db.close()
--- a/trackspread/standins/billing_server.py
+++ b/trackspread/standins/billing_server.py
@@ -82,15 +82,20 @@
         more = [("Retry-After", "1")] if status == 503 else []
         for part in (
             h11.Response(status_code=status, headers=[("Content-Length", str(len(answer))), *more]),
-            h11.Data(data=answer), h11.EndOfMessage(),
+            h11.Data(data=answer),
+            h11.EndOfMessage(),
         ):
             writer.write(machine.send(part) or b"")
         await writer.drain()
 
     def _answer(self, method: bytes, headers: dict[bytes, bytes], body: bytes) -> tuple[int, bytes]:
         if method == b"GET":
-            return 200, msgspec.json.encode([(*key, requests, str(units)) for key, (requests, units)
-                                             in sorted(self.ledger.totals().items())])
+            return 200, msgspec.json.encode(
+                [
+                    (*key, requests, str(units))
+                    for key, (requests, units) in sorted(self.ledger.totals().items())
+                ]
+            )
         if self._rng.random() < self.busy:
             return 503, b"busy"
         key = headers.get(b"idempotency-key", b"").decode()
--- a/trackspread/standins/clients.py
+++ b/trackspread/standins/clients.py
@@ -117,8 +117,12 @@
         pairs = [f"c={want.cls}", f"t={customer.plan}", f"d={want.wait // MILLISECOND}"]
         pairs += [f"k={want.key}"] * bool(want.key) + ["r=1"] * (want.tries > 1)
         pairs += [f"units={want.units:g}", f"spread={customer.spread}", f"first={customer.first}"]
-        words = [b"CALL.GET" if safe else b"CALL.POST", b"%016x" % customer.number, request.encode(),
-                 ",".join(pairs).encode()] + [b"body of " + request.encode()] * (not safe)
+        words = [
+            b"CALL.GET" if safe else b"CALL.POST",
+            b"%016x" % customer.number,
+            request.encode(),
+            ",".join(pairs).encode(),
+        ] + [b"body of " + request.encode()] * (not safe)
         self.forms[request] = form(words)
         return cast(bytes, hiredis.pack_command(tuple(words)))  # type: ignore[arg-type]
 
@@ -126,9 +130,7 @@
 class Exchange:
     """One request, from its writing to its answer or its end."""
 
-    def __init__(
-        self, clients: Clients, want: Want, request: str, line: _Line, again: bool = False
-    ) -> None:
+    def __init__(self, clients: Clients, want: Want, request: str, line: _Line, again: bool = False) -> None:
         self._clients, self.want, self.request, self._line, self._again = clients, want, request, line, again
         self._kept = line.served > 0
         self._asked = 0
@@ -140,10 +142,20 @@
         clients.exchanges.add(self)
         self._line.write(clients.command(want, self.request))
         self._asked = time.monotonic_ns()
-        clients.ledger.write(Asked(
-            self._asked, self.request, want.origin, f"n{want.gateway}", want.cls, customer.plan,
-            customer.number, want.units, want.wait, self._again,
-        ))
+        clients.ledger.write(
+            Asked(
+                self._asked,
+                self.request,
+                want.origin,
+                f"n{want.gateway}",
+                want.cls,
+                customer.plan,
+                customer.number,
+                want.units,
+                want.wait,
+                self._again,
+            )
+        )
         self._timer = asyncio.get_running_loop().call_later(want.wait / 1e9 + WITNESS, self._leave)
 
     def answered(self, answer: object) -> None:
--- a/trackspread/standins/counter.py
+++ b/trackspread/standins/counter.py
@@ -32,7 +32,7 @@
     """A name's hash slot: CRC16 (XMODEM) of its hash tag, or else of all of it."""
     start = name.find(b"{")
     end = name.find(b"}", start + 1) if start >= 0 else -1
-    return crc_hqx(name[start + 1:end] if end > start + 1 else name, 0) % SLOTS
+    return crc_hqx(name[start + 1 : end] if end > start + 1 else name, 0) % SLOTS
 
 
 @dataclass(slots=True)
--- a/trackspread/standins/counter_server.py
+++ b/trackspread/standins/counter_server.py
@@ -45,7 +45,10 @@
     """Shards as servers; with a `cluster` they tell where names lie."""
 
     def __init__(
-        self, shards: Sequence[Shard], gateways: int, cluster: Cluster | None = None,
+        self,
+        shards: Sequence[Shard],
+        gateways: int,
+        cluster: Cluster | None = None,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self.shards, self.gateways, self.tls = list(shards), gateways, tls
--- a/trackspread/standins/crowd.py
+++ b/trackspread/standins/crowd.py
@@ -117,7 +117,13 @@
         wait = advice_ms * MILLISECOND if advice_ms and obeys else self.habit.backoff
         gateway = self.entry(want.customer)
         return int(wait * self._rng.uniform(1.0, 1.3)), Want(
-            self.name(number, 0), want.customer, want.cls, gateway, want.units, want.key, want.wait,
+            self.name(number, 0),
+            want.customer,
+            want.cls,
+            gateway,
+            want.units,
+            want.key,
+            want.wait,
             want.tries + 1,
         )
 
--- a/trackspread/standins/faults.py
+++ b/trackspread/standins/faults.py
@@ -147,9 +147,17 @@
             case "ring":
                 faults.append(Cut(at, span, ring(names)))
             case "rough":
-                faults.append(Rough(at, span, among(names), delay=rng.uniform(0, 0.05),
-                                    jitter=rng.uniform(0, 0.1), loss=rng.uniform(0, 0.4),
-                                    twice=rng.uniform(0, 0.2)))
+                faults.append(
+                    Rough(
+                        at,
+                        span,
+                        among(names),
+                        delay=rng.uniform(0, 0.05),
+                        jitter=rng.uniform(0, 0.1),
+                        loss=rng.uniform(0, 0.4),
+                        twice=rng.uniform(0, 0.2),
+                    )
+                )
             case "halt":
                 faults.append(Halt(at, span, taken))
             case "duty":
--- a/trackspread/standins/node_server.py
+++ b/trackspread/standins/node_server.py
@@ -28,7 +28,7 @@
     lambda good: b"*3\r\n$100000000\r\n",  # a header that asks for more than there is room for
     lambda good: good[:-2] + b"xx",  # framing that does not hold
     lambda good: b"HTTP/1.1 200 OK\r\n\r\n",  # another protocol
-    lambda good: good[:len(good) // 2],  # half of it, and nothing more
+    lambda good: good[: len(good) // 2],  # half of it, and nothing more
 )
 
 
@@ -46,8 +46,14 @@
     """One process of one rating node. `down` and `up` end and start it at the same addresses."""
 
     def __init__(
-        self, scene: Scene, spec: NodeSpec, pods: dict[int, Pod], ledger: Ledger, forms: Forms,
-        gateways: int, cold: bool,
+        self,
+        scene: Scene,
+        spec: NodeSpec,
+        pods: dict[int, Pod],
+        ledger: Ledger,
+        forms: Forms,
+        gateways: int,
+        cold: bool,
     ) -> None:
         self.scene, self.spec, self.ledger, self.forms = scene, spec, ledger, forms
         self.model = scene.node(spec, pods, time.monotonic_ns(), cold)
@@ -72,10 +78,17 @@
                 self.addresses.append((host, int(server.sockets[0].getsockname()[1])))
         self.running = True
         spec = self.spec
-        self.ledger.write(Booted(
-            time.monotonic_ns(), spec.name, spec.zone, spec.cell, spec.cores * spec.speed,
-            spec.start if self.model.cold else 1.0, spec.warm,
-        ))
+        self.ledger.write(
+            Booted(
+                time.monotonic_ns(),
+                spec.name,
+                spec.zone,
+                spec.cell,
+                spec.cores * spec.speed,
+                spec.start if self.model.cold else 1.0,
+                spec.warm,
+            )
+        )
 
     def down(self) -> None:
         """The process dies: open connections are reset, new ones refused."""
@@ -92,10 +105,19 @@
         work = work_of(self.scene.seed, request, self.scene.work(cls))
         window = self.scene.window if key else 0
         taken = self.model.arrive(now, request, work, key, window)
-        self.ledger.write(Attempted(
-            now, began, request, self.spec.name, gateway, work, taken is None, bool(taken and taken.repeat),
-            taken.value if taken else "",
-        ))
+        self.ledger.write(
+            Attempted(
+                now,
+                began,
+                request,
+                self.spec.name,
+                gateway,
+                work,
+                taken is None,
+                bool(taken and taken.repeat),
+                taken.value if taken else "",
+            )
+        )
         if self.model.fallen and self.running:
             self.ledger.write(Fell(now, self.spec.name))
             self.down()
@@ -154,9 +176,14 @@
         request = words[2].decode() if len(words) > 3 else ""
         if node.forms.get(request) != form(words):
             self._answer(place, b"-SYNTAX\r\n")
-            node.ledger.write(Garbled(
-                time.monotonic_ns(), node.spec.name, self._gateway, b" ".join(words).decode(errors="replace")
-            ))
+            node.ledger.write(
+                Garbled(
+                    time.monotonic_ns(),
+                    node.spec.name,
+                    self._gateway,
+                    b" ".join(words).decode(errors="replace"),
+                )
+            )
             return
         named = dict(p.partition(b"=")[::2] for p in words[3].split(b","))
         taken = node.arrive(
--- a/trackspread/standins/scene.py
+++ b/trackspread/standins/scene.py
@@ -84,8 +84,12 @@
         name = f"s-{number}" + (f"-{generation}" if generation else "")
         cell = number // 3
         return NodeSpec(
-            name, self.zones[cell % len(self.zones)] if self.zones else "", "m1", cell,
-            start=self.start, warm=self.warm,
+            name,
+            self.zones[cell % len(self.zones)] if self.zones else "",
+            "m1",
+            cell,
+            start=self.start,
+            warm=self.warm,
         )
 
     def service(self, spec: NodeSpec) -> str:
@@ -111,7 +115,12 @@
         """The judge's figures."""
         rules = {c.name: ClassRule(c.repeat, c.group, self.window) for c in self.classes}
         return World(
-            rules, dict(self.plans), self.grace, self.fall_window, self.fall_multiple, self.tolerance,
+            rules,
+            dict(self.plans),
+            self.grace,
+            self.fall_window,
+            self.fall_multiple,
+            self.tolerance,
             beyond_most=self.beyond_most,
         )
 
@@ -122,15 +131,23 @@
             for c in self.classes
         ]
         plans = [
-            plan_settings(name, p.rate, p.burst, (p.ceiling_rate, p.ceiling_burst, p.ceiling_slack),
-                          over_cost=self.over_cost)
+            plan_settings(
+                name,
+                p.rate,
+                p.burst,
+                (p.ceiling_rate, p.ceiling_burst, p.ceiling_slack),
+                over_cost=self.over_cost,
+            )
             for name, p in self.plans.items()
         ]
         made = nested_settings(classes, plans, position, self.gateways, zones=self.zones)
         made["zone"] = position % max(1, len(self.zones))
         made["rules"].update(
-            drainGrace=self.grace, fall=self.fall_window, fallMultiple=self.fall_multiple,
-            startCapacity=self.start, warmUp=self.warm,
+            drainGrace=self.grace,
+            fall=self.fall_window,
+            fallMultiple=self.fall_multiple,
+            startCapacity=self.start,
+            warmUp=self.warm,
         )
         for section, key, value in self.allow:
             made[section][key] = value
@@ -150,9 +167,7 @@
             use = rng.uniform(2.0, 4.0) if rng.random() < self.greedy else rng.uniform(0.2, 0.9)
             first = rng.randrange(self.gateways)
             rate = self.plans[plan].rate * use
-            made.append(Customer(
-                rng.getrandbits(33), plan, rate, spread, first, draw_weights(rng, spread)
-            ))
+            made.append(Customer(rng.getrandbits(33), plan, rate, spread, first, draw_weights(rng, spread)))
             asked += made[-1].rate
         classes = tuple(
             ClassMix(c.name, c.share, c.repeat == "keyed", c.repeat, c.deadline) for c in self.classes
--- a/trackspread/standins/wire.py
+++ b/trackspread/standins/wire.py
@@ -83,8 +83,9 @@
         return await relay.start()
 
     def relays(self, source: str, target: str) -> list[TcpRelay]:
-        return [r for r in self._relays
-                if isinstance(r, TcpRelay) and (r.source, r.target) == (source, target)]
+        return [
+            r for r in self._relays if isinstance(r, TcpRelay) and (r.source, r.target) == (source, target)
+        ]
 
     async def datagrams(self, at: dict[str, Address]) -> dict[tuple[str, str], Address]:
         """Relays between all names, which listen at the given addresses: for (a, b) the address that a has
@@ -345,7 +346,8 @@
                     continue
                 held = _Socket(self, a, b)
                 transport, _ = await loop.create_datagram_endpoint(
-                    lambda held=held: held, local_addr=(own_address(), 0)  # type: ignore[misc]
+                    lambda held=held: held,
+                    local_addr=(own_address(), 0),  # type: ignore[misc]
                 )
                 self._sockets[a, b] = held
                 host, port = transport.get_extra_info("sockname")[:2]
@@ -410,7 +412,8 @@
         for _ in range(self.TRIES):
             post = _Post(self, name)
             transport, _ = await loop.create_datagram_endpoint(
-                lambda post=post: post, local_addr=(own_address(), 0)  # type: ignore[misc]
+                lambda post=post: post,
+                local_addr=(own_address(), 0),  # type: ignore[misc]
             )
             host, port = transport.get_extra_info("sockname")[:2]
             relay = TcpRelay(self._wire, None, name, self._at[name], hosts)
--- a/trackspread/storage/directory.py
+++ b/trackspread/storage/directory.py
@@ -24,10 +24,10 @@
         self._map = mmap.mmap(descriptor, size)
 
     def write(self, at: int, data: bytes) -> None:
-        self._map[at:at + len(data)] = data
+        self._map[at : at + len(data)] = data
 
     def read(self, at: int = 0, size: int | None = None) -> bytes:
-        return self._map[at:] if size is None else self._map[at:at + size]
+        return self._map[at:] if size is None else self._map[at : at + size]
 
     def sync(self) -> None:
         # Also writes back pages that were changed through the map, and lets other threads run meanwhile. The
@@ -49,7 +49,7 @@
         raise OSError(errno.EROFS, "only read")
 
     def read(self, at: int = 0, size: int | None = None) -> bytes:
-        return self._data[at:] if size is None else self._data[at:at + size]
+        return self._data[at:] if size is None else self._data[at : at + size]
 
     def sync(self) -> None: ...
 
--- a/trackspread/storage/document.py
+++ b/trackspread/storage/document.py
@@ -53,8 +53,11 @@
         if envelope.kind != self.kind:
             raise DocumentError(f"found a document of kind {envelope.kind!r}, wanted {self.kind!r}")
         if envelope.version > self.version:
-            raise DocumentError(f"{self.kind}: found version {envelope.version}, which a newer program "
-                                f"wrote; this one reads up to {self.version}", newer=True)
+            raise DocumentError(
+                f"{self.kind}: found version {envelope.version}, which a newer program "
+                f"wrote; this one reads up to {self.version}",
+                newer=True,
+            )
         body = bytes(envelope.body)
         if xxhash.xxh3_64_hexdigest(body) != envelope.check:
             raise DocumentError(f"{self.kind}: the checksum does not fit what is written")
--- a/trackspread/storage/slots.py
+++ b/trackspread/storage/slots.py
@@ -66,7 +66,7 @@
 def unpack_head(data: bytes) -> Head:
     if len(data) < HEAD or data[:4] != MAGIC:
         raise SegmentError("not a segment")
-    body = data[:_HEAD.size]
+    body = data[: _HEAD.size]
     _, layout, slot, epoch, index, slots, nonce = _HEAD.unpack(body)
     if _HEAD_CHECK.unpack_from(data, _HEAD.size)[0] != xxhash.xxh3_64_intdigest(body):
         raise SegmentError("the head's checksum does not fit")
@@ -104,7 +104,7 @@
     """The slots in `data`, which begins with that of place `first`; every slot by itself."""
     found, seed = Scan(), seed_of(head.nonce)
     for at in range(0, len(data) - SLOT + 1, SLOT):
-        slot, sequence = data[at:at + SLOT], first + at // SLOT
+        slot, sequence = data[at : at + SLOT], first + at // SLOT
         if slot == _NOTHING:
             continue
         payload = slot[:PAYLOAD]
--- a/trackspread/usage/audit.py
+++ b/trackspread/usage/audit.py
@@ -107,8 +107,10 @@
         found.wrong.append(f"epoch {epoch}: segments {', '.join(map(str, gone))} are missing")
         audited.missing += len(gone) * stream.slots
     if audited.damaged:
-        found.wrong.append(f"epoch {epoch}: {len(audited.damaged)} records are damaged, the first at place "
-                           f"{audited.damaged[0]}")
+        found.wrong.append(
+            f"epoch {epoch}: {len(audited.damaged)} records are damaged, the first at place "
+            f"{audited.damaged[0]}"
+        )
     return audited
 
 
@@ -166,8 +168,13 @@
     nothing = 0, 0
     keys = sorted(journal.rows.keys() | exported.rows.keys() | billing.rows.keys())
     made = [
-        Difference(*key, journal.rows.get(key, nothing), exported.rows.get(key, nothing),
-                   billing.rows.get(key, nothing)) for key in keys
+        Difference(
+            *key,
+            journal.rows.get(key, nothing),
+            exported.rows.get(key, nothing),
+            billing.rows.get(key, nothing),
+        )
+        for key in keys
     ]
     return [each for each in made if not each.journal == each.exported == each.received]
 
--- a/trackspread/usage/batch.py
+++ b/trackspread/usage/batch.py
@@ -69,14 +69,25 @@
     """The rows of a batch, in order of places; what can't be read has none."""
     return tuple(
         _row(sequence, use, names)
-        for sequence, payload in sorted(scan.payloads.items()) if (use := unpack(payload)) is not None
+        for sequence, payload in sorted(scan.payloads.items())
+        if (use := unpack(payload)) is not None
     )
 
 
 def _row(sequence: int, use: Use, names: Names) -> Row:
-    return Row(sequence, use.kind, use.ending, use.time, f"{use.customer:016x}",
-               _name(names.classes, use.cls), _name(names.plans, use.plan), use.version, use.requests,
-               use.attempts, str(use.units))
+    return Row(
+        sequence,
+        use.kind,
+        use.ending,
+        use.time,
+        f"{use.customer:016x}",
+        _name(names.classes, use.cls),
+        _name(names.plans, use.plan),
+        use.version,
+        use.requests,
+        use.attempts,
+        str(use.units),
+    )
 
 
 def _name(names: tuple[str, ...], number: int) -> str:
--- a/trackspread/usage/exporter.py
+++ b/trackspread/usage/exporter.py
@@ -125,8 +125,18 @@
         names, old = control.names[stream.names], control.intent
         again = old is not None and (old.epoch, old.first, old.last) == span
         length = old.length if again and old is not None else bound
-        batch = Batch(control.producer, names.gateway, span.epoch, part.id, part.first - 1, span.first,
-                      span.last, length, held, holes)
+        batch = Batch(
+            control.producer,
+            names.gateway,
+            span.epoch,
+            part.id,
+            part.first - 1,
+            span.first,
+            span.last,
+            length,
+            held,
+            holes,
+        )
         body = encode(batch)
         self._post = Post(batch.key, body, digest(body))
         intent = Intent(span.epoch, span.first, span.last, length, self._post.digest)
@@ -134,8 +144,10 @@
             self.stage = Stage.READY
             return
         if again:
-            self.alarms.append(f"batch {batch.key} has other bytes than when it was first sent: "
-                               f"{holes} of its places can't be read")
+            self.alarms.append(
+                f"batch {batch.key} has other bytes than when it was first sent: "
+                f"{holes} of its places can't be read"
+            )
         control.intent, self.dirty, self.stage = intent, True, Stage.NOTING
 
     def unread(self) -> None:
@@ -176,8 +188,10 @@
             self.alarms.append("export goes on")
         self.trouble, self._wait, self.dirty = "", WAIT_LEAST, True
         if reply.conflict:
-            self.alarms.append(f"billing has other bytes for places {span.first} to {span.last} of epoch "
-                               f"{span.epoch}: compare with `use reconcile`")
+            self.alarms.append(
+                f"billing has other bytes for places {span.first} to {span.last} of epoch "
+                f"{span.epoch}: compare with `use reconcile`"
+            )
         if reply.fenced:
             self._fenced(span, stream, reply)
         elif reply.taken < span.first - 1:
@@ -200,8 +214,10 @@
         fresh = forked(part.id, sealed + 1)
         stream.parts.insert(stream.parts.index(part) + 1, Part(sealed + 1, fresh))
         stream.acked = min(stream.acked, sealed)
-        self.alarms.append(f"epoch {span.epoch} was taken over by another life, up to place {sealed}: two "
-                           f"gateways have copies of one folder. What was counted here goes on as {fresh}")
+        self.alarms.append(
+            f"epoch {span.epoch} was taken over by another life, up to place {sealed}: two "
+            f"gateways have copies of one folder. What was counted here goes on as {fresh}"
+        )
 
     def _forgotten(self, control: Control, span: Span, taken: int) -> None:
         """Billing was set back, perhaps to an old copy: it is asked about every stream that is still here,
@@ -210,5 +226,7 @@
         stream.acked = 0
         for each in control.streams.values():
             each.sealed = False
-        self.alarms.append(f"billing has forgotten places {taken + 1} to {span.first - 1} of epoch "
-                           f"{span.epoch}: what is still here is sent again")
+        self.alarms.append(
+            f"billing has forgotten places {taken + 1} to {span.first - 1} of epoch "
+            f"{span.epoch}: what is still here is sent again"
+        )
--- a/trackspread/usage/host.py
+++ b/trackspread/usage/host.py
@@ -40,7 +40,12 @@
     """One gateway's ledger, on a real folder and a real way to billing."""
 
     def __init__(
-        self, folder: Path, bounds: Bounds, names: Names, now: Callable[[], int], sender: Sender | None,
+        self,
+        folder: Path,
+        bounds: Bounds,
+        names: Names,
+        now: Callable[[], int],
+        sender: Sender | None,
         write: bool = True,
     ) -> None:
         self.ledger = UsageLedger(bounds, names, random.SystemRandom(), write)
@@ -62,9 +67,7 @@
     ) -> None:
         """One request's final answer; before the answer is written, so that no answer is without a record."""
         wall = time.time_ns() // MILLISECOND
-        self.ledger.count(
-            self._now(), wall, ending, cls, plan, version, customer, nano(units), attempts
-        )
+        self.ledger.count(self._now(), wall, ending, cls, plan, version, customer, nano(units), attempts)
 
     def _pump(self) -> None:
         self._go_on()
@@ -140,8 +143,11 @@
                 await self._over.wait()
         except TimeoutError:
             journal = self.ledger.journal
-            log.error("use: the disk took no more: %d records not committed, sums of %d members lost",
-                      len(journal.pending) if journal is not None else 0, len(self.ledger.meter.sums))
+            log.error(
+                "use: the disk took no more: %d records not committed, sums of %d members lost",
+                len(journal.pending) if journal is not None else 0,
+                len(self.ledger.meter.sums),
+            )
         await self.abandon()
 
     async def abandon(self) -> None:
--- a/trackspread/usage/ledger.py
+++ b/trackspread/usage/ledger.py
@@ -55,9 +55,15 @@
     STUCK = "stuck"
 
 
-OPENED = frozenset({  # the control is known: the export goes on, whatever the writer does
-    State.ABSENT, State.CREATING, State.SETTLING, State.DECLARING, State.LIVE,
-})
+OPENED = frozenset(
+    {  # the control is known: the export goes on, whatever the writer does
+        State.ABSENT,
+        State.CREATING,
+        State.SETTLING,
+        State.DECLARING,
+        State.LIVE,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +108,15 @@
     # Counting.
 
     def count(
-        self, now: int, ms: int, ending: Ending, cls: int, plan: int, version: int, customer: int, units: int,
+        self,
+        now: int,
+        ms: int,
+        ending: Ending,
+        cls: int,
+        plan: int,
+        version: int,
+        customer: int,
+        units: int,
         attempts: int,
     ) -> None:
         """One request's final answer. `now`: the host's clock, ns; `ms`: Unix time; `units`: billionths."""
@@ -185,12 +199,16 @@
         meter = self.meter
         if meter.nobodys and not self._nobodys_told:
             self._nobodys_told = True
-            self.alarms.append(f"use: sums of more than {SUMS_MOST} members and plans: what is past them is "
-                               "recorded as nobody's")
+            self.alarms.append(
+                f"use: sums of more than {SUMS_MOST} members and plans: what is past them is "
+                "recorded as nobody's"
+            )
         if meter.clamped and not self._clamped_told:
             self._clamped_told = True
-            self.alarms.append("use: the clock was set back across a month's end: records are booked on the "
-                               "first moment of the month that was begun")
+            self.alarms.append(
+                "use: the clock was set back across a month's end: records are booked on the "
+                "first moment of the month that was begun"
+            )
 
     def _start(self, call: Call, then: Then, failed: Failed) -> Call:
         self._out = then, failed
@@ -201,6 +219,7 @@
 
     def _later(self, purpose: str) -> Failed:
         """What was not done is asked for again when its turn comes, not at once."""
+
         def failed(now: int, error: OSError) -> None:
             self._not_before[purpose] = now + RETRY
 
@@ -289,8 +308,10 @@
         watermarks = {epoch: stream.acked for epoch, stream in control.streams.items()}
         data = pack(control)
         if len(data) > AREA_SIZE:
-            self.alarms.append(f"use: the control has outgrown {AREA_SIZE} bytes: long names of classes, or "
-                               "too many lives that wait for their export")
+            self.alarms.append(
+                f"use: the control has outgrown {AREA_SIZE} bytes: long names of classes, or "
+                "too many lives that wait for their export"
+            )
             failed(now, OSError(errno.EFBIG, "control too large"))
             return None
 
@@ -394,8 +415,11 @@
         if newer or (best is None and any(found.segments[at][1] for at in strangers)):
             self.state = State.STUCK
             self.spent += found.areas
-            why = "a newer program wrote here" if newer else \
-                "there are records, and no control that can be read (`trackspread use repair` makes one)"
+            why = (
+                "a newer program wrote here"
+                if newer
+                else "there are records, and no control that can be read (`trackspread use repair` makes one)"
+            )
             self.alarms.append(f"use: {why}: nothing is written or exported, sums are kept in memory")
             return
         self._areas, self._good, self.state = found.areas, at, State.FOUND
--- a/trackspread/usage/meter.py
+++ b/trackspread/usage/meter.py
@@ -70,8 +70,18 @@
         row, (requests, units, attempts, at) = next(iter(self.sums.items()))
         ending, cls, plan, version, customer, _ = row
         kind = Kind.SUM if customer >= 0 else Kind.LOST
-        return Use(kind, ending, cls, plan, min(attempts, 0xFFFF), version, min(requests, COUNT_MOST), at,
-                   max(0, customer), min(units, NANO_MOST))
+        return Use(
+            kind,
+            ending,
+            cls,
+            plan,
+            min(attempts, 0xFFFF),
+            version,
+            min(requests, COUNT_MOST),
+            at,
+            max(0, customer),
+            min(units, NANO_MOST),
+        )
 
     def written(self, use: Use) -> None:
         """The record that `oldest` gave has a place: only now does the sum let go of it."""
--- a/trackspread/usage/segments.py
+++ b/trackspread/usage/segments.py
@@ -48,20 +48,26 @@
 
     def found(self, control: Control, found: Found, strangers: set[At]) -> None:
         """What a former life left."""
-        broken = {at: found.lengths.get(name, (0, 0))[1] for name in found.broken
-                  if (at := segment_of(name)) is not None and at[0] in control.streams}
+        broken = {
+            at: found.lengths.get(name, (0, 0))[1]
+            for name in found.broken
+            if (at := segment_of(name)) is not None and at[0] in control.streams
+        }
         filled = {at: head.first - 1 + n for at, (head, n) in found.segments.items() if n}
         filled |= {at: at[1] * control.streams[at[0]].slots + n for at, n in broken.items() if n}
         self._segments = (set(found.segments) - strangers) | set(broken)
         self._leftover = [segment_name(*at) for at in sorted(strangers)]
         self._sums = [name for name in found.names if name.startswith("sum-")]
-        self._filled = {epoch: max([s.acked, *(last for at, last in filled.items() if at[0] == epoch)])
-                        for epoch, s in control.streams.items()}
+        self._filled = {
+            epoch: max([s.acked, *(last for at, last in filled.items() if at[0] == epoch)])
+            for epoch, s in control.streams.items()
+        }
 
     def unsure(self, control: Control) -> tuple[str, ...]:
         """Files of streams that were not ended in good order."""
-        return tuple(segment_name(*at) for at in sorted(self._segments)
-                     if control.streams[at[0]].length is None)
+        return tuple(
+            segment_name(*at) for at in sorted(self._segments) if control.streams[at[0]].length is None
+        )
 
     def ended(self, control: Control) -> None:
         """What was found is on the disk: streams that a former life was writing end with what it wrote."""
--- a/trackspread/usage/senders.py
+++ b/trackspread/usage/senders.py
@@ -90,9 +90,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, post: Post
     ) -> Reply:
         machine = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_MOST)
-        headers = [("Host", f"{self._host}:{self._port}"), ("Content-Type", "application/json"),
-                   ("Content-Length", str(len(post.body))), ("Connection", "close"),
-                   ("Idempotency-Key", post.key), ("Digest", f"sha-256={post.digest}")]
+        headers = [
+            ("Host", f"{self._host}:{self._port}"),
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(post.body))),
+            ("Connection", "close"),
+            ("Idempotency-Key", post.key),
+            ("Digest", f"sha-256={post.digest}"),
+        ]
         if self._secret:
             headers.append(("Signature", signature(post.body, post.key, self._secret)))
         asked = h11.Request(method="POST", target=self._path, headers=headers)
--- a/trackspread/virtual/booked.py
+++ b/trackspread/virtual/booked.py
@@ -19,8 +19,19 @@
 from ..decide import quota
 from ..decide.broker import Broker
 from ..decide.interface import (
-    Arrival, AttemptEnded, Backend, Event, Health, ListKind, Outcome, Plan, PlansChanged, Send, SetTimer,
-    TimerFired, Topology,
+    Arrival,
+    AttemptEnded,
+    Backend,
+    Event,
+    Health,
+    ListKind,
+    Outcome,
+    Plan,
+    PlansChanged,
+    Send,
+    SetTimer,
+    TimerFired,
+    Topology,
 )
 from ..decide.quota import Quota
 from ..decide.state import carried
@@ -77,9 +88,7 @@
                 counts[0] += 1
                 if store.level < -SLACK:
                     wrong.append(f"at {clock.now}: {float(-store.level):.3f} units too many were sent")
-                end = AttemptEnded(
-                    action.request, True, 0, action.backend, 0, Outcome.OK, MILLISECOND, 0, ()
-                )
+                end = AttemptEnded(action.request, True, 0, action.backend, 0, Outcome.OK, MILLISECOND, 0, ())
                 clock.after(MILLISECOND, partial(handle, end))
 
     def ask(number: int) -> None:
@@ -121,6 +130,7 @@
 
 def _not_refilled_before() -> list[Any]:
     """What came in until the change is filled by the new rate."""
+
     def mutant(self: Quota, now: int, account: Any, index: int) -> None:
         old, new = account.plan, self.figures(account.customer, index)
         account.plan, account.index = new, index
--- a/trackspread/virtual/cells/mutants.py
+++ b/trackspread/virtual/cells/mutants.py
@@ -16,7 +16,15 @@
 from ...cells.leading import Leading
 from ...cells.seeding import Seeding
 from ...cells.terms import (
-    Cell, CellReport, CellsAction, Left, Locate, Located, Message, Placement, Zone,
+    Cell,
+    CellReport,
+    CellsAction,
+    Left,
+    Locate,
+    Located,
+    Message,
+    Placement,
+    Zone,
 )
 from ...membership.asking import Asking
 from ...membership.terms import SECOND, Address, Epoch, Renew, Who
@@ -48,6 +56,7 @@
 
 def _first_word() -> list[Any]:
     """A gateway never moves."""
+
     def mutant(self: Gateway, now: int, placement: Placement) -> None:
         if self.held is None:
             self._join(now, placement)
@@ -57,6 +66,7 @@
 
 def _kept_slots() -> list[Any]:
     """Who moves does not give its slots back, and acts on them until they end."""
+
     def mutant(self: Gateway, now: int) -> None:
         if self.member is not None and self.held is not None:
             self._born = self.member.who[1]
@@ -68,6 +78,7 @@
 
 def _joins_first() -> list[Any]:
     """Who moves joins the other cell before it leaves the one it is in."""
+
     def mutant(self: Gateway, now: int, placement: Placement) -> None:
         before, member = self.held, self.member
         if before is not None and placement.cell.name == before.cell.name:
@@ -111,8 +122,10 @@
         if self.leading is None or self.tier.owns(now):
             real(self, now)
 
-    return [patch.object(Controller, "_lead", lead),
-            patch.object(Controller, "leads", lambda self, now: self.leading is not None)]
+    return [
+        patch.object(Controller, "_lead", lead),
+        patch.object(Controller, "leads", lambda self, now: self.leading is not None),
+    ]
 
 
 def _entry_goes_back() -> list[Any]:
@@ -170,6 +183,7 @@
 
 def _zones_mixed() -> list[Any]:
     """A gateway is sent to the fullest cell of any zone."""
+
     def mutant(self: Directory, zone: Zone) -> list[Entry]:
         return [e for e in self.entries.values() if not e.cell.closing]
 
@@ -204,6 +218,7 @@
 
 def _merges_without_pause() -> list[Any]:
     """A cell that has just been opened or left is merged, however full the other."""
+
     def mutant(self: Directory, now: int, entry: Entry, entries: list[Entry]) -> bool:
         return entry.count() <= self.policy.most
 
@@ -217,6 +232,7 @@
 
 def _cut_off_is_gone() -> list[Any]:
     """Any seed out of reach for a moment has its cells closed, also with its whole region."""
+
     def mutant(self: Directory, now: int, entry: Entry) -> bool:
         return any(now - self._lost.get(seed, now) >= 2 * SECOND for seed in entry.cell.seeds)
 
@@ -237,8 +253,11 @@
 
 def _opens_unasked() -> list[Any]:
     """A new leader opens cells before it has heard of those that there are."""
-    return [patch.object(Directory, "rebuilding", lambda self, now: False), *_former_cell_forgotten(),
-            *_never_merged()]
+    return [
+        patch.object(Directory, "rebuilding", lambda self, now: False),
+        *_former_cell_forgotten(),
+        *_never_merged(),
+    ]
 
 
 def _no_local_placement() -> list[Any]:
--- a/trackspread/virtual/cells/schedules.py
+++ b/trackspread/virtual/cells/schedules.py
@@ -115,9 +115,18 @@
 
 
 KINDS: tuple[Callable[[Player, int], None], ...] = (
-    Player.control_killed, Player.leader_killed, Player.all_control_killed, Player.leader_stopped,
-    Player.some_stopped, Player.region_cut, Player.one_way, Player.zone_lost, Player.half_restarted,
-    Player.rough, Player.joined, Player.gone,
+    Player.control_killed,
+    Player.leader_killed,
+    Player.all_control_killed,
+    Player.leader_stopped,
+    Player.some_stopped,
+    Player.region_cut,
+    Player.one_way,
+    Player.zone_lost,
+    Player.half_restarted,
+    Player.rough,
+    Player.joined,
+    Player.gone,
 )
 
 
@@ -140,6 +149,6 @@
     moved = [told for at, _, told in world.told if at > since and isinstance(told, Left)]
     if moved:
         raise Broken(f"seed {seed}: {len(moved)} move without a cause")
-    if (amiss := world.settled()):
+    if amiss := world.settled():
         raise Broken(f"seed {seed}: settled no more: {amiss}")
     return world, took
--- a/trackspread/virtual/cells/world.py
+++ b/trackspread/virtual/cells/world.py
@@ -15,8 +15,20 @@
 from ...cells.controller import Controller, ControlSettings
 from ...cells.gateway import Gateway, GatewaySettings
 from ...cells.terms import (
-    Cell, ControlMachine, InCell, Joined, Leads, Left, Locate, Located, Message, Noticed, Placement, Policy,
-    Send, Zone,
+    Cell,
+    ControlMachine,
+    InCell,
+    Joined,
+    Leads,
+    Left,
+    Locate,
+    Located,
+    Message,
+    Noticed,
+    Placement,
+    Policy,
+    Send,
+    Zone,
 )
 from ...membership.member import Member
 from ...membership.slots import WHOLE
@@ -46,8 +58,14 @@
     """Gateways' names begin with g, control machines' with c."""
 
     def __init__(
-        self, seed: int, regions: int = 2, machines: int = 7, zones: int = 3, drift: float = 0.0,
-        policy: Policy = POLICY, keep: int = KEEP,
+        self,
+        seed: int,
+        regions: int = 2,
+        machines: int = 7,
+        zones: int = 3,
+        drift: float = 0.0,
+        policy: Policy = POLICY,
+        keep: int = KEEP,
     ) -> None:
         super().__init__(f"cells:{seed}", drift)
         self.machines = layout(regions, machines, zones)
@@ -94,12 +112,26 @@
         now, seed = process.now(self.clock.now), self.rng.getrandbits(60)
         core: Core
         if process.name.startswith("c"):
-            core = Controller(ControlSettings(FLEET, process.name, born, self.machines, "1", self._policy,
-                                              keep=self._keep), now, seed)
+            core = Controller(
+                ControlSettings(FLEET, process.name, born, self.machines, "1", self._policy, keep=self._keep),
+                now,
+                seed,
+            )
         else:
-            core = Gateway(GatewaySettings(FLEET, process.name, born, process.address,
-                                           self._zone_of[process.name], self.machines, "1", keep=self._keep),
-                           now, seed)
+            core = Gateway(
+                GatewaySettings(
+                    FLEET,
+                    process.name,
+                    born,
+                    process.address,
+                    self._zone_of[process.name],
+                    self.machines,
+                    "1",
+                    keep=self._keep,
+                ),
+                now,
+                seed,
+            )
         process.core = core
         self._do(process, core.start(now))
         self._ticking(process, core)
@@ -111,8 +143,13 @@
 
     def among(self, prefix: str, zone: Zone | None = None, region: str = "") -> list[Process]:
         """Processes of this kind, g or c, there."""
-        return [p for name, p in self.processes.items() if name.startswith(prefix)
-                and zone in (None, self._zone_of[name]) and region in ("", self._zone_of[name].region)]
+        return [
+            p
+            for name, p in self.processes.items()
+            if name.startswith(prefix)
+            and zone in (None, self._zone_of[name])
+            and region in ("", self._zone_of[name].region)
+        ]
 
     def at_address(self, address: Address) -> Process:
         return self._by_address[address]
@@ -210,8 +247,10 @@
             back = other.table(now, table.fleet)
             if back is not None:
                 self._carried(target, process, back)
-                self.clock.after(self._late(), lambda: self._on(
-                    process, core, lambda: core.merge(process.now(self.clock.now), back)))
+                self.clock.after(
+                    self._late(),
+                    lambda: self._on(process, core, lambda: core.merge(process.now(self.clock.now), back)),
+                )
             return other.merge(now, table)
 
         self._on(target, other, there)
@@ -263,8 +302,11 @@
             elif key in self._retired:
                 raise self._broken(f"{process.name} seeds {key[1]} again, which was given up")
         if isinstance(what, Noticed) and what.kind == "retired":
-            self.retired_with += [p.name for p, core in self.gateways()
-                                  if core.held is not None and core.held.cell.name == what.about["cell"]]
+            self.retired_with += [
+                p.name
+                for p, core in self.gateways()
+                if core.held is not None and core.held.cell.name == what.about["cell"]
+            ]
 
     def _viewed(self, process: Process, fleet: str, told: Noticed) -> None:
         self.told.append((self.true, process.name, InCell(fleet, told)))
@@ -284,8 +326,9 @@
     def _coordinators(self) -> None:
         now, found = self.clock.now, Counter[str]()
         for process, core in self.controllers():
-            found.update(name for name, seeding in core.cells.items()
-                         if seeding.member.owns(process.now(now)))
+            found.update(
+                name for name, seeding in core.cells.items() if seeding.member.owns(process.now(now))
+            )
         if any(count > 1 for count in found.values()):
             raise self._broken(f"two coordinate one cell: {found}")
 
@@ -341,7 +384,7 @@
             cells[cell.name] = cell
             inside.setdefault(cell.name, []).append((process, core))
         for name, cell in cells.items():
-            if (amiss := self._cell_settled(cell, inside[name])):
+            if amiss := self._cell_settled(cell, inside[name]):
                 return f"{name}: {amiss}"
         return self._directory_settled(leader, inside)
 
@@ -361,8 +404,11 @@
 
     def _cell_settled(self, cell: Cell, gateways: list[tuple[Process, Gateway]]) -> str:
         now, slots = self.clock.now, 0
-        seeding = [(process, core.cells.get(cell.name)) for process, core in self.controllers()
-                   if process.address in cell.seeds]
+        seeding = [
+            (process, core.cells.get(cell.name))
+            for process, core in self.controllers()
+            if process.address in cell.seeds
+        ]
         seeds = [found.member for _, found in seeding if found is not None]
         if not seeds or len(seeds) < len(seeding):
             return f"{len(seeds)} of {len(seeding)} seed it"
@@ -392,7 +438,7 @@
     def until_settled(self, most: int, every: int = 100_000_000) -> int:
         """ns until it is; raises `Broken` where that takes longer than `most`."""
         begun = self.true
-        while (amiss := self.settled()):
+        while amiss := self.settled():
             if self.true - begun >= most:
                 raise self._broken(f"not settled {most / SECOND:.1f} s after: {amiss}")
             self.run(every)
--- a/trackspread/virtual/cells/worlds.py
+++ b/trackspread/virtual/cells/worlds.py
@@ -20,8 +20,9 @@
 RESTLESS = Policy(6, 8, 2, 4, 4_096, 60 * SECOND, 600 * SECOND)  # nothing is merged or replaced meanwhile
 
 
-def begun(seed: int, regions: int, machines: int, each: int, policy: Policy, keep: int = 2 * SECOND
-          ) -> CelledWorld:
+def begun(
+    seed: int, regions: int, machines: int, each: int, policy: Policy, keep: int = 2 * SECOND
+) -> CelledWorld:
     """A fleet that is settled, so many gateways in each of two zones a region."""
     world = CelledWorld(seed, regions, machines, 2, policy=policy, keep=keep)
     world.populate(each)
@@ -181,8 +182,11 @@
         world.leave(process)
     world.run(60 * SECOND)
     world.until_settled(START)
-    used = {core.held.cell.name for p, core in world.gateways()
-            if core.held is not None and core.held.cell.place == crowded}
+    used = {
+        core.held.cell.name
+        for p, core in world.gateways()
+        if core.held is not None and core.held.cell.place == crowded
+    }
     if len(used) > 1:
         raise Broken(f"seed {seed}: four gateways in {len(used)} cells")
     leader = world.leader()
@@ -220,8 +224,11 @@
     for process in gone:
         world.kill(process)
     world.run(10 * SECOND)
-    kept = [c.part(p.now(world.clock.now)) for p, c in world.gateways()
-            if c.held is not None and c.held.cell.name == cell.name]
+    kept = [
+        c.part(p.now(world.clock.now))
+        for p, c in world.gateways()
+        if c.held is not None and c.held.cell.name == cell.name
+    ]
     if not all(kept):
         raise Broken(f"seed {seed}: gateways let go of what a live seed knows of")
     since = world.true
@@ -251,6 +258,16 @@
 
 
 WORLDS: tuple[Callable[[int], object], ...] = (
-    play, region_cut_off, zone_cut_off, out_of_all_reach, seed_replaced, mover_stopped, late_entries,
-    leader_stopped, too_many_at_once, half_restarted, cell_without_its_majority, calm,
+    play,
+    region_cut_off,
+    zone_cut_off,
+    out_of_all_reach,
+    seed_replaced,
+    mover_stopped,
+    late_entries,
+    leader_stopped,
+    too_many_at_once,
+    half_restarted,
+    cell_without_its_majority,
+    calm,
 )
--- a/trackspread/virtual/counter/mutants.py
+++ b/trackspread/virtual/counter/mutants.py
@@ -112,8 +112,10 @@
 
 
 def _kept_without_word() -> list[Any]:
-    return [patch.object(FailureDetector, "own", lambda self, now: self.acked != failure_detector.NEVER),
-            patch.object(lease, "KEPT", 1 << 62)]
+    return [
+        patch.object(FailureDetector, "own", lambda self, now: self.acked != failure_detector.NEVER),
+        patch.object(lease, "KEPT", 1 << 62),
+    ]
 
 
 def _out_too_short() -> list[Any]:
@@ -146,8 +148,10 @@
             sent.at = max(sent.at, now - 8 * SECOND + 1)
         return real(self, now, number, reply)
 
-    return [patch.object(LeaseManager, "answered", mutant),
-            patch.object(lease_manager, "TIMEOUT", 8 * SECOND)]
+    return [
+        patch.object(LeaseManager, "answered", mutant),
+        patch.object(lease_manager, "TIMEOUT", 8 * SECOND),
+    ]
 
 
 def _use_not_taken_off() -> list[Any]:
@@ -200,17 +204,35 @@
 MUTANTS: dict[str, Callable[[], list[Any]]] = {
     each.__name__.strip("_").replace("_", "-"): each
     for each in (
-        _proof_not_awaited, _proof_without_beats, _proof_without_time, _fresh_counter_trusted,
-        _not_fitted, _even_at_once, _beats_after_a_failure, _beat_before_writing_back,
-        _alive_by_the_last_look, _old_claims_believed, _raised_before_the_answer, _kept_without_word,
-        _out_too_short, _return_not_noticed, _floor_of_the_whole, _late_answers_taken, _use_not_taken_off,
-        _full_at_first, _lost_field_not_noticed, _whole_while_deaf, _release_stuck,
+        _proof_not_awaited,
+        _proof_without_beats,
+        _proof_without_time,
+        _fresh_counter_trusted,
+        _not_fitted,
+        _even_at_once,
+        _beats_after_a_failure,
+        _beat_before_writing_back,
+        _alive_by_the_last_look,
+        _old_claims_believed,
+        _raised_before_the_answer,
+        _kept_without_word,
+        _out_too_short,
+        _return_not_noticed,
+        _floor_of_the_whole,
+        _late_answers_taken,
+        _use_not_taken_off,
+        _full_at_first,
+        _lost_field_not_noticed,
+        _whole_while_deaf,
+        _release_stuck,
     )
 }
 
 
 KINDS = {
-    "deaf": schedules.deaf_world, "tight": schedules.tight_world, "calm": schedules.calm_world,
+    "deaf": schedules.deaf_world,
+    "tight": schedules.tight_world,
+    "calm": schedules.calm_world,
     "faults": schedules.play_seed,
 }
 
--- a/trackspread/virtual/counter/schedules.py
+++ b/trackspread/virtual/counter/schedules.py
@@ -70,6 +70,7 @@
     split(world, rng)
     shard = world.shards[0]
     for _ in range(3):
+
         def change(number: int = rng.randrange(world.plant.gateways), side: int = rng.randint(0, 1)) -> None:
             if len(shard.states) > 1:
                 shard.sides[number] = side
@@ -130,14 +131,23 @@
 
 def errors(world: World, rng: random.Random) -> None:
     """It answers, with errors: to everything, or to what writes."""
-    text = rng.choice(("LOADING Redis is loading the dataset in memory", "CLUSTERDOWN The cluster is down",
-                       "TRYAGAIN Multiple keys request during rehashing of slot"))
+    text = rng.choice(
+        (
+            "LOADING Redis is loading the dataset in memory",
+            "CLUSTERDOWN The cluster is down",
+            "TRYAGAIN Multiple keys request during rehashing of slot",
+        )
+    )
     for shard in world.shards:
         if rng.random() < 0.5:
             shard.error = text
         else:
-            shard.read_only = rng.choice(("OOM command not allowed when used memory > 'maxmemory'.",
-                                          "READONLY You can't write against a read only replica."))
+            shard.read_only = rng.choice(
+                (
+                    "OOM command not allowed when used memory > 'maxmemory'.",
+                    "READONLY You can't write against a read only replica.",
+                )
+            )
 
     def over() -> None:
         for shard in world.shards:
@@ -171,8 +181,24 @@
 
 FAULTS: dict[str, Fault] = {
     each.__name__: each
-    for each in (cut, split, split_and_cross, promote, replace, cut_and_replace, evict, evict_beats, slow,
-                 lossy, calm, errors, kill, kill_many, pause, move)
+    for each in (
+        cut,
+        split,
+        split_and_cross,
+        promote,
+        replace,
+        cut_and_replace,
+        evict,
+        evict_beats,
+        slow,
+        lossy,
+        calm,
+        errors,
+        kill,
+        kill_many,
+        pause,
+        move,
+    )
 }
 
 
@@ -185,8 +211,16 @@
     rate, burst = rng.choice(((10.0, 10.0), (6.0, 12.0), (30.0, 15.0), (4.0, 3.0), (50.0, 60.0)))
     over = rng.choice((0.5, 1.0, 2.0)) if burst > 3.0 else rng.choice((1.0, 2.0))
     plant = Plant(
-        seed, gateways, 2 if large else rng.randint(1, 3), rng.choice((1, 1, 2)), rng.choice((1, 2, 4)),
-        rate, burst, over, rng.randint(1, gateways), rng.uniform(0.5, 6.0),
+        seed,
+        gateways,
+        2 if large else rng.randint(1, 3),
+        rng.choice((1, 1, 2)),
+        rng.choice((1, 2, 4)),
+        rate,
+        burst,
+        over,
+        rng.randint(1, gateways),
+        rng.uniform(0.5, 6.0),
     )
     names = rng.choices(list(FAULTS), k=rng.randint(2, 6))
     faults = tuple(sorted((rng.randint(SECOND, SPAN - 8 * SECOND), name) for name in names))
@@ -271,8 +305,9 @@
     # Whose loss it is: who holds all, or one of the others, whose even slice the holder then has to leave.
     victim = rng.choice((top, rng.randrange(gateways)))
     shard, now = world.shards[0], _now_ms(world)
-    fault = rng.choice(("cut", "deaf", "split", "others", "promote", "replace", "evict", "restart", "cross",
-                        "late"))
+    fault = rng.choice(
+        ("cut", "deaf", "split", "others", "promote", "replace", "evict", "restart", "cross", "late")
+    )
     if fault in ("cut", "deaf"):
         world.cuts_asks = fault == "cut"
         world.cut = {victim}
--- a/trackspread/virtual/counter/world.py
+++ b/trackspread/virtual/counter/world.py
@@ -65,8 +65,16 @@
 
     def plan(self) -> Plan:
         return Plan(
-            "team", self.rate, self.burst, self.open_limit, 1.0, 0.0, 1.0, self.rate * self.over,
-            self.burst * self.over, 0.0,
+            "team",
+            self.rate,
+            self.burst,
+            self.open_limit,
+            1.0,
+            0.0,
+            1.0,
+            self.rate * self.over,
+            self.burst * self.over,
+            0.0,
         )
 
 
@@ -159,7 +167,11 @@
         self._lives[number] += 1
         plant, now = self.plant, self.clock.now
         settings = plain_settings(
-            plant.plan(), position=number, gateways=plant.gateways, may_message=False, rights=True,
+            plant.plan(),
+            position=number,
+            gateways=plant.gateways,
+            may_message=False,
+            rights=True,
         )
         seed = self.rng.getrandbits(32)
         module = Broker(settings, seed, now)
@@ -167,7 +179,11 @@
         told = partial(kept, module.quota)
         client = QuotaClient(settings, plant.partitions, life, seed, now, told)
         made = Gateway(
-            number, 1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART), now, client, module,
+            number,
+            1.0 + self.rng.uniform(-CLOCK_PART, CLOCK_PART),
+            now,
+            client,
+            module,
         )
         entries = tuple(Backend(n, 0, 0, 0, Health.READY, 1.0, 0) for n in (1, 2, 3))
         self._handle(made, Topology(ListKind.FULL, 1, entries))
--- a/trackspread/virtual/distribution/judged.py
+++ b/trackspread/virtual/distribution/judged.py
@@ -64,7 +64,11 @@
         return max(lower, default=NOTHING)
 
     def acts(
-        self, gateway: str, version: Version, snapshot: Snapshot, services: frozenset[str] | None,
+        self,
+        gateway: str,
+        version: Version,
+        snapshot: Snapshot,
+        services: frozenset[str] | None,
     ) -> None:
         """A process of a gateway acts on these values, as those of this version."""
         if version <= self.acted.get(gateway, NOTHING):
--- a/trackspread/virtual/distribution/mutants.py
+++ b/trackspread/virtual/distribution/mutants.py
@@ -15,8 +15,19 @@
 from ...distribution.serving import Serving
 from ...distribution.subscriber import Staged, Subscriber
 from ...distribution.terms import (
-    NOTHING, Action, Address, Append, Delta, Entry, Epoch, Piece, Prepare, ReplicaSettings, Send,
-    TailEntries, Version,
+    NOTHING,
+    Action,
+    Address,
+    Append,
+    Delta,
+    Entry,
+    Epoch,
+    Piece,
+    Prepare,
+    ReplicaSettings,
+    Send,
+    TailEntries,
+    Version,
 )
 from ..patches import held
 from .judged import Broken
@@ -82,6 +93,7 @@
 
 def _not_asked_first() -> list[Any]:
     """A new leader numbers at once, by the log that it has."""
+
     def mutant(self: Leading, now: int) -> list[Action]:
         return self._establish(now)
 
@@ -169,8 +181,11 @@
 
     def mutant(self: Serving, *words: Any) -> Any:
         made = real(self, *words)
-        return Delta(made.number, self._log.committed, made.age, made.entries, False) \
-            if isinstance(made, Delta) else made
+        return (
+            Delta(made.number, self._log.committed, made.age, made.entries, False)
+            if isinstance(made, Delta)
+            else made
+        )
 
     return [patch.object(Serving, "_delta", mutant)]
 
@@ -207,6 +222,7 @@
 
 def _tail_out_of_order() -> list[Any]:
     """A part of the log that is taken over is taken wherever it lies."""
+
     def mutant(self: Leading, now: int, replica: int, told: TailEntries) -> list[Action]:
         if replica != self.adopting or not self._based:
             return []
@@ -231,11 +247,27 @@
 
 
 MUTANTS: dict[str, Callable[[], list[Any]]] = {
-    each.__name__.strip("_"): each for each in (
-        _minority_commits, _empty_counts, _caught_up_too_early, _old_epochs_accepted, _any_previous,
-        _not_asked_first, _adopting_forgets, _lost_leader_goes_on, _one_promise_is_enough, _history_in_place,
-        _goes_back, _acts_on_pieces, _skips_what_does_not_fit, _never_elsewhere, _always_fresh,
-        _leader_always_in_touch, _unbounded_pieces, _tail_out_of_order, _promise_without_fence,
+    each.__name__.strip("_"): each
+    for each in (
+        _minority_commits,
+        _empty_counts,
+        _caught_up_too_early,
+        _old_epochs_accepted,
+        _any_previous,
+        _not_asked_first,
+        _adopting_forgets,
+        _lost_leader_goes_on,
+        _one_promise_is_enough,
+        _history_in_place,
+        _goes_back,
+        _acts_on_pieces,
+        _skips_what_does_not_fit,
+        _never_elsewhere,
+        _always_fresh,
+        _leader_always_in_touch,
+        _unbounded_pieces,
+        _tail_out_of_order,
+        _promise_without_fence,
     )
 }
 
--- a/trackspread/virtual/distribution/schedules.py
+++ b/trackspread/virtual/distribution/schedules.py
@@ -20,6 +20,7 @@
 
 def changes(world: World, span: int, gap: int) -> None:
     """One about every `gap` ns from now on."""
+
     def one() -> None:
         value = world.rng.choice([None, b"v" * world.rng.randint(0, 600)])
         world.put(world.rng.choice(world.services), f"key-{world.rng.randint(0, 9)}", value)
@@ -87,8 +88,13 @@
 
 def drawn(seed: int) -> World:
     """A schedule of all kinds of trouble."""
-    world = World(seed, replicas=[3, 5, 5, 4, 1][seed % 5], gateways=6 + seed % 5, regions=1 + seed % 3,
-                  recent=[8, 30, 200][seed % 3])
+    world = World(
+        seed,
+        replicas=[3, 5, 5, 4, 1][seed % 5],
+        gateways=6 + seed % 5,
+        regions=1 + seed % 3,
+        recent=[8, 30, 200][seed % 3],
+    )
     world.begin()
     weather, rng = world.weather, world.rng
     weather.loss, weather.twice = rng.choice([0.0, 0.02, 0.2]), rng.choice([0.0, 0.1])
@@ -170,7 +176,7 @@
     world.appoint(2, former=False)
     changes(world, 15 * SECOND, 100 * MS)
     world.run(20 * SECOND)
-    if (amiss := world.judged.missing(world.now, [p.name for p in world.gateways])):
+    if amiss := world.judged.missing(world.now, [p.name for p in world.gateways]):
         raise Broken(f"while a minority goes on by itself, {amiss}")
     world.heal(ways)
     world.calm()
@@ -225,7 +231,7 @@
     world.heal(ways)
     sent = dict(world.sent)
     world.run(IN_FORCE)
-    if (amiss := world.judged.missing(world.now, [p.name for p in world.gateways])):
+    if amiss := world.judged.missing(world.now, [p.name for p in world.gateways]):
         raise Broken(f"after the heal {amiss}")
     most = max(world.sent[p.name] - sent[p.name] for p in inside)
     if most > 60:
@@ -253,9 +259,9 @@
         most = max(world.sent[replica.name] - sent[replica.name] for replica in world.replicas)
         if most > SENT_MOST:
             raise Broken(f"a replica sent {most} datagrams in a second")
-        if (amiss := world.judged.missing(world.now, others)):
+        if amiss := world.judged.missing(world.now, others):
             raise Broken(f"while half restart {amiss}")
-    if (amiss := world.judged.missing(world.now, [p.name for p in world.gateways])):
+    if amiss := world.judged.missing(world.now, [p.name for p in world.gateways]):
         raise Broken(f"after the restart {amiss}")
     world.calm()
     return world
@@ -285,7 +291,7 @@
     names = [name for name in names if name not in some]
     ways = world.part(some, names, both=False) if seed % 3 == 1 else world.part(names, some, both=False)
     world.run(20 * SECOND)
-    if (amiss := world.judged.missing(world.now, [p.name for p in world.gateways])):
+    if amiss := world.judged.missing(world.now, [p.name for p in world.gateways]):
         raise Broken(f"while some replicas hear one way only, {amiss}")
     world.heal(ways)
     world.calm()
@@ -319,7 +325,15 @@
 
 
 SHORT: tuple[Callable[[int], World], ...] = (
-    drawn, leader_dies, two_lead, dies_while_adopted, minority_goes_on, forgotten_promise,
-    wakes_late, burst, one_way, majority_lost,
+    drawn,
+    leader_dies,
+    two_lead,
+    dies_while_adopted,
+    minority_goes_on,
+    forgotten_promise,
+    wakes_late,
+    burst,
+    one_way,
+    majority_lost,
 )
 LONG: tuple[Callable[[int], World], ...] = (region_cut, half_restarted)
--- a/trackspread/virtual/distribution/world.py
+++ b/trackspread/virtual/distribution/world.py
@@ -19,8 +19,22 @@
 from ...distribution.replica import Replica
 from ...distribution.subscriber import Subscriber
 from ...distribution.terms import (
-    MS, NOTHING, SECOND, TICK, Action, Address, Begin, Bodies, Done, Epoch, Noticed, Put, ReplicaSettings,
-    Send, SubscriberSettings, Version,
+    MS,
+    NOTHING,
+    SECOND,
+    TICK,
+    Action,
+    Address,
+    Begin,
+    Bodies,
+    Done,
+    Epoch,
+    Noticed,
+    Put,
+    ReplicaSettings,
+    Send,
+    SubscriberSettings,
+    Version,
 )
 from ..clock import Clock
 from ..stage import Weather
@@ -53,8 +67,15 @@
     """`replicas` and `gateways` by name; times are ns since the beginning."""
 
     def __init__(
-        self, seed: int, replicas: int = 5, gateways: int = 8, regions: int = 2,
-        services: int = 6, each: int = 2, recent: int = 30, pieces: int = 2000,
+        self,
+        seed: int,
+        replicas: int = 5,
+        gateways: int = 8,
+        regions: int = 2,
+        services: int = 6,
+        each: int = 2,
+        recent: int = 30,
+        pieces: int = 2000,
     ) -> None:
         """`services`: that there are, of which each gateway wants `each`."""
         self.rng, self.clock, self.weather = random.Random(f"distribution:{seed}"), Clock(), Weather()
@@ -107,8 +128,9 @@
         process.waiting.clear()
         addresses = tuple(p.address for p in self.replicas)
         if process.number >= 0:
-            settings = ReplicaSettings(process.number, process.born, addresses, self._recent,
-                                       pieces=self._pieces)
+            settings = ReplicaSettings(
+                process.number, process.born, addresses, self._recent, pieces=self._pieces
+            )
             process.core = Replica(settings, now, seed)
         else:
             near = tuple(p.address for p in self.replicas if p.region == process.region)
@@ -233,7 +255,12 @@
         self._on(target, core, lambda: self._received(target, source.number, born, body, source.address))
 
     def _received(
-        self, process: Process, number: int, born: int, body: Bodies, source: Address,
+        self,
+        process: Process,
+        number: int,
+        born: int,
+        body: Bodies,
+        source: Address,
     ) -> Iterable[Action]:
         core, now = process.core, self.clock.now
         if isinstance(core, Replica):
@@ -265,7 +292,7 @@
             if isinstance(core, Replica) and core.log.committed != newest:
                 raise Broken(f"{process.name}, {core.role}, has {core.log.committed}, not {newest}")
         gateways = [p.name for p in self.gateways if p.core is not None]
-        if (amiss := self.judged.missing(self.now, gateways)):
+        if amiss := self.judged.missing(self.now, gateways):
             raise Broken(amiss)
 
     def calm(self, span: int = 20 * SECOND) -> None:
--- a/trackspread/virtual/fleet.py
+++ b/trackspread/virtual/fleet.py
@@ -142,9 +142,9 @@
         names = {entry.id: entry.health is Health.READY for entry in entries}
         for node in self.nodes.values():
             if node.id in names or kind is ListKind.FULL:
-                self.ledger.write(Told(
-                    self.clock.now, f"n{host.position}", node.spec.name, names.get(node.id, False)
-                ))
+                self.ledger.write(
+                    Told(self.clock.now, f"n{host.position}", node.spec.name, names.get(node.id, False))
+                )
         known = {} if kind is ListKind.FULL else {entry.id: entry for entry in self._known[host.position]}
         known.update({entry.id: entry for entry in entries})
         self._known[host.position] = tuple(e for e in known.values() if e.health is not Health.GONE)
@@ -203,10 +203,19 @@
         cls, key = self._asked[request]
         work = work_of(self.scene.seed, request, self.scene.work(cls))
         taken = node.model.arrive(now, request, work, key, self._windows.get(cls, 0))
-        self.ledger.write(Attempted(
-            now, now, request, node.spec.name, f"n{host.position}", work, taken is None,
-            bool(taken and taken.repeat), taken.value if taken else "",
-        ))
+        self.ledger.write(
+            Attempted(
+                now,
+                now,
+                request,
+                node.spec.name,
+                f"n{host.position}",
+                work,
+                taken is None,
+                bool(taken and taken.repeat),
+                taken.value if taken else "",
+            )
+        )
         if node.model.fallen:
             self._fall(node)
             host.ended(attempt, Outcome.RESET)
@@ -264,10 +273,19 @@
             return
         now, request, customer = self.clock.now, self.crowd.request_id(want), want.customer
         self._asked[request] = want.cls, want.key
-        self.ledger.write(Asked(
-            now, request, want.origin, f"n{want.gateway}", want.cls, customer.plan, customer.number,
-            want.units, want.wait,
-        ))
+        self.ledger.write(
+            Asked(
+                now,
+                request,
+                want.origin,
+                f"n{want.gateway}",
+                want.cls,
+                customer.plan,
+                customer.number,
+                want.units,
+                want.wait,
+            )
+        )
         exchange = Exchange(self, want, request, host)
         self._open[want.gateway][request] = exchange.cut
         self.clock.after(self._delay(), exchange.deliver)
@@ -298,7 +316,14 @@
         want, (cls, plan) = self.want, self.fleet.arrival(self.want)
         customer = want.customer
         self.number = self.host.take(
-            self.request, cls, plan, customer.number, want.wait, want.units, customer.spread, customer.first,
+            self.request,
+            cls,
+            plan,
+            customer.number,
+            want.wait,
+            want.units,
+            customer.spread,
+            customer.first,
             self.answered,
         )
 
--- a/trackspread/virtual/host.py
+++ b/trackspread/virtual/host.py
@@ -12,8 +12,24 @@
 
 from ..decide.broker import Broker
 from ..decide.interface import (
-    Action, Arrival, AttemptEnded, Cancel, ClientLeft, Event, Fail, Outcome, PeerMessage, Probe, Probed,
-    Refuse, Send, SetTimer, Settings, Tell, TimerFired, Topology,
+    Action,
+    Arrival,
+    AttemptEnded,
+    Cancel,
+    ClientLeft,
+    Event,
+    Fail,
+    Outcome,
+    PeerMessage,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    SetTimer,
+    Settings,
+    Tell,
+    TimerFired,
+    Topology,
 )
 from .clock import Clock
 
@@ -72,7 +88,15 @@
     # From the world.
 
     def take(
-        self, name: str, cls: int, plan: int, customer: int, wait: int, units: float, spread: int, first: int,
+        self,
+        name: str,
+        cls: int,
+        plan: int,
+        customer: int,
+        wait: int,
+        units: float,
+        spread: int,
+        first: int,
         answer: Answer,
     ) -> int:
         self._count += 1
@@ -115,9 +139,11 @@
             self._close(attempt.number, held)
             held.answer("served", value, 0)
         elapsed = self.clock.now - attempt.started
-        self.handle(AttemptEnded(
-            attempt.number, held.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, ()
-        ))
+        self.handle(
+            AttemptEnded(
+                attempt.number, held.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, ()
+            )
+        )
         self._forget(attempt.number, held)
 
     def _time_is_up(self, number: int) -> None:
--- a/trackspread/virtual/membership/mutants.py
+++ b/trackspread/virtual/membership/mutants.py
@@ -55,6 +55,7 @@
 
 def _owner_unasked() -> list[Any]:
     """Who once led goes on, though its time is over."""
+
     def owns(self: Member, now: int) -> bool:
         return self.coordinating is not None
 
@@ -65,8 +66,12 @@
         self._votes(self.acceptor.tick(now))
         if election.owns(now) and self.coordinating is None:
             self.coordinating = Coordinating(
-                now, (election.epoch, self.acceptor.number), self.view, len(self.settings.seeds),
-                self.settings.keep)
+                now,
+                (election.epoch, self.acceptor.number),
+                self.view,
+                len(self.settings.seeds),
+                self.settings.keep,
+            )
             epoch = (election.epoch, self.acceptor.number)
             self._leader(now, Leader(epoch, self.who, *self.settings.address))
         if self.coordinating is not None and (view := self.coordinating.tick(now, self.member_table.live())):
@@ -78,6 +83,7 @@
 
 def _grows_first() -> list[Any]:
     """A part is given before others have given up theirs."""
+
     def mutant(self: Parts, now: int, who: Who, wanted: int, serial: int, part: int) -> tuple[int, int]:
         self._serial += 1
         return self._serial, wanted
@@ -92,9 +98,8 @@
 
 def _from_receipt() -> list[Any]:
     """A grant counts from when it came, not from when it was asked for."""
-    def mutant(
-        self: Holding, now: int, stamp: int, epoch: Epoch, serial: int, part: int, lasts: int
-    ) -> bool:
+
+    def mutant(self: Holding, now: int, stamp: int, epoch: Epoch, serial: int, part: int, lasts: int) -> bool:
         if epoch != self.epoch or serial <= self.serial:
             return False
         self.serial, self.granted, self.granted_until = serial, part, now + parts.held(lasts)
@@ -106,9 +111,8 @@
 
 def _serials_ignored() -> list[Any]:
     """An older grant that comes late counts."""
-    def mutant(
-        self: Holding, now: int, stamp: int, epoch: Epoch, serial: int, part: int, lasts: int
-    ) -> bool:
+
+    def mutant(self: Holding, now: int, stamp: int, epoch: Epoch, serial: int, part: int, lasts: int) -> bool:
         if epoch != self.epoch:
             return False
         self.serial, self.granted = max(self.serial, serial), part
@@ -121,8 +125,10 @@
 
 def _predecessor_forgotten() -> list[Any]:
     """A new coordinator takes what it does not know of for free."""
-    return [patch.object(Parts, "unknown", lambda self, now: 0),
-            patch.object(Parts, "__init__", _nothing_unknown)]
+    return [
+        patch.object(Parts, "unknown", lambda self, now: 0),
+        patch.object(Parts, "__init__", _nothing_unknown),
+    ]
 
 
 def _nothing_unknown(self: Parts, now: int, epoch: Epoch, keep: int) -> None:
@@ -187,12 +193,15 @@
 
 def _given_up() -> list[Any]:
     """Nobody looks for those that are gone: two halves stay two."""
-    return [patch.object(Member, "_reach", lambda self, now: None),
-            patch.object(MemberTable, "digest", lambda self: 0)]
+    return [
+        patch.object(Member, "_reach", lambda self, now: None),
+        patch.object(MemberTable, "digest", lambda self: 0),
+    ]
 
 
 def _not_fenced() -> list[Any]:
     """Two processes under one name go on side by side."""
+
     def mutant(self: Member, now: int, born: int, source: Address) -> None:
         return None
 
@@ -206,6 +215,7 @@
 
 def _blames_at_once() -> list[Any]:
     """One late answer, and it is dead."""
+
     def mutant(self: Member, person: MemberEntry) -> int:
         return 0
 
@@ -314,8 +324,9 @@
     for name in again:
         world.kill(world.processes[name])
     for name in again:
-        world.at(world.true + world.rng.randint(100 * MS, 800 * MS),
-                 partial(world.start, world.processes[name]))
+        world.at(
+            world.true + world.rng.randint(100 * MS, 800 * MS), partial(world.start, world.processes[name])
+        )
     end = world.true + 15 * SECOND
     while world.true < end:
         world.step(world.true + 20 * MS)
@@ -337,7 +348,11 @@
 
 
 WORLDS: tuple[Callable[[int], object], ...] = (
-    lambda seed: play(make(seed)), two_under_one_name, wakes_late, late_words, calm_loss,
+    lambda seed: play(make(seed)),
+    two_under_one_name,
+    wakes_late,
+    late_words,
+    calm_loss,
     seeds_anew,
 )
 
--- a/trackspread/virtual/membership/schedules.py
+++ b/trackspread/virtual/membership/schedules.py
@@ -38,9 +38,11 @@
 
     def __str__(self) -> str:
         told = ", ".join(f"{type(f).__name__} at {f.at:.2f} s for {f.span:.2f} s" for f in self.faults.faults)
-        return (f"seed {self.seed}: {self.faults.gateways} gateways, {self.seeds} seeds, clocks off by "
-                f"{self.drift:.1%}, parts kept for {self.keep / SECOND:.0f} s; {told}; "
-                f"joins {self.joins}, goes {self.goes}")
+        return (
+            f"seed {self.seed}: {self.faults.gateways} gateways, {self.seeds} seeds, clocks off by "
+            f"{self.drift:.1%}, parts kept for {self.keep / SECOND:.0f} s; {told}; "
+            f"joins {self.joins}, goes {self.goes}"
+        )
 
 
 def make(seed: int, least: int = 2, most: int = 12) -> MemberedSchedule:
@@ -142,8 +144,9 @@
 
 def play(schedule: MemberedSchedule) -> tuple[World, int]:
     """Raises `Broken`; the world at its end, and the ns that it took to settle."""
-    world = World(schedule.seed, schedule.faults.gateways, schedule.seeds, schedule.drift,
-                  {"keep": schedule.keep})
+    world = World(
+        schedule.seed, schedule.faults.gateways, schedule.seeds, schedule.drift, {"keep": schedule.keep}
+    )
     for process in list(world.processes.values()):
         world.at(world.rng.randint(0, 500 * MS), partial(world.start, process))
     Player(world, schedule).arrange()
--- a/trackspread/virtual/membership/world.py
+++ b/trackspread/virtual/membership/world.py
@@ -13,7 +13,17 @@
 from ...membership.member import Member
 from ...membership.slots import SLOTS, WHOLE
 from ...membership.terms import (
-    MS, SECOND, Address, Exchange, MemberMessage, Noticed, Number, Say, Settings, Table, View,
+    MS,
+    SECOND,
+    Address,
+    Exchange,
+    MemberMessage,
+    Noticed,
+    Number,
+    Say,
+    Settings,
+    Table,
+    View,
 )
 from .. import stage
 from ..stage import Broken as Broken
@@ -28,7 +38,11 @@
     """`processes` by name; `step` runs on to a true time, relative to the beginning."""
 
     def __init__(
-        self, seed: int, count: int, seeds: int = 3, drift: float = 0.0,
+        self,
+        seed: int,
+        count: int,
+        seeds: int = 3,
+        drift: float = 0.0,
         settings: dict[str, object] | None = None,
     ) -> None:
         super().__init__(f"members:{seed}", drift)
@@ -55,8 +69,9 @@
         """A new process under the name, from nothing."""
         born = self._begun(process)
         place = self.places.get(process.name, (-1, 0))
-        settings = Settings("fleet", process.name, born, process.address, self._seeds, "1", place=place,
-                            **self._settings)  # type: ignore[arg-type]
+        settings = Settings(
+            "fleet", process.name, born, process.address, self._seeds, "1", place=place, **self._settings
+        )  # type: ignore[arg-type]
         seed = self.rng.getrandbits(60)
         core = process.core = Member(settings, process.now(self.clock.now), seed)
         self._do(process, core.start(process.now(self.clock.now)))
@@ -114,8 +129,10 @@
         def there() -> Iterable[object]:
             now = target.now(self.clock.now)
             back = other.table(now)
-            self.clock.after(self._late(), lambda: self._on(
-                process, core, lambda: core.merge(process.now(self.clock.now), back)))
+            self.clock.after(
+                self._late(),
+                lambda: self._on(process, core, lambda: core.merge(process.now(self.clock.now), back)),
+            )
             return other.merge(now, table)
 
         self._on(target, other, there)
@@ -195,7 +212,7 @@
     def until_settled(self, most: int, among: Iterable[str] | None = None, every: int = 50 * MS) -> int:
         """ns until it is; raises `Broken` where that takes longer than `most`."""
         begun = self.true
-        while (amiss := self.settled(among)):
+        while amiss := self.settled(among):
             if self.true - begun >= most:
                 raise Broken(f"{self.true / 1e9:.3f} s: not settled {most / SECOND:.1f} s after: {amiss}")
             self.step(self.true + every)
--- a/trackspread/virtual/mutants.py
+++ b/trackspread/virtual/mutants.py
@@ -126,8 +126,10 @@
 
 def _peers_unheard() -> list[Any]:
     """Others' use is believed to be nothing, and the whole quota to be here."""
-    return [patch.object(Quota, "heard", lambda self, now, event: None),
-            patch.object(Quota, "share", lambda self, now, account: 1.0)]
+    return [
+        patch.object(Quota, "heard", lambda self, now, event: None),
+        patch.object(Quota, "share", lambda self, now, account: 1.0),
+    ]
 
 
 def _quota_unbooked() -> list[Any]:
--- a/trackspread/virtual/planning/mutants.py
+++ b/trackspread/virtual/planning/mutants.py
@@ -28,6 +28,7 @@
 
 def _taken_whatever() -> list[Any]:
     """A grant is taken however old it is, and under whatever epoch."""
+
     def mutant(self: Holder, now: int, grant: Grant) -> bool:
         self.advance(now)
         self.number, self.right, self.until = grant.number, grant.right, now + KEPT
--- a/trackspread/virtual/planning/saturated.py
+++ b/trackspread/virtual/planning/saturated.py
@@ -24,8 +24,16 @@
 BACK = 12 * SECOND  # from when all is as before: a term, an election, a lease of learning, a beat to grow
 DRIFT_STATED = 0.02  # the most that clocks may drift, of which the rules speak
 LIMITS = (Limit(10.0, 3.0), Limit(5.0, 10.0), Limit(20.0, 4.0), Limit(3.0, 6.0), Limit(40.0, 40.0))
-ENDING = ("kill_planner", "kill_all_planners", "pause_planner", "kill_forwarder", "pause_forwarder", "part",
-          "part_planners", "move")
+ENDING = (
+    "kill_planner",
+    "kill_all_planners",
+    "pause_planner",
+    "kill_forwarder",
+    "pause_forwarder",
+    "part",
+    "part_planners",
+    "move",
+)
 USED_LEAST = 0.75  # of what is due in a calm saturated world: 0.80 at worst of 2,000
 BACK_LEAST = 0.5  # the same once faults have ended, with uneven traffic: 0.58 at worst
 ALIKE = 0.3  # least part of an even share that each forwarder gets where a member's traffic is even
@@ -57,9 +65,19 @@
     over = rng.choice([each for each in (0.3, 0.5, 1.0, 2.0, 3.0) if each * limit.burst >= UNIT])
     planned = rng.choice((0.2, 0.5, 0.8, 0.95))
     plan = Plan(
-        seed, forwarders, rng.choice((1, 3, 3, 5)), rng.randint(1, 2), limit, rng.randint(1, forwarders),
-        rng.uniform(3.0, 20.0) * min(1.0, 20.0 / limit.rate), planned, over, rng.choice((0.5, 0.9, 0.95)),
-        DRIFT_STATED if kind == "wild" else 0.01, kind != "wild", kind == "calm",
+        seed,
+        forwarders,
+        rng.choice((1, 3, 3, 5)),
+        rng.randint(1, 2),
+        limit,
+        rng.randint(1, forwarders),
+        rng.uniform(3.0, 20.0) * min(1.0, 20.0 / limit.rate),
+        planned,
+        over,
+        rng.choice((0.5, 0.9, 0.95)),
+        DRIFT_STATED if kind == "wild" else 0.01,
+        kind != "wild",
+        kind == "calm",
     )
     if kind == "calm":
         faults: tuple[tuple[int, str], ...] = ()
--- a/trackspread/virtual/planning/schedules.py
+++ b/trackspread/virtual/planning/schedules.py
@@ -122,9 +122,21 @@
 
 FAULTS: dict[str, Fault] = {
     each.__name__: each
-    for each in (kill_planner, kill_all_planners, pause_planner, kill_forwarder, pause_forwarder, part,
-                 part_planners, lossy, late, late_and_part, pause_after_ask,
-                 turns, move)
+    for each in (
+        kill_planner,
+        kill_all_planners,
+        pause_planner,
+        kill_forwarder,
+        pause_forwarder,
+        part,
+        part_planners,
+        lossy,
+        late,
+        late_and_part,
+        pause_after_ask,
+        turns,
+        move,
+    )
 }
 LIMITS = (Limit(20.0, 40.0), Limit(5.0, 10.0), Limit(60.0, 30.0))
 
@@ -135,8 +147,13 @@
     large = seed % LARGE == LARGE - 1
     forwarders = 40 if large else rng.randint(2, 6)
     plan = Plan(
-        seed, forwarders, 5 if large else rng.choice((3, 3, 5)), 12 if large else rng.randint(1, 3),
-        rng.choice(LIMITS), forwarders if large else rng.randint(1, forwarders), rng.uniform(0.5, 3.5),
+        seed,
+        forwarders,
+        5 if large else rng.choice((3, 3, 5)),
+        12 if large else rng.randint(1, 3),
+        rng.choice(LIMITS),
+        forwarders if large else rng.randint(1, forwarders),
+        rng.uniform(0.5, 3.5),
         rng.choice((0.2, 0.5, 0.95)),
     )
     names = rng.choices(list(FAULTS), k=rng.randint(2, 6))
--- a/trackspread/virtual/planning/world.py
+++ b/trackspread/virtual/planning/world.py
@@ -122,9 +122,7 @@
         self.starts += 1
         self.alive, world = True, self.world
         seed = world.rng.getrandbits(32)
-        self.planner = Planner(
-            self.number, world.plan.planners, world.plan.caps, UNIT, self.now(), seed
-        )
+        self.planner = Planner(self.number, world.plan.planners, world.plan.caps, UNIT, self.now(), seed)
         self.every(TICK, self._tick, self.starts)
 
     def _tick(self) -> None:
@@ -166,7 +164,10 @@
         self.starts += 1
         self.alive, plan = True, self.world.plan
         self.forwarder = Forwarder(
-            self.number, self.world.rng.getrandbits(32), plan.planners, plan.caps,
+            self.number,
+            self.world.rng.getrandbits(32),
+            plan.planners,
+            plan.caps,
             lambda member: plan.parts(member, self.number),
         )
         self.every(BEAT, self._beat, self.starts)
@@ -244,14 +245,17 @@
         self.forwarders = [ForwarderProcess(self, number) for number in range(plan.forwarders)]
         now, limit = self.clock.now, plan.limit
         self.counts = [
-            Count(tuple(CapAccount(cap, now) for cap in plan.caps(member)),
-                  Store(limit.rate, limit.burst, now), Store(limit.rate, limit.burst, now))
+            Count(
+                tuple(CapAccount(cap, now) for cap in plan.caps(member)),
+                Store(limit.rate, limit.burst, now),
+                Store(limit.rate, limit.burst, now),
+            )
             for member in range(plan.members)
         ]
         self.ways = [plan.ways(member) for member in range(plan.members)]
         self.weights = [
-            [1.0] * plan.used if plan.level else draw_weights(self.rng, plan.used) for _ in
-            range(plan.members)
+            [1.0] * plan.used if plan.level else draw_weights(self.rng, plan.used)
+            for _ in range(plan.members)
         ]
         self.sent_by = [[0] * plan.members for _ in range(plan.forwarders)]
         for member in range(plan.members):
--- a/trackspread/virtual/quiet.py
+++ b/trackspread/virtual/quiet.py
@@ -116,8 +116,14 @@
         def store(whose: str, one: Asked = each, rule: PlanRule = rule) -> _Store:
             return stores.setdefault((whose, one.customer), _Store(rule, rule.burst))
 
-        def note(whose: str, sends: bool, groups: tuple[str, ...] = groups, one: Asked = each, at: int = at,
-                 worth: float = worth) -> None:
+        def note(
+            whose: str,
+            sends: bool,
+            groups: tuple[str, ...] = groups,
+            one: Asked = each,
+            at: int = at,
+            worth: float = worth,
+        ) -> None:
             inside = sends and store(whose).take(at, one.gateway, one.units)
             room = not sends and store(whose).roomy(at, one.units)
             for group in groups:
@@ -136,8 +142,10 @@
     if not offered:
         raise ValueError("no try was asked")
     sides = {
-        group: (sums["policy", group].side(worth, scene.over_cost),
-                sums["late", group].side(worth, scene.over_cost))
+        group: (
+            sums["policy", group].side(worth, scene.over_cost),
+            sums["late", group].side(worth, scene.over_cost),
+        )
         for group, worth in offered.items()
     }
     policy, late = sides.pop("all")
@@ -161,7 +169,9 @@
 
 
 TROUBLES: dict[str, Callable[[VirtualFleet, random.Random], None]] = {
-    "calm": nothing, "lossy": losses, "restarts": restarts,
+    "calm": nothing,
+    "lossy": losses,
+    "restarts": restarts,
 }
 _FEW = (("familyInfo", "mailPerS", 3.0),)
 _DEAF = (("limits", "peerMessages", False),)
@@ -172,7 +182,8 @@
     "homes": Scene(gateways=24, nodes=18, load=0.35, greedy=0.2),
     # As others': each unit beyond costs much, quotas are small, messages few, or there are none.
     "dear, few messages": Scene(
-        gateways=12, nodes=9, load=0.3, greedy=0.2, plans=_SMALL, allow=_FEW, over_cost=2.5),
+        gateways=12, nodes=9, load=0.3, greedy=0.2, plans=_SMALL, allow=_FEW, over_cost=2.5
+    ),
     "unheard": Scene(gateways=12, nodes=9, load=0.3, greedy=0.2, plans=_SMALL, allow=_DEAF, over_cost=1.3),
 }
 
--- a/trackspread/virtual/ramp.py
+++ b/trackspread/virtual/ramp.py
@@ -55,9 +55,15 @@
     """Another fleet for each seed: its gateways, its window, its multiple, its start and its load."""
     rng = random.Random(f"ramp-scene:{seed}")
     return LastingScene(
-        gateways=rng.randint(LEAST_GATEWAYS, MOST_GATEWAYS), nodes=NODES, load=rng.uniform(0.5, 0.7),
-        greedy=0.2, seed=seed, warm=RAMP, start=rng.uniform(0.15, 0.35),
-        fall_window=rng.choice([SECOND // 2, SECOND, 3 * SECOND]), fall_multiple=rng.choice([2.0, 3.0]),
+        gateways=rng.randint(LEAST_GATEWAYS, MOST_GATEWAYS),
+        nodes=NODES,
+        load=rng.uniform(0.5, 0.7),
+        greedy=0.2,
+        seed=seed,
+        warm=RAMP,
+        start=rng.uniform(0.15, 0.35),
+        fall_window=rng.choice([SECOND // 2, SECOND, 3 * SECOND]),
+        fall_multiple=rng.choice([2.0, 3.0]),
     )
 
 
@@ -82,8 +88,11 @@
     figures = verdict.figures
     due = figures.served + figures.refused_with_room + figures.failed + figures.unanswered
     return Ramp(
-        world.gateways, max(excess(world, fleet.ledger), default=-inf), _used(fleet.ledger, since),
-        figures.served / max(1, due), frozenset(verdict.broken() - {"cold"}),
+        world.gateways,
+        max(excess(world, fleet.ledger), default=-inf),
+        _used(fleet.ledger, since),
+        figures.served / max(1, due),
+        frozenset(verdict.broken() - {"cold"}),
     )
 
 
@@ -101,9 +110,9 @@
         at = rng.randint(0, 2000) * MILLISECOND
         fleet.clock.after(at, partial(fleet.kill, position))
         fleet.clock.after(at + rng.randint(300, 1500) * MILLISECOND, partial(fleet.start, position))
-    for position in positions[third:2 * third]:
+    for position in positions[third : 2 * third]:
         fleet.clock.after(rng.randint(0, 3000) * MILLISECOND, partial(fleet.kill, position))
-    for position in positions[2 * third:]:
+    for position in positions[2 * third :]:
         fleet.clock.after(rng.randint(0, 2000) * MILLISECOND, partial(_cut_off, fleet, position))
 
 
--- a/trackspread/virtual/schedules.py
+++ b/trackspread/virtual/schedules.py
@@ -163,8 +163,24 @@
 
 FAULTS: dict[str, Fault] = {
     each.__name__: each
-    for each in (kill_one, kill_half, roll, drain, deploy, undrain, node_dies, node_silent, node_freezes,
-                 node_slow, resets, apart, lossy, move, surge, late_list)
+    for each in (
+        kill_one,
+        kill_half,
+        roll,
+        drain,
+        deploy,
+        undrain,
+        node_dies,
+        node_silent,
+        node_freezes,
+        node_slow,
+        resets,
+        apart,
+        lossy,
+        move,
+        surge,
+        late_list,
+    )
 }
 
 
@@ -173,9 +189,14 @@
     rng = random.Random(f"schedule:{seed}")
     calm = seed % CALM == 0
     scene = Scene(
-        gateways=3 if calm else rng.randint(2, 4), nodes=rng.randint(3, 7), load=rng.uniform(0.2, 0.7),
-        greedy=rng.choice((0.1, 0.5)), seed=seed, window=rng.choice((SECOND // 2, 5 * SECOND)),
-        start=rng.choice((0.1, 0.25)), warm=rng.randint(4 * SECOND, 10 * SECOND),
+        gateways=3 if calm else rng.randint(2, 4),
+        nodes=rng.randint(3, 7),
+        load=rng.uniform(0.2, 0.7),
+        greedy=rng.choice((0.1, 0.5)),
+        seed=seed,
+        window=rng.choice((SECOND // 2, 5 * SECOND)),
+        start=rng.choice((0.1, 0.25)),
+        warm=rng.randint(4 * SECOND, 10 * SECOND),
         habit=Habit(rng.randint(0, 2), rng.uniform(0.3, 1.0)),
         beyond_most=BEYOND_MOST if calm else 1.0,
     )
--- a/trackspread/virtual/usage/disk.py
+++ b/trackspread/virtual/usage/disk.py
@@ -60,7 +60,7 @@
             for sector in file.dirty:
                 at = sector * SECTOR
                 kept = self.rng.choice((0, SECTOR, SECTOR, self.rng.randint(0, SECTOR)))
-                file.durable[at:at + kept] = file.cached[at:at + kept]
+                file.durable[at : at + kept] = file.cached[at : at + kept]
             file.cached[:] = file.durable
             file.dirty.clear()
 
@@ -82,11 +82,11 @@
 
     def write(self, at: int, data: bytes) -> None:
         self._disk.step()
-        self._file.cached[at:at + len(data)] = data
+        self._file.cached[at : at + len(data)] = data
         self._file.dirty.update(range(at // SECTOR, (at + len(data) - 1) // SECTOR + 1))
 
     def read(self, at: int = 0, size: int | None = None) -> bytes:
-        return bytes(self._file.cached[at:] if size is None else self._file.cached[at:at + size])
+        return bytes(self._file.cached[at:] if size is None else self._file.cached[at : at + size])
 
     def sync(self) -> None:
         disk, file = self._disk, self._file
@@ -96,7 +96,7 @@
             raise OSError(errno.EIO, "Input/output error")
         for sector in file.dirty:
             at = sector * SECTOR
-            file.durable[at:at + SECTOR] = file.cached[at:at + SECTOR]
+            file.durable[at : at + SECTOR] = file.cached[at : at + SECTOR]
         file.dirty.clear()
         disk.step()
 
--- a/trackspread/virtual/usage/mutants.py
+++ b/trackspread/virtual/usage/mutants.py
@@ -29,6 +29,7 @@
 
 def _skip(kind: type) -> list[Any]:
     """One kind of call is told as done and is not."""
+
     def mutant(files: Files, call: calls.Call) -> Result:
         return None if isinstance(call, kind) else calls.perform(files, call)
 
@@ -46,6 +47,7 @@
 
 def _places_used_again() -> list[Any]:
     """Every life writes the same stream from its first place on."""
+
     def mutant(epoch: int, index: int, slots: int, nonce: bytes) -> Head:
         return Head(epoch, index, slots, bytes(16))
 
@@ -81,6 +83,7 @@
 
 def _synced_again() -> list[Any]:
     """After a sync that failed the next one is believed."""
+
     def mutant(self: UsageLedger, now: int, error: OSError) -> None:
         return None
 
@@ -135,6 +138,7 @@
 
 def _sum_dropped() -> list[Any]:
     """A sum is let go of before it has a place."""
+
     def mutant(self: UsageLedger, now: int) -> None:
         while (use := self.meter.oldest()) is not None:
             self.meter.written(use)
@@ -158,6 +162,7 @@
 
 def _silence_is_consent() -> list[Any]:
     """A batch without an answer counts as taken."""
+
     def mutant(self: Exporter, now: int, why: str, retry_in: int = 0, final: bool = False) -> None:
         self.stage = Stage.IDLE
 
@@ -176,6 +181,7 @@
 
 def _fenced_is_done() -> list[Any]:
     """What lies behind a seal is taken for somebody else's."""
+
     def mutant(self: Exporter, span: Span, stream: Stream, reply: Reply) -> None:
         stream.acked = span.last if stream.length is None else stream.length
         stream.sealed = True
@@ -222,6 +228,7 @@
 
 def _set_back_unseen() -> list[Any]:
     """Billing that forgot is told what comes next, and no more."""
+
     def mutant(self: Exporter, control: Control, span: Span, taken: int) -> None:
         control.streams[span.epoch].acked = span.last
 
@@ -253,10 +260,27 @@
 MUTANTS: dict[str, Callable[[], list[Any]]] = {
     each.__name__.strip("_").replace("_", "-"): each
     for each in (
-        _ack_before_sync, _no_refresh, _places_used_again, _names_used_again, _gone_before_the_watermark,
-        _not_noted, _synced_again, _good_copy_overwritten, _doubt_forgotten, _doubt_kept, _sum_written_twice,
-        _sum_dropped, _tail_forgotten, _silence_is_consent, _fenced_is_done, _forks_of_their_own,
-        _live_sealed, _sealed_unsaid, _set_back_unseen, _closed_early, _places_anywhere,
+        _ack_before_sync,
+        _no_refresh,
+        _places_used_again,
+        _names_used_again,
+        _gone_before_the_watermark,
+        _not_noted,
+        _synced_again,
+        _good_copy_overwritten,
+        _doubt_forgotten,
+        _doubt_kept,
+        _sum_written_twice,
+        _sum_dropped,
+        _tail_forgotten,
+        _silence_is_consent,
+        _fenced_is_done,
+        _forks_of_their_own,
+        _live_sealed,
+        _sealed_unsaid,
+        _set_back_unseen,
+        _closed_early,
+        _places_anywhere,
     )
 }
 
--- a/trackspread/virtual/usage/schedules.py
+++ b/trackspread/virtual/usage/schedules.py
@@ -56,6 +56,7 @@
 
 def full_disk(world: World, disk: Disk, rng: random.Random) -> None:
     """Others have taken the room; some of it comes back."""
+
     def fill() -> None:
         disk.capacity = disk.used()
 
@@ -112,7 +113,8 @@
     bounds = Bounds(
         slots=300 if single else rng.choice((8, 16, 64, 300)),
         segments=1000 if exact else rng.choice((4, 6, 12, 200)),
-        commit=rng.choice((2, 10, 40)) * MILLISECOND, every=rng.choice((10, 100, 400)) * MILLISECOND,
+        commit=rng.choice((2, 10, 40)) * MILLISECOND,
+        every=rng.choice((10, 100, 400)) * MILLISECOND,
         full="drop" if not exact and rng.random() < 0.2 else "fold",
     )
     return Schedule(seed, bounds, ends, troubles)
--- a/trackspread/virtual/usage/world.py
+++ b/trackspread/virtual/usage/world.py
@@ -152,10 +152,13 @@
         ledger, journal = self.ledger, self.ledger.journal
         if ledger.state is not State.LIVE or journal is None or journal.pending or ledger.meter.sums:
             return False
-        return all(
-            stream.over() if epoch != journal.epoch else stream.acked >= journal.committed
-            for epoch, stream in ledger.control.streams.items()
-        ) and ledger.exporter.stage is Stage.IDLE
+        return (
+            all(
+                stream.over() if epoch != journal.epoch else stream.acked >= journal.committed
+                for epoch, stream in ledger.control.streams.items()
+            )
+            and ledger.exporter.stage is Stage.IDLE
+        )
 
 
 class World:
@@ -279,17 +282,26 @@
         # A bit flips in a record of one request; what is given up to make room may hold sums of any size.
         allowed = summed_requests if truth.dropped else self.memory.holes
         if not any((r, u) == (sums[0], sums[1]) or 0 < r - sums[0] <= allowed for r, u in choices):
-            wrong.append(f"sums are of {sums[0]} requests and {sums[1]} units, wanted {want_requests} and "
-                         f"{want_units}; {len(unsure_sums)} sums may be lost")
+            wrong.append(
+                f"sums are of {sums[0]} requests and {sums[1]} units, wanted {want_requests} and "
+                f"{want_units}; {len(unsure_sums)} sums may be lost"
+            )
         return wrong
 
     def unsealed(self) -> list[str]:
         """Streams of former lives whose end billing was never told: whoever has a copy could add to them."""
-        written = {part.id for life in self.lives for stream in life.ledger.control.streams.values()
-                   if stream.length is None for part in stream.parts}
-        return [f"stream {name} was exported up to {known.taken} and is sealed at {known.sealed}"
-                for name, known in self.memory.streams.items()
-                if name not in written and known.sealed != known.taken]
+        written = {
+            part.id
+            for life in self.lives
+            for stream in life.ledger.control.streams.values()
+            if stream.length is None
+            for part in stream.parts
+        }
+        return [
+            f"stream {name} was exported up to {known.taken} and is sealed at {known.sealed}"
+            for name, known in self.memory.streams.items()
+            if name not in written and known.sealed != known.taken
+        ]
 
 
 def _subsets(items: list[tuple[int, int]]) -> set[tuple[int, int]]:
--- a/trackspread/virtual/vast.py
+++ b/trackspread/virtual/vast.py
@@ -67,7 +67,9 @@
 
 
 SHAPES: dict[str, Callable[[VirtualFleet, random.Random], None]] = {
-    "release": release, "zone": zone, "join": join,
+    "release": release,
+    "zone": zone,
+    "join": join,
 }
 
 
@@ -82,8 +84,10 @@
     told, sent = verdict.figures, [e for e in fleet.ledger.entries if isinstance(e, Attempted)]
     due = told.served + told.refused_with_room + told.failed + told.unanswered
     return Shape(
-        told.served / max(1, due), told.refused_with_room / max(1, told.tries),
-        len(sent) / max(1, len({e.request for e in sent})) - 1.0, _peak(scene, fleet, sent),
+        told.served / max(1, due),
+        told.refused_with_room / max(1, told.tries),
+        len(sent) / max(1, len({e.request for e in sent})) - 1.0,
+        _peak(scene, fleet, sent),
         len(verdict.violations),
     )
 
