--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -83,8 +83,8 @@
 def _dead(fleet: Fleet, since: int) -> int:
     """Members that run and were taken for dead by somebody."""
     said = {
-        b.about["who"][0]
-        for b in fleet.beliefs()  # type: ignore[index]
+        b.about["who"][0]  # type: ignore[index]
+        for b in fleet.beliefs()
         if b.at > since and b.kind == "member" and b.about["state"] == "DEAD"
     }
     return len(said)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import Any
 
+import hiredis
+import msgspec
 import pytest
 
 from trackspread.config.addresses import ConfigError
@@ -30,12 +32,13 @@
     Topology,
     Watch,
 )
-from trackspread.decide.report import cap, excluded, services
+from trackspread.decide.report import ServiceReport, cap, excluded, services
 from trackspread.decide.services import ServiceBrokers
 from trackspread.lists.agent import parse_update
 from trackspread.lists.seam import ListError, backend_id
 from trackspread.lists.services import CarriedServices
 
+from .fakes import World, call, host, listing, run, served, until, world
 from .helpers import (
     CLASSES,
     KEYED,
@@ -304,6 +307,37 @@
             ]
 
 
+# A gateway on sockets.
+
+
+def test_a_gateway_serves_its_services_and_tells_operators_of_them() -> None:
+    operator = parse('[services.classes]\nlookups = ["look_up"]', "f")
+
+    async def test() -> None:
+        async with world(operator) as w:
+            client = await w.client()
+            client.send(call("look up", 1))
+            assert isinstance(await client.next(), hiredis.ReplyError), "no backend of its service is listed"
+            w.agent.tell(listing(2, {**host("s-2", w.backend.port), "service": "lookups"}, whole=False))
+            await until(lambda: any(each.backends for each in told(w)[1:]))
+            client.send(call("look up", 2))
+            connection, _ = await w.backend.command()
+            connection.send(served(b"found"))
+            await until(lambda: told(w)[1].commitments == 1 and told(w)[1].in_flight == 0)
+            assert [(each.service, each.backends, each.warm) for each in told(w)] == [
+                ("", 1, 1),
+                ("lookups", 1, 1),
+            ]
+
+    run(test)
+
+
+def told(w: World) -> list[ServiceReport]:
+    status, text = w.node._services_report()
+    assert status == 200
+    return msgspec.json.decode(text, type=list[ServiceReport])
+
+
 # The list and the operator's file.
 
 
--- a/trackspread/config/operator.py
+++ b/trackspread/config/operator.py
@@ -142,7 +142,7 @@
     """Several services behind one gateway, each with its own backends; off without classes. What belongs to
     none of them is of the default service: it has an empty name, and every gateway carries it."""
 
-    classes: dict[str, tuple[str, ...]] = {}  # by service: the classes of request that are of it
+    classes: dict[str, tuple[str, ...]] = {}  # by service: its classes, by their name in the settings
     carries: tuple[str, ...] = ()  # services whose requests this gateway takes; empty: all that are named
 
     def carried(self) -> tuple[str, ...]:
--- a/trackspread/standins/wire.py
+++ b/trackspread/standins/wire.py
@@ -346,8 +346,8 @@
                     continue
                 held = _Socket(self, a, b)
                 transport, _ = await loop.create_datagram_endpoint(
-                    lambda held=held: held,
-                    local_addr=(own_address(), 0),  # type: ignore[misc]
+                    lambda held=held: held,  # type: ignore[misc]
+                    local_addr=(own_address(), 0),
                 )
                 self._sockets[a, b] = held
                 host, port = transport.get_extra_info("sockname")[:2]
@@ -412,8 +412,8 @@
         for _ in range(self.TRIES):
             post = _Post(self, name)
             transport, _ = await loop.create_datagram_endpoint(
-                lambda post=post: post,
-                local_addr=(own_address(), 0),  # type: ignore[misc]
+                lambda post=post: post,  # type: ignore[misc]
+                local_addr=(own_address(), 0),
             )
             host, port = transport.get_extra_info("sockname")[:2]
             relay = TcpRelay(self._wire, None, name, self._at[name], hosts)
--- a/trackspread/virtual/membership/world.py
+++ b/trackspread/virtual/membership/world.py
@@ -70,8 +70,15 @@
         born = self._begun(process)
         place = self.places.get(process.name, (-1, 0))
         settings = Settings(
-            "fleet", process.name, born, process.address, self._seeds, "1", place=place, **self._settings
-        )  # type: ignore[arg-type]
+            "fleet",
+            process.name,
+            born,
+            process.address,
+            self._seeds,
+            "1",
+            place=place,
+            **self._settings,  # type: ignore[arg-type]
+        )
         seed = self.rng.getrandbits(60)
         core = process.core = Member(settings, process.now(self.clock.now), seed)
         self._do(process, core.start(process.now(self.clock.now)))
