Scale run: connections that the gateway closed are not used again, what was measured is kept

Seen: the first full run ended after 8 minutes in an error and wrote nothing: the caller of benchmarks.scale.latency wrote on a connection that had rested for 25 s, after which the gateway closes it (`clients.idle_s`); its span is 60 s, the quick one's 15 s. The error also took all slopes of the run along, as they are kept after it.

Now a caller looks whether a connection is open, and a latency that fails is told under `not_run`.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -179,7 +179,11 @@
     await run.play()
     found = latency.load()
     if full and (found is None or found.void):
-        found = await latency.measure(latency.SPAN)
+        try:
+            found = await latency.measure(latency.SPAN)
+        except (OSError, RuntimeError, ExceptionGroup) as error:
+            # What was measured before it is kept all the same.
+            made.not_run.append(f"added latency: {error!r}")
     if found is None:
         made.not_run.append("added latency: no run of it was kept")
     else:
--- a/benchmarks/scale/latency.py
+++ b/benchmarks/scale/latency.py
@@ -72,7 +72,7 @@
         return [("direct", self.direct), ("by the gateway", self.gateway), ("added", added)]
 
     def text(self) -> str:
-        """How it was measured, for member_table."""
+        """How it was measured, for people."""
         return (
             f"{self.requests} requests on each way at {RATE:g} a second, {self.backends} backends, "
             f"{self.lists} full lists meanwhile, load {self.load:.1f} on {os.cpu_count()} cores, the "
@@ -109,6 +109,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
 
+    @property
+    def open(self) -> bool:
+        """Whether it can be used again: a gateway closes connections that rest for long."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def ask(self, command: bytes) -> None:
         """One call; `done` is told of its end."""
         self._began = time.perf_counter()  # the loop's own clock counts whole ms
@@ -132,6 +137,8 @@
 
     async def call(self) -> None:
         """One call, on a connection that rests or a new one."""
+        while self._idle and not self._idle[-1].open:
+            self._idle.pop()
         if not self._idle:
             at = self._rng.choice(self._addresses)
             loop = asyncio.get_running_loop()
