Services: a broker's numbers of classes keep their meaning when the settings' go to others

Found by reading: the settings give a dropped class's number to another one once no request holds it. Where that is of another service, the numbers behind it moved up by one in the first service's broker, under requests that were open. Now each broker's numbers stay; one that went is free, and given to the next class that comes.

--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -343,7 +343,7 @@
 
 
 def tell(found: Measurement) -> str:
-    """One line for member_table."""
+    """One line for people."""
     base, slope = found.coefficients
     state = "void" if found.void else "wrong" if found.wrong else "holds"
     return (
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -246,6 +246,33 @@
     assert all((50, 0) not in broker.attempts for broker in made.brokers)
 
 
+def test_an_open_request_keeps_its_class_when_another_number_goes_to_another_service() -> None:
+    first, second, charge = CLASSES[SAFE], replace(CLASSES[SAFE], name="read2"), CLASSES[UNSAFE]
+    services_of = {"read": "lookups", "read2": "lookups", "charge": "charges", "charge2": "charges"}
+    made = ServiceBrokers(
+        settings(gateways=1, may_message=False, plans=(WIDE,), classes=(first, second, charge)),
+        7,
+        0,
+        CARRIED,
+        lambda cls: services_of[cls.name],
+    )
+    listed(made)
+    (sent,) = sends(made.handle(MS, arrival(1, MS, 1)))
+    lookups, charges = made.brokers[LOOKUPS], made.brokers[CHARGES]
+    held = lookups.open[1].arrival.cls
+    again = replace(charge, name="charge2")
+    # Nobody holds the first class any more: its number is a charge's now, and a lookup comes under a new one.
+    event = ClassesChanged((again, second, charge, first), frozenset({0, 1, 2, 3}), (-1, 1, 2, 0), 4)
+    made.handle(2 * MS, event)
+    assert lookups.s.classes[held] == second and lookups.open[1].arrival.cls == held
+    assert lookups.s.classes == (first, second) and charges.s.classes == (charge, again)
+    assert sends(made.handle(3 * MS, arrival(2, 3 * MS, 0)))[0] in {21, 22}
+    assert sends(made.handle(3 * MS, arrival(3, 3 * MS, 3)))[0] in {11, 12}
+    made.handle(4 * MS, ended(1, sent, elapsed=55 * MS))
+    assert lookups.model.latency[held].value == pytest.approx(55 * MS)
+    assert lookups.model.latency[1 - held].weight == 0.0
+
+
 def test_plans_that_change_are_taken_in_once_and_solved_in_each_service() -> None:
     made = listed(module(plans=(plan(rate=1.0, burst=4.0),)))
     for request in range(2):
--- a/trackspread/decide/services.py
+++ b/trackspread/decide/services.py
@@ -47,31 +47,64 @@
 
 
 class ClassTable:
-    """Where each class of the settings stands: at which broker, and under which number there."""
+    """Where each class of the settings stands: at which broker, and under which number there.
+
+    A broker's numbers keep their meaning as long as the settings' do: requests that are open hold them. One
+    whose class went to another service is free, and is given to the next that comes."""
 
     def __init__(
         self, classes: Sequence[RequestClass], carried: Sequence[str], service_of: ServiceOf
     ) -> None:
-        place = {name: number for number, name in enumerate(carried)}
-        self.brokers = [place.get(service_of(each), NOWHERE) for each in classes]
+        self._places = {name: number for number, name in enumerate(carried)}
+        self._service_of = service_of
+        self.brokers: list[int] = []  # by the settings' number, its broker
         self.numbers: list[int] = []  # by the settings' number, the one at its broker
-        self.of: list[list[int]] = [[] for _ in carried]  # by broker, the settings' numbers of its classes
-        for number, broker in enumerate(self.brokers):
-            self.numbers.append(len(self.of[broker]) if broker != NOWHERE else NOWHERE)
-            if broker != NOWHERE:
-                self.of[broker].append(number)
-
-    def changed(self, broker: int, event: ClassesChanged, old: ClassTable) -> ClassesChanged:
-        """The event as the broker is to be told of it, by its own numbers. A class that comes from another
-        service begins anew."""
-        mine = self.of[broker]
-        heirs = [event.heirs[number] for number in mine]
-        return ClassesChanged(
-            tuple(event.classes[number] for number in mine),
-            frozenset(self.numbers[number] for number in mine if number in event.named),
-            tuple(old.numbers[h] if h >= 0 and old.brokers[h] == broker else NOWHERE for h in heirs),
-            event.max_attempts,
-        )
+        self.classes: list[list[RequestClass]] = [[] for _ in carried]  # by broker and number there
+        self._free: list[list[int]] = [[] for _ in carried]  # by broker, numbers there that no class has
+        for number, each in enumerate(classes):
+            self._place(number, each)
+
+    def _place(self, number: int, each: RequestClass) -> None:
+        """A class that is new under this number of the settings."""
+        broker = self._places.get(self._service_of(each), NOWHERE)
+        own = NOWHERE
+        if broker != NOWHERE:
+            taken, free = self.classes[broker], self._free[broker]
+            own = free.pop() if free else len(taken)
+            taken[own : own + 1] = [each]
+        self.brokers[number : number + 1] = [broker]
+        self.numbers[number : number + 1] = [own]
+
+    def change(self, event: ClassesChanged) -> list[ClassesChanged]:
+        """Take the event in; what each broker is to be told of it, by its own numbers. A class that comes
+        from another service begins anew."""
+        old_brokers, old_numbers = list(self.brokers), list(self.numbers)
+        moved = []
+        for number, each in enumerate(event.classes):
+            broker = self._places.get(self._service_of(each), NOWHERE)
+            if number >= len(old_brokers) or old_brokers[number] != broker:
+                moved.append(number)
+            elif broker != NOWHERE:
+                self.classes[broker][self.numbers[number]] = each
+        for number in moved:
+            if number < len(old_brokers) and old_brokers[number] != NOWHERE:
+                self._free[old_brokers[number]].append(old_numbers[number])
+        for number in moved:
+            self._place(number, event.classes[number])
+        heirs = [list(range(len(classes))) for classes in self.classes]
+        named: list[set[int]] = [set() for _ in self.classes]
+        for number, heir in enumerate(event.heirs):
+            broker, own = self.brokers[number], self.numbers[number]
+            if broker == NOWHERE:
+                continue
+            inside = heir >= 0 and old_brokers[heir] == broker
+            heirs[broker][own] = old_numbers[heir] if inside else NOWHERE
+            if number in event.named:
+                named[broker].add(own)
+        return [
+            ClassesChanged(tuple(classes), frozenset(named[n]), tuple(heirs[n]), event.max_attempts)
+            for n, classes in enumerate(self.classes)
+        ]
 
 
 class ServiceBrokers:
@@ -83,7 +116,7 @@
     def __init__(
         self, settings: Settings, seed: int, now: int, carried: Sequence[str], service_of: ServiceOf
     ) -> None:
-        self.s, self.carried, self._service_of = settings, tuple(carried), service_of
+        self.s, self.carried = settings, tuple(carried)
         self._table = ClassTable(settings.classes, self.carried, service_of)
         first = Broker(self._of_service(0), seed, now)
         self.quota = first.quota
@@ -96,7 +129,7 @@
         self._started = False
 
     def _of_service(self, place: int) -> Settings:
-        return replace(self.s, classes=tuple(self.s.classes[number] for number in self._table.of[place]))
+        return replace(self.s, classes=tuple(self._table.classes[place]))
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take in one event; the actions take effect at `now`."""
@@ -172,12 +205,10 @@
         ]
 
     def _reclassed(self, now: int, event: ClassesChanged) -> Iterable[Action]:
-        old = self._table
         self.s = replace(self.s, classes=event.classes, max_attempts=event.max_attempts)
-        self._table = ClassTable(event.classes, self.carried, self._service_of)
+        told = self._table.change(event)
         for place, broker in enumerate(self.brokers):
-            told = self._table.changed(place, event, old)
-            yield from self._named(place, broker.handle(now, told))
+            yield from self._named(place, broker.handle(now, told[place]))
 
     # What all services share.
 
