Planning: a lease table and an election message in place of a book and a word

The planner's books are lease tables, words of the election are messages; module, class and tests under these names, held by tests/test_names.py. No behaviour is changed.

--- a/benchmarks/planners.py
+++ b/benchmarks/planners.py
@@ -1,6 +1,6 @@
 """Planning in virtual time: the invariant under seeded schedules, mutants, and how rights follow failures.
 
-The figures are of the pure core (lease book, election, forwarders) on clocks that drift by up to 1%; sockets
+The figures are of the pure core (lease table, election, forwarders) on clocks that drift by up to 1%; sockets
 are not in them yet. `--seed N` replays one schedule alone.
 """
 
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -54,6 +54,8 @@
     "mutation",
     "node",
     "peers",
+    "planning/lease_table.py",
+    "planning/planner.py",
     "plans",
     "simulator",
     "storage",
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -1,4 +1,4 @@
-"""The pure core of planning: books, holders, elections, planners and forwarders, each by itself."""
+"""The pure core of planning: tables, holders, elections, planners and forwarders, each by itself."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from trackspread.planning.book import OUT, Book
-from trackspread.planning.election import ACCEPTED, OWNED, TERM, Election, Out, Word
+from trackspread.planning.lease_table import OUT, LeaseTable
+from trackspread.planning.election import ACCEPTED, OWNED, TERM, Election, Out, ElectionMessage
 from trackspread.planning.forwarder import FORGET, Forwarder
 from trackspread.planning.holder import KEPT, Holder
 from trackspread.planning.placement import SLOTS, ranked, slot
@@ -31,11 +31,11 @@
 PLANNED = 0.8
 CAP = Cap(LIMIT, PLANNED, False)
 START = 1000 * SECOND
-SETTLED = START + 60 * SECOND  # a book made at START has a full stock by then
+SETTLED = START + 60 * SECOND  # a table made at START has a full stock by then
 
 
-def book(limit: Limit = LIMIT, learns: int = 0) -> Book:
-    return Book(Cap(limit, PLANNED, False), 1.0, 3, START, START + learns)
+def table(limit: Limit = LIMIT, learns: int = 0) -> LeaseTable:
+    return LeaseTable(Cap(limit, PLANNED, False), 1.0, 3, START, START + learns)
 
 
 def ask(forwarder: int, sequence: int = 1, **changes: object) -> Ask:
@@ -43,17 +43,17 @@
     return made._replace(**changes)  # type: ignore[arg-type]
 
 
-def granted(b: Book, now: int, word: Ask) -> Grant:
+def granted(b: LeaseTable, now: int, word: Ask) -> Grant:
     grant = b.ask(now, word)
     assert grant is not None
     return grant
 
 
-# The book.
+# The table.
 
 
 def test_a_lone_holder_gets_all_that_is_planned_and_no_more() -> None:
-    b = book()
+    b = table()
     grant = granted(b, SETTLED, ask(1, rate=100.0))
     assert grant.right.rate == pytest.approx(b.limit.rate) and grant.right.burst <= LIMIT.burst * PLANNED
     assert grant.tokens == pytest.approx(grant.right.burst) and b.stock == pytest.approx(0.0)
@@ -62,7 +62,7 @@
 
 
 def test_rights_move_once_their_holder_is_known_to_have_less() -> None:
-    b = book()
+    b = table()
     first = granted(b, SETTLED, ask(1, rate=100.0))
     granted(b, SETTLED, ask(2, rate=100.0))
     fewer = granted(b, SETTLED + BEAT, ask(1, 2, rate=100.0, base=first.number, held=first.right))
@@ -74,7 +74,7 @@
 
 
 def test_rights_of_one_that_fell_silent_come_back_after_the_lease_without_their_tokens() -> None:
-    b = book()
+    b = table()
     granted(b, SETTLED, ask(1, rate=100.0))
     assert granted(b, SETTLED + OUT - 1, ask(2, rate=100.0)).right.rate == 0.0
     late = granted(b, SETTLED + OUT + 1, ask(2, 2, rate=100.0))
@@ -82,7 +82,7 @@
 
 
 def test_tokens_given_up_come_back_once() -> None:
-    b = book()
+    b = table()
     first = granted(b, SETTLED, ask(1, rate=100.0))
     less = granted(b, SETTLED + 1, ask(1, 2, rate=0.0, base=first.number, held=first.right))
     word = ask(1, 3, rate=0.0, base=less.number, held=less.right, returned=first.tokens)
@@ -92,7 +92,7 @@
 
 
 def test_a_learning_book_renews_what_is_held_and_hands_out_nothing_else() -> None:
-    b = book(learns=OUT)
+    b = table(learns=OUT)
     held = Limit(3.0, 6.0)
     known = granted(b, START + 1, ask(1, base=(2, 9), held=held, rate=100.0))
     assert known.right == held and known.tokens == 0.0 and known.number > (2, 9)
@@ -102,7 +102,7 @@
 
 
 def test_an_ask_that_comes_twice_or_late_is_not_answered_again() -> None:
-    b = book()
+    b = table()
     granted(b, SETTLED, ask(1, 5))
     assert b.ask(SETTLED, ask(1, 5)) is None and b.ask(SETTLED, ask(1, 4)) is None
     assert b.ask(SETTLED, ask(1, 1, incarnation=8)) is not None  # a new start counts anew
@@ -110,7 +110,7 @@
 
 def test_rights_smaller_than_one_request_go_round_whole() -> None:
     """300 forwarders, five a second: nobody starves, and nobody holds a right that serves no request."""
-    b, fed, now, level = book(Limit(5.0, 5.0)), set[int](), SETTLED, dict[int, Grant]()
+    b, fed, now, level = table(Limit(5.0, 5.0)), set[int](), SETTLED, dict[int, Grant]()
     for beat in range(200):
         now += BEAT // 10
         for f in range(beat % 10, 300, 10):
@@ -138,7 +138,7 @@
 def test_whatever_is_asked_no_more_than_the_limit_is_out(
     words: list[tuple[int, int, float, bool, bool]],
 ) -> None:
-    b, now, had = book(), SETTLED, dict[int, Grant]()
+    b, now, had = table(), SETTLED, dict[int, Grant]()
     for number, (f, wait, rate, lost, waits) in enumerate(words):
         now += wait
         last = had.get(f)
@@ -260,25 +260,29 @@
 
 def test_a_planner_that_starts_says_nothing_for_the_longest_term() -> None:
     fresh = Election(0, 3, START, random.Random(1))
-    assert fresh.heard(START + ACCEPTED - 1, 1, Word("prepare", (9, 1))) == []
-    assert fresh.heard(START + ACCEPTED, 1, Word("prepare", (9, 1))) == [(1, Word("promise", (9, 1), -1))]
+    assert fresh.heard(START + ACCEPTED - 1, 1, ElectionMessage("prepare", (9, 1))) == []
+    assert fresh.heard(START + ACCEPTED, 1, ElectionMessage("prepare", (9, 1))) == [
+        (1, ElectionMessage("promise", (9, 1), -1))
+    ]
 
 
 def test_an_acceptor_keeps_to_what_it_promised_and_tells_of_the_owner() -> None:
     e, now = Election(0, 3, START, random.Random(1)), START + ACCEPTED
-    assert e.heard(now, 1, Word("propose", (5, 1))) == [(1, Word("accepted", (5, 1)))]
-    assert e.heard(now, 2, Word("prepare", (4, 2))) == [(2, Word("nack", (5, 1)))]
-    assert e.heard(now, 2, Word("prepare", (6, 2))) == [(2, Word("promise", (6, 2), 1))]
-    assert e.heard(now, 1, Word("propose", (5, 1))) == [(1, Word("nack", (6, 2)))]
-    assert e.heard(now + ACCEPTED, 2, Word("prepare", (7, 2))) == [(2, Word("promise", (7, 2), -1))]
+    assert e.heard(now, 1, ElectionMessage("propose", (5, 1))) == [(1, ElectionMessage("accepted", (5, 1)))]
+    assert e.heard(now, 2, ElectionMessage("prepare", (4, 2))) == [(2, ElectionMessage("nack", (5, 1)))]
+    assert e.heard(now, 2, ElectionMessage("prepare", (6, 2))) == [(2, ElectionMessage("promise", (6, 2), 1))]
+    assert e.heard(now, 1, ElectionMessage("propose", (5, 1))) == [(1, ElectionMessage("nack", (6, 2)))]
+    assert e.heard(now + ACCEPTED, 2, ElectionMessage("prepare", (7, 2))) == [
+        (2, ElectionMessage("promise", (7, 2), -1))
+    ]
 
 
 def test_a_lease_won_too_late_or_outdone_is_none() -> None:
     e, now = Election(0, 3, START, random.Random(1)), START + 9 * TERM
     ((_, prepare),) = e.tick(now)
-    assert e.heard(now, 1, Word("promise", prepare.ballot)) == []
-    ((_, propose),) = e.heard(now, 2, Word("promise", prepare.ballot))
-    late = Word("accepted", propose.ballot)
+    assert e.heard(now, 1, ElectionMessage("promise", prepare.ballot)) == []
+    ((_, propose),) = e.heard(now, 2, ElectionMessage("promise", prepare.ballot))
+    late = ElectionMessage("accepted", propose.ballot)
     e.heard(now + OWNED, 1, late)
     e.heard(now + OWNED, 2, late)
     assert not e.owns(now + OWNED)
@@ -318,7 +322,7 @@
     assert Planner(0, 3, lambda member: (CAP,), 1.0, START, 1).ask(START, ask(1)) is None
     grant = planner.ask(now, ask(1, base=NONE, rate=50.0))
     assert grant is not None and grant.right == Limit(0.0, 0.0)  # it learns
-    member = planner.books[1, 0]
+    member = planner.tables[1, 0]
     assert member.learns_until == now + OUT
 
 
@@ -359,7 +363,7 @@
 
 
 def test_a_member_that_comes_again_is_not_taken_for_its_former_words() -> None:
-    b, f = book(), Forwarder(0, 7, 1, lambda member: (CAP,), lambda member: (0.05,))
+    b, f = table(), Forwarder(0, 7, 1, lambda member: (CAP,), lambda member: (0.05,))
     for at in range(SETTLED, SETTLED + 5 * BEAT, BEAT):
         f.take(at, 1, 1.0)
         assert all(b.ask(at, word) is not None for _, word in f.beat(at))
--- a/tests/test_planning_turns.py
+++ b/tests/test_planning_turns.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from trackspread.planning.book import OUT
-from trackspread.planning.election import ACCEPTED, OWNED, TERM, TRY, Election, Word
+from trackspread.planning.lease_table import OUT
+from trackspread.planning.election import ACCEPTED, OWNED, TERM, TRY, Election, ElectionMessage
 from trackspread.planning.forwarder import FORGET, Forwarder
 from trackspread.planning.holder import KEPT, Holder
 from trackspread.planning.placement import even_part
@@ -22,7 +22,7 @@
     places,
 )
 from trackspread.planning.turns import TURN, Turns
-from .test_planning import CAP, SETTLED, START, answer, ask, book, granted, take
+from .test_planning import CAP, SETTLED, START, answer, ask, table, granted, take
 
 
 def test_a_part_that_holds_no_request_is_widened_or_all_is_planned() -> None:
@@ -111,7 +111,7 @@
 
 
 def test_rights_in_turn_go_to_as_many_as_the_burst_holds_and_share_the_whole_rate() -> None:
-    b, words, now = book(Limit(10.0, 2.5)), dict[int, Grant](), SETTLED
+    b, words, now = table(Limit(10.0, 2.5)), dict[int, Grant](), SETTLED
     had, used = set[int](), 0.0
     for beat in range(1, 30):
         now += BEAT
@@ -134,7 +134,7 @@
 
 
 def test_a_soft_right_carried_on_from_an_older_epoch_counts_as_out() -> None:
-    b = book()
+    b = table()
     kept = ask(1, base=(2, 1), held=Limit(6.0, 12.0), rate=0.0)  # it wants no more
     granted(b, SETTLED, kept)  # long after learning: it was cut off all the while
     assert granted(b, SETTLED, ask(2, rate=100.0)).right.rate <= b.limit.rate - 6.0 + 1e-9
@@ -161,14 +161,14 @@
     assert min(waits) < 0.4 * TRY and max(waits) > 1.6 * TRY
     assert all(0.2 * TRY <= wait <= 1.8 * TRY for wait in waits)
     e, now = Election(0, 3, START, random.Random(1)), START + 9 * TERM
-    e.heard(now, 1, Word("prepare", (9, 1)))
+    e.heard(now, 1, ElectionMessage("prepare", (9, 1)))
     ((_, word),) = e.tick(now)
     assert word.ballot == (10, 0)
     assert e.tick(now + TRY) == []  # others get their chance first
     e.newer(20)
     ((_, word),) = e.tick(now + 3 * TRY)
     assert word.ballot == (21, 0)
-    e.heard(now, 1, Word("nack", (40, 1)))
+    e.heard(now, 1, ElectionMessage("nack", (40, 1)))
     ((_, word),) = e.tick(now + 6 * TRY)
     assert word.ballot == (41, 0)
 
--- a/trackspread/membership/acceptor.py
+++ b/trackspread/membership/acceptor.py
@@ -8,7 +8,7 @@
 
 import random
 
-from ..planning.election import Election, Word
+from ..planning.election import Election, ElectionMessage
 from .terms import MS, Address, Settings, Vote
 
 ROUND = 100 * MS  # ns of wall clock for which a first ballot's round stands: later processes bid beyond it
@@ -39,10 +39,10 @@
     def heard(self, now: int, vote: Vote) -> Votes:
         if self.election is None or not 0 <= vote.seed < len(self._seeds):
             return []
-        word = Word(vote.kind, (vote.round, vote.by), vote.owner)  # type: ignore[arg-type]
+        word = ElectionMessage(vote.kind, (vote.round, vote.by), vote.owner)  # type: ignore[arg-type]
         return self._sent(now, self.election.heard(now, vote.seed, word))
 
-    def _sent(self, now: int, out: list[tuple[int | None, Word]]) -> Votes:
+    def _sent(self, now: int, out: list[tuple[int | None, ElectionMessage]]) -> Votes:
         """To the seeds; to oneself at once."""
         made: Votes = []
         for to, word in out:
--- a/trackspread/planning/election.py
+++ b/trackspread/planning/election.py
@@ -14,7 +14,7 @@
 | accepted(b) | | majority: owner until the clock that started with propose ends |
 | nack(p) | | the next ballot's round is beyond p's |
 
-May know: its own clock, messages in any order, any number of times. May not know: members, books, sockets.
+May know: its own clock, messages in any order, any number of times. May not know: members, tables, sockets.
 """
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
 Kind = Literal["prepare", "promise", "propose", "accepted", "nack"]
 
 
-class Word(NamedTuple):
+class ElectionMessage(NamedTuple):
     """One message; `owner` is -1 for nobody; for a nack `ballot` is the one promised."""
 
     kind: Kind
@@ -42,7 +42,7 @@
     owner: int = -1
 
 
-Out = list[tuple[int | None, Word]]  # to whom (None: to all, oneself too), and what
+Out = list[tuple[int | None, ElectionMessage]]  # to whom (None: to all, oneself too), and what
 
 
 class Election:
@@ -84,9 +84,9 @@
         self._round = max(self._round, self._promised[0]) + 1
         self._ballot, self._votes, self._proposed_at = (self._round, self.me), set(), -1
         self._next = now + (RENEW // 2 if self.owns(now) else TRY + self._pause())
-        return [(None, Word("prepare", self._ballot))]
+        return [(None, ElectionMessage("prepare", self._ballot))]
 
-    def heard(self, now: int, sender: int, word: Word) -> Out:
+    def heard(self, now: int, sender: int, word: ElectionMessage) -> Out:
         """One message, in any order, any number of times."""
         match word.kind:
             case "prepare" | "propose":
@@ -101,7 +101,7 @@
                 self._votes.add(sender)
             if len(self._votes) >= self._majority:
                 self._votes, self._proposed_at = set(), now
-                return [(None, Word("propose", self._ballot))]
+                return [(None, ElectionMessage("propose", self._ballot))]
         elif word.kind == "accepted" and self._proposed_at >= 0:
             self._votes.add(sender)
             if len(self._votes) >= self._majority and now < self._proposed_at + OWNED:
@@ -111,12 +111,12 @@
                 self._next = max(self._next, self._proposed_at + RENEW)
         return []
 
-    def _accept(self, now: int, sender: int, word: Word) -> Out:
+    def _accept(self, now: int, sender: int, word: ElectionMessage) -> Out:
         if word.ballot < self._promised:
-            return [(sender, Word("nack", self._promised))]
+            return [(sender, ElectionMessage("nack", self._promised))]
         self._promised = word.ballot
         if word.kind == "propose":
             self._accepted = word.ballot[1], now + ACCEPTED
-            return [(sender, Word("accepted", word.ballot))]
+            return [(sender, ElectionMessage("accepted", word.ballot))]
         owner = self._accepted[0] if now < self._accepted[1] else -1
-        return [(sender, Word("promise", word.ballot, owner))]
+        return [(sender, ElectionMessage("promise", word.ballot, owner))]
--- a/trackspread/planning/book.py
+++ b/trackspread/planning/lease_table.py
@@ -1,12 +1,12 @@
-"""One member's lease book at its planner: rights that are out never sum to more than the limit.
+"""One member's lease table at its planner: rights that are out never sum to more than the limit.
 
 The rules of this file:
 - What may be out counts as out: of all grants to one holder since the newest that it is known to have, the
   greatest rate and burst, each until `LEASE` longer by the drift has passed since it was granted.
-- Fill: the rates that are out and the rate at which the book's own tokens fill sum to the planned rate.
-- Stock: the bursts that are out and the book's own tokens sum to the planned burst at most. Tokens are
+- Fill: the rates that are out and the rate at which the table's own tokens fill sum to the planned rate.
+- Stock: the bursts that are out and the table's own tokens sum to the planned burst at most. Tokens are
   handed out from the stock alone; what a holder loses with a lease that runs out comes back by the fill.
-- Learning: a book that knows nothing renews what holders say they hold and hands out nothing else, until
+- Learning: a table that knows nothing renews what holders say they hold and hands out nothing else, until
   all that a planner before it granted has run out.
 - Turns (`turns.py`): where the burst is too small to give each who asks a whole request's, those whose
   turn it is share the rate.
@@ -47,15 +47,15 @@
     return Grant(number[0], ask.member, ask.which, ask.sequence, ask.base, number, right, tokens)
 
 
-class Book:
+class LeaseTable:
     """The leases on one cap of one member, under one epoch."""
 
     def __init__(
         self, cap: Cap, least: float, epoch: int, now: int, learns_until: int, turns: Turns | None = None
     ) -> None:
         """`least`: units of the smallest right of use, the largest request. `turns`: those of the member,
-        which all its books share. A book starts with an empty stock: what others granted before it may still
-        be spent."""
+        which all its tables share. A table starts with an empty stock: what others granted before it may
+        still be spent."""
         rate, burst = cap.limit
         self.limit = Limit(rate * cap.planned / (1.0 + DRIFT), burst * cap.planned)
         self.least, self.epoch, self.learns_until = least, epoch, learns_until
--- a/trackspread/planning/planner.py
+++ b/trackspread/planning/planner.py
@@ -1,7 +1,7 @@
-"""One planner: for each slot that it owns by a majority's lease, the books of the slot's members.
+"""One planner: for each slot that it owns by a majority's lease, the lease tables of the slot's members.
 
-A book lives as long as its planner owns the slot without a break; under a new epoch it starts anew and learns
-until all that may have been granted before has run out. What is asked without ownership is not answered.
+A table lives as long as its planner owns the slot without a break; under a new epoch it starts anew and
+learns until all that may have been granted before has run out. Without ownership nothing is answered.
 
 May know: its own clock, words of planners, asks. May not know: sockets, who is alive.
 """
@@ -11,8 +11,8 @@
 import random
 from collections.abc import Callable
 
-from .book import OUT, Book
-from .election import Election, Out, Word
+from .lease_table import OUT, LeaseTable
+from .election import Election, Out, ElectionMessage
 from .placement import SLOTS, ranked, slot
 from .terms import Ask, Cap, Grant
 from .turns import Turns
@@ -33,14 +33,14 @@
         ]
         self._learns_until = [0] * SLOTS
         self._epochs = [0] * SLOTS
-        self.books: dict[tuple[int, int], Book] = {}
+        self.tables: dict[tuple[int, int], LeaseTable] = {}
         self._turns: dict[int, Turns] = {}  # by member
 
     def tick(self, now: int) -> list[tuple[int, Out]]:
         """By slot, what to send."""
         return [(n, out) for n, each in enumerate(self.elections) if (out := each.tick(now))]
 
-    def heard(self, now: int, sender: int, number: int, word: Word) -> Out:
+    def heard(self, now: int, sender: int, number: int, word: ElectionMessage) -> Out:
         return self.elections[number].heard(now, sender, word)
 
     def ask(self, now: int, ask: Ask) -> Grant | None:
@@ -56,8 +56,10 @@
         caps, key = self._caps_of(ask.member), (ask.member, ask.which)
         if not 0 <= ask.which < len(caps):
             return None
-        book = self.books.get(key)
-        if book is None or book.epoch != election.epoch:
+        table = self.tables.get(key)
+        if table is None or table.epoch != election.epoch:
             until, turns = self._learns_until[number], self._turns.setdefault(ask.member, Turns())
-            book = self.books[key] = Book(caps[ask.which], self._least, election.epoch, now, until, turns)
-        return book.ask(now, ask)
+            table = self.tables[key] = LeaseTable(
+                caps[ask.which], self._least, election.epoch, now, until, turns
+            )
+        return table.ask(now, ask)
--- a/trackspread/planning/turns.py
+++ b/trackspread/planning/turns.py
@@ -9,7 +9,7 @@
   ever who always asks last. One that has not asked for a beat and a bit is not waited for.
 
 May know: asks as they come, the planner's clock. May not know: rights; what an ended turn left out there
-is the book's matter.
+is the table's matter.
 """
 
 from __future__ import annotations
--- a/trackspread/virtual/planning/account.py
+++ b/trackspread/virtual/planning/account.py
@@ -7,9 +7,9 @@
 - Leased units: a store that starts empty, fills at p r and never holds more than p b covers all that is spent
   from leases, anywhere. Even slices: the same with 1 - p. So both start of nothing, and no unit is made
   twice.
-- The book: its stock is never under nothing, and stock and bursts that are out sum to at most p b.
+- The table: its stock is never under nothing, and stock and bursts that are out sum to at most p b.
 
-May know: the formulas and what was spent. May not know: how books and holders reckon; no line of theirs is
+May know: the formulas and what was spent. May not know: how tables and holders reckon; no line of theirs is
 used.
 """
 
@@ -58,7 +58,7 @@
             return f"rights to {rate:.3f} a second and {burst:.3f} at once are out, of {self.most}"
         return ""
 
-    def book(self, stock: float, out: Limit) -> str:
+    def table(self, stock: float, out: Limit) -> str:
         if stock < -ROUNDING or stock + out.burst > self.most.burst + ROUNDING:
-            return f"the book has {stock:.3f} in stock and {out.burst:.3f} out, of {self.most.burst:.3f}"
+            return f"the table has {stock:.3f} in stock and {out.burst:.3f} out, of {self.most.burst:.3f}"
         return ""
--- a/trackspread/virtual/planning/mutants.py
+++ b/trackspread/virtual/planning/mutants.py
@@ -10,8 +10,8 @@
 from typing import Any
 from unittest.mock import patch
 
-from ...planning import book, planner
-from ...planning.book import Book
+from ...planning import lease_table, planner
+from ...planning.lease_table import LeaseTable
 from ...planning.election import Election
 from ...planning.holder import KEPT, Holder
 from ...planning.placement import slot
@@ -63,15 +63,15 @@
 
 def _only_the_newest() -> list[Any]:
     """A grant that was not heard of counts as gone."""
-    real = Book.ask
+    real = LeaseTable.ask
 
-    def mutant(self: Book, now: int, ask: Ask) -> Grant | None:
+    def mutant(self: LeaseTable, now: int, ask: Ask) -> Grant | None:
         holder = self.holders.get((ask.forwarder, ask.incarnation))
         if holder is not None:
             holder.out = []
         return real(self, now, ask)
 
-    return [patch.object(Book, "ask", mutant)]
+    return [patch.object(LeaseTable, "ask", mutant)]
 
 
 def _minority() -> list[Any]:
@@ -85,20 +85,20 @@
 
 
 def _out_too_short() -> list[Any]:
-    return [patch.object(book, "OUT", LEASE // 2)]
+    return [patch.object(lease_table, "OUT", LEASE // 2)]
 
 
 def _others_forgotten() -> list[Any]:
     """Each holder gets the whole."""
-    return [patch.object(Book, "_share", lambda self, *words: self.limit)]
+    return [patch.object(LeaseTable, "_share", lambda self, *words: self.limit)]
 
 
 def _epoch_ignored() -> list[Any]:
-    """A planner that owns a slot again goes on with the book that it had before others planned it."""
+    """A planner that owns a slot again goes on with the table that it had before others planned it."""
     real = Planner.ask
 
     def mutant(self: Planner, now: int, ask: Ask) -> Grant | None:
-        known, epoch = self.books.get((ask.member, ask.which)), self.elections[slot(ask.member)].epoch
+        known, epoch = self.tables.get((ask.member, ask.which)), self.elections[slot(ask.member)].epoch
         if known is not None:
             known.epoch = self._epochs[slot(ask.member)] = epoch
         return real(self, now, ask)
--- a/trackspread/virtual/planning/small.py
+++ b/trackspread/virtual/planning/small.py
@@ -20,7 +20,7 @@
 from unittest.mock import patch
 
 from ...planning import placement, planner
-from ...planning.election import ACCEPTED, TERM, Out, Word
+from ...planning.election import ACCEPTED, TERM, Out, ElectionMessage
 from ...planning.forwarder import Forwarder
 from ...planning.planner import Planner
 from ...planning.terms import BEAT, LEASE, SECOND, Ask, Cap, Grant, Limit
@@ -34,7 +34,7 @@
 START = 1000 * SECOND
 STEPS, LATE, STARTS = 8, 1, 1  # budgets of one exploration: steps of time, late words at once, new starts
 
-Message = tuple[str, int, int, Word | Ask | Grant]  # kind, from, to, what
+Message = tuple[str, int, int, ElectionMessage | Ask | Grant]  # kind, from, to, what
 
 
 class _Even(random.Random):
@@ -156,7 +156,7 @@
 
     def _came(self, message: Message) -> list[Message]:
         match message:
-            case ("word", source, to, Word() as word):
+            case ("word", source, to, ElectionMessage() as word):
                 return self._said(to, self.planners[to].heard(self._at("p", to), source, 0, word))
             case ("ask", source, to, Ask() as ask):
                 grant = self.planners[to].ask(self._at("p", to), ask)
--- a/trackspread/virtual/planning/world.py
+++ b/trackspread/virtual/planning/world.py
@@ -12,8 +12,8 @@
 from functools import partial
 
 from ...judge.judge import Store
-from ...planning.book import Book
-from ...planning.election import Out, Word
+from ...planning.lease_table import LeaseTable
+from ...planning.election import Out, ElectionMessage
 from ...planning.forwarder import Forwarder
 from ...planning.placement import even_part
 from ...planning.planner import Planner
@@ -137,7 +137,7 @@
                 else:
                     self.world.send(self, target, partial(target._hear, self.number, slot, word))
 
-    def _hear(self, sender: int, slot: int, word: Word) -> None:
+    def _hear(self, sender: int, slot: int, word: ElectionMessage) -> None:
         self._send(slot, self.planner.heard(self.now(), sender, slot, word))
         self.world.one_owner(slot)
 
@@ -147,7 +147,7 @@
     def ask(self, forwarder: ForwarderProcess, ask: Ask) -> None:
         grant = self.planner.ask(self.now(), ask)
         if grant is not None:
-            self.world.booked(ask, self.planner.books[ask.member, ask.which])
+            self.world.granted_by(ask, self.planner.tables[ask.member, ask.which])
             self.world.send(self, forwarder, partial(forwarder.granted, grant))
         else:
             self.world.send(self, forwarder, partial(forwarder.declined, self.number, ask.member))
@@ -336,12 +336,12 @@
             rights = (forwarder.right(member, which) for forwarder in self.forwarders)
             self._never(member, which, account.rights(rights))
 
-    def booked(self, ask: Ask, book: Book) -> None:
-        if book.learns_until > book.at:
+    def granted_by(self, ask: Ask, table: LeaseTable) -> None:
+        if table.learns_until > table.at:
             return  # one that learns hands out nothing of its own
         for which, account in self._held_to(ask.member):
             if which == ask.which:
-                self._never(ask.member, which, account.book(book.stock, book.out()))
+                self._never(ask.member, which, account.table(table.stock, table.out()))
 
     def one_owner(self, slot: int) -> None:
         owners = [planner.name for planner in self.planners if planner.owns(slot)]
