A long body whose first byte begins a read of its own is read to its end

Callers saw no answer to a request with a body of over 64 KiB when the gateway's read ended just between the command's head and the body, as it does for a client that writes the two apart. Cause: fronts/resp.py took 'no byte of the body has come' for 'the head has not been read', and read the head a second time, at an offset into the older data. The command then missed as many bytes as its head is long, and took them from whatever its client sent next. Found by reading, while looking for what a handover has to pass on; shown with the reader alone. Change: the reader notes that the head has been read. Result: the new test fails before (the reader reports no end) and passes now.

--- a/tests/fronts/test_long_values.py
+++ b/tests/fronts/test_long_values.py
@@ -11,11 +11,12 @@
 
 import pytest
 
+from trackspread.call import Call
 from trackspread.decide.broker import Broker
 from trackspread.decide.actions import StartAttempt
 from trackspread.decide.events import AttemptEnded, Outcome, ResponseStarted
 from trackspread.fronts.client import LONG_VALUE_UNREAD_S
-from trackspread.framing.resp import LONG_VALUE_BYTES, MAX_LONG_VALUE_BYTES
+from trackspread.framing.resp import LONG_VALUE_BYTES, MAX_LONG_VALUE_BYTES, CommandWords
 
 from ..helpers import MS, SECOND, arrival, backend, full_list, settings
 from ..fakes import LOCAL, Connection, World, call, run, served, soon, until, world
@@ -310,6 +311,26 @@
     run(test)
 
 
+def test_body_that_begins_with_its_own_segment_is_complete() -> None:
+    """Guards against a command that never ends because one read ended between its head and its long body."""
+
+    async def test() -> None:
+        async with world() as w:
+            reader = w.node._front.command_reader()
+            command, following = command_with_body(100_000), call(number=2)
+            head_bytes = len(command) - 100_000 - len(b"\r\n")
+            assert reader.read(command[:head_bytes], 0) == (-1, None)
+            rest = command[head_bytes:] + following
+            end, item = reader.read(rest, 0)
+            assert end == len(rest) - len(following) and reader.had_long_body
+            assert isinstance(item, Call) and isinstance(item.raw_request, CommandWords)
+            assert item.raw_request.body == (VALUE[:100_000],)
+            end, item = reader.read(rest, end)
+            assert end == len(rest) and isinstance(item, Call) and not reader.had_long_body
+
+    run(test)
+
+
 def test_bodies_over_the_memory_limit_wait_in_order() -> None:
     """Hardly one body fits, and still none waits forever."""
 
--- a/trackspread/fronts/resp.py
+++ b/trackspread/fronts/resp.py
@@ -124,7 +124,16 @@
 class _RespCommandReader:
     """Reads one connection's commands; hiredis parses those that `CommandScanner` found complete."""
 
-    __slots__ = ("_body", "_parser", "_parts", "_reader", "_scanner", "had_long_body", "long_body_bytes")
+    __slots__ = (
+        "_body",
+        "_has_begun_body",
+        "_parser",
+        "_parts",
+        "_reader",
+        "_scanner",
+        "had_long_body",
+        "long_body_bytes",
+    )
 
     def __init__(self, parser: CallParser) -> None:
         self._parser = parser
@@ -132,6 +141,7 @@
         self._scanner = CommandScanner()
         self._parts: list[bytes] = []  # of the incomplete command, except for its long body
         self._body: list[bytes] = []  # pieces of the long body, joined once it is complete
+        self._has_begun_body = False  # the head of a command with a long body was read, its end was not
         self.long_body_bytes = 0
         self.had_long_body = False
 
@@ -160,7 +170,7 @@
                 if not scanner.in_long_value:
                     self._parts.append(data[start:])
                     return -1, None
-                if not self.long_body_bytes:
+                if not self._has_begun_body:
                     start = self._begin_long_body(data, start)
                 available = min(scanner.remaining_bytes, len(data) - start)
                 self._body.append(data[start : start + available])
@@ -174,9 +184,10 @@
             self._parts.clear()
             self._reader.feed(data[start:end])
             words = self._reader.gets()
-            self.had_long_body = self.long_body_bytes > 0
+            self.had_long_body = self._has_begun_body
             if self.had_long_body:
                 words[-1] = b"".join(self._body)
+                self._has_begun_body = False
                 self.long_body_bytes = 0
                 self._body.clear()
         except (FrameError, hiredis.ProtocolError) as error:
@@ -185,6 +196,7 @@
 
     def _begin_long_body(self, data: bytes, start: int) -> int:
         """Gives hiredis an empty word for the body; returns the offset of the body's first byte."""
+        self._has_begun_body = True
         head = b"".join(self._parts) + data[start : self._scanner.long_value_start]
         self._parts = [head[: head.rindex(b"$")] + b"$0\r\n"]
         return self._scanner.long_value_start
