A handover passes on all input of a connection, so requests that are being written are answered

Cause: a connection went along with at most one packet of input, and a long body counted as 4 MiB from its first byte on. A connection with more stayed with the old process, which accepts no command any more and so does not read it either. Found on the way: input that went along was processed in connection_made, and uvloop starts to read after that, so its pause was lost and a client with a full pipeline was read without a bound. Change: input goes in as many packets as it needs, up to 5 MiB, before the packet with the connection; little input first; the link waits until its socket takes more, not for 5 ms. The new process names its limit when it asks for the state. An older one names none and is sent what it can read; a client with more gets an error at once. A body that is being discarded is read and rejected by the old process. Inherited input is processed once reading has begun. The test of the kinds' numbers names the new kind, and the older seven as before; its bytes stand literally. Not taken: the old process reads the command and runs it, as the right to serve has passed, with its quotas.

--- a/tests/handover/test_handover.py
+++ b/tests/handover/test_handover.py
@@ -24,7 +24,7 @@
 from trackspread.decide.tenant_account import PeerAttempts, UnsettledGrant
 from trackspread.handover import wire
 from trackspread.handover.states import Action, Actions, Event, PredecessorSteps, SuccessorSteps
-from trackspread.handover.wire import Kind, Reassembly, WireError
+from trackspread.handover.wire import ClientInput, Kind, Reassembly, WireError
 from trackspread.node.handover_state import HandoverState, Progress
 from trackspread.testing.virtual.handover.world import World
 
@@ -177,8 +177,11 @@
 
 def test_packets_keep_the_bytes_of_older_versions() -> None:
     """Guards against packets that a process of another version cannot read; the bytes are version 0.1.0's."""
-    assert [kind.value for kind in Kind] == [1, 2, 3, 4, 5, 6, 7]
+    assert [kind.value for kind in Kind][:7] == [1, 2, 3, 4, 5, 6, 7]
     assert Kind(7) is Kind.PROGRESS
+    assert [kind.name for kind in Kind][7:] == [
+        "CLIENT_INPUT"
+    ]  # sent only to a process that has named its limit
     progress = Progress("ended", 5, 1, 2, 3, 4, (0.5,), "charge", "full", 7, 2.0)
     assert wire.pack(Kind.PROGRESS, wire.encode(progress)).hex() == (
         "7473686f0107000087b419828ba477686174a5656e646564a77265717565737405a7617474656d70"
@@ -194,6 +197,44 @@
     )
 
 
+def test_input_of_any_size_passes_in_packets() -> None:
+    """Guards against input that does not fit one packet, and against packets over the limit."""
+    for size in (0, 1, wire.PIECE_BYTES, wire.PIECE_BYTES + 1, wire.MAX_CLIENT_INPUT_BYTES):
+        data = random.Random(size).randbytes(size)
+        parts = [data[at : at + 100_000] for at in range(0, size, 100_000)]
+        *first, last = wire.client_input_pieces(parts)
+        received = ClientInput()
+        for piece in first:
+            received.add(wire.unpack(wire.pack(Kind.CLIENT_INPUT, piece)).body)
+        assert b"".join(received.complete(wire.unpack(wire.pack(Kind.CLIENT, last)).body)) == data
+
+
+def test_input_with_a_missing_packet_is_rejected() -> None:
+    """Guards against a command that is served although a part of it was lost or was too long."""
+    received = ClientInput()
+    with pytest.raises(WireError, match="at most 5242880 bytes"):
+        for _ in range(wire.MAX_CLIENT_INPUT_BYTES // wire.PIECE_BYTES + 1):
+            received.add(bytes(wire.PIECE_BYTES))
+    with pytest.raises(WireError, match="incomplete"):
+        received.complete(b"rest")
+    assert received.complete(b"next") == [b"next"]
+    received.add(b"first")
+    received.invalidate()  # a packet of it had a wrong checksum
+    with pytest.raises(WireError, match="incomplete"):
+        received.complete(b"")
+    with pytest.raises(WireError, match="last piece"):
+        received.complete(bytes(wire.MAX_CLIENT_REST_BYTES + 1))
+    assert received.complete(b"") == []
+
+
+def test_limit_of_an_older_version_is_one_packet() -> None:
+    """Guards against packets that an older process cannot read; its request for the state has no body."""
+    assert wire.max_client_input_bytes(b"") == wire.PIECE_BYTES
+    assert wire.max_client_input_bytes(wire.encode(70_000)) == 70_000
+    with pytest.raises(WireError):
+        wire.max_client_input_bytes(b"\xc1")
+
+
 # The decision module's state.
 
 NAMES = ("read", "submit", "charge")
--- a/tests/handover/test_handover_process.py
+++ b/tests/handover/test_handover_process.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 from contextlib import suppress
@@ -19,6 +20,7 @@
 from ..fakes import (
     LOCAL,
     Backend,
+    Connection,
     call,
     host,
     listening,
@@ -79,6 +81,50 @@
     run(test)
 
 
+def test_requests_that_are_being_written_are_answered_by_the_new_process(tmp_path: Path) -> None:
+    """Guards against requests that stay with the old process, unread, as their input is over one packet."""
+
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            p.operator_file.write_text("[clients]\npipeline = 2\n")
+            old, _ = await p.start()
+            body = random.Random(1).randbytes(256 << 10)
+            commands = {1: call("charge", 1, body=body), 2: call("charge", 2, body=body[: 60 << 10])}
+            writing = {number: await p.client() for number in commands}
+            for number, client in writing.items():
+                client.send(commands[number][: 50 << 10])
+            pipelining = await p.client()
+            for number in range(3, 9):  # four of six are held back, more than one packet together
+                pipelining.send(call("charge", number, body=body[: 20 << 10]))
+            held = dict([await _named_command(p.backend) for _ in range(2)])
+            other = await p.client()
+            other.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await other.next() == b"PONG"  # what was written before it is read as well
+            new, new_admin_port = await p.start()
+            for number, connection in held.items():
+                connection.send(served(b"%016x" % number))
+            for number, client in writing.items():
+                client.send(commands[number][50 << 10 :])
+            for _ in range(6):
+                connection, words = await p.backend.command()
+                number = int(words[2], 16)
+                sizes = {1: len(body), 2: 60 << 10}
+                assert words[4] == body[: sizes.get(number, 20 << 10)]
+                connection.send(served(words[2]))
+            for number, client in writing.items():
+                assert await client.next() == b"%016x" % number
+            assert [await pipelining.next() for _ in range(6)] == [b"%016x" % n for n in range(3, 9)]
+            assert await soon(old.wait()) == 0
+            assert (await counters(new_admin_port))["served.charge"] == 6 and new.returncode is None
+
+    run(test)
+
+
+async def _named_command(backend: Backend) -> tuple[int, Connection]:
+    connection, words = await backend.command()
+    return int(words[2], 16), connection
+
+
 def test_successor_accepts_connections_before_it_has_slots(tmp_path: Path) -> None:
     """Guards against new connections that nobody accepts during a handover with a view of the fleet.
 
--- a/tests/project/test_wire_bytes.py
+++ b/tests/project/test_wire_bytes.py
@@ -176,8 +176,11 @@
         handover_wire.Kind.STATE_REQUEST: b"",
         handover_wire.Kind.TAKEN: b"",
         handover_wire.Kind.CLIENT: b"*1\r\n$4\r\nPI",
+        handover_wire.Kind.CLIENT_INPUT: b"*5\r\n$9\r\nCALL",
     }
     made = {kind.name: handover_wire.pack(kind, body) for kind, body in bodies.items()}
+    limit = handover_wire.encode(handover_wire.MAX_CLIENT_INPUT_BYTES)
+    made["STATE_REQUEST with a limit"] = handover_wire.pack(handover_wire.Kind.STATE_REQUEST, limit)
     (made["STATE_PIECE"],) = handover_wire.state_packets(b"what is carried over")
     made["STATE_END"] = handover_wire.state_end_packet(b"what is carried over")
     progress = handover_progress()
@@ -438,8 +441,10 @@
 HANDOVER: dict[str, str] = {
     "HELLO": ("7473686f010100007a647e9c6e30"),
     "STATE_REQUEST": ("7473686f0102000000000000"),
+    "STATE_REQUEST with a limit": ("7473686f01020000178fbbfcce00500000"),
     "TAKEN": ("7473686f0105000000000000"),
     "CLIENT": ("7473686f010600006cc5103f2a310d0a24340d0a5049"),
+    "CLIENT_INPUT": ("7473686f01080000428988dd2a350d0a24390d0a43414c4c"),
     "STATE_PIECE": ("7473686f01030000210d1169776861742069732063617272696564206f766572"),
     "STATE_END": ("7473686f0104000081b154899214ce69110d21"),
     "PROGRESS sent": (
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -15,6 +15,7 @@
 import struct
 import termios
 from collections import deque
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, cast
 
 from ..call import Call
@@ -29,7 +30,6 @@
 log.addFilter(RateLimitFilter())
 
 CROWDED_IDLE_S = 2.0  # idle time that every connection gets when few more can be accepted
-MAX_HANDED_OVER_BYTES = 32 << 10  # of input that a connection takes along to another process
 LONG_VALUE_UNREAD_S = 10.0  # without progress in a long answer: a slow client may take seconds for a piece
 # Of its request's time, for which a long body may wait for memory; the rest is left to the attempts. A
 # rejection after half of a request's time would cost its client as much as a failure.
@@ -107,7 +107,7 @@
         "_discarded_bytes",
         "_end_poll",
         "_incomplete_since",
-        "_inherited_data",
+        "_inherited_input",
         "_is_ending",
         "_is_processing",
         "_is_reading",
@@ -126,11 +126,13 @@
         "slots",
     )
 
-    def __init__(self, owner: ClientConnections, adapter: ClientAdapter, inherited_data: bytes = b"") -> None:
-        """Creates a connection; `inherited_data` is what another process read from it and did not process."""
+    def __init__(
+        self, owner: ClientConnections, adapter: ClientAdapter, inherited_input: Sequence[bytes] = ()
+    ) -> None:
+        """Creates a connection; `inherited_input` was read from it by another process and not processed."""
         self._owner = owner
         self.adapter = adapter
-        self._inherited_data = inherited_data
+        self._inherited_input = inherited_input
         self._reader = self.adapter.command_reader()
         self._transport: asyncio.Transport | None = None
         self._end_poll = select.poll()  # asks the kernel whether the client sends nothing more
@@ -151,18 +153,26 @@
         self.slots: deque[ResponseSlot] = deque()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Registers the connection, and processes what another process had read from it."""
+        """Registers the connection, and has the input processed that another process had read from it."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=self._owner.write_buffer_bytes)
         self._end_poll.register(self._transport.get_extra_info("socket").fileno(), END_EVENTS)
         self._owner.connection_opened(self)
-        inherited_data = self._inherited_data
-        self._inherited_data = b""
-        if inherited_data and not self._transport.is_closing():
-            self.data_received(inherited_data)
+        if self._inherited_input:
+            # uvloop starts to read after this method, so a pause in it would not last.
+            self._owner.call_soon(self._process_inherited_input)
+
+    def _process_inherited_input(self) -> None:
+        inherited_input = self._inherited_input
+        self._inherited_input = ()
+        for data in inherited_input:
+            if not cast(asyncio.Transport, self._transport).is_closing():
+                self.data_received(data)
 
     def data_received(self, data: bytes) -> None:
         """Processes input, holds it back, or discards it where no command is accepted any more."""
+        if self._inherited_input:
+            self._process_inherited_input()
         if self._is_ending:
             self._discarded_bytes += len(data)
             if self._discarded_bytes > MAX_LINGER_BYTES:
@@ -186,7 +196,7 @@
         start = 0
         while start < len(data) and not self._is_ending:
             is_pipeline_full = len(self.slots) >= self._owner.bounds.pipeline
-            if is_pipeline_full or self._blocked_since or self._owner.is_handing_over:
+            if is_pipeline_full or self._blocked_since or self._waits_for_handover():
                 return self._hold_back(data[start:])
             try:
                 end, item = self._reader.read(data, start)
@@ -203,6 +213,13 @@
             self._incomplete_since = 0.0
             self._handle_item(item, waited_s)
 
+    def _waits_for_handover(self) -> bool:
+        """Returns whether no input is processed, as another process takes over.
+
+        A command whose body is discarded cannot be handed over, so it is read to its end and rejected here.
+        """
+        return self._owner.is_handing_over and not self._reader.is_discarding
+
     def _hold_back(self, data: bytes) -> None:
         """Applies backpressure: commands over the pipeline's limit stay unprocessed, and reading stops."""
         if not self._unprocessed:
@@ -222,7 +239,7 @@
         return data
 
     def _resume_processing(self) -> None:
-        if self._owner.is_handing_over:
+        if self._waits_for_handover():
             self._owner.pass_on_connection(self)
         elif self.has_left():
             return self.abort()
@@ -241,7 +258,7 @@
             self._discarded_bytes <= MAX_LINGER_BYTES
             if self._is_ending
             else not (
-                self._unprocessed or self._blocked_since or self._owner.is_handing_over or self.is_body_paused
+                self._unprocessed or self._blocked_since or self._waits_for_handover() or self.is_body_paused
             )
         )
         if is_reading is not self._is_reading:
@@ -281,6 +298,8 @@
         log.warning("client connection: long body discarded, its request is rejected: no memory in time")
         self._reader.discard_body()
         self.allow_body(True)
+        # Input may also have been held back for a handover, which does not wait for this body any more.
+        self._owner.call_soon(self._resume_processing)
 
     def pause_writing(self) -> None:
         """Stops reading and the long value that is being sent, as the client does not read its answers."""
@@ -423,19 +442,29 @@
             if not self._owner.is_handing_over:
                 self._owner.call_soon(self._resume_processing)
 
-    def detach(self) -> tuple[int, bytes] | None:
-        """Returns a descriptor of the connection and its unprocessed input, for another process.
+    @property
+    def input_bytes(self) -> int:
+        """Returns the size of the input that was read and belongs to no accepted command."""
+        inherited_bytes = sum(map(len, self._inherited_input))
+        return inherited_bytes + self._reader.buffered_bytes + len(self._unprocessed)
 
-        Returns None if the connection has to stay here: an answer is missing or unsent, or the input is
-        longer than `MAX_HANDED_OVER_BYTES`.
-        """
+    def is_detachable(self) -> bool:
+        """Returns whether another process can take over: no answer is missing or unsent."""
         transport = cast(asyncio.Transport, self._transport)
-        is_busy = self.slots or self._is_ending or self._is_processing or transport.is_closing()
-        input_bytes = self._reader.buffered_bytes + len(self._unprocessed)
-        if is_busy or transport.get_write_buffer_size() or input_bytes > MAX_HANDED_OVER_BYTES:
-            return None
-        descriptor = os.dup(transport.get_extra_info("socket").fileno())
-        return descriptor, self._reader.take_buffered() + self._take_unprocessed()
+        is_busy = self.slots or self._is_ending or self._is_processing or self._reader.is_discarding
+        return not (is_busy or transport.is_closing() or transport.get_write_buffer_size())
+
+    def detach(self) -> tuple[int, list[bytes]]:
+        """Returns a descriptor of the connection, which is detachable, and its input, for another process."""
+        descriptor = os.dup(cast(asyncio.Transport, self._transport).get_extra_info("socket").fileno())
+        inherited_input = self._inherited_input
+        self._inherited_input = ()
+        return descriptor, [*self._reader.take_buffered(), self._take_unprocessed(), *inherited_input]
+
+    def fail_handover(self) -> None:
+        """Ends the connection with an error, as no process can go on with its input."""
+        self._take_unprocessed()
+        self._fail_protocol("command too long for a process of another version that takes over")
 
     def check_timeouts(self, now: float, is_crowded: bool) -> None:
         """Ends the connection if one of its timeouts has passed."""
@@ -512,6 +541,7 @@
         is_busy = (
             self.slots
             or self._unprocessed
+            or self._inherited_input
             or self._is_processing
             or self._reader.is_midway
             or self._is_ending
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -39,7 +39,7 @@
 MIN_WRITE_BUFFER_BYTES = 96 << 10  # of unsent answers for each connection: more than one complete short value
 BUFFER_FRACTION = 0.125  # of the memory, for unsent answers of all clients; the same for unprocessed input
 
-PassOn = Callable[[int, bytes], object]  # takes a connection's descriptor and its unprocessed input
+PassOn = Callable[[int, list[bytes]], object]  # takes a connection's descriptor and the parts of its input
 
 
 class Requests(Protocol):
@@ -103,6 +103,7 @@
         self.is_closing = False
         self.is_handing_over = False  # another process takes over: no commands are accepted here
         self._pass_on: PassOn | None = None
+        self._max_passed_input_bytes = 0  # of one connection
 
     async def start(self) -> None:
         """Opens the listeners and begins to check timeouts; raises `OSError`."""
@@ -137,26 +138,35 @@
         for client in [*self._unused, *self._active]:
             client.handover_changed()
 
-    def pass_on(self, pass_on: PassOn) -> None:
-        """Passes connections to another process from now on, each once all its requests are answered."""
+    def pass_on(self, pass_on: PassOn, max_input_bytes: int) -> None:
+        """Passes connections to another process from now on, each once all its requests are answered.
+
+        `max_input_bytes` is the most input of one connection that the other process accepts.
+        """
         self._pass_on = pass_on
+        self._max_passed_input_bytes = max_input_bytes
         self.pass_on_all()
 
     def pass_on_all(self) -> None:
-        """Passes on all connections that have no open request."""
-        for client in [*self._unused, *self._active]:
+        """Passes on all connections that have no open request; none waits for one with more input."""
+        for client in sorted([*self._unused, *self._active], key=lambda client: client.input_bytes):
             self.pass_on_connection(client)
 
     def pass_on_connection(self, client: ClientConnection) -> None:
         """Passes on one connection if it has no open request."""
-        if self._pass_on is not None and (detached := client.detach()) is not None:
-            # The duplicated descriptor keeps the connection open: the client sees no end.
-            client.abort()
-            self._pass_on(*detached)
-
-    async def adopt(self, descriptor: int, inherited_data: bytes) -> None:
+        if self._pass_on is None or not client.is_detachable():
+            return
+        if client.input_bytes > self._max_passed_input_bytes:
+            client.fail_handover()
+            return
+        descriptor, passed_input = client.detach()
+        # The duplicated descriptor keeps the connection open: the client sees no end.
+        client.abort()
+        self._pass_on(descriptor, passed_input)
+
+    async def adopt(self, descriptor: int, inherited_input: Sequence[bytes]) -> None:
         """Takes over a connection of another process, as one of the first listener."""
-        make_connection = partial(ClientConnection, self, self._listeners[0][1], inherited_data)
+        make_connection = partial(ClientConnection, self, self._listeners[0][1], inherited_input)
         adopted = socket.socket(fileno=descriptor)
         try:
             await asyncio.get_running_loop().connect_accepted_socket(make_connection, adopted)
--- a/trackspread/fronts/protocol.py
+++ b/trackspread/fronts/protocol.py
@@ -32,7 +32,7 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Returns the size of the incomplete command, or more if it cannot be handed over."""
+        """Returns how many bytes of the incomplete command are kept."""
 
     long_body_bytes: int
     """Bytes received of the incomplete command's long body, discarded ones included."""
@@ -52,8 +52,11 @@
     def incomplete_call(self) -> Call | None:
         """Returns the call of the incomplete command without its long body, or None if it is not valid."""
 
-    def take_buffered(self) -> bytes:
-        """Returns the bytes of the incomplete command, for another reader; this one is not used any more."""
+    def take_buffered(self) -> list[bytes]:
+        """Returns the incomplete command in parts, for another reader; this one is not used any more.
+
+        A command whose long body is discarded cannot be taken.
+        """
 
     def read(self, data: bytes, start: int) -> tuple[int, Item | None]:
         """Reads the command that begins, or continues, at `start`.
--- a/trackspread/fronts/resp.py
+++ b/trackspread/fronts/resp.py
@@ -14,7 +14,7 @@
 from ..call import InvalidCall
 from ..config.roster import Roster
 from ..decide.settings import Idempotency, Settings
-from ..framing.resp import LONG_VALUE_BYTES, MAX_LONG_VALUE_BYTES, CommandScanner, CommandWords, FrameError
+from ..framing.resp import LONG_VALUE_BYTES, CommandScanner, CommandWords, FrameError
 from .protocol import PING, Item, ProtocolError
 
 MAX_PARAMETERS_BYTES = 1024  # of the names and values of a command
@@ -24,6 +24,7 @@
 _TENANT = re.compile(rb"[0-9a-fA-F]{16}")
 _REQUEST_ID = re.compile(rb"[0-9A-Za-z_.:-]{1,64}")
 _KEY = re.compile(rb"[\x21-\x7e]{1,128}")
+_EMPTY_BODY = b"$0\r\n"  # the header that hiredis reads in place of a long body's
 _UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 
 
@@ -168,15 +169,19 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Returns the size of the incomplete command; see `CommandReader`."""
-        body_bytes = MAX_LONG_VALUE_BYTES if self._scanner.in_long_value else self.long_body_bytes
-        return sum(map(len, self._parts)) + body_bytes
+        """Returns how many bytes of the incomplete command are kept; see `CommandReader`."""
+        return sum(map(len, self._parts)) + (0 if self.is_discarding else self.long_body_bytes)
 
-    def take_buffered(self) -> bytes:
-        """Returns the bytes of the incomplete command and forgets them."""
+    def take_buffered(self) -> list[bytes]:
+        """Returns the incomplete command in parts and forgets it; see `CommandReader`."""
         parts = self._parts
         self._parts = []
-        return b"".join(parts)
+        if self._has_begun_body:
+            head, *tail = parts
+            body_bytes = self.long_body_bytes + self._scanner.remaining_bytes
+            parts = [head.removesuffix(_EMPTY_BODY) + b"$%d\r\n" % body_bytes, *self._body, *tail]
+            self._end_long_body()
+        return parts
 
     def read(self, data: bytes, start: int) -> tuple[int, Item | None]:
         """Reads the command that begins, or continues, at `start`; see `CommandReader`."""
@@ -223,7 +228,7 @@
         """Gives hiredis an empty word for the body; returns the offset of the body's first byte."""
         self._has_begun_body = True
         head = b"".join(self._parts) + data[start : self._scanner.long_value_start]
-        self._parts = [head[: head.rindex(b"$")] + b"$0\r\n"]
+        self._parts = [head[: head.rindex(b"$")] + _EMPTY_BODY]
         return self._scanner.long_value_start
 
     def _item(self, words: list[bytes]) -> Item:
--- a/trackspread/handover/link.py
+++ b/trackspread/handover/link.py
@@ -19,8 +19,9 @@
 from .wire import MAX_PACKET_BYTES
 
 BACKLOG = 4  # new processes that wait until the handover to an earlier one has ended
-SEND_RETRY_INTERVAL_S = 0.005  # for a packet for which the kernel's buffers were full
-RETRIED_ERRORS = (errno.EAGAIN, errno.ETOOMANYREFS, errno.ENOBUFS)
+# For a packet for which the kernel had no memory, or too many descriptors were on their way.
+SEND_RETRY_INTERVAL_S = 0.005
+RETRIED_ERRORS = (errno.ETOOMANYREFS, errno.ENOBUFS)
 DESCRIPTOR_BYTES = array.array("i").itemsize
 
 Received = Callable[[bytes, "int | None"], None]
@@ -40,6 +41,7 @@
         self._on_lost = on_lost
         self._unsent: deque[tuple[bytes, int | None]] = deque()
         self._retry: asyncio.TimerHandle | None = None
+        self._awaits_writable = False  # the socket's buffer is full
         self._is_closed = False
         connected.setblocking(False)
         self._loop.add_reader(connected.fileno(), self._read)
@@ -50,9 +52,15 @@
             _close(descriptor)
             return False
         self._unsent.append((packet, descriptor))
-        self._flush()
+        if not self._awaits_writable:
+            self._flush()
         return not self._is_closed
 
+    def _writable(self) -> None:
+        self._awaits_writable = False
+        self._loop.remove_writer(self._socket.fileno())
+        self._flush()
+
     def _flush(self) -> None:
         self._retry = None
         while self._unsent and not self._is_closed:
@@ -62,6 +70,10 @@
                 ancillary.append((socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [descriptor])))
             try:
                 self._socket.sendmsg([packet], ancillary)
+            except BlockingIOError:
+                self._awaits_writable = True
+                self._loop.add_writer(self._socket.fileno(), self._writable)
+                return
             except OSError as error:
                 if error.errno in RETRIED_ERRORS:
                     self._retry = self._loop.call_later(SEND_RETRY_INTERVAL_S, self._flush)
@@ -107,6 +119,7 @@
             return
         self._is_closed = True
         self._loop.remove_reader(self._socket.fileno())
+        self._loop.remove_writer(self._socket.fileno())
         if self._retry is not None:
             self._retry.cancel()
         self._socket.close()
--- a/trackspread/handover/wire.py
+++ b/trackspread/handover/wire.py
@@ -8,6 +8,7 @@
 
 import struct
 import zlib
+from collections.abc import Iterable, Iterator
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -20,19 +21,24 @@
 MAX_PACKET_BYTES = 40 << 10
 PIECE_BYTES = 32 << 10  # of the state in one packet
 MAX_STATE_BYTES = 16 << 20  # far more than a state with all its tables at their limits
-MAX_CLIENT_REST_BYTES = 36 << 10  # of an incomplete command that is handed over with its client's connection
+MAX_CLIENT_REST_BYTES = 36 << 10  # of a client's input in the packet with its connection
+# Of a client's input in all packets: the longest command, and more than one read of what follows it.
+MAX_CLIENT_INPUT_BYTES = 5 << 20
 
 
 class Kind(IntEnum):
     """Names the kinds of packets."""
 
     HELLO = 1  # body: the sender's name
-    STATE_REQUEST = 2
+    STATE_REQUEST = (
+        2  # body: the most bytes of one client's input that the sender accepts; empty for one packet
+    )
     STATE_PIECE = 3  # body: bytes of the state
     STATE_END = 4  # body: size and checksum of the state; carries the peers' socket, if there is one
     TAKEN = 5
-    CLIENT = 6  # body: the incomplete command that was read; carries the client's connection
+    CLIENT = 6  # body: the rest of the client's input that was read; carries the client's connection
     PROGRESS = 7  # body: a report on an attempt or request of the old process
+    CLIENT_INPUT = 8  # body: a part of the input of the client whose connection follows
 
 
 class WireError(ValueError):
@@ -91,6 +97,68 @@
     return pack(Kind.STATE_END, encode((len(state), zlib.crc32(state))))
 
 
+def max_client_input_bytes(state_request_body: bytes) -> int:
+    """Returns the most bytes of one client's input that the sender of a STATE_REQUEST accepts.
+
+    A process of a version without CLIENT_INPUT sends no body. Raises `WireError`.
+    """
+    return int(decode(state_request_body, int)) if state_request_body else PIECE_BYTES
+
+
+def client_input_pieces(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Yields a client's input in packets' bodies; the last one goes into the packet with its connection."""
+    pending = bytearray()
+    for part in parts:
+        pending += part
+        while len(pending) > PIECE_BYTES:
+            yield bytes(pending[:PIECE_BYTES])
+            del pending[:PIECE_BYTES]
+    yield bytes(pending)
+
+
+class ClientInput:
+    """Collects the input of the client whose connection follows."""
+
+    def __init__(self) -> None:
+        self._begin()
+
+    def _begin(self) -> None:
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self._is_valid = True
+
+    def add(self, body: bytes) -> None:
+        """Adds a piece; raises `WireError` if the input is longer than `MAX_CLIENT_INPUT_BYTES`."""
+        self._size += len(body)
+        if self._size > MAX_CLIENT_INPUT_BYTES:
+            self.invalidate()
+            raise WireError(
+                f"a client's input must have at most {MAX_CLIENT_INPUT_BYTES} bytes, got {self._size}"
+            )
+        if self._is_valid:
+            self._pieces.append(body)
+
+    def invalidate(self) -> None:
+        """Notes that a packet was rejected, so that the input may be incomplete."""
+        self._is_valid = False
+        self._pieces.clear()
+
+    def complete(self, rest: bytes) -> list[bytes]:
+        """Returns the input's pieces, of which `rest` is the last, and begins with the next client's input.
+
+        Raises `WireError` if a piece may be missing or `rest` is too long.
+        """
+        pieces, is_valid = self._pieces, self._is_valid
+        self._begin()
+        if len(rest) > MAX_CLIENT_REST_BYTES:
+            raise WireError(
+                f"a client's last piece must have at most {MAX_CLIENT_REST_BYTES} bytes, got {len(rest)}"
+            )
+        if not is_valid:
+            raise WireError("a client's input is incomplete: a packet of it was rejected")
+        return [*pieces, rest] if rest else pieces
+
+
 class Reassembly:
     """Collects the pieces of the state that have arrived."""
 
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -267,9 +267,9 @@
         for action in self.decision_module.retire(self.now()):
             self.execute(action)
 
-    def pass_on(self, pass_on: PassOn) -> None:
-        """Passes the clients' connections to the other process."""
-        self.clients.pass_on(pass_on)
+    def pass_on(self, pass_on: PassOn, max_input_bytes: int) -> None:
+        """Passes the clients' connections to the other process, with at most `max_input_bytes` of input."""
+        self.clients.pass_on(pass_on, max_input_bytes)
         self.backends.close_all_idle()
 
     def is_drained(self) -> bool:
--- a/trackspread/node/handover_side.py
+++ b/trackspread/node/handover_side.py
@@ -33,8 +33,8 @@
     def retire(self, exporter: StateExporter) -> None:
         """Stops granting, and from now on notifies the other process about what is still in flight."""
 
-    def pass_on(self, pass_on: PassOn) -> None:
-        """Passes the clients' connections to the other process."""
+    def pass_on(self, pass_on: PassOn, max_input_bytes: int) -> None:
+        """Passes the clients' connections to the other process, with at most `max_input_bytes` of input."""
 
     def is_drained(self) -> bool:
         """Returns whether no request is open here and no client is connected."""
--- a/trackspread/node/predecessor.py
+++ b/trackspread/node/predecessor.py
@@ -35,6 +35,7 @@
         self._on_drained = on_drained
         self._steps = PredecessorSteps()
         self._exporter = StateExporter(gateway, self._send_packet)
+        self._max_client_input_bytes = wire.PIECE_BYTES  # of one connection that is passed on
         self._drain_poll: asyncio.TimerHandle | None = None
         self._resuming: asyncio.Task[None] | None = None
 
@@ -66,6 +67,7 @@
             case Kind.HELLO:
                 self._handle(Event.HELLO_RECEIVED)
             case Kind.STATE_REQUEST:
+                self._max_client_input_bytes = wire.max_client_input_bytes(packet.body)
                 self._handle(Event.STATE_REQUESTED)
             case Kind.TAKEN:
                 self._handle(Event.TAKEN_OVER)
@@ -92,7 +94,7 @@
                 self._send_state()
             case Action.PASS_CLIENTS:
                 log.info("handover: the newer process serves")
-                self._gateway.pass_on(lambda descriptor, rest: self._send(Kind.CLIENT, rest, descriptor))
+                self._gateway.pass_on(self._send_client, self._max_client_input_bytes)
                 self._poll_drained()
             case Action.RESUME:
                 log.warning("handover: the newer process did not take over, this process continues to serve")
@@ -110,6 +112,13 @@
             self._link.send(wire.state_end_packet(state), descriptor)
         self._gateway.retire(self._exporter)
 
+    def _send_client(self, descriptor: int, passed_input: list[bytes]) -> None:
+        """Passes on a client's connection; its input goes ahead in as many packets as it needs."""
+        *first, last = wire.client_input_pieces(passed_input)
+        for piece in first:
+            self._send(Kind.CLIENT_INPUT, piece)
+        self._send(Kind.CLIENT, last, descriptor)
+
     def _resume(self) -> None:
         self._cancel_poll()
         self._resuming = self._loop.create_task(self._gateway.resume_serving())
--- a/trackspread/node/successor.py
+++ b/trackspread/node/successor.py
@@ -13,7 +13,7 @@
 from ..handover import wire
 from ..handover.link import HandoverSocket
 from ..handover.states import Action, Event, SuccessorStep, SuccessorSteps
-from ..handover.wire import Kind, Reassembly, WireError
+from ..handover.wire import ClientInput, Kind, Reassembly, WireError
 from .handover_side import HandoverSide, ServingGateway
 from .handover_state import StateImporter
 
@@ -28,6 +28,7 @@
         self._handover_socket = handover_socket
         self._steps = SuccessorSteps()
         self._reassembly = Reassembly()
+        self._client_input = ClientInput()
         self._state = b""  # the complete state, from its arrival until it is restored
         self._importer = StateImporter(gateway)
         self._decided = asyncio.Event()
@@ -51,6 +52,8 @@
     def _handle(self, event: Event) -> None:
         if self._steps.step is not SuccessorStep.SERVING:
             self._execute_all(self._steps.handle(event))
+        elif event is Event.INVALID_MESSAGE:
+            self._client_input.invalidate()
         elif event is Event.CONNECTION_LOST:
             log.info("handover: the old process has ended")
             self._close_link()
@@ -61,7 +64,7 @@
             case Action.SEND_HELLO:
                 self._send_hello()
             case Action.REQUEST_STATE:
-                self._send(Kind.STATE_REQUEST)
+                self._send(Kind.STATE_REQUEST, wire.encode(wire.MAX_CLIENT_INPUT_BYTES))
             case Action.TAKE_OVER:
                 self._take_over()
             case Action.DISCONNECT:
@@ -97,8 +100,10 @@
                 descriptor = None
                 self._handle(Event.STATE_RECEIVED)
             case Kind.CLIENT if descriptor is not None:
-                self._adopt_client(descriptor, packet.body)
+                self._adopt_client(descriptor, self._client_input.complete(packet.body))
                 descriptor = None
+            case Kind.CLIENT_INPUT:
+                self._client_input.add(packet.body)
             case Kind.PROGRESS:
                 self._importer.apply_progress(packet.body)
             case _:
@@ -106,16 +111,8 @@
         if descriptor is not None:
             os.close(descriptor)
 
-    def _adopt_client(self, descriptor: int, rest: bytes) -> None:
-        """Adopts a client's connection; `rest` is the incomplete command that the old process had read.
-
-        Raises `WireError` if `rest` is too long.
-        """
-        if len(rest) > wire.MAX_CLIENT_REST_BYTES:
-            raise WireError(
-                f"a client's incomplete command must have at most {wire.MAX_CLIENT_REST_BYTES} bytes, "
-                f"got {len(rest)}"
-            )
-        task = self._loop.create_task(self._gateway.clients.adopt(descriptor, rest))
+    def _adopt_client(self, descriptor: int, inherited_input: list[bytes]) -> None:
+        """Adopts a client's connection with the input that the old process had read and not processed."""
+        task = self._loop.create_task(self._gateway.clients.adopt(descriptor, inherited_input))
         self._adoptions.add(task)
         task.add_done_callback(self._adoptions.discard)
