Harness: clients that stop half way, long bodies written slowly, and two faults to convict

Need: no stand-in client sent a long body, wrote one slowly or stopped half way, so neither the judge nor the scenarios on processes could see either fault of the review. Change: a share of a scenario's bodies may be long and written over some time; the scenario stopped-clients; the mutants socket-bodies-wait and socket-long-input-stays; upgradable gateways can run a mutant; the upgrades of benchmarks.operations have slow writers.

--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -216,7 +216,7 @@
 
 async def upgrades(span: float, rounds: int) -> dict[str, float]:
     """Replaces each gateway by a new process under load, `rounds` times, and returns the figures."""
-    scenario = Scenario(load=LOAD, seed=7)
+    scenario = Scenario(load=LOAD, seed=7, long_body_share=0.1, long_body_write_s=2.0)
     async with Fleet(scenario, upgradable=True) as fleet:
         held = [each for each in fleet.gateways if isinstance(each, UpgradableGateway)]
         resent = 0
--- a/benchmarks/rules.py
+++ b/benchmarks/rules.py
@@ -32,6 +32,7 @@
     "execution-forgotten": "rude-nodes",
     "scope-ignored": "rude-nodes",
     "rejects-after-execution": "rude-nodes",
+    "socket-bodies-wait": "stopped-clients",
 }
 Played = tuple[str, str, Verdict, float, float]
 
@@ -72,7 +73,8 @@
 def measure(quick: bool, seed: int) -> dict[str, float]:
     """Returns all figures; prints progress to standard error."""
     began = time.monotonic()
-    sockets = ON_SOCKETS_QUICK if quick else mutant_gateway.PROCESSES
+    in_scenarios = [name for name in mutant_gateway.PROCESSES if name not in mutant_gateway.UPGRADES_ONLY]
+    sockets = ON_SOCKETS_QUICK if quick else in_scenarios
     jobs = [(name, "", seed) for name in SCENARIOS]
     jobs += [(WHERE.get(name, "calm"), name, seed) for name in sockets]
     violations = void = caught = 0
--- a/trackspread/testing/harness/fault_scenarios.py
+++ b/trackspread/testing/harness/fault_scenarios.py
@@ -12,10 +12,12 @@
 
 from ..judge.verdict import Verdict
 from ..standins.scenario import Scenario
+from ..standins.stopped_client import stop_half_way
 from .fleet import Fleet
 from .gateway_process import RUN_COMMAND
 
 Play = Callable[[Fleet, random.Random], Awaitable[None]]
+STOPPED_CLIENTS = 8  # their bodies are over twice a gateway's memory for bodies
 MAX_EXCESS_CALM = 0.05  # largest share of forwarded units beyond quotas without faults
 # The load is some 90 requests a second on nine nodes of two cores.
 USUAL_SCENARIO = Scenario(load=0.35, greedy_share=0.2)
@@ -129,6 +131,14 @@
     await asyncio.sleep(2.0)
 
 
+async def stopped_clients(fleet: Fleet, rng: random.Random) -> None:
+    """Lets clients of one gateway stop in the middle of bodies that are more than its memory for bodies."""
+    gateway = rng.randrange(fleet.scenario.gateways)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(STOPPED_CLIENTS):
+            group.create_task(stop_half_way(fleet.clients, gateway))
+
+
 def _gateway_names(fleet: Fleet) -> list[str]:
     return [f"n{number}" for number in range(fleet.scenario.gateways)]
 
@@ -159,6 +169,12 @@
             relay_nodes=True,
         ),
         FaultScenario("rude-nodes", "invalid, reset and missing answers", faulty_nodes, USUAL_SCENARIO),
+        FaultScenario(
+            "stopped-clients",
+            "clients that stop half way in long requests, beside others with long bodies",
+            stopped_clients,
+            USUAL_SCENARIO.changed(long_body_share=0.2),
+        ),
     )
 }
 
--- a/trackspread/testing/harness/fleet.py
+++ b/trackspread/testing/harness/fleet.py
@@ -166,6 +166,7 @@
                 self._max_descriptors,
                 self._ports,
                 operator_file,
+                self._command,
             )
         return GatewayProcess(
             name,
--- a/trackspread/testing/harness/mutant_gateway.py
+++ b/trackspread/testing/harness/mutant_gateway.py
@@ -12,7 +12,10 @@
 from unittest.mock import patch
 
 from ...backends.pools import ConnectionPools
-from ...fronts.client import ResponseSlot
+from ...fronts.bodies import BodyMemory
+from ...fronts.client import ClientConnection, ResponseSlot
+from ...fronts.connections import ClientConnections
+from ...handover.wire import PIECE_BYTES
 from ...node import serve
 from ...node.gateway import Gateway
 from ..judge.verdict import Rule
@@ -84,6 +87,22 @@
     return [patch.object(Gateway, "take", mutant)]
 
 
+def _bodies_wait() -> list[Any]:
+    """Returns patches with which a long body waits for memory until other bodies end by themselves."""
+    return [patch.object(BodyMemory, "end_waits", lambda self: None)]
+
+
+def _long_input_stays() -> list[Any]:
+    """Returns patches with which a connection with much input is not handed over, and not read either."""
+    real = ClientConnections.pass_on_connection
+
+    def mutant(self: ClientConnections, client: ClientConnection) -> None:
+        if client.input_bytes <= PIECE_BYTES:
+            real(self, client)
+
+    return [patch.object(ClientConnections, "pass_on_connection", mutant)]
+
+
 # These are faults of the running gateway; `virtual.mutants` has those of its decisions.
 ON_SOCKETS: dict[str, tuple[Rule, Callable[[], list[Any]]]] = {
     "socket-answers-twice": ("answers", _answers_twice),
@@ -91,6 +110,8 @@
     "socket-connection-ended": ("answers", _connection_ended),
     "socket-written-late": ("drains", _written_late),
     "socket-crashes": ("crash", _crashes),
+    "socket-bodies-wait": ("answers", _bodies_wait),
+    "socket-long-input-stays": ("answers", _long_input_stays),
 }
 
 # Only runs in virtual time detect these.
@@ -112,6 +133,8 @@
     "replies-swapped",
     "forwarded-after-reply",
 }
+# Only upgrades detect these, and no scenario of faults has any.
+UPGRADES_ONLY = {"socket-long-input-stays"}
 PROCESSES = tuple(name for name in (*MUTANTS, *ON_SOCKETS) if name not in VIRTUAL_ONLY)
 
 
--- a/trackspread/testing/harness/upgradable_gateway.py
+++ b/trackspread/testing/harness/upgradable_gateway.py
@@ -59,8 +59,9 @@
         max_descriptors: int,
         ports: Ports,
         operator_file: str = "",
+        command: tuple[str, ...] = RUN_COMMAND,
     ) -> None:
-        super().__init__(name, address, config, folder, ledger, RUN_COMMAND, max_descriptors, operator_file)
+        super().__init__(name, address, config, folder, ledger, command, max_descriptors, operator_file)
         self._ports = ports
         self.control_address = ports.tcp()
         self._listening_socket = socket.create_server(address, backlog=LISTEN_BACKLOG)
--- a/trackspread/testing/standins/clients.py
+++ b/trackspread/testing/standins/clients.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import time
+import zlib
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import replace
@@ -27,7 +28,7 @@
 from .client_population import ClientPopulation, ClientRequest
 from .command_form import CommandForms, command_form
 from .loopback import Address
-from .scenario import MILLISECOND, Scenario
+from .scenario import LONG_BODY_BYTES, LONG_BODY_PIECES, MILLISECOND, Scenario
 
 CLOSE_RACE_NS = 100 * MILLISECOND  # time after sending in which the gateway may not have read the request
 LATE_ANSWER_S = 0.2  # wait beyond the timeout, in which a late answer is still recorded
@@ -35,6 +36,7 @@
 CONNECT_ATTEMPTS = 3  # limit on the gateways that a client tries in turn
 MAX_IDLE = 64  # limit on idle connections to each gateway
 SETTLE_POLL_S = 0.01
+CHECKSUMS = 1 << 32  # number of values of a checksum, by which the requests with long bodies are chosen
 ReplyKind = Literal["served", "refused", "failed"]
 
 
@@ -146,6 +148,19 @@
             for connection in connections:
                 connection.close()
 
+    def _body(self, request_id: str) -> bytes:
+        """Returns a request's body, which is long for a share of the requests."""
+        body = b"body of " + request_id.encode()
+        is_long = zlib.crc32(body) < self.scenario.long_body_share * CHECKSUMS
+        return body.ljust(LONG_BODY_BYTES, b".") if is_long else body
+
+    def pieces(self, command: bytes) -> list[bytes]:
+        """Returns the pieces in which a command is written: more than one for a slow client's long body."""
+        if len(command) < LONG_BODY_BYTES or not self.scenario.long_body_write_s:
+            return [command]
+        size = -(-len(command) // LONG_BODY_PIECES)
+        return [command[at : at + size] for at in range(0, len(command), size)]
+
     def command(self, request: ClientRequest, request_id: str) -> bytes:
         """Returns the request as RESP2 and keeps its form for the rating nodes to check."""
         tenant = request.tenant
@@ -164,7 +179,7 @@
             ",".join(options).encode(),
         ]
         if not is_safe:
-            words.append(b"body of " + request_id.encode())
+            words.append(self._body(request_id))
         self.command_forms[request_id] = command_form(words)
         return cast(bytes, hiredis.pack_command(tuple(words)))  # type: ignore[arg-type]
 
@@ -189,15 +204,27 @@
         self._connection = connection
         self._resent = resent
         self._connection_reused = connection.answers > 0
-        self._sent_at = 0
-        self._timer: asyncio.TimerHandle | None = None
+        self._sent_at = 0  # ns; 0 before the last byte is written
+        self._timer: asyncio.TimerHandle | None = None  # for the next piece, then for the answer
 
     def begin(self) -> None:
         """Sends the request."""
-        clients, request = self._clients, self.request
         self._connection.exchange = self
-        clients.exchanges.add(self)
-        self._connection.write(clients.command(request, self.request_id))
+        self._clients.exchanges.add(self)
+        self._write(self._clients.pieces(self._clients.command(self.request, self.request_id)))
+
+    def _write(self, pieces: list[bytes]) -> None:
+        """Writes the first piece and schedules the others."""
+        first, *others = pieces
+        self._connection.write(first)
+        if others:
+            wait_s = self._clients.scenario.long_body_write_s / LONG_BODY_PIECES
+            self._timer = asyncio.get_running_loop().call_later(wait_s, self._write, others)
+        else:
+            self._sent()
+
+    def _sent(self) -> None:
+        clients, request = self._clients, self.request
         self._sent_at = time.monotonic_ns()
         clients.ledger.write(
             RequestSent(
@@ -232,6 +259,9 @@
         now = time.monotonic_ns()
         self._end()
         killed = self.request.gateway in self._clients.killed_gateways
+        if not self._sent_at:
+            self._connection_ended_midway()
+            return
         may_be_unread = now - self._sent_at < CLOSE_RACE_NS and not killed
         if may_be_unread and self._connection_reused and not partly_answered and not self._resent:
             self._clients.resend(self.request, self.request_id)
@@ -240,6 +270,13 @@
         self._clients.ledger.write(ConnectionLost(now, self.request_id))
         self._clients.retry(self.request, "cut", 0)
 
+    def _connection_ended_midway(self) -> None:
+        """Sends the request once more, as a part of it cannot have been accepted."""
+        if self._resent:
+            self._clients.outcome_counts["unreached"] += 1
+        else:
+            self._clients.resend(self.request, self.request_id)
+
     def _leave(self) -> None:
         self._end()
         self._clients.outcome_counts["left"] += 1
--- a/trackspread/testing/standins/scenario.py
+++ b/trackspread/testing/standins/scenario.py
@@ -22,6 +22,8 @@
 CORES_PER_NODE = 2
 OTHER_PLANS_SHARE = 0.3  # share of the tenants with a plan other than the first
 TENANT_BITS = 33  # size of a tenant's number
+LONG_BODY_BYTES = 256 << 10
+LONG_BODY_PIECES = 20  # in which a slow client writes a long body
 _IDEMPOTENCY = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}  # the platform's terms
 
 
@@ -69,6 +71,8 @@
     - `plans`: most tenants have the first plan; the rest is spread evenly over the others.
     - `setting_overrides`: settings that differ from the usual ones, by section and key.
     - `excess_cost`: the cost of a unit beyond a quota, as a multiple of its priority weight.
+    - `long_body_share`: the share of the requests with a body whose body has `LONG_BODY_BYTES`, and
+      `long_body_write_s` the time in which its client writes it, in `LONG_BODY_PIECES`.
     """
 
     gateways: int = 3
@@ -91,6 +95,8 @@
     zones: tuple[str, ...] = ZONES
     setting_overrides: tuple[tuple[str, str, Any], ...] = ()
     excess_cost: float = 1.0
+    long_body_share: float = 0.0
+    long_body_write_s: float = 0.0
 
     def node_specs(self) -> list[NodeSpec]:
         """Returns the nodes at the start of a run."""
