fronts: the place of an answer has a module of its own

Change: ResponseSlot moves to fronts/response_slot.py; what it needs of its connection is a protocol, so no circle is added. Names and behaviour stay.

--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -22,6 +22,7 @@
 from ..call import InvalidCall, PausableSource
 from ..logs import RateLimitFilter
 from .protocol import ClientAdapter, Item, Ping, ProtocolError
+from .response_slot import ResponseSlot
 
 if TYPE_CHECKING:
     from .connections import ClientConnections
@@ -39,66 +40,6 @@
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # of a socket whose peer sends nothing more
 
 
-class ResponseSlot:
-    """Holds the place of one answer in the order of its connection."""
-
-    __slots__ = ("answer", "client", "request", "source", "waiting")
-
-    def __init__(self, client: ClientConnection, request: int = -1) -> None:
-        self.client = client
-        self.request = request
-        self.answer: bytes | None = None
-        self.source: PausableSource | None = None  # of a long value that is forwarded while it arrives
-        self.waiting: list[bytes] | None = None  # parts of a long value before its turn; None in its turn
-
-    def begin_value(self, call: Call, length: int, source: PausableSource) -> None:
-        """Begins a long value of `length` bytes, which `source` provides."""
-        self.source, self.waiting = source, [self.client.adapter.encode_value_head(call, length)]
-        self.client.begin_value(self)
-
-    def add_piece(self, data: bytes) -> None:
-        """Forwards the next bytes of the long value, or keeps them until its turn."""
-        if self.waiting is not None:
-            self.waiting.append(data)
-        else:
-            self.client.write(data)
-
-    def end_value(self, call: Call) -> None:
-        """Completes the long value."""
-        tail = self.client.adapter.encode_value_tail(call)
-        self.source = None
-        if self.waiting is None:
-            return self.client.end_value(self, tail)
-        waiting = self.waiting
-        self.waiting = None
-        self.client.send_answer(self, b"".join([*waiting, tail]))
-
-    def abort_value(self, call: Call) -> None:
-        """Ends a long value that cannot be completed.
-
-        The client gets an error if none of the value was sent; otherwise its connection is closed, so that it
-        can see that the value is incomplete.
-        """
-        self.source = None
-        if self.waiting is not None:
-            self.waiting = None
-            self.client.send_answer(self, self.client.adapter.encode_failure(call, "failed"))
-        else:
-            self.client.close_incomplete()
-
-    def send_value(self, call: Call, value: bytes) -> None:
-        """Answers with the request's value."""
-        self.client.send_answer(self, self.client.adapter.encode_value(call, value))
-
-    def send_rejection(self, call: Call, retry_after_ms: int) -> None:
-        """Answers that the request is rejected."""
-        self.client.send_answer(self, self.client.adapter.encode_rejection(call, retry_after_ms))
-
-    def send_failure(self, call: Call, reason: str) -> None:
-        """Answers that the request failed."""
-        self.client.send_answer(self, self.client.adapter.encode_failure(call, reason))
-
-
 class ClientConnection(asyncio.Protocol):
     """Holds one client's connection with its incomplete command, unprocessed input and response slots."""
 
--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -19,8 +19,9 @@
 from ..config.operator import ClientBounds
 from ..lag import LagTolerantTimer
 from .bodies import BodyMemory
-from .client import ClientConnection, ResponseSlot
+from .client import ClientConnection
 from .protocol import ClientAdapter
+from .response_slot import ResponseSlot
 
 BACKLOG = 1024  # connections that wait to be accepted
 # Time without a new connection after which a draining gateway closes its listeners; the platform's load
--- a/trackspread/node/request.py
+++ b/trackspread/node/request.py
@@ -4,7 +4,7 @@
 
 from ..backends.attempt import Attempt
 from ..call import Call
-from ..fronts.client import ResponseSlot
+from ..fronts.response_slot import ResponseSlot
 from ..lag import LagTolerantTimer
 
 NS_PER_S = 1_000_000_000
--- a/trackspread/node/request_handler.py
+++ b/trackspread/node/request_handler.py
@@ -37,7 +37,7 @@
 )
 from ..decide.report import Module
 from ..decide.services import ServiceBrokers
-from ..fronts.client import ResponseSlot
+from ..fronts.response_slot import ResponseSlot
 from ..lag import LagTolerantTimer
 from ..lists.source import ListError
 from ..peers.datagrams import PeerSocket
--- a/trackspread/testing/harness/mutant_gateway.py
+++ b/trackspread/testing/harness/mutant_gateway.py
@@ -8,13 +8,14 @@
 import os
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 from unittest.mock import patch
 
 from ...backends.pools import ConnectionPools
 from ...fronts.bodies import BodyMemory
-from ...fronts.client import ClientConnection, ResponseSlot
+from ...fronts.client import ClientConnection
 from ...fronts.connections import ClientConnections
+from ...fronts.response_slot import ResponseSlot
 from ...handover.wire import PIECE_BYTES
 from ...node import serve
 from ...node.gateway import Gateway
@@ -38,7 +39,7 @@
         real(self, call, wait_ms)
         calls += 1
         if calls % FAULT_INTERVAL == 0 and not self.client.slots:
-            self.client._transport.write(b"-BUSY\r\n")  # type: ignore[union-attr]
+            self.client.write(b"-BUSY\r\n")
 
     return [patch.object(ResponseSlot, "send_rejection", mutant)]
 
@@ -60,7 +61,7 @@
 
 
 def _connection_ended() -> list[Any]:
-    return _answers_lost(lambda slot: slot.client.abort())
+    return _answers_lost(lambda slot: cast(ClientConnection, slot.client).abort())
 
 
 def _written_late() -> list[Any]:
