Read once more: shorter test names, a handover that is cancelled midway, a packet's comment

Change: names of tests and of one private function; a test that a half-written body is read on where no process took over; the comment of STATE_REQUEST on one line. No behaviour changes.

--- a/tests/fronts/test_body_memory.py
+++ b/tests/fronts/test_body_memory.py
@@ -23,15 +23,12 @@
 BODY = b"x" * 300_000
 
 
-# On sockets.
-
-
 def incomplete_clients(w: World) -> list[ClientConnection]:
     """Returns the server's side of the connections that have not sent a complete command."""
     return list(w.node.clients._unused)
 
 
-def test_clients_that_stop_in_a_long_body_leave_others_their_answers() -> None:
+def test_stopped_clients_do_not_block_other_long_bodies() -> None:
     """Guards against long requests without any answer while stopped clients fill the memory for bodies."""
 
     async def test() -> None:
@@ -54,7 +51,7 @@
     run(test)
 
 
-def test_client_that_stops_in_a_long_body_gets_its_error_in_time() -> None:
+def test_client_stopped_in_long_body_gets_error_in_time() -> None:
     """Guards against clients that keep their memory and connection for 10 s and send nothing."""
 
     async def test() -> None:
@@ -93,7 +90,7 @@
             assert w.node.clients.bodies.used_bytes == LIMIT_BYTES + 1  # nothing of the others is kept
             assert len(s.of(RequestArrived)) == 1
             assert "router.refused.charge=4\n" in w.node.counters.lines(0, 0, 0)
-            # The connections go on, and so does the request that holds the memory.
+            # Their connections stay usable, and the request that uses the memory stays open.
             others[0].send(b"*1\r\n$4\r\nPING\r\n")
             assert await others[0].next() == b"PONG"
             assert len(w.node.requests) == 1
@@ -122,9 +119,6 @@
     run(test)
 
 
-# The order of bodies, in virtual time.
-
-
 class Sender:
     """Sends a body of `size` bytes, and stops after `sent` of them if `stops_after` is not None."""
 
@@ -226,7 +220,7 @@
         ]
 
 
-def test_every_body_is_read_within_its_wait_and_memory_stays_bounded() -> None:
+def test_every_body_is_read_in_time_in_bounded_memory() -> None:
     """Guards against bodies that wait for clients that stopped, or for open requests, beyond their time."""
     kept = dropped = 0
     for seed in range(300):
@@ -250,7 +244,7 @@
 class DropsOnlyTheWaiting(BodyMemory):
     """Rejects the body that has waited, even if a client that has stopped holds the memory."""
 
-    def _make_room_for(self, waiting: object) -> None:
+    def _free_memory_for(self, waiting: object) -> None:
         self.used_bytes -= self._incoming.pop(waiting).received_bytes  # type: ignore[call-overload]
         waiting.drop_body()  # type: ignore[attr-defined]
 
@@ -263,7 +257,7 @@
 
 
 @pytest.mark.parametrize("memory_type", [BodyMemory, DropsOnlyTheWaiting])
-def test_client_that_has_stopped_loses_its_memory_to_one_that_sends(memory_type: type[BodyMemory]) -> None:
+def test_stopped_client_yields_memory_to_sending_client(memory_type: type[BodyMemory]) -> None:
     """Guards against rejections of complete requests for the sake of clients that send nothing more."""
     playback = Playback(0, memory_type)
     memory = playback.memory
--- a/tests/fronts/test_pass_on.py
+++ b/tests/fronts/test_pass_on.py
@@ -89,7 +89,7 @@
     run(test)
 
 
-def test_discarded_body_is_rejected_before_its_connection_is_passed_on() -> None:
+def test_discarded_body_is_rejected_before_handover() -> None:
     """Guards against a body that is neither kept nor read, so that its client waits in silence."""
 
     async def test() -> None:
@@ -130,7 +130,26 @@
     run(test)
 
 
-def test_input_that_an_older_process_cannot_take_ends_with_an_error() -> None:
+def test_cancelled_handover_reads_on() -> None:
+    """Guards against a half-written request that stays unread after a handover that did not take place."""
+
+    async def test() -> None:
+        async with world() as old:
+            client = await old.client()
+            client.send(COMMAND[:200_000])
+            await until(lambda: input_bytes(old) >= 200_000 - LENGTH_DIGITS)
+            old.node.clients.begin_handover()
+            client.send(COMMAND[200_000:] + PING)
+            await old.node.clients.cancel_handover()
+            connection, words = await old.backend.command()
+            assert words[4] == BODY
+            connection.send(served(b"v"))
+            assert [await client.next(), await client.next()] == [b"v", b"PONG"]
+
+    run(test)
+
+
+def test_too_long_input_for_older_process_ends_with_error() -> None:
     """Guards against silence where the new process is of a version that accepts one packet of input."""
 
     async def test() -> None:
@@ -149,7 +168,7 @@
     run(test)
 
 
-def test_adopted_connection_is_not_read_while_its_pipeline_is_full() -> None:
+def test_adopted_connection_with_full_pipeline_is_not_read() -> None:
     """Guards against unbounded input: uvloop starts to read after `connection_made`, paused or not."""
 
     async def test() -> None:
--- a/trackspread/fronts/bodies.py
+++ b/trackspread/fronts/bodies.py
@@ -50,7 +50,7 @@
     """
 
     def __init__(self, limit_bytes: int, time_s: Callable[[], float]) -> None:
-        """Creates an empty memory; `time_s` is the clock that waits are measured with."""
+        """Creates an empty memory; `time_s` returns the present time."""
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
         self._time_s = time_s
@@ -93,7 +93,7 @@
     def end_waits(self) -> None:
         """Drops bodies until none waits that has waited for its limit."""
         while (sender := self._first_overdue()) is not None:
-            self._make_room_for(sender)
+            self._free_memory_for(sender)
             self._update_senders()
 
     def _first_overdue(self) -> BodySender | None:
@@ -103,7 +103,7 @@
                 return sender
         return None
 
-    def _make_room_for(self, waiting: BodySender) -> None:
+    def _free_memory_for(self, waiting: BodySender) -> None:
         """Drops earlier bodies, the first one first, or the waiting one if the earlier ones are too small."""
         excess_bytes = self.used_bytes - self.limit_bytes
         earlier: list[BodySender] = []
--- a/trackspread/handover/wire.py
+++ b/trackspread/handover/wire.py
@@ -30,9 +30,7 @@
     """Names the kinds of packets."""
 
     HELLO = 1  # body: the sender's name
-    STATE_REQUEST = (
-        2  # body: the most bytes of one client's input that the sender accepts; empty for one packet
-    )
+    STATE_REQUEST = 2  # body: limit on one client's input in bytes; empty for what fits one packet
     STATE_PIECE = 3  # body: bytes of the state
     STATE_END = 4  # body: size and checksum of the state; carries the peers' socket, if there is one
     TAKEN = 5
