--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 import rig2
 
 GATEWAYS, BACKENDS = 3, 9
-CLIENTS, CALLS = 6, 60
+CLIENTS, CALLS = 6, 240
 VALUE_BYTES = 300
 LATE_S = 0.005  # of a second answer, after the first
 SPOILT = 10  # one answer in this many is followed by a second one
