A client that reads its answers late is not ended while memory is not short

Cause: check_timeouts ended a connection after 2 s without progress, whether or not memory was short. Progress was seen in the process's buffer only, and a connection that was half-closed did not wait for answers in the kernel.

Evidence: the extended log line on the old time-out says "did not read its answers for 2.1 s: 609380 bytes written, 471652 kept for it, memory stage NORMAL": 0.5 of 46 MB, so no limit on memory acted.

Change: unread_s is 8 s, above the usual longest deadline; while memory is short, who keeps more than an equal share has 3 s, so the account's stage decides who ends. Bytes in the kernel count as output that the client lacks. The ends count apart (closed.unread, closed.memory).

--- a/trackspread/config/service_tables.py
+++ b/trackspread/config/service_tables.py
@@ -31,7 +31,7 @@
     pipeline: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 32  # unanswered requests; others stay unread
     idle_s: Seconds = 25.0  # from the last answer without a request; below the usual 30 s of proxies
     mute_s: Seconds = 2.6  # time limit for a complete request, from its first byte or from the connect
-    unread_s: Seconds = 2.0  # time-out of a client that reads nothing of its queued answers
+    unread_s: Seconds = 8.0  # time-out of a client that reads nothing of its answers; above usual deadlines
 
 
 class BackendBounds(Table, frozen=True):
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -28,6 +28,7 @@
 from .close_reason import CloseReason
 from .protocol import ClientAdapter, Item, Ping, ProtocolError
 from .response_slot import ResponseSlot
+from .unread_output import UnreadOutput
 
 if TYPE_CHECKING:
     from .connections import ClientConnections
@@ -37,6 +38,7 @@
 
 NEARLY_FULL_IDLE_S = 2.0  # idle time that every connection gets when few more can be accepted
 LONG_VALUE_UNREAD_S = 10.0  # without progress in a long answer: a slow client may take seconds for a piece
+MEMORY_SHORT_UNREAD_S = 3.0  # without progress, for who keeps more than its share while memory is short
 # Of its request's time, for which a long body may wait for memory; the rest is left to the attempts. A
 # rejection after half of a request's time would cost its client as much as a failure.
 BODY_WAIT_FRACTION = 0.25
@@ -52,13 +54,13 @@
 
     __slots__ = (
         "_backlogged_until",
-        "_blocked_since",
         "_close_reason",
         "_discarded_bytes",
         "_end_poll",
         "_incomplete_since",
         "_inherited_input",
         "_is_aborted",
+        "_is_blocked",
         "_is_discarding_paused",
         "_is_ending",
         "_is_processing",
@@ -70,7 +72,7 @@
         "_transport",
         "_unprocessed",
         "_unprocessed_since",
-        "_unsent_bytes",
+        "_unread_output",
         "_waits_to_read",
         "_was_read_full",
         "adapter",
@@ -100,8 +102,8 @@
         self._unprocessed = b""  # read, but held back
         self._unprocessed_since = 0.0
         self._backlogged_until = 0.0  # until when it counts as a client that sends at full speed
-        self._blocked_since = 0.0  # since when no unsent byte was read; 0 if writing is possible
-        self._unsent_bytes = 0  # at that time
+        self._is_blocked = False  # more answers wait to be sent than may be written
+        self._unread_output = UnreadOutput()
         self._is_sending_long_value = False  # whether the unsent bytes belong to a long value
         self._is_reading = True
         self._was_read_full = False  # the last read filled its buffer, so that more may follow
@@ -237,7 +239,7 @@
         """Returns whether there is input that may be processed now."""
         return (
             bool(self._unprocessed)
-            and not (self._is_ending or self._blocked_since or self._waits_for_handover())
+            and not (self._is_ending or self._is_blocked or self._waits_for_handover())
             and not self._is_pipeline_full()
             and not cast(asyncio.Transport, self._transport).is_closing()
         )
@@ -276,7 +278,7 @@
             is_pipeline_full = self._is_pipeline_full()
             if is_pipeline_full:
                 self._note_backlog()
-            if is_pipeline_full or self._blocked_since or self._waits_for_handover():
+            if is_pipeline_full or self._is_blocked or self._waits_for_handover():
                 # A command's time does not run while it waits for the answers before its own.
                 return self._hold_back(data[start:], self._owner.time())
             if start and time_slice.is_over():
@@ -313,8 +315,12 @@
 
     def _unread_bytes(self) -> int:
         """Returns how many bytes the socket holds that are not read."""
+        return self._queued_bytes(termios.FIONREAD)
+
+    def _queued_bytes(self, request: int) -> int:
+        """Returns how many bytes the kernel holds in one direction, by the ioctl of that direction."""
         descriptor = cast(asyncio.Transport, self._transport).get_extra_info("socket").fileno()
-        return int(struct.unpack("i", fcntl.ioctl(descriptor, termios.FIONREAD, b"\0" * 4))[0])
+        return int(struct.unpack("i", fcntl.ioctl(descriptor, request, b"\0" * 4))[0])
 
     def _waits_for_handover(self) -> bool:
         """Returns whether no input is processed, as another process takes over.
@@ -354,7 +360,7 @@
             if self._is_ending
             else not (
                 self._unprocessed
-                or self._blocked_since
+                or self._is_blocked
                 or self._waits_to_read
                 or self._waits_for_handover()
                 or self.is_body_paused
@@ -409,8 +415,8 @@
 
     def pause_writing(self) -> None:
         """Stops reading and the long value that is being sent, as the client does not read its answers."""
-        self._blocked_since = self._owner.time()
-        self._unsent_bytes = cast(asyncio.Transport, self._transport).get_write_buffer_size()
+        self._is_blocked = True
+        self._unread_output.follow(self._owner.time(), self._bytes_before_client())
         if (source := self._active_source()) is not None:
             source.pause()
         self._update_reading()
@@ -421,7 +427,8 @@
 
     def resume_writing(self) -> None:
         """Continues the long value and the commands that were held back."""
-        self._blocked_since = 0.0
+        self._is_blocked = False
+        self._unread_output.clear()
         self.memory_changed()
         if (source := self._active_source()) is not None:
             source.resume()
@@ -514,7 +521,7 @@
         self._is_sending_long_value = True
         # Without a write buffer, a pause shows at once that the client reads less than arrives.
         transport.set_write_buffer_limits(high=0)
-        (source.pause if self._blocked_since else source.resume)()
+        (source.pause if self._is_blocked else source.resume)()
         transport.write(b"".join(waiting))
 
     def write(self, data: bytes) -> None:
@@ -586,19 +593,8 @@
 
     def check_timeouts(self, now: float, is_nearly_full: bool) -> None:
         """Ends the connection if one of its timeouts has passed."""
-        transport = cast(asyncio.Transport, self._transport)
-        unsent_bytes = transport.get_write_buffer_size()
-        if self._blocked_since or transport.is_closing() or (self._linger_until and unsent_bytes):
-            # A connection that is closed or ending also stays until its unsent bytes are written.
-            if not self._blocked_since or unsent_bytes < self._unsent_bytes:
-                self._blocked_since = now
-                self._unsent_bytes = unsent_bytes
-            elif now - self._blocked_since >= self._unread_timeout_s():
-                log.warning(
-                    "client connection: aborted, client did not read its answers for %.1f s",
-                    now - self._blocked_since,
-                )
-                self.abort(CloseReason.UNREAD)
+        if self._has_output_to_follow():
+            self._check_unread_output(now)
         elif self._linger_until:
             if now >= self._linger_until:
                 self.abort(self._close_reason)
@@ -618,10 +614,47 @@
                 self._note_close(CloseReason.IDLE)
                 self.close()
 
+    def _has_output_to_follow(self) -> bool:
+        """Returns whether the connection stays until its client takes more, or its time for that is over.
+
+        A connection that is closed or ending also stays until its answers have arrived.
+        """
+        is_closing = cast(asyncio.Transport, self._transport).is_closing()
+        return (
+            self._is_blocked or is_closing or (self._linger_until > 0.0 and self._bytes_before_client() > 0)
+        )
+
+    def _bytes_before_client(self) -> int:
+        """Returns how many bytes of answers wait here or in the kernel; the client's system lacks them."""
+        transport = cast(asyncio.Transport, self._transport)
+        unsent_bytes = transport.get_write_buffer_size()
+        return unsent_bytes if transport.is_closing() else unsent_bytes + self._queued_bytes(termios.TIOCOUTQ)
+
+    def _check_unread_output(self, now: float) -> None:
+        """Ends the connection if its client has taken nothing for too long."""
+        waiting_bytes = self._bytes_before_client()
+        unread_s = self._unread_output.follow(now, waiting_bytes)
+        if unread_s < self._unread_timeout_s():
+            return
+        overload = self._owner.overload
+        log.warning(
+            "client connection: aborted, client did not read its answers for %.1f s: %d bytes written, "
+            "%d kept for it, memory stage %s",
+            unread_s,
+            waiting_bytes,
+            sum(self.held_memory().values()),
+            overload.stage.name,
+        )
+        self.abort(CloseReason.MEMORY if overload.is_over_share(self) else CloseReason.UNREAD)
+
     def _unread_timeout_s(self) -> float:
-        """Returns how long a client may read nothing; a slow client of a long value gets more time."""
-        long_value_s = LONG_VALUE_UNREAD_S if self._is_sending_long_value else 0.0
-        return max(self._owner.bounds.unread_s, long_value_s)
+        """Returns how long a client may read nothing."""
+        bounds = self._owner.bounds
+        if self._is_sending_long_value:
+            return max(bounds.unread_s, LONG_VALUE_UNREAD_S)
+        if self._owner.overload.is_over_share(self):
+            return min(bounds.unread_s, MEMORY_SHORT_UNREAD_S)
+        return bounds.unread_s
 
     def eof_received(self) -> None:
         """Gives up the client's requests: it has left.
