A stopping gateway answers requests that were open at SIGTERM before SIGKILL

Cause: stop() bounded the time of requests that came after SIGTERM. Those that were open kept deadlines of up to 5 s, the answers behind them waited, and the drain waited for the longest deadline instead of the 3 s that SIGKILL waits for.

Evidence: a new log line, at SIGTERM and each second after.

Change: at SIGTERM all open deadlines are cut to the instant that later requests have (longest deadline, 3 s at most, plus 0.5 s); the drain ends 0.1 s after it. Attempts then time out by the usual way, so an unsafe request that may have run gets its error and no further attempt.

--- a/trackspread/fronts/connections.py
+++ b/trackspread/fronts/connections.py
@@ -343,6 +343,10 @@
         """Returns the number of connections."""
         return len(self._active) + len(self._unused)
 
+    def waiting_answers(self) -> int:
+        """Returns how many answers wait for their turn behind another on their connections."""
+        return sum(max(0, len(client.slots) - 1) for client in chain(self._unused, self._active))
+
     def connection_closed(self, client: ClientConnection) -> None:
         """Removes a connection."""
         self._unused.pop(client, None)
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -49,10 +49,11 @@
 log = logging.getLogger(__name__)
 
 FIRST_LIST_TIMEOUT_S = 0.5  # for the first endpoint list at the start; then the cached list is used
-# A stopping gateway answers everything within this time after the longest deadline; SIGKILL comes 0.7 s after
-# that deadline.
+# A stopping gateway answers everything within this time after the longest deadline that SIGKILL waits for;
+# SIGKILL comes 0.7 s after it.
 ANSWER_MARGIN_S = 0.5
 MAX_STOP_DEADLINE_NS = 3 * NS_PER_S  # the longest deadline that SIGKILL waits for
+DRAIN_REPORT_INTERVAL_S = 1.0
 CLOSE_MARGIN_S = 0.1  # after `ANSWER_MARGIN_S`, for writing the last answers and closing the connections
 PEER_MESSAGES_MARGIN_S = 0.4  # after the longest deadline, during which a stopping gateway sends to its peers
 HANDOVER_BIND_TIMEOUT_S = 2.0  # for an address in the fleet that the predecessor may still hold
@@ -95,6 +96,7 @@
         self._created_at_s = self._loop.time()
         self._lag = LagMonitor(self._loop)
         self._summary_timer: asyncio.TimerHandle | None = None
+        self._drain_timer: asyncio.TimerHandle | None = None
         self._serving = False  # whether the clients' sockets are open and not about to close
         self._peer_descriptor: int | None = None  # descriptor of the peers' socket, for a handover that fails
         self.parts = OptionalParts(self._part_context())
@@ -347,10 +349,10 @@
     async def stop(self) -> None:
         """Shuts down gracefully; everything that was accepted is answered first."""
         started_at_s = self._loop.time()
-        longest_ns = self._longest_deadline_ns()
+        longest_ns = min(MAX_STOP_DEADLINE_NS, self._longest_deadline_ns())
         longest_s = longest_ns / NS_PER_S
-        answer_within_ns = min(MAX_STOP_DEADLINE_NS, longest_ns) + int(ANSWER_MARGIN_S * NS_PER_S)
-        self.answer_by_ns = self.now() + answer_within_ns
+        self._log_drain()
+        self.answer_all_by(self.now() + longest_ns + int(ANSWER_MARGIN_S * NS_PER_S))
         self._serving = False
         if self.parts.plan_registry is not None:
             self.parts.plan_registry.stop()
@@ -361,6 +363,8 @@
         handed_over = self.predecessor is not None and self.predecessor.has_handed_over
         if self._summary_timer is not None:
             self._summary_timer.cancel()
+        if self._drain_timer is not None:
+            self._drain_timer.cancel()
         self._lag.stop()
         self.memory_monitor.stop()
         await self.discovery.close()
@@ -391,6 +395,19 @@
         """Returns the longest deadline of all classes, those of open requests included."""
         return max(rule.deadline_ns for rule in self.roster.rules)
 
+    def _log_drain(self) -> None:
+        """Logs what keeps a stopping gateway, once a second."""
+        now_ns = self.now()
+        latest_ns = max((request.expires_at_ns for request in self.requests.values()), default=now_ns)
+        log.info(
+            "stopping: client connections %d, requests %d, last deadline in %.1f s, answers behind others %d",
+            self.clients.count(),
+            len(self.requests),
+            (latest_ns - now_ns) / NS_PER_S,
+            self.clients.waiting_answers(),
+        )
+        self._drain_timer = self._loop.call_later(DRAIN_REPORT_INTERVAL_S, self._log_drain)
+
     def _log_summary(self) -> None:
         """Logs one line of totals, which shows faults that no single attempt shows."""
         outcomes = ", ".join(f"{outcome.name} {count}" for outcome, count in sorted(self._outcomes.items()))
--- a/trackspread/node/request_handler.py
+++ b/trackspread/node/request_handler.py
@@ -79,7 +79,7 @@
         self.open_request_ids: set[bytes] = set()  # requests without their final answer
         self.executed_ids = ExecutedIds()
         self._open_requests_by_client: Counter[SlotOwner] = Counter()
-        self.answer_by_ns: int | None = None  # set by `stop`: every request is answered by then
+        self.answer_by_ns: int | None = None  # set by `answer_all_by`: every request is answered by then
         # It is set while another process serves in place of this one.
         self.handover_exporter: StateExporter | None = None
         self._executor = ActionExecutor(self)
@@ -182,6 +182,26 @@
         delay_s = max(0.0, (request.expires_at_ns - self.now()) / NS_PER_S)
         request.timer = LagTolerantTimer(self._loop, delay_s, partial(self.deadline_reached, number))
 
+    def answer_all_by(self, answer_by_ns: int) -> None:
+        """Has each request answered by this time, those that are open included.
+
+        A backend may hang for longer than this process lives, and all later answers on a client's connection
+        wait behind the one that hangs.
+        """
+        self.answer_by_ns = answer_by_ns
+        for number, request in list(self.requests.items()):
+            if request.expires_at_ns > answer_by_ns:
+                self._shorten_deadline(number, request, answer_by_ns)
+
+    def _shorten_deadline(self, number: int, request: Request, expires_at_ns: int) -> None:
+        request.expires_at_ns = expires_at_ns
+        for attempt in request.attempts_in_flight.values():
+            attempt.expires_at_ns = min(attempt.expires_at_ns, expires_at_ns)
+        # A long value that is being forwarded is not cut off by its request's deadline.
+        if request.timer is not None and request.forwarded_attempt is None:
+            request.timer.cancel()
+            self._start_deadline_timer(number, request)
+
     def left(self, number: int) -> None:
         """Ends a request whose client has disconnected."""
         request = self.requests.get(number)
--- a/trackspread/testing/harness/gateway_process.py
+++ b/trackspread/testing/harness/gateway_process.py
@@ -136,15 +136,15 @@
             self._process.kill()
             await self._exited()
 
-    async def end(self) -> None:
-        """Sends SIGTERM, and SIGKILL after `STOP_TIMEOUT_S`; returns once the process has ended."""
+    async def end(self, kill_after_s: float = STOP_TIMEOUT_S) -> None:
+        """Sends SIGTERM, and SIGKILL after `kill_after_s`; returns once the process has ended."""
         if self._process is not None and self.running:
             self.resume()
             self.record_usage()
             self._ledger.write(GatewayStopping(time.monotonic_ns(), self.name))
             self._process.terminate()
             try:
-                async with asyncio.timeout(STOP_TIMEOUT_S):
+                async with asyncio.timeout(kill_after_s):
                     await self._exited()
             except TimeoutError:
                 self._process.kill()
