An answer of a backend is acknowledged at once, so that a copy of it comes before the reuse

Cause: the kernel here delayed the acknowledgement of the first answer until the next request was written, and the node's system held the copy back until it came (Nagle). So the rest of 20 ms saw nothing, and the copy came as the answer to the next request. Written was taken for arrived.

Evidence: new counts (router.surplus.*) and a log line with the age of bytes without a request.

Change: TCP_QUICKACK after each answer, before the connection rests. Related: a connection is never reused without its rest; where descriptors run out, idle ones close until a new one can be opened.

Three tests import REUSE_DELAY_S from its new module.

--- a/tests/backends/test_backends.py
+++ b/tests/backends/test_backends.py
@@ -15,7 +15,7 @@
 from trackspread.backends import connection_pool
 from trackspread.backends.attempt import Attempt
 from trackspread.backends.connection import BackendConnection
-from trackspread.backends.connection_pool import REUSE_DELAY_S
+from trackspread.backends.connection import REUSE_DELAY_S
 from trackspread.backends.pools import ConnectionPools
 from trackspread.backends.resp import RespAdapter
 from trackspread.backends.adapter import LoadReport
--- a/tests/fronts/test_client_left_process.py
+++ b/tests/fronts/test_client_left_process.py
@@ -22,7 +22,7 @@
 
 import pytest
 
-from trackspread.backends.connection_pool import REUSE_DELAY_S
+from trackspread.backends.connection import REUSE_DELAY_S
 from trackspread.config.operator import DEFAULTS
 from trackspread.counter.commands import key_of
 from trackspread.decide.peer_messages import (
--- a/tests/fronts/test_long_values.py
+++ b/tests/fronts/test_long_values.py
@@ -12,7 +12,7 @@
 import pytest
 
 from trackspread.backends.connection import STALL_TIMEOUT_S
-from trackspread.backends.connection_pool import REUSE_DELAY_S
+from trackspread.backends.connection import REUSE_DELAY_S
 from trackspread.call import Call
 from trackspread.decide.broker import Broker
 from trackspread.decide.actions import StartAttempt
--- a/tests/testing/test_slow_peers_process.py
+++ b/tests/testing/test_slow_peers_process.py
@@ -23,9 +23,12 @@
 SECOND = 1_000_000_000
 LONG_CLASSES = tuple(replace(each, deadline_ns=5 * SECOND) for each in CLASSES)
 RESTART = Scenario(gateways=2, nodes=6, load=0.3, greedy_share=0.0, classes=LONG_CLASSES)
+COPIES = Scenario(gateways=2, nodes=6, load=0.5, greedy_share=0.0)
 HANGING_NODES = 3
 HANG_S = 0.3  # before SIGTERM
 KILL_S = 3.7  # after SIGTERM, at the earliest: it waits for 3 s of the longest deadline
+COPY_CHANCE, COPY_S = 0.2, 0.005
+COPIES_S = 8.0
 MAX_RUNS = 4  # a run whose stand-ins lagged has no verdict and is repeated
 
 
@@ -64,6 +67,29 @@
     assert verdict.violations == ()
 
 
+async def second_copies(seed: int) -> Verdict:
+    """Lets answers be followed by a copy that the node's system holds back, and judges it all."""
+    async with Fleet(COPIES.changed(seed=seed)) as fleet:
+        for node in fleet.nodes.values():
+            node.holds_small_writes = True
+            node.second_copy_chance, node.second_copy_s = COPY_CHANCE, COPY_S
+        fleet.start_clients()
+        await asyncio.sleep(COPIES_S)
+        await fleet.settle()
+        return fleet.verdict()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_late_second_copies_of_nodes_without_nodelay_reach_no_client(seed: int) -> None:
+    """Guards against a value for another request, where a copy waits for the gateway's acknowledgement."""
+    for _ in range(MAX_RUNS):
+        verdict = uvloop.run(second_copies(seed))
+        if verdict.state != "void":
+            break
+    assert verdict.violations == ()
+    assert verdict.summary.served >= 100
+
+
 def test_clients_that_pause_for_seconds_get_all_answers_of_their_pipelines() -> None:
     """Guards against a connection that the gateway ends while its client is merely slow to read."""
     for answers in uvloop.run(answers_after_pause()):
--- a/trackspread/backends/connection.py
+++ b/trackspread/backends/connection.py
@@ -11,6 +11,7 @@
 import select
 import socket
 from collections.abc import Mapping
+from contextlib import suppress
 from functools import partial
 from typing import Protocol, cast
 
@@ -23,6 +24,7 @@
 from .adapter import Answer, InvalidAnswer
 from .attempt import Attempt
 from .pool_context import PoolContext
+from .surplus_answers import SurplusAge
 
 log = logging.getLogger(__name__)
 log.addFilter(RateLimitFilter())
@@ -31,6 +33,9 @@
 STALL_TIMEOUT_S = 0.5  # without a byte of an answer that has begun; several round trips
 # Without a byte of a long value: a slow client may need seconds, and a failed backend never sends one.
 LONG_VALUE_STALL_TIMEOUT_S = 10.0
+# After an answer, a connection is not reused for this time, as a second copy of the answer may follow some
+# milliseconds late.
+REUSE_DELAY_S = 0.02
 # After the start of a write: a reset this soon means a stale connection. Longer than a round trip.
 STALE_RESET_WINDOW_S = 0.02
 
@@ -198,10 +203,20 @@
 
     def _unexpected_data(self, attempt: Attempt | None) -> None:
         """Drops the connection after bytes without a request: a later answer could not be matched."""
+        self._record_surplus(attempt)
         self.drop()
         if attempt is not None:
             self._finish(attempt, Outcome.CONNECT_FAILED)
 
+    def _record_surplus(self, attempt: Attempt | None) -> None:
+        context = self.owner.context
+        age = SurplusAge.WRITING
+        if attempt is None:
+            idle_s = context.time() - self.idle_since_s
+            age = SurplusAge.RESTING if idle_s < REUSE_DELAY_S else SurplusAge.IDLE
+            log.warning("backend %s:%d: bytes %.0f ms after an answer", *self.owner.address, 1000 * idle_s)
+        context.surplus_answers.record(age)
+
     def _answered(self, attempt: Attempt, answer: Answer, has_surplus: bool) -> None:
         self.attempt = None
         self.is_forwarding_value = False
@@ -210,11 +225,24 @@
         self._is_paused = False
         self._update_reading()
         if has_surplus:
+            self.owner.context.surplus_answers.record(SurplusAge.WITH_ANSWER)
             self.drop()  # the bytes after the answer belong to no request, and more may follow
         else:
+            self._acknowledge()
             self.owner.release(self)
         self.owner.context.attempts.finish(attempt, *answer)
 
+    def _acknowledge(self) -> None:
+        """Acknowledges the answer now, and not with the next request.
+
+        The backend's system may hold back a small write until the one before it is acknowledged (Nagle's
+        algorithm, RFC 9293, 3.7.4). A second copy of the answer then comes while the connection rests; with
+        an acknowledgement that is delayed it comes behind the next request, as if it were its answer.
+        """
+        raw_socket = self._open_transport.get_extra_info("socket")
+        with suppress(OSError):
+            raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
     def _await_more(self) -> None:
         """Starts the timeout for more of the answer."""
         self.owner.context.account.update(self)
@@ -302,7 +330,10 @@
             return False
         poll = select.poll()
         poll.register(self._open_transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        if not poll.poll(0):
+            return True
+        self.owner.context.surplus_answers.record(SurplusAge.AT_REUSE)
+        return False
 
     def cancel_timer(self) -> None:
         """Stops the timeout of connecting or of a stalled answer."""
--- a/trackspread/backends/connection_pool.py
+++ b/trackspread/backends/connection_pool.py
@@ -12,13 +12,9 @@
 from ..config.addresses import Address
 from ..lag import LagTolerantTimer
 from .attempt import Attempt
-from .connection import BackendConnection
+from .connection import REUSE_DELAY_S, BackendConnection
 from .pool_context import PoolContext
 
-# After an answer, a connection is not reused for this time if another one can be used or opened, as a
-# duplicate answer may follow.
-REUSE_DELAY_S = 0.02
-
 
 class ConnectionPool:
     """Holds the connections to one backend, and reuses idle ones."""
@@ -46,20 +42,17 @@
 
     def start(self, attempt: Attempt, now_ns: int) -> None:
         """Writes the attempt to an idle connection, or opens one for it."""
-        connection = self._take_idle(REUSE_DELAY_S)
-        if connection is None and not self._has_capacity():
-            connection = self._take_idle(0.0)
-            if connection is None:
-                # Without a descriptor no connection is established, so the attempt never ran.
-                self.context.loop.call_soon(self.context.attempts.fail_unsent, attempt)
-                return
+        connection = self._take_idle()
         if connection is not None:
             connection.write(attempt, now_ns)
-        else:
+        elif self._has_capacity():
             self._open(attempt)
+        else:
+            # Without a descriptor no connection is established, so the attempt never ran.
+            self.context.loop.call_soon(self.context.attempts.fail_unsent, attempt)
 
-    def _take_idle(self, min_idle_s: float) -> BackendConnection | None:
-        """Returns the last used connection that has been idle for at least `min_idle_s`, or None.
+    def _take_idle(self) -> BackendConnection | None:
+        """Returns the last used connection that has been idle for at least `REUSE_DELAY_S`, or None.
 
         Closes those that it meets and that are too old or not reusable.
         """
@@ -67,7 +60,7 @@
         for position in range(len(self.idle) - 1, -1, -1):
             connection = self.idle[position]
             idle_s = now_s - connection.idle_since_s
-            if idle_s < min_idle_s:
+            if idle_s < REUSE_DELAY_S:
                 continue
             if idle_s < self.context.idle_age.limit_s and connection.is_reusable():
                 del self.idle[position]
--- a/trackspread/backends/pool_context.py
+++ b/trackspread/backends/pool_context.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..memory.account import MemoryAccount
 from .adapter import Adapter
 from .attempt import AttemptEndings
 from .idle_age import IdleAgeLimit
 from .read_budget import ReadBudget
+from .surplus_answers import SurplusAnswers
 
 
 @dataclass(slots=True)
@@ -29,3 +30,4 @@
     account: MemoryAccount
     read_budget: ReadBudget
     open_connections: int = 0
+    surplus_answers: SurplusAnswers = field(default_factory=SurplusAnswers)
--- a/trackspread/backends/pools.py
+++ b/trackspread/backends/pools.py
@@ -176,13 +176,14 @@
             pool.close_idle()
 
     def _has_capacity(self) -> bool:
-        """Returns whether one more connection may be opened; closes an idle one elsewhere for it."""
+        """Returns whether one more connection may be opened; closes idle ones for it."""
         context = self.context
-        if context.open_connections >= context.max_connections:
+        while context.open_connections >= context.max_connections:
             spare = max(self._pools.values(), key=lambda pool: len(pool.idle), default=None)
-            if spare is not None and spare.idle:
-                spare.idle[0].drop()
-        return context.open_connections < context.max_connections
+            if spare is None or not spare.idle:
+                return False
+            spare.idle[0].drop()
+        return True
 
     def _sweep(self) -> None:
         idle_age = self.context.idle_age
--- a/trackspread/node/gateway.py
+++ b/trackspread/node/gateway.py
@@ -39,7 +39,7 @@
 from .class_reload import reload_classes
 from .admin_reports import AdminReports
 from .handover_state import StateExporter
-from .load_report import load_lines, memory_lines
+from .load_report import load_lines, memory_lines, surplus_lines
 from .optional_parts import OptionalParts, PartContext
 from .request import NS_PER_S
 from .request_handler import RequestHandler
@@ -389,6 +389,7 @@
 
     def _load_lines(self) -> str:
         lines = load_lines(self.decision_module, self.input_scheduler, self.clients)
+        lines += surplus_lines(self.backends.context.surplus_answers)
         return lines + memory_lines(self.account, self.memory_monitor.figures())
 
     def _longest_deadline_ns(self) -> int:
--- a/trackspread/node/load_report.py
+++ b/trackspread/node/load_report.py
@@ -7,6 +7,7 @@
 
 from dataclasses import asdict
 
+from ..backends.surplus_answers import SurplusAge, SurplusAnswers
 from ..decide.report import Module, early_rejections
 from ..fair_scheduler import FairScheduler
 from ..fronts.close_reason import CloseReason
@@ -29,6 +30,11 @@
     return "".join(f"router.{name}={value}\n" for name, value in figures.items())
 
 
+def surplus_lines(surplus_answers: SurplusAnswers) -> str:
+    """Returns how often backends sent bytes that belong to no request, by when they came."""
+    return "".join(f"router.surplus.{age}={surplus_answers.counts[age]}\n" for age in SurplusAge)
+
+
 def memory_lines(account: MemoryAccount, figures: MemoryFigures) -> str:
     """Returns the memory of the process and of its sockets, and what the account keeps for each holder."""
     sizes = {f"{name}_bytes": size for name, size in asdict(figures).items()}
--- a/trackspread/testing/standins/node_server.py
+++ b/trackspread/testing/standins/node_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -54,7 +55,8 @@
 
     `command_forms` holds the commands that clients sent. While `unresponsive` is set, requests are executed
     and not answered. An answer is invalid with probability `invalid_answer_chance`, and a reset replaces it
-    with probability `reset_chance`.
+    with probability `reset_chance`. With probability `second_copy_chance` a second copy of an answer follows
+    after `second_copy_s`. With `holds_small_writes` its sockets have no TCP_NODELAY.
     """
 
     def __init__(
@@ -76,6 +78,9 @@
         self.unresponsive = False
         self.invalid_answer_chance = 0.0
         self.reset_chance = 0.0
+        self.second_copy_chance = 0.0
+        self.second_copy_s = 0.0
+        self.holds_small_writes = False
         self.running = False
         self.rng = random.Random(f"{scenario.seed}:{spec.name}")
         self.addresses: list[Address] = []
@@ -178,6 +183,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        raw_socket = transport.get_extra_info("socket")
+        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, not self._node.holds_small_writes)
         self._node.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -257,6 +264,15 @@
             transport.write(written)
             if answered:
                 self._record_answer(answered.decode())
+                if self._node.rng.random() < self._node.second_copy_chance:
+                    delay_s = self._node.second_copy_s
+                    asyncio.get_running_loop().call_later(delay_s, self._write_copy, written)
+
+    def _write_copy(self, answer: bytes) -> None:
+        """Writes a second copy of an answer, unless a request waits on the connection."""
+        transport = cast(asyncio.Transport, self.transport)
+        if not self._answers and not transport.is_closing():
+            transport.write(answer)
 
     def _record_answer(self, request: str) -> None:
         node = self._node
