The hard limit holds for what arrives: units in transit leave no room for refill

Cause: units were taken at the decision and refilled up to the whole burst from then on, whether or not their requests had arrived. Decided was taken for arrived.

Change: the bucket refills up to the burst less the units in transit, which is exactly a bucket that takes each unit at its latest possible arrival. A request is in transit until a backend has answered it or it has ended. What the rate gives in 0.1 s is free, as the slack on sockets covers 0.15 s. router.units_in_transit shows the sum.

--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -20,6 +20,7 @@
 from .commitments import CommitmentTable
 from .concurrency_model import TARGET_WAIT, QueueModel
 from .events import (
+    ANSWERED,
     AllocationChanged,
     AttemptEnded,
     ClassesChanged,
@@ -101,7 +102,7 @@
             case AttemptEnded():
                 return self._on_attempt_ended(now, event)
             case ResponseStarted():
-                self._on_response_started(event)
+                self._on_response_started(now, event)
             case ClientDisconnected():
                 self.requests.open_requests.pop(event.request, None)
             case TimerFired():
@@ -257,7 +258,7 @@
         self.early_rejections[reason] += 1
         return True
 
-    def _on_response_started(self, event: ResponseStarted) -> None:
+    def _on_response_started(self, now: int, event: ResponseStarted) -> None:
         """Records that a long value is being streamed to the client.
 
         No other attempt may follow. The latency of the attempt is the time to its first byte, because the
@@ -268,6 +269,7 @@
             return
         if not request.first_byte_after_ns:
             request.commitment.streaming += 1
+        self.quota.request_arrived(now, request)
         request.max_attempts = 0
         request.first_byte_after_ns = max(1, event.elapsed_ns)
 
@@ -281,9 +283,13 @@
         open_requests = self.requests.open_requests
         if event.request_finished:
             open_requests.pop(event.request, None)
+        if event.outcome in ANSWERED:
+            self.quota.request_arrived(now, request)
         actions: list[Action] = []
         if not request.attempts_in_flight and event.request in open_requests:
             actions = self._retry_or_finish(now, request)
+        if not (request.attempts_in_flight or event.request in open_requests):
+            self.quota.request_arrived(now, request)
         if not (request.attempts_in_flight or request.reached_backend or event.request in open_requests):
             # No attempt reached a backend, and no further attempt will be made.
             request.account.refund(request.balances_taken)
--- a/trackspread/decide/events.py
+++ b/trackspread/decide/events.py
@@ -30,6 +30,8 @@
 
 # Outcomes after which the backend has certainly not executed the request.
 NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+# Outcomes that are a backend's answer, so that the request has certainly arrived there.
+ANSWERED = frozenset({Outcome.ERROR, Outcome.OK, Outcome.REJECTED})
 
 
 @dataclass(frozen=True, slots=True)
--- a/trackspread/decide/open_request.py
+++ b/trackspread/decide/open_request.py
@@ -30,6 +30,7 @@
     counted_remotely: bool = False  # whether the quota owner or the counter counts it as in flight
     balances_before: Balances = NO_BALANCES  # the account's balances before the request took from them
     balances_taken: Balances = NO_BALANCES  # what the request took from the account
+    units_in_transit: float = 0.0  # of the hard limit, until an attempt has certainly arrived
     reached_backend: bool = False  # whether an attempt may have reached a backend; then the units are used
 
     @property
--- a/trackspread/decide/quota/accounts.py
+++ b/trackspread/decide/quota/accounts.py
@@ -9,7 +9,7 @@
 from ..peer_messages import QuotaMessage
 from ..settings import Plan
 from ..tenant_account import CounterRecord, LeasedShares, TenantAccount, TenantGateways, rescaled_tokens
-from . import token_bucket
+from . import hard_limit, token_bucket
 from .freshness import UNRESPONSIVE_NS
 from .sharing import QuotaSharing
 from .state import QuotaState
@@ -204,5 +204,5 @@
         account.overflow_units = 0.0
     account.tokens = max(-plan.burst_units, min(plan.burst_units, tokens) - used_units)
     account.hard_limit_tokens = min(
-        plan.hard_limit_burst_units * event.hard_limit_share, account.hard_limit_tokens
+        hard_limit.full_units(account, event.hard_limit_share), account.hard_limit_tokens
     )
--- a/trackspread/decide/quota/facade.py
+++ b/trackspread/decide/quota/facade.py
@@ -6,6 +6,7 @@
 
 from ..actions import Action
 from ..events import AllocationChanged, CounterAnswered, FleetChanged, PeerMessage, PlansChanged
+from ..open_request import OpenRequest
 from ..peer_messages import QuotaMessageKind
 from ..settings import Plan, Settings
 from ..tenant_account import TenantAccount
@@ -123,6 +124,16 @@
         """Spends units although no answer arrived; returns False if denied."""
         return self.sharing.spend_without_answer(now, account, units)
 
+    def request_started(self, request: OpenRequest) -> None:
+        """Notes that the units a request took are on their way to a backend."""
+        hard_limit.request_started(request.account, request)
+
+    def request_arrived(self, now: int, request: OpenRequest) -> None:
+        """Notes that a request has arrived at a backend, or will not any more."""
+        if request.units_in_transit:
+            self.refill(now, request.account)
+            hard_limit.request_arrived(request.account, request)
+
     def count_attempts(self, account: TenantAccount, more: int) -> None:
         """Changes the number of the tenant's attempts in flight."""
         account.in_flight += more
--- a/trackspread/decide/quota/hard_limit.py
+++ b/trackspread/decide/quota/hard_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..actions import Action
+from ..open_request import OpenRequest
 from ..peer_messages import QuotaMessage, QuotaMessageKind
 from ..settings import Plan
 from ..tenant_account import TenantAccount
@@ -17,16 +18,43 @@
 TRANSFER_PART = 0.75  # Part of the remaining units that goes to one peer, because others may ask too.
 # Transfers and their requests may take this part of the messages that a gateway accepts.
 TRANSFER_PART_OF_MESSAGES = 0.25
+PROMPT_ARRIVAL_S = 0.1  # from a request's start to its answer; on sockets the slack covers 0.15 s
 UNIT_STEP = 0.25  # resolution of units in messages
 
 
 def refill(account: TenantAccount, share: float, elapsed_s: float) -> None:
     """Refills the bucket with this share of the hard limit."""
+    refilled = account.hard_limit_tokens + account.plan.hard_limit_per_s * share * elapsed_s
+    account.hard_limit_tokens = min(full_units(account, share), refilled)
+
+
+def full_units(account: TenantAccount, share: float) -> float:
+    """Returns the units up to which the bucket is filled with this share of the hard limit.
+
+    The limit holds where requests arrive, and those in transit may all arrive at once, however long after
+    their start. A bucket that takes their units on arrival has room for its burst less these units. Those of
+    `PROMPT_ARRIVAL_S` are covered by the limit's slack.
+    """
     plan = account.plan
-    account.hard_limit_tokens = min(
-        plan.hard_limit_burst_units * share,
-        account.hard_limit_tokens + plan.hard_limit_per_s * share * elapsed_s,
-    )
+    prompt_units = plan.hard_limit_per_s * share * PROMPT_ARRIVAL_S
+    return plan.hard_limit_burst_units * share - max(0.0, account.units_in_transit - prompt_units)
+
+
+def request_started(account: TenantAccount, request: OpenRequest) -> None:
+    """Notes that the units a request took are on their way to a backend."""
+    if not account.plan.hard_limit_per_s:
+        return
+    request.units_in_transit = max(0.0, request.balances_taken.hard_limit_tokens)
+    account.units_in_transit += request.units_in_transit
+
+
+def request_arrived(account: TenantAccount, request: OpenRequest) -> None:
+    """Notes that a request has arrived at a backend, or will not any more.
+
+    The bucket has to be refilled up to now before.
+    """
+    account.units_in_transit = max(0.0, account.units_in_transit - request.units_in_transit)
+    request.units_in_transit = 0.0
 
 
 def unspent_units(plan: Plan) -> float:
@@ -54,9 +82,9 @@
     peers = state.static_shares.peers_with_share(account)
     if not peers:
         return []
-    full_units = plan.hard_limit_burst_units * state.static_shares.share(now, account)
+    limit_units = full_units(account, state.static_shares.share(now, account))
     demand_units_per_s = account.demand.rate_per_s(now) * account.demand.value
-    if account.hard_limit_tokens >= min(full_units / 2, demand_units_per_s * SHORT_NS / SECOND):
+    if account.hard_limit_tokens >= min(limit_units / 2, demand_units_per_s * SHORT_NS / SECOND):
         return []
     # Each request is one message to a peer and causes at most one answer.
     messages_per_s = max(1.0, TRANSFER_PART_OF_MESSAGES * state.settings.peer_messages_per_s)
@@ -64,7 +92,7 @@
     query = state.next_query()
     account.transfer_request = query
     peer = peers[query % len(peers)]
-    wanted_units = full_units - account.hard_limit_tokens
+    wanted_units = limit_units - account.hard_limit_tokens
     kind = QuotaMessageKind.TRANSFER_REQUEST
     return [state.message_to(now, peer, account, kind, wanted_units, query)]
 
@@ -78,8 +106,8 @@
     if message.query != account.transfer_request:
         return
     account.transfer_request = 0
-    full_units = account.plan.hard_limit_burst_units * state.static_shares.share(now, account)
-    account.hard_limit_tokens = min(full_units, account.hard_limit_tokens + message.units)
+    limit_units = full_units(account, state.static_shares.share(now, account))
+    account.hard_limit_tokens = min(limit_units, account.hard_limit_tokens + message.units)
 
 
 def grant_transfer(
--- a/trackspread/node/load_report.py
+++ b/trackspread/node/load_report.py
@@ -24,6 +24,7 @@
         "input_waiting": scheduler.waiting,
         "input_deferred": scheduler.deferred_slices,
         "tenants": len(module.quota.accounts),
+        "units_in_transit": round(sum(each.units_in_transit for each in module.quota.accounts.values())),
     }
     figures |= {f"rejected.{reason}": count for reason, count in early_rejections(module).items()}
     figures |= {f"closed.{reason}": clients.closed[reason] for reason in CloseReason}
