A request that is given up does not go on to a slow backend

Cause: a close without unread input sends no reset, so the kernel goes on with what its send buffer holds; the check of the time in which a repeat may be sent knew the process's buffer only. Written was taken for arrived.

Change: a connection whose attempt has no answer closes with a reset. At the end of an attempt's time to be sent, bytes that the backend's system has not acknowledged end it, as timed out.

--- a/trackspread/backends/connection.py
+++ b/trackspread/backends/connection.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import select
 import socket
+import struct
+import termios
 from collections.abc import Mapping
 from contextlib import suppress
 from functools import partial
@@ -36,6 +39,8 @@
 # After an answer, a connection is not reused for this time, as a second copy of the answer may follow some
 # milliseconds late.
 REUSE_DELAY_S = 0.02
+INT = struct.Struct("i")
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
 # After the start of a write: a reset this soon means a stale connection. Longer than a round trip.
 STALE_RESET_WINDOW_S = 0.02
 
@@ -133,10 +138,24 @@
         self.has_unsent_bytes = transport.is_closing() or transport.get_write_buffer_size() > 0
         if not self.has_unsent_bytes:
             self._request_written()
-        elif attempt.not_after_ns:
+        if attempt.not_after_ns:
             # No `LagTolerantTimer`: the last bytes could be written in the turns that it waits for sockets.
             delay_s = max(0, attempt.not_after_ns - now_ns) / NS_PER_S
-            context.loop.call_later(delay_s, context.attempts.withdraw, attempt)
+            context.loop.call_later(delay_s, self._sending_time_over, attempt)
+
+    def _sending_time_over(self, attempt: Attempt) -> None:
+        """Ends an attempt if the backend's system lacks a part of its request."""
+        attempts = self.owner.context.attempts
+        attempts.withdraw(attempt)
+        if self.attempt is attempt and self._unacknowledged_bytes():
+            attempts.expire(attempt)
+
+    def _unacknowledged_bytes(self) -> int:
+        """Returns how many bytes the kernel holds that the backend's system has not acknowledged."""
+        raw_socket = self.raw_socket
+        if raw_socket is None:
+            return 0
+        return int(INT.unpack(fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(INT.size)))[0])
 
     def _request_written(self) -> None:
         """Notifies the observer, once, that the request's last byte is written."""
@@ -359,14 +378,29 @@
 
     def drop(self) -> None:
         """Closes at once: nothing more is sent, and bytes that still arrive are ignored."""
+        is_answered = self.attempt is None
         self.attempt = None
         self.cancel_timer()
         if self.transport is not None:
+            if not is_answered:
+                self._discard_unsent()
             self.transport.abort()
         elif self.task is not None:
             self.task.cancel()
         self._forget()
 
+    def _discard_unsent(self) -> None:
+        """Has the close discard what the kernel still holds of a request, by a reset (tcp(7), socket(7)).
+
+        With a usual close the kernel goes on sending for as long as the backend takes to read it, and the
+        request may run long after it was given up.
+        """
+        transport = self._open_transport
+        if not transport.is_closing():
+            raw_socket = transport.get_extra_info("socket")
+            with suppress(OSError):
+                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def _forget(self) -> None:
         """Removes the connection from its pool and from what all connections share."""
         self.owner.context.account.remove(self)
