Units in transit limit the refill of the hard limit and no other bucket

Change: an arrival notes only when it was and what was in transit; the next refill, at a request as before, applies the limit that held until then.

--- a/trackspread/decide/quota/facade.py
+++ b/trackspread/decide/quota/facade.py
@@ -130,9 +130,7 @@
 
     def request_arrived(self, now: int, request: OpenRequest) -> None:
         """Notes that a request has arrived at a backend, or will not any more."""
-        if request.units_in_transit:
-            self.refill(now, request.account)
-            hard_limit.request_arrived(request.account, request)
+        hard_limit.request_arrived(now, request.account, request)
 
     def count_attempts(self, account: TenantAccount, more: int) -> None:
         """Changes the number of the tenant's attempts in flight."""
--- a/trackspread/decide/quota/hard_limit.py
+++ b/trackspread/decide/quota/hard_limit.py
@@ -23,9 +23,17 @@
 
 
 def refill(account: TenantAccount, share: float, elapsed_s: float) -> None:
-    """Refills the bucket with this share of the hard limit."""
-    refilled = account.hard_limit_tokens + account.plan.hard_limit_per_s * share * elapsed_s
-    account.hard_limit_tokens = min(full_units(account, share), refilled)
+    """Refills the bucket with this share of the hard limit, up to `refilled_at_ns`."""
+    per_s = account.plan.hard_limit_per_s * share
+    limit_units = full_units(account, share)
+    if account.transit_ended_at_ns:
+        # Until then the bucket had room for less; the refill since has to fit on top of that.
+        since_s = (account.refilled_at_ns - account.transit_ended_at_ns) / SECOND
+        former_units = _units_beside(account, share, account.most_units_in_transit)
+        limit_units = min(limit_units, former_units + per_s * since_s)
+        account.transit_ended_at_ns = 0
+    account.most_units_in_transit = account.units_in_transit
+    account.hard_limit_tokens = min(limit_units, account.hard_limit_tokens + per_s * elapsed_s)
 
 
 def full_units(account: TenantAccount, share: float) -> float:
@@ -35,9 +43,13 @@
     their start. A bucket that takes their units on arrival has room for its burst less these units. Those of
     `PROMPT_ARRIVAL_S` are covered by the limit's slack.
     """
+    return _units_beside(account, share, account.units_in_transit)
+
+
+def _units_beside(account: TenantAccount, share: float, units_in_transit: float) -> float:
     plan = account.plan
     prompt_units = plan.hard_limit_per_s * share * PROMPT_ARRIVAL_S
-    return plan.hard_limit_burst_units * share - max(0.0, account.units_in_transit - prompt_units)
+    return plan.hard_limit_burst_units * share - max(0.0, units_in_transit - prompt_units)
 
 
 def request_started(account: TenantAccount, request: OpenRequest) -> None:
@@ -46,15 +58,15 @@
         return
     request.units_in_transit = max(0.0, request.balances_taken.hard_limit_tokens)
     account.units_in_transit += request.units_in_transit
+    account.most_units_in_transit = max(account.most_units_in_transit, account.units_in_transit)
 
 
-def request_arrived(account: TenantAccount, request: OpenRequest) -> None:
-    """Notes that a request has arrived at a backend, or will not any more.
-
-    The bucket has to be refilled up to now before.
-    """
-    account.units_in_transit = max(0.0, account.units_in_transit - request.units_in_transit)
-    request.units_in_transit = 0.0
+def request_arrived(now: int, account: TenantAccount, request: OpenRequest) -> None:
+    """Notes that a request has arrived at a backend, or will not any more."""
+    if request.units_in_transit:
+        account.units_in_transit = max(0.0, account.units_in_transit - request.units_in_transit)
+        request.units_in_transit = 0.0
+        account.transit_ended_at_ns = now
 
 
 def unspent_units(plan: Plan) -> float:
