A connection is reset only where the kernel still holds a part of the request

Cause: reset each connection whose attempt had no answer, also one on which nothing had been written or all was acknowledged; the backend saw an error in place of an end.

Change: the reset is used only where the kernel holds unacknowledged bytes, which is what it is to discard.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -159,9 +159,8 @@
         return message
 
     def send(self, data: bytes) -> None:
-        """Writes bytes to the connection; one that the other side has reset takes none."""
-        if not self.writer.transport.is_closing():
-            self.writer.write(data)
+        """Writes bytes to the connection."""
+        self.writer.write(data)
 
     def abort(self) -> None:
         """Closes the connection without sending what is still buffered."""
--- a/trackspread/backends/connection.py
+++ b/trackspread/backends/connection.py
@@ -395,9 +395,8 @@
         With a usual close the kernel goes on sending for as long as the backend takes to read it, and the
         request may run long after it was given up.
         """
-        transport = self._open_transport
-        if not transport.is_closing():
-            raw_socket = transport.get_extra_info("socket")
+        raw_socket = self.raw_socket
+        if raw_socket is not None and self._unacknowledged_bytes():
             with suppress(OSError):
                 raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
