A late arrival no longer costs the refill that earlier arrivals left room for

What callers saw: where some requests of a tenant arrived late, its hard limit let through less than it grants: until the last of them had arrived, all units in transit since the last refill counted.

Cause: the account kept the largest number in transit and the time of the last arrival, in place of each arrival.

Change: each arrival since the last refill is kept with what was in transit before it, and limits that refill by itself. The list is emptied at each refill, so it is at most as long as the requests in flight. No bucket is refilled at other times.

--- a/tests/decide/test_hard_limit_in_transit.py
+++ b/tests/decide/test_hard_limit_in_transit.py
@@ -155,6 +155,48 @@
     assert limited >= MIN_CALM_SHARE * arrivals()
 
 
+@dataclass(slots=True)
+class EagerBucket:
+    """Holds a bucket that is refilled at each event, so that it needs no record of past arrivals."""
+
+    units: float
+    at: int
+    in_transit: int = 0
+
+    def refill(self, now: int) -> None:
+        room = BURST - max(0.0, self.in_transit - PER_S * hard_limit.PROMPT_ARRIVAL_S)
+        self.units = min(room, self.units + PER_S * (now - self.at) / SECOND)
+        self.at = now
+
+    def count_start(self) -> None:
+        self.units -= 1.0
+        self.in_transit += 1
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_early_arrivals_do_not_cost_the_refill_before_a_late_one(seed: int) -> None:
+    """Guards against a refill that takes all units as in transit until the last of them has arrived."""
+    rng = random.Random(f"refill:{seed}")
+    broker = Broker(settings(plans=(limited_plan(),), gateway_count=1), seed, 0)
+    broker.handle(0, full_list(*(backend(each) for each in range(1, 7))))
+    attempts: list[StartAttempt] = []
+    reference = EagerBucket(SLACK, 0)
+    now = 0
+    for number in range(1, 100):
+        reference.refill(now)
+        if attempts and rng.random() < 0.5:
+            attempt = attempts.pop(rng.randrange(len(attempts)))
+            broker.handle(now, ended(attempt.request, attempt.backend))
+            reference.in_transit -= 1
+        else:
+            actions = broker.handle(now, arrival(number, now))
+            for started in (action for action in actions if isinstance(action, StartAttempt)):
+                attempts.append(started)
+                reference.count_start()
+            assert broker.quota.accounts[1].hard_limit_tokens == pytest.approx(reference.units)
+        now += int(rng.expovariate(12.0) * SECOND)
+
+
 @pytest.mark.parametrize("outcome", list(Outcome))
 def test_no_units_stay_in_transit_after_the_last_attempt(outcome: Outcome) -> None:
     """Guards against a bucket that loses room for good with each request."""
--- a/trackspread/decide/quota/hard_limit.py
+++ b/trackspread/decide/quota/hard_limit.py
@@ -6,7 +6,7 @@
 from ..open_request import OpenRequest
 from ..peer_messages import QuotaMessage, QuotaMessageKind
 from ..settings import Plan
-from ..tenant_account import TenantAccount
+from ..tenant_account import ArrivalInTransit, TenantAccount
 from ..time_units import SECOND
 from .state import QuotaState
 
@@ -24,16 +24,30 @@
 
 def refill(account: TenantAccount, share: float, elapsed_s: float) -> None:
     """Refills the bucket with this share of the hard limit, up to `refilled_at_ns`."""
+    refilled_units = account.plan.hard_limit_per_s * share * elapsed_s
+    account.hard_limit_tokens = min(
+        _units_refilled_to(account, share), account.hard_limit_tokens + refilled_units
+    )
+    skip_refill(account)
+
+
+def skip_refill(account: TenantAccount) -> None:
+    """Leaves the bucket as it is, without any refill up to `refilled_at_ns`."""
+    account.arrivals_since_refill.clear()
+
+
+def _units_refilled_to(account: TenantAccount, share: float) -> float:
+    """Returns the most units that the bucket can have at `refilled_at_ns`.
+
+    Until each arrival since the last refill the bucket had room for less, and only what was refilled after
+    that arrival fits on top.
+    """
     per_s = account.plan.hard_limit_per_s * share
-    limit_units = full_units(account, share)
-    if account.transit_ended_at_ns:
-        # Until then the bucket had room for less; the refill since has to fit on top of that.
-        since_s = (account.refilled_at_ns - account.transit_ended_at_ns) / SECOND
-        former_units = _units_beside(account, share, account.most_units_in_transit)
-        limit_units = min(limit_units, former_units + per_s * since_s)
-        account.transit_ended_at_ns = 0
-    account.most_units_in_transit = account.units_in_transit
-    account.hard_limit_tokens = min(limit_units, account.hard_limit_tokens + per_s * elapsed_s)
+    units = full_units(account, share)
+    for arrival in account.arrivals_since_refill:
+        since_s = (account.refilled_at_ns - arrival.at_ns) / SECOND
+        units = min(units, _units_beside(account, share, arrival.units_in_transit) + per_s * since_s)
+    return units
 
 
 def full_units(account: TenantAccount, share: float) -> float:
@@ -58,17 +72,21 @@
     if not account.plan.hard_limit_per_s:
         return
     request.units_in_transit = units
-    account.units_in_transit += request.units_in_transit
-    account.most_units_in_transit = max(account.most_units_in_transit, account.units_in_transit)
+    account.units_in_transit += units
+    # None are left after a refill, and a request that another process started comes without one.
+    account.arrivals_since_refill = [
+        arrival._replace(units_in_transit=arrival.units_in_transit + units)
+        for arrival in account.arrivals_since_refill
+    ]
 
 
 def request_arrived(now: int, request: OpenRequest) -> None:
     """Notes that a request has arrived at a backend, or will not any more."""
     account = request.account
     if request.units_in_transit:
+        account.arrivals_since_refill.append(ArrivalInTransit(account.units_in_transit, now))
         account.units_in_transit = max(0.0, account.units_in_transit - request.units_in_transit)
         request.units_in_transit = 0.0
-        account.transit_ended_at_ns = now
 
 
 def unspent_units(plan: Plan) -> float:
--- a/trackspread/decide/tenant_account.py
+++ b/trackspread/decide/tenant_account.py
@@ -40,6 +40,13 @@
     granted_at_ns: int
 
 
+class ArrivalInTransit(NamedTuple):
+    """Holds the units of the hard limit that were in transit just before a request arrived at a backend."""
+
+    units_in_transit: float
+    at_ns: int
+
+
 class PeerAttempts(NamedTuple):
     """Holds the number of a tenant's attempts that a peer reported as in flight."""
 
@@ -124,8 +131,7 @@
     static_tokens: float = 0.0  # this gateway's static share of the token bucket
     hard_limit_tokens: float = 0.0
     units_in_transit: float = 0.0  # taken out of it by requests that may not have arrived at a backend yet
-    most_units_in_transit: float = 0.0  # since the last refill
-    transit_ended_at_ns: int = 0  # when some of them were the last to arrive since then; 0 if none did
+    arrivals_since_refill: list[ArrivalInTransit] = field(default_factory=list)
     # Number of the query that asks a peer for a part of its hard limit; 0 once it is answered.
     transfer_request: int = 0
     # Refill that was not added to the bucket here, because it was full or the refill was not this gateway's.
