A planted mix of zones lasts when gateways ask again, and joins of the whole run are looked at

Cause: the mutant placed a gateway in a cell of another zone, but a gateway repeats its request while it is in a cell, and the unchanged check of the named cell then sent it to its own zone, the next repeat back. The test looked once, at the cells of that moment.

Change: the mutant leaves zones out of the check that both a placement and its repeat use, so that it does what its description says. The test looks at every cell that a gateway has joined, also those it left, and again after the moves; it asks for more than before.

--- a/tests/cells/test_cells.py
+++ b/tests/cells/test_cells.py
@@ -35,6 +35,7 @@
 from trackspread.testing.virtual.cells.schedules import play
 from trackspread.testing.virtual.cells.world import CellsWorld, control_machines
 from trackspread.testing.virtual.cells.worlds import WORLDS
+from trackspread.testing.virtual.patches import applied
 
 MACHINES = control_machines(1, 4)
 ZONE = Zone("r0", "z0")
@@ -337,6 +338,19 @@
     assert is_detected(*EXPOSED_BY[name], name)
 
 
+def test_planted_mix_of_zones_lasts_when_a_gateway_asks_again() -> None:
+    """Guards against a planted fault that ends by itself where a loaded machine lets gateways ask twice."""
+    with applied(MUTANTS["cells-zones-mixed"]()):
+        directory = Directory(START_NS - 60 * SECOND, (5, 0), CellPolicy(2, 3, 1, 2), MACHINES)
+        zones = {}
+        for name, zone in (("g0", "z0"), ("g1", "z1"), ("g1", "z1")):
+            request = PlacementRequest("r0", zone, UNKNOWN_ADDRESS)
+            placed = directory.place(START_NS, (name, 1), request)
+            assert placed is not None
+            zones[name] = placed.cell.zone
+    assert zones == {"g0": "z0", "g1": "z0"}
+
+
 def test_messages_of_a_small_fleet_are_counted() -> None:
     line = played(24, 2, 1)
     assert (line.gateways, line.cells) == (24, 12) and 0 < line.settled_s < 20
--- a/tests/cells/test_cells_process.py
+++ b/tests/cells/test_cells_process.py
@@ -274,8 +274,12 @@
 
 
 def all_in_own_zone(fleet: CelledFleet) -> bool:
-    """Returns whether each gateway is in a cell of its own zone."""
-    return all(cell.startswith(f"r.z{int(name[1:]) % 2}.") for name, cell in fleet.cells_by_gateway().items())
+    """Returns whether each gateway has joined cells of its own zone only, those that it left among them."""
+    return all(
+        str(record.about["cell"]).startswith(f"r.z{int(record.name[1:]) % 2}.")
+        for record in fleet.records()
+        if record.kind == "joined"
+    )
 
 
 def seeded_by(fleet: CelledFleet, control: str) -> set[str]:
@@ -309,6 +313,8 @@
         # All have to move, because a cell that is retired too early shows only in gateways left in it.
         await until(lambda: affected <= set(departures(fleet, since)) and unsettled_cells(fleet) == "")
         await settled(fleet)
+        if not all_in_own_zone(fleet):
+            return "a gateway was moved to a cell of another zone"
     except (AssertionError, TimeoutError) as error:
         return f"not settled: {error}"
     return "; ".join(each.text for each in fleet.inconsistencies()[:2])
--- a/trackspread/testing/virtual/cells/mutants.py
+++ b/trackspread/testing/virtual/cells/mutants.py
@@ -9,7 +9,7 @@
 
 from msgspec import structs
 
-from ....cells import gateway
+from ....cells import directory, gateway
 from ....cells.actions import CellLeft, CellsAction
 from ....cells.controller import Controller
 from ....cells.directory import CellEntry, Directory
@@ -177,12 +177,8 @@
 
 
 def _zones_mixed() -> list[Any]:
-    """Places a gateway in the fullest cell of any zone."""
-
-    def mutant(self: Directory, zone: Zone) -> list[CellEntry]:
-        return [e for e in self.entries.values() if not e.cell.closing]
-
-    return [patch.object(Directory, "_open_cells", mutant)]
+    """Places a gateway in the fullest cell of any zone, and leaves it there when it asks again."""
+    return [patch.object(directory, "_is_open_in", lambda entry, zone: not entry.cell.closing)]
 
 
 def _never_split() -> list[Any]:
