An owner does not refill a hard limit for granted units that are in transit at other gateways

What callers would see: in fleets with owners, while nodes read slowly, a tenant's granted requests arrived together and passed its hard limit.

Cause: an owner takes granted units out of its bucket and refilled them while the requests, which other gateways had sent, had not arrived. Decided was taken for arrived.

Change: a granted request without an answer after 0.1 s is late. The owner's bucket has no room for what was reported in the last 3 s. A prompt request costs no message; reports take at most a quarter of the messages that a gateway accepts.

The playback's tick was a timer that the module does not know, and messages between gateways were lost; both are real now.

--- a/tests/decide/test_hard_limit_in_transit.py
+++ b/tests/decide/test_hard_limit_in_transit.py
@@ -13,9 +13,9 @@
 
 import pytest
 
-from trackspread.decide.actions import Action, StartAttempt
-from trackspread.decide.broker import Broker
-from trackspread.decide.events import ClientDisconnected, Outcome, TimerFired
+from trackspread.decide.actions import SendToPeers, StartAttempt
+from trackspread.decide.broker import TICK_TIMER, Broker
+from trackspread.decide.events import ClientDisconnected, Event, Outcome, PeerMessage, TimerFired
 from trackspread.decide.quota import hard_limit
 from trackspread.decide.settings import Plan
 from trackspread.decide.time_units import TICK
@@ -23,6 +23,8 @@
 from ..helpers import SECOND, arrival, backend, ended, full_list, plan, settings
 
 GATEWAYS = 2
+OWNED_GATEWAYS = 200  # too many to gossip, so that one of the two grants the requests of both
+MESSAGE_NS = SECOND // 1000
 PER_S, BURST, SLACK = 9.5, 11.4, 1.14
 LEAD_S, SLOW_S, END_S = 3.0, 6.0, 9.0  # nodes read slowly between the first two
 REQUESTS_PER_S = 25.0
@@ -45,7 +47,7 @@
 
 @dataclass(order=True, slots=True)
 class Step:
-    """Holds what happens at a time: `what` is request, arrived, ended or tick."""
+    """Holds what happens at a time: `what` is request, arrived, ended, message or tick."""
 
     at: int
     order: int
@@ -53,12 +55,17 @@
     gateway: int = field(compare=False)
     attempt: StartAttempt | None = field(compare=False, default=None)
     index: int = field(compare=False, default=0)
+    message: PeerMessage | None = field(compare=False, default=None)
 
 
 class World:
-    """Plays one seed; `lowest` is the least that the bucket had at an arrival."""
+    """Plays one seed; `lowest` is the least that the bucket had at an arrival.
 
-    def __init__(self, seed: int, is_slow: bool = True) -> None:
+    The tenant's requests come through the first two of `gateways`, one of which is the tenant's owner where
+    there are too many to gossip.
+    """
+
+    def __init__(self, seed: int, is_slow: bool = True, gateways: int = GATEWAYS) -> None:
         self.rng = random.Random(f"transit:{seed}")
         self.is_slow = is_slow
         self.orders, self.requests = count(), count(1)
@@ -68,7 +75,7 @@
         self.store = self.lowest = BURST
         self.store_at = 0
         self.brokers = [
-            Broker(settings(plans=(limited_plan(),), gateway_count=GATEWAYS, gateway_index=number), seed, 0)
+            Broker(settings(plans=(limited_plan(),), gateway_count=gateways, gateway_index=number), seed, 0)
             for number in range(GATEWAYS)
         ]
         for number, broker in enumerate(self.brokers):
@@ -77,17 +84,26 @@
         self.add(0, "request", 0)
 
     def add(
-        self, at: int, what: str, gateway: int, attempt: StartAttempt | None = None, index: int = 0
+        self,
+        at: int,
+        what: str,
+        gateway: int,
+        attempt: StartAttempt | None = None,
+        index: int = 0,
+        message: PeerMessage | None = None,
     ) -> None:
-        heapq.heappush(self.steps, Step(at, next(self.orders), what, gateway, attempt, index))
+        heapq.heappush(self.steps, Step(at, next(self.orders), what, gateway, attempt, index, message))
 
     def play(self) -> None:
         while self.steps and self.steps[0].at < int(END_S * SECOND):
             step = heapq.heappop(self.steps)
             match step.what:
                 case "tick":
-                    self.brokers[step.gateway].handle(step.at, TimerFired(0))
+                    self.handle(step, TimerFired(TICK_TIMER))
                     self.add(step.at + TICK, "tick", step.gateway)
+                case "message":
+                    assert step.message is not None
+                    self.handle(step, step.message)
                 case "request":
                     self.request(step)
                 case "arrived":
@@ -99,22 +115,28 @@
         per_s = REQUESTS_PER_S if step.at >= LEAD_S * SECOND else 3.0
         self.add(step.at + int(self.rng.expovariate(per_s) * SECOND), "request", self.rng.randrange(GATEWAYS))
         number = next(self.requests)
-        self.start(
-            step.at, step.gateway, self.brokers[step.gateway].handle(step.at, arrival(number, step.at))
-        )
-
-    def start(self, now: int, gateway: int, actions: list[Action]) -> None:
-        """Sends attempts; slow nodes have read all of them when they have time again, or are reset."""
-        for action in actions:
-            if not isinstance(action, StartAttempt):
-                continue
-            key = gateway, action.request
-            index = self.attempts[key] = self.attempts.get(key, -1) + 1
-            slow_until = int((SLOW_S + self.rng.uniform(0.0, 0.05)) * SECOND)
-            is_held = self.is_slow and LEAD_S * SECOND <= now < SLOW_S * SECOND and self.rng.random() < 0.8
-            at = slow_until if is_held else now + SECOND // 1000
-            self.add(at, "arrived", gateway, action, index)
-            self.add(at + ANSWER_NS, "ended", gateway, action, index)
+        self.handle(step, arrival(number, step.at))
+
+    def handle(self, step: Step, event: Event) -> None:
+        """Lets the step's gateway handle the event, and sends its attempts and messages."""
+        for action in self.brokers[step.gateway].handle(step.at, event):
+            if isinstance(action, StartAttempt):
+                self.start(step.at, step.gateway, action)
+            elif isinstance(action, SendToPeers):
+                message = PeerMessage(step.gateway, action.data)
+                for recipient in range(GATEWAYS):
+                    if recipient != step.gateway and action.recipient in (recipient, None):
+                        self.add(step.at + MESSAGE_NS, "message", recipient, message=message)
+
+    def start(self, now: int, gateway: int, attempt: StartAttempt) -> None:
+        """Sends an attempt; slow nodes have read all of them when they have time again, or are reset."""
+        key = gateway, attempt.request
+        index = self.attempts[key] = self.attempts.get(key, -1) + 1
+        slow_until = int((SLOW_S + self.rng.uniform(0.0, 0.05)) * SECOND)
+        is_held = self.is_slow and LEAD_S * SECOND <= now < SLOW_S * SECOND and self.rng.random() < 0.8
+        at = slow_until if is_held else now + SECOND // 1000
+        self.add(at, "arrived", gateway, attempt, index)
+        self.add(at + ANSWER_NS, "ended", gateway, attempt, index)
 
     def arrive(self, step: Step) -> None:
         assert step.attempt is not None
@@ -129,14 +151,14 @@
     def end(self, step: Step) -> None:
         assert step.attempt is not None
         outcome = self.rng.choices([Outcome.OK, Outcome.ERROR, Outcome.RESET], [0.9, 0.05, 0.05])[0]
-        event = ended(step.attempt.request, step.attempt.backend, outcome, step.index, ANSWER_NS)
-        self.start(step.at, step.gateway, self.brokers[step.gateway].handle(step.at, event))
+        self.handle(step, ended(step.attempt.request, step.attempt.backend, outcome, step.index, ANSWER_NS))
 
 
-def test_hard_limit_holds_for_requests_that_arrive_together_after_seconds() -> None:
+@pytest.mark.parametrize("gateways", [GATEWAYS, OWNED_GATEWAYS])
+def test_hard_limit_holds_for_requests_that_arrive_together_after_seconds(gateways: int) -> None:
     """Guards against units that are refilled while their requests are still on their way to slow backends."""
     for seed in range(SEEDS):
-        world = World(seed)
+        world = World(seed, gateways=gateways)
         world.play()
         assert world.lowest >= -SLACK - 0.15 * PER_S, f"seed {seed}"
 
--- a/tests/project/test_wire_bytes.py
+++ b/tests/project/test_wire_bytes.py
@@ -213,6 +213,7 @@
 # The literal bytes, in hexadecimal.
 
 QUOTA: dict[str, str] = {
+    "IN_TRANSIT": ("081032547698badcfe0231004d0000003101419c"),
     "REQUEST": ("111032547698badcfe0231004d0000003101419c"),
     "SPENT": ("1a1032547698badcfe0231004d0000003101419c"),
     "GRANT": ("231032547698badcfe0231004d0000003101419c"),
--- a/trackspread/decide/broker.py
+++ b/trackspread/decide/broker.py
@@ -149,6 +149,8 @@
         self.commitments.evaluate_due(now)
         self._idle_accounts.sweep(now)
         actions += self._gossip(now)
+        if not self._is_retired:
+            actions += self.quota.report_late_units(now)
         line = self.load_shedding.log_line(now, self.requests.in_flight)
         if line is not None:
             actions.append(LogMessage(line))
--- a/trackspread/decide/open_request.py
+++ b/trackspread/decide/open_request.py
@@ -30,7 +30,11 @@
     counted_remotely: bool = False  # whether the quota owner or the counter counts it as in flight
     balances_before: Balances = NO_BALANCES  # the account's balances before the request took from them
     balances_taken: Balances = NO_BALANCES  # what the request took from the account
-    units_in_transit: float = 0.0  # of the hard limit, until an attempt has certainly arrived
+    # Units of the hard limit until an attempt has certainly arrived: those taken out of the bucket here, and
+    # those that the tenant's owner granted.
+    units_in_transit: float = 0.0
+    granted_units_in_transit: float = 0.0
+    is_reported_late: bool = False  # whether the owner is told of them
     reached_backend: bool = False  # whether an attempt may have reached a backend; then the units are used
 
     @property
--- a/trackspread/decide/peer_messages.py
+++ b/trackspread/decide/peer_messages.py
@@ -25,6 +25,7 @@
 class QuotaMessageKind(IntEnum):
     """Enumerates the kinds of quota messages, between a gateway and a tenant's owner or between peers."""
 
+    IN_TRANSIT = 0  # reports granted units whose requests take long to arrive at a backend
     REQUEST = 1  # asks whether these units may be spent
     SPENT = 2  # reports units that were spent; no answer follows
     GRANT = 3  # grants a request; the units are those in the bucket
--- a/trackspread/decide/quota/facade.py
+++ b/trackspread/decide/quota/facade.py
@@ -20,6 +20,7 @@
     token_bucket,
     usage_totals,
 )
+from .granted_requests import GrantedRequests
 from .fleet_changes import change_fleet, choose_sharing, gossip_interval_ns
 from .state import NO_QUERY, QuotaAnswer, QuotaState
 
@@ -35,6 +36,7 @@
     def __init__(self, settings: Settings, seed: int, now: int, rng: random.Random) -> None:
         super().__init__(settings, seed & INCARNATION_MASK, now, rng)
         self.sharing = choose_sharing(self)
+        self.granted_requests = GrantedRequests(settings.peer_messages_per_s)
 
     @property
     def gossip_interval_ns(self) -> float:
@@ -124,13 +126,32 @@
         """Spends units although no answer arrived; returns False if denied."""
         return self.sharing.spend_without_answer(now, account, units)
 
-    def request_started(self, request: OpenRequest, units: float) -> None:
-        """Notes that units of the hard limit which a request took are on their way to a backend."""
-        hard_limit.request_started(request, units)
+    def request_started(self, now: int, request: OpenRequest, units: float) -> None:
+        """Notes that units of the hard limit are on their way to a backend.
+
+        `units` were taken out of the bucket here; if none were, the tenant's owner has granted the request.
+        """
+        account = request.account
+        if not account.plan.hard_limit_per_s:
+            return
+        if units <= 0.0 and self.has_owner(account) and not self.is_local(account):
+            self.granted_requests.start(now, request)
+        else:
+            hard_limit.request_started(request, units)
 
     def request_arrived(self, now: int, request: OpenRequest) -> None:
         """Notes that a request has arrived at a backend, or will not any more."""
         hard_limit.request_arrived(now, request)
+        self.granted_requests.arrive(request)
+
+    def report_late_units(self, now: int) -> list[Action]:
+        """Returns the reports to owners of granted units whose requests take long to arrive."""
+        kind = QuotaMessageKind.IN_TRANSIT
+        return [
+            self.message_to(now, self.owner_of(late.account), late.account, kind, late.units, NO_QUERY)
+            for late in self.granted_requests.due_reports(now)
+            if not self.is_local(late.account)
+        ]
 
     def count_attempts(self, account: TenantAccount, more: int) -> None:
         """Changes the number of the tenant's attempts in flight."""
--- a/trackspread/decide/quota/hard_limit.py
+++ b/trackspread/decide/quota/hard_limit.py
@@ -6,8 +6,9 @@
 from ..open_request import OpenRequest
 from ..peer_messages import QuotaMessage, QuotaMessageKind
 from ..settings import Plan
-from ..tenant_account import ArrivalInTransit, TenantAccount
+from ..tenant_account import ArrivalInTransit, TenantAccount, UnitsInTransit
 from ..time_units import SECOND
+from .freshness import UNRESPONSIVE_NS
 from .state import QuotaState
 
 # Part of a hard limit that the owner grants; the rest is static, for times when the owner is unresponsive.
@@ -50,6 +51,14 @@
     return units
 
 
+def record_units_in_transit(account: TenantAccount, now: int, sender: int, units: float) -> None:
+    """Records, as the owner, the units in transit that a gateway reports of requests granted here."""
+    if units:
+        account.owner_record.units_in_transit[sender] = UnitsInTransit(units, now)
+    else:
+        account.owner_record.units_in_transit.pop(sender, None)
+
+
 def full_units(account: TenantAccount, share: float) -> float:
     """Returns the units up to which the bucket is filled with this share of the hard limit.
 
@@ -63,14 +72,22 @@
 def _units_beside(account: TenantAccount, share: float, units_in_transit: float) -> float:
     plan = account.plan
     prompt_units = plan.hard_limit_per_s * share * PROMPT_ARRIVAL_S
-    return plan.hard_limit_burst_units * share - max(0.0, units_in_transit - prompt_units)
+    units_beside = max(0.0, units_in_transit - prompt_units) + _units_elsewhere(account)
+    return plan.hard_limit_burst_units * share - units_beside
+
+
+def _units_elsewhere(account: TenantAccount) -> float:
+    """Returns the units in transit of requests that other gateways send, granted by this one as the owner."""
+    return sum(
+        reported.units
+        for reported in account.owner_record.units_in_transit.values()
+        if account.refilled_at_ns - reported.reported_at_ns < UNRESPONSIVE_NS
+    )
 
 
 def request_started(request: OpenRequest, units: float) -> None:
     """Notes that units which a request took are on their way to a backend."""
     account = request.account
-    if not account.plan.hard_limit_per_s:
-        return
     request.units_in_transit = units
     account.units_in_transit += units
     # None are left after a refill, and a request that another process started comes without one.
--- a/trackspread/decide/quota_admission.py
+++ b/trackspread/decide/quota_admission.py
@@ -143,7 +143,7 @@
         if quota.has_owners and not quota.is_local(account):
             account.count_forwarded(arrival.units)
         request.balances_taken = account.taken_since(request.balances_before)
-        quota.request_started(request, max(0.0, request.balances_taken.hard_limit_tokens))
+        quota.request_started(now, request, max(0.0, request.balances_taken.hard_limit_tokens))
         if not reports_use:
             return [attempt]
         return [attempt, quota.query(now, account, arrival.units, QuotaMessageKind.SPENT)[1]]
--- a/trackspread/decide/tenant_account.py
+++ b/trackspread/decide/tenant_account.py
@@ -47,6 +47,13 @@
     at_ns: int
 
 
+class UnitsInTransit(NamedTuple):
+    """Holds units that a gateway reported as in transit, of requests that the owner granted."""
+
+    units: float
+    reported_at_ns: int
+
+
 class PeerAttempts(NamedTuple):
     """Holds the number of a tenant's attempts that a peer reported as in flight."""
 
@@ -100,6 +107,7 @@
     is_taking_over: bool = False
     queried_at_ns: dict[int, int] = field(default_factory=dict)  # last query of each gateway
     unsettled_grants: dict[int, UnsettledGrant] = field(default_factory=dict)
+    units_in_transit: dict[int, UnitsInTransit] = field(default_factory=dict)
     # Former owners whose balances were added to the bucket here, and when.
     taken_over_at_ns: dict[int, int] = field(default_factory=dict)
 
