Units in transit: one state a request, one question for a remote owner, the owner's records in one place

- A granted request had a number that repeated its units, and a flag.
It has one state (GrantedTransit).
- "Another gateway grants the tenant's requests" stood three times, in the facade twice and in the takeover; it is Quota.has_remote_owner.
- The owner's record of units in transit is kept in owner_grants.py, with its other records of gateways, and no longer in hard_limit.py.
- refill called skip_refill; it is forget_arrivals.
- Comments, docstrings and two local names of this change are in plainer words.
No check is changed.

--- a/tests/decide/test_granted_requests.py
+++ b/tests/decide/test_granted_requests.py
@@ -66,7 +66,7 @@
 
 
 def test_late_units_are_reported_until_they_have_arrived() -> None:
-    """Guards against an owner that refills units in transit, or that leaves no room for them afterwards."""
+    """Guards against an owner that refills units in transit, or that withholds them afterwards."""
     broker = gateway()
     attempts = [start_granted(broker, number) for number in (1, 2)]
     now = START_NS + TICK
@@ -96,9 +96,9 @@
     tenants = [1 + GATEWAYS * number for number in range(4)]
     for number, tenant in enumerate(tenants, start=1):
         start_granted(broker, number, tenant)
-    told = [reported(broker, START_NS + ticks * TICK) for ticks in range(1, 5)]
-    assert [len(each) for each in told] == [1, 1, 1, 1]
-    assert sorted(tenant for each in told for tenant, _ in each) == tenants
+    reports = [reported(broker, START_NS + ticks * TICK) for ticks in range(1, 5)]
+    assert [len(each) for each in reports] == [1, 1, 1, 1]
+    assert sorted(tenant for each in reports for tenant, _ in each) == tenants
 
 
 def test_owner_has_no_room_for_reported_units_until_they_arrive() -> None:
--- a/tests/decide/test_hard_limit_in_transit.py
+++ b/tests/decide/test_hard_limit_in_transit.py
@@ -186,8 +186,8 @@
     in_transit: int = 0
 
     def refill(self, now: int) -> None:
-        room = BURST - max(0.0, self.in_transit - PER_S * hard_limit.PROMPT_ARRIVAL_S)
-        self.units = min(room, self.units + PER_S * (now - self.at) / SECOND)
+        limit = BURST - max(0.0, self.in_transit - PER_S * hard_limit.PROMPT_ARRIVAL_S)
+        self.units = min(limit, self.units + PER_S * (now - self.at) / SECOND)
         self.at = now
 
     def count_start(self) -> None:
@@ -221,7 +221,7 @@
 
 @pytest.mark.parametrize("outcome", list(Outcome))
 def test_no_units_stay_in_transit_after_the_last_attempt(outcome: Outcome) -> None:
-    """Guards against a bucket that loses room for good with each request."""
+    """Guards against a bucket whose limit falls for good with each request."""
     broker = Broker(settings(plans=(limited_plan(),)), 1, 0)
     broker.handle(0, full_list(backend(1)))
     broker.handle(0, arrival(1, 0))  # its account starts with a part of the slack only
--- a/tests/storage/test_stored_data.py
+++ b/tests/storage/test_stored_data.py
@@ -434,8 +434,8 @@
     "turn",
 )
 
-# What the hard limits' buckets of these tenants have since units in transit leave no room for refill; that
-# commit refilled them up to the whole burst.
+# Balances of these tenants' hard limits, which are refilled up to the burst less the units in transit; the
+# stored ones were refilled up to the whole burst.
 CEILINGS_BESIDE_TRANSIT = {4: 10.833333333333332, 28: 10.83333333333333, 32: 10.266666666666666}
 
 
--- a/trackspread/backends/connection.py
+++ b/trackspread/backends/connection.py
@@ -142,7 +142,7 @@
             context.loop.call_later(delay_s, self._sending_time_over, attempt)
 
     def _sending_time_over(self, attempt: Attempt) -> None:
-        """Ends an attempt if the backend's system lacks a part of its request."""
+        """Ends an attempt if the backend's system has not received its whole request."""
         attempts = self.owner.context.attempts
         attempts.withdraw(attempt)
         if self.attempt is attempt and self._unacknowledged_bytes():
@@ -389,8 +389,8 @@
     def _discard_unsent(self) -> None:
         """Has the close discard what the kernel still holds of a request, by a reset (tcp(7), socket(7)).
 
-        With a usual close the kernel goes on sending for as long as the backend takes to read it, and the
-        request may run long after it was given up.
+        After a usual close the kernel still sends it, however late the backend reads, and the request may
+        run long after it was given up.
         """
         raw_socket = self.raw_socket
         if raw_socket is not None and self._unacknowledged_bytes():
--- a/trackspread/backends/surplus_answers.py
+++ b/trackspread/backends/surplus_answers.py
@@ -11,7 +11,7 @@
 
 
 class SurplusAge(StrEnum):
-    """Enumerates when surplus bytes were seen; the values are names of figures."""
+    """Enumerates when surplus bytes were seen; the values are names in `/stats`."""
 
     WITH_ANSWER = "with_answer"
     RESTING = "resting"  # before the connection could be used again
--- a/trackspread/decide/open_request.py
+++ b/trackspread/decide/open_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from .backends import Backend
 from .commitment import Commitment
@@ -10,6 +11,14 @@
 from .tenant_account import NO_BALANCES, Balances, TenantAccount
 
 
+class GrantedTransit(Enum):
+    """Enumerates how long a request that the tenant's owner granted has been in transit."""
+
+    NONE = auto()  # it was not granted by another gateway, or it has arrived
+    RECENT = auto()
+    LATE = auto()  # its units are part of the reports to the owner
+
+
 @dataclass(slots=True)
 class OpenRequest:
     """Holds a request without a final answer."""
@@ -30,11 +39,10 @@
     counted_remotely: bool = False  # whether the quota owner or the counter counts it as in flight
     balances_before: Balances = NO_BALANCES  # the account's balances before the request took from them
     balances_taken: Balances = NO_BALANCES  # what the request took from the account
-    # Units of the hard limit until an attempt has certainly arrived: those taken out of the bucket here, and
-    # those that the tenant's owner granted.
+    # Until an attempt has certainly arrived: units that were taken out of the hard limit's bucket here, or
+    # the state of a request that the tenant's owner granted.
     units_in_transit: float = 0.0
-    granted_units_in_transit: float = 0.0
-    is_reported_late: bool = False  # whether the owner is told of them
+    granted_transit: GrantedTransit = GrantedTransit.NONE
     reached_backend: bool = False  # whether an attempt may have reached a backend; then the units are used
 
     @property
--- a/trackspread/decide/quota/facade.py
+++ b/trackspread/decide/quota/facade.py
@@ -81,6 +81,10 @@
         """Returns whether one gateway grants the tenant's requests for all gateways."""
         return self.sharing.has_owner(account)
 
+    def has_remote_owner(self, account: TenantAccount) -> bool:
+        """Returns whether another gateway, the owner, grants the tenant's requests."""
+        return self.has_owner(account) and not self.is_local(account)
+
     def is_local(self, account: TenantAccount) -> bool:
         """Returns whether this gateway decides on the tenant's requests alone."""
         return self.sharing.is_local(account)
@@ -134,7 +138,7 @@
         account = request.account
         if not account.plan.hard_limit_per_s:
             return
-        if units <= 0.0 and self.has_owner(account) and not self.is_local(account):
+        if units <= 0.0 and self.has_remote_owner(account):
             self.granted_requests.start(now, request)
         else:
             hard_limit.request_started(request, units)
@@ -181,7 +185,7 @@
         """Returns the actions that report the end of a request's last attempt to the owner or the counter."""
         if attempt_units := self.counter_weight(account):
             return [self.call_counter(now, account, -attempt_units)]
-        if not account.plan.concurrency_limit or not self.has_owner(account) or self.is_local(account):
+        if not account.plan.concurrency_limit or not self.has_remote_owner(account):
             return []
         owner = self.owner_of(account)
         return [self.message_to(now, owner, account, QuotaMessageKind.RELEASED, 0.0, NO_QUERY)]
--- a/trackspread/decide/quota/granted_requests.py
+++ b/trackspread/decide/quota/granted_requests.py
@@ -1,8 +1,8 @@
 """Tracks requests that a tenant's owner granted, to report those that take long to arrive at a backend.
 
-The owner's bucket of a hard limit has no room for units in transit, and it cannot see those of requests that
-other gateways send. A request that arrives promptly causes no message. The owner gets the sum of all others
-at the next tick, again every `REPORT_INTERVAL_NS`, and whenever it has changed.
+The owner's bucket of a hard limit is filled up to its burst less the units in transit, and the owner learns
+of those that other gateways send by these reports. A request that arrives promptly causes no message. The
+sum of all others is reported at the next tick, every `REPORT_INTERVAL_NS`, and whenever it has changed.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ..open_request import OpenRequest
+from ..open_request import GrantedTransit, OpenRequest
 from ..tenant_account import TenantAccount
 from ..time_units import SECOND, TICK
 from .freshness import FRESH_NS
@@ -53,7 +53,7 @@
         self.is_changed = True
 
     def is_due(self, now: int) -> bool:
-        """Returns whether the owner has to be told now."""
+        """Returns whether a report is due."""
         return self.is_changed or now - self.reported_at_ns >= REPORT_INTERVAL_NS
 
 
@@ -68,18 +68,17 @@
 
     def start(self, now: int, request: OpenRequest) -> None:
         """Tracks a request whose units the owner has taken out of its bucket."""
-        request.granted_units_in_transit = request.arrival.units
+        request.granted_transit = GrantedTransit.RECENT
         self._recent.append(StartedRequest(request, now))
 
     def arrive(self, request: OpenRequest) -> None:
         """Notes that a request has arrived at a backend, or will not any more."""
-        if request.is_reported_late:
-            self._late[request.account.tenant].remove(request.granted_units_in_transit)
-            request.is_reported_late = False
-        request.granted_units_in_transit = 0.0
+        if request.granted_transit is GrantedTransit.LATE:
+            self._late[request.account.tenant].remove(request.arrival.units)
+        request.granted_transit = GrantedTransit.NONE
 
     def due_reports(self, now: int) -> list[LateUnits]:
-        """Returns what owners have to be told now, and counts it as told."""
+        """Returns the reports that are due, and counts them as sent."""
         self._find_late(now)
         due = [late for late in self._late.values() if late.is_due(now)][: self._most_reports]
         for late in due:
@@ -93,9 +92,9 @@
     def _find_late(self, now: int) -> None:
         while self._recent and now - self._recent[0].started_at_ns >= PROMPT_ARRIVAL_NS:
             request = self._recent.popleft().request
-            if not request.granted_units_in_transit:
+            if request.granted_transit is not GrantedTransit.RECENT:
                 continue
             account = request.account
             late = self._late.setdefault(account.tenant, LateUnits(account))
-            late.add(request.granted_units_in_transit)
-            request.is_reported_late = True
+            late.add(request.arrival.units)
+            request.granted_transit = GrantedTransit.LATE
--- a/trackspread/decide/quota/hard_limit.py
+++ b/trackspread/decide/quota/hard_limit.py
@@ -6,7 +6,7 @@
 from ..open_request import OpenRequest
 from ..peer_messages import QuotaMessage, QuotaMessageKind
 from ..settings import Plan
-from ..tenant_account import ArrivalInTransit, TenantAccount, UnitsInTransit
+from ..tenant_account import ArrivalInTransit, TenantAccount
 from ..time_units import SECOND
 from .freshness import UNRESPONSIVE_NS
 from .state import QuotaState
@@ -29,19 +29,19 @@
     account.hard_limit_tokens = min(
         _units_refilled_to(account, share), account.hard_limit_tokens + refilled_units
     )
-    skip_refill(account)
+    forget_arrivals(account)
 
 
-def skip_refill(account: TenantAccount) -> None:
-    """Leaves the bucket as it is, without any refill up to `refilled_at_ns`."""
+def forget_arrivals(account: TenantAccount) -> None:
+    """Drops what limits a refill up to `refilled_at_ns`, because it was done or left out."""
     account.arrivals_since_refill.clear()
 
 
 def _units_refilled_to(account: TenantAccount, share: float) -> float:
     """Returns the most units that the bucket can have at `refilled_at_ns`.
 
-    Until each arrival since the last refill the bucket had room for less, and only what was refilled after
-    that arrival fits on top.
+    Before each arrival since the last refill its limit was lower, by the units then in transit. It can have
+    exceeded that limit only by the refill after that arrival.
     """
     per_s = account.plan.hard_limit_per_s * share
     units = full_units(account, share)
@@ -51,20 +51,12 @@
     return units
 
 
-def record_units_in_transit(account: TenantAccount, now: int, sender: int, units: float) -> None:
-    """Records, as the owner, the units in transit that a gateway reports of requests granted here."""
-    if units:
-        account.owner_record.units_in_transit[sender] = UnitsInTransit(units, now)
-    else:
-        account.owner_record.units_in_transit.pop(sender, None)
-
-
 def full_units(account: TenantAccount, share: float) -> float:
     """Returns the units up to which the bucket is filled with this share of the hard limit.
 
     The limit holds where requests arrive, and those in transit may all arrive at once, however long after
-    their start. A bucket that takes their units on arrival has room for its burst less these units. Those of
-    `PROMPT_ARRIVAL_S` are covered by the limit's slack.
+    their start, so the bucket is filled up to its burst less these units. Those of `PROMPT_ARRIVAL_S` are
+    covered by the limit's slack.
     """
     return _units_beside(account, share, account.units_in_transit)
 
--- a/trackspread/decide/quota/owner_grants.py
+++ b/trackspread/decide/quota/owner_grants.py
@@ -1,9 +1,9 @@
-"""Keeps what a tenant's owner records about gateways that query it: unsettled grants and former owners."""
+"""Keeps what a tenant's owner records about gateways that query it: their grants and former owners."""
 
 from __future__ import annotations
 
 from ..peer_messages import QuotaMessage, total_growth
-from ..tenant_account import QUARTERS_PER_UNIT, TenantAccount, UnsettledGrant
+from ..tenant_account import QUARTERS_PER_UNIT, TenantAccount, UnitsInTransit, UnsettledGrant
 from .freshness import FRESH_NS, UNRESPONSIVE_NS
 from .sharing import QuotaSharing
 from .state import REPORTED_TOKENS_NS
@@ -39,6 +39,14 @@
     account.owner_record.unsettled_grants[sender] = UnsettledGrant(units, now)
 
 
+def record_units_in_transit(account: TenantAccount, now: int, sender: int, units: float) -> None:
+    """Records the granted units that the sender reports as in transit, in place of its last report."""
+    if units:
+        account.owner_record.units_in_transit[sender] = UnitsInTransit(units, now)
+    else:
+        account.owner_record.units_in_transit.pop(sender, None)
+
+
 def settle_grants(account: TenantAccount, now: int, sender: int, forwarded_quarter_units: int) -> None:
     """Settles the sender's grants by the total that it reports as forwarded so far.
 
--- a/trackspread/decide/quota/quota_messages.py
+++ b/trackspread/decide/quota/quota_messages.py
@@ -9,7 +9,7 @@
 from .account_table import has_room_for
 from .accounts import account_of_message
 from .capacity import has_capacity
-from .hard_limit import grant_transfer, receive_transfer, record_units_in_transit
+from .hard_limit import grant_transfer, receive_transfer
 from .sharing import QuotaSharing
 from .state import NO_QUERY, QuotaAnswer
 from .usage_totals import detect_restart
@@ -83,7 +83,7 @@
         return QuotaAnswer(NO_QUERY, None, [])
     token_bucket.refill(sharing, now, account)
     if message.kind == QuotaMessageKind.IN_TRANSIT:
-        record_units_in_transit(account, now, sender, message.units)
+        owner_grants.record_units_in_transit(account, now, sender, message.units)
         return QuotaAnswer(NO_QUERY, None, [])
     if message.tokens_reported_by not in (0, state.settings.gateway_index):
         owner_grants.take_over(sharing, now, account, sender, message)
--- a/trackspread/decide/quota/token_bucket.py
+++ b/trackspread/decide/quota/token_bucket.py
@@ -23,7 +23,7 @@
         missing_units = plan.burst_units - account.tokens
         unresponsive_units = account.unresponsive_units + plan.rate_per_s * elapsed_s
         account.unresponsive_units = min(missing_units, unresponsive_units)
-        hard_limit.skip_refill(account)
+        hard_limit.forget_arrivals(account)
         return
     share = sharing.refill_share(now, account)
     static_share = state.static_shares.share(now, account)
--- a/trackspread/decide/snapshot_restore.py
+++ b/trackspread/decide/snapshot_restore.py
@@ -196,8 +196,8 @@
     )
     broker.requests.attempts[attempt.request, attempt.attempt] = request
     broker.requests.count_attempts(request, 1)
-    is_granted_elsewhere = broker.quota.has_owner(account) and not broker.quota.is_local(account)
-    broker.quota.request_started(now, request, 0.0 if is_granted_elsewhere else attempt.units)
+    units_taken_here = 0.0 if broker.quota.has_remote_owner(account) else attempt.units
+    broker.quota.request_started(now, request, units_taken_here)
     backend = broker.load_balancer.backends.get(attempt.backend)
     if backend is not None:
         backend.in_flight += 1
--- a/trackspread/decide/tenant_account.py
+++ b/trackspread/decide/tenant_account.py
@@ -107,7 +107,7 @@
     is_taking_over: bool = False
     queried_at_ns: dict[int, int] = field(default_factory=dict)  # last query of each gateway
     unsettled_grants: dict[int, UnsettledGrant] = field(default_factory=dict)
-    units_in_transit: dict[int, UnitsInTransit] = field(default_factory=dict)
+    units_in_transit: dict[int, UnitsInTransit] = field(default_factory=dict)  # last report of each gateway
     # Former owners whose balances were added to the bucket here, and when.
     taken_over_at_ns: dict[int, int] = field(default_factory=dict)
 
--- a/trackspread/fronts/client.py
+++ b/trackspread/fronts/client.py
@@ -618,7 +618,7 @@
         )
 
     def _bytes_before_client(self) -> int:
-        """Returns how many bytes of answers wait here or in the kernel; the client's system lacks them."""
+        """Returns how many bytes of answers are unsent, or not acknowledged by the client's system."""
         transport = cast(asyncio.Transport, self._transport)
         unsent_bytes = transport.get_write_buffer_size()
         raw_socket = self.raw_socket
